Workspace of packages with names, numbers and the model of the document

Cause: nothing stood yet. The packages follow the peers that the system talks to; the document package holds the words that all others share. Checked: formatter, clippy with warnings denied, build. No tests yet.

--- /dev/null
+++ b/crates/backend/src/lib.rs
@@ -0,0 +1,1 @@
+//! Backend servers: HTTP client, attempts, streams, load reports, quarantine.
--- /dev/null
+++ b/crates/caller/src/lib.rs
@@ -0,0 +1,1 @@
+//! Callers: HTTP server, idempotency keys, outcomes, addresses.
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' command.
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! The daemon: settings, assembly of all parts, the path of a request.
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point.
+
+fn main() {}
--- /dev/null
+++ b/crates/document/src/collections.rs
@@ -0,0 +1,11 @@
+//! Hash maps and sets with a fast hasher that is seeded anew in each process.
+//!
+//! Keys chosen by callers can be used safely: the seed is not known to them.
+
+#[allow(clippy::disallowed_types)]
+/// A hash map with the project's hasher.
+pub type Map<K, V> = std::collections::HashMap<K, V, foldhash::fast::RandomState>;
+
+#[allow(clippy::disallowed_types)]
+/// A hash set with the project's hasher.
+pub type Set<T> = std::collections::HashSet<T, foldhash::fast::RandomState>;
--- /dev/null
+++ b/crates/document/src/number.rs
@@ -0,0 +1,145 @@
+//! Numbers with a meaning: revisions, incarnations, tiers, token counts, percentages.
+
+use std::{fmt, str::FromStr};
+
+use serde::{Deserialize, Serialize};
+
+/// The revision of a published value. A higher revision replaces a lower one.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+    derive_more::Display,
+    derive_more::FromStr,
+)]
+#[serde(transparent)]
+pub struct Revision(pub u64);
+
+/// A service tier. Tier 1 is the highest, [`Tier::LOWEST`] the lowest.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+    derive_more::Display,
+    derive_more::FromStr,
+)]
+#[serde(transparent)]
+pub struct Tier(pub u8);
+
+impl Tier {
+    /// The highest tier.
+    pub const HIGHEST: Self = Self(1);
+    /// The lowest tier.
+    pub const LOWEST: Self = Self(8);
+}
+
+/// A count of tokens.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+    derive_more::Display,
+    derive_more::FromStr,
+    derive_more::Add,
+    derive_more::Sum,
+)]
+#[serde(transparent)]
+pub struct Tokens(pub u64);
+
+/// A whole number of percent, 0 to 100.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Serialize,
+    Deserialize,
+    derive_more::Display,
+    derive_more::FromStr,
+)]
+#[display("{_0}%")]
+#[serde(transparent)]
+pub struct Percent(pub u8);
+
+/// One run of a process. A process that starts again gets a higher incarnation.
+///
+/// The upper 44 bits are the start time in milliseconds since 1970, the lower 20 bits are random.
+/// The text form has 16 hexadecimal digits.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(into = "String", try_from = "String")]
+pub struct Incarnation(pub u64);
+
+impl Incarnation {
+    /// The number of low bits that are random.
+    pub const RANDOM_BITS: u32 = 20;
+
+    /// Makes the incarnation of a process that started at `started_ms` since 1970.
+    pub fn new(started_ms: u64, random: u64) -> Self {
+        let mask = (1 << Self::RANDOM_BITS) - 1;
+        Self(started_ms << Self::RANDOM_BITS | random & mask)
+    }
+}
+
+impl fmt::Display for Incarnation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+/// A text that is no incarnation.
+#[derive(Debug, Clone, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+#[display("an incarnation has 16 hexadecimal digits")]
+pub struct IncarnationError;
+
+impl FromStr for Incarnation {
+    type Err = IncarnationError;
+
+    fn from_str(text: &str) -> Result<Self, IncarnationError> {
+        let hex = text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit());
+        let number = u64::from_str_radix(text, 16).map_err(|_| IncarnationError)?;
+        hex.then_some(Self(number)).ok_or(IncarnationError)
+    }
+}
+
+impl From<Incarnation> for String {
+    fn from(incarnation: Incarnation) -> Self {
+        incarnation.to_string()
+    }
+}
+
+impl TryFrom<String> for Incarnation {
+    type Error = IncarnationError;
+
+    fn try_from(text: String) -> Result<Self, IncarnationError> {
+        text.parse()
+    }
+}
--- /dev/null
+++ b/crates/operator/src/lib.rs
@@ -0,0 +1,1 @@
+//! Operators: administration API, its client, status and order types.
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Daemons among themselves: membership, votes, shares, permits, spread of revisions.
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! The platform's configuration service: reads, watches, back-off.
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions under load: queue, limits, estimates, choice of backend server. No I/O.
--- /dev/null
+++ b/crates/timer/src/lib.rs
@@ -0,0 +1,1 @@
+//! The clock and the timer service that parts subscribe to.
