Add the indexed catalog and the operators' server

The catalog keeps the published bytes as bytes::Bytes, so that passing a document on copies nothing.

--- a/crates/document/src/lib.rs
+++ b/crates/document/src/lib.rs
@@ -1,8 +1,9 @@
 //! The operators' document: names, model, checks, groups of backend servers, service orders.
 //!
 //! Everything here is plain data without I/O. [`load::parse`] turns bytes into a checked
-//! [`model::Document`] or into the whole list of faults.
+//! [`model::Document`] or into the whole list of faults; [`catalog::Catalog`] indexes the result.
 
+pub mod catalog;
 pub mod collections;
 pub mod digest;
 pub mod group;
--- /dev/null
+++ b/crates/operator/src/check.rs
@@ -0,0 +1,37 @@
+//! The result of a check of a document.
+
+use hyssop_document::{catalog::Catalog, digest::Digest, load::Fault, name, number::Revision};
+use serde::{Deserialize, Serialize};
+
+/// Whether a document would be adopted, and why not.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// Whether the document has no fault.
+    pub valid: bool,
+    /// The environment, if the document is valid.
+    pub environment: Option<name::Environment>,
+    /// The revision, if the document is valid.
+    pub revision: Option<Revision>,
+    /// The digest, if the document is valid.
+    pub digest: Option<Digest>,
+    /// Every fault.
+    pub faults: Vec<Fault>,
+}
+
+impl Report {
+    /// The report on the result of [`Catalog::parse`].
+    pub fn new(result: Result<Catalog, Vec<Fault>>) -> Self {
+        match result {
+            Ok(catalog) => Self {
+                valid: true,
+                environment: Some(catalog.environment().clone()),
+                revision: Some(catalog.revision()),
+                digest: Some(catalog.digest()),
+                faults: Vec::new(),
+            },
+            Err(faults) => {
+                Self { valid: false, environment: None, revision: None, digest: None, faults }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/operator/src/histogram.rs
@@ -0,0 +1,169 @@
+//! Histograms by class and workspace.
+
+use hyssop_document::name;
+use serde::{Deserialize, Serialize};
+
+/// The histograms that a daemon could gather from the fleet.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// The host that answered.
+    pub answered_by: name::Host,
+    /// Whether some listed host was not reached, so that its requests are missing.
+    pub partial: bool,
+    /// The hosts whose requests are counted.
+    pub hosts: Vec<name::Host>,
+    /// The listed hosts that were not reached.
+    pub not_reached: Vec<name::Host>,
+    /// One row for each class and workspace that sent requests.
+    pub rows: Vec<Row>,
+}
+
+impl Report {
+    /// Adds up what the hosts counted. `parts` has each host with its rows.
+    pub fn join(
+        answered_by: name::Host,
+        parts: Vec<(name::Host, Vec<Row>)>,
+        mut not_reached: Vec<name::Host>,
+    ) -> Self {
+        not_reached.sort();
+        let partial = !not_reached.is_empty();
+        let mut hosts = Vec::with_capacity(parts.len());
+        let mut rows: Vec<Row> = Vec::new();
+        for (host, part) in parts {
+            hosts.push(host);
+            rows.extend(part);
+        }
+        hosts.sort();
+        Self { answered_by, partial, hosts, not_reached, rows: merge(rows) }
+    }
+}
+
+/// Joins rows of the same class and workspace.
+fn merge(mut rows: Vec<Row>) -> Vec<Row> {
+    rows.sort_by(|a, b| (&a.class, &a.workspace).cmp(&(&b.class, &b.workspace)));
+    let mut merged: Vec<Row> = Vec::with_capacity(rows.len());
+    for row in rows {
+        match merged.last_mut() {
+            Some(last) if last.class == row.class && last.workspace == row.workspace => {
+                last.add(&row);
+            }
+            _ => merged.push(row),
+        }
+    }
+    merged
+}
+
+/// The requests of one class and one workspace.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Row {
+    /// The class.
+    pub class: name::Class,
+    /// The workspace; none stands for all workspaces that have no row of their own.
+    pub workspace: Option<name::Workspace>,
+    /// The number of requests that were answered whole.
+    pub answered: u64,
+    /// The number of those that met both targets of the class.
+    pub on_target: u64,
+    /// The number of requests that were refused and did not run.
+    pub refused: u64,
+    /// The number of requests that may have run.
+    pub unknown: u64,
+    /// The number of requests that ran and failed.
+    pub failed: u64,
+    /// The time from the request to the first token or byte, in milliseconds.
+    pub first_token: Histogram,
+    /// The time from the request to the end of the answer, in milliseconds.
+    pub complete: Histogram,
+}
+
+impl Row {
+    /// A row without requests.
+    pub fn new(class: name::Class, workspace: Option<name::Workspace>) -> Self {
+        Self {
+            class,
+            workspace,
+            answered: 0,
+            on_target: 0,
+            refused: 0,
+            unknown: 0,
+            failed: 0,
+            first_token: Histogram::default(),
+            complete: Histogram::default(),
+        }
+    }
+
+    /// Adds the requests of another row.
+    pub fn add(&mut self, other: &Self) {
+        self.answered += other.answered;
+        self.on_target += other.on_target;
+        self.refused += other.refused;
+        self.unknown += other.unknown;
+        self.failed += other.failed;
+        self.first_token.add(&other.first_token);
+        self.complete.add(&other.complete);
+    }
+}
+
+/// Counts of times, in buckets.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Histogram {
+    /// The buckets that are not empty, in ascending order.
+    pub buckets: Vec<Bucket>,
+}
+
+/// The times up to a bound that are above the bound of the bucket before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Bucket {
+    /// The bound in milliseconds.
+    pub up_to_ms: u64,
+    /// The number of times.
+    pub count: u64,
+}
+
+impl Histogram {
+    /// Makes a histogram out of bounds and counts, in any order.
+    pub fn new(buckets: impl IntoIterator<Item = (u64, u64)>) -> Self {
+        let mut histogram = Self::default();
+        for (up_to_ms, count) in buckets {
+            histogram.record(up_to_ms, count);
+        }
+        histogram
+    }
+
+    fn record(&mut self, up_to_ms: u64, count: u64) {
+        if count == 0 {
+            return;
+        }
+        match self.buckets.binary_search_by_key(&up_to_ms, |bucket| bucket.up_to_ms) {
+            Ok(position) => self.buckets[position].count += count,
+            Err(position) => self.buckets.insert(position, Bucket { up_to_ms, count }),
+        }
+    }
+
+    /// Adds the counts of another histogram.
+    pub fn add(&mut self, other: &Self) {
+        for bucket in &other.buckets {
+            self.record(bucket.up_to_ms, bucket.count);
+        }
+    }
+
+    /// The number of times that were recorded.
+    pub fn count(&self) -> u64 {
+        self.buckets.iter().map(|bucket| bucket.count).sum()
+    }
+
+    /// The bound in milliseconds that a share of all times does not exceed.
+    ///
+    /// `per_mille` is the share in thousandths. A histogram without times has no bound.
+    pub fn quantile_ms(&self, per_mille: u64) -> Option<u64> {
+        let rank = (self.count() * per_mille.min(1000)).div_ceil(1000).max(1);
+        let mut seen = 0;
+        for bucket in &self.buckets {
+            seen += bucket.count;
+            if seen >= rank {
+                return Some(bucket.up_to_ms);
+            }
+        }
+        None
+    }
+}
--- /dev/null
+++ b/crates/operator/src/quarantine.rs
@@ -0,0 +1,83 @@
+//! Requests that are refused because they crashed backend servers.
+
+use std::{fmt, str::FromStr};
+
+use hyssop_document::name;
+use serde::{Deserialize, Serialize};
+
+/// The fingerprint of a request. The text form has 16 hexadecimal digits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(into = "String", try_from = "String")]
+pub struct Fingerprint(pub u64);
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+/// A text that is no fingerprint.
+#[derive(Debug, Clone, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+#[display("a fingerprint has 16 hexadecimal digits")]
+pub struct FingerprintError;
+
+impl FromStr for Fingerprint {
+    type Err = FingerprintError;
+
+    fn from_str(text: &str) -> Result<Self, FingerprintError> {
+        let hex = text.len() == 16 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        if !hex {
+            return Err(FingerprintError);
+        }
+        u64::from_str_radix(text, 16).map(Self).map_err(|_| FingerprintError)
+    }
+}
+
+impl From<Fingerprint> for String {
+    fn from(fingerprint: Fingerprint) -> Self {
+        fingerprint.to_string()
+    }
+}
+
+impl TryFrom<String> for Fingerprint {
+    type Error = FingerprintError;
+
+    fn try_from(text: String) -> Result<Self, FingerprintError> {
+        text.parse()
+    }
+}
+
+/// The quarantined requests that a daemon knows of.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// One entry for each fingerprint.
+    pub entries: Vec<Entry>,
+}
+
+/// A quarantined request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// The fingerprint of the request.
+    pub fingerprint: Fingerprint,
+    /// The workspace that sent it, if the daemon has seen the request itself.
+    pub workspace: Option<name::Workspace>,
+    /// The pool that it was for, if the daemon has seen the request itself.
+    pub pool: Option<name::Pool>,
+    /// The number of backend servers that it crashed while it ran there as the only suspect.
+    pub crashes: u32,
+    /// The time until the quarantine ends by itself, in milliseconds.
+    pub expires_in_ms: u64,
+}
+
+/// What became of a release.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Release {
+    /// The fingerprint.
+    pub fingerprint: Fingerprint,
+    /// Whether it was quarantined at the daemon that was asked.
+    pub released: bool,
+    /// The hosts that have confirmed the release.
+    pub in_force: Vec<name::Host>,
+    /// The hosts that could not be reached.
+    pub not_reached: Vec<name::Host>,
+}
--- /dev/null
+++ b/crates/operator/src/server.rs
@@ -0,0 +1,188 @@
+//! The HTTP server for operators.
+
+pub mod reply;
+mod route;
+
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyssop_document::digest::Digest;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{OwnedSemaphorePermit, Semaphore},
+};
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+
+use crate::desk::Desk;
+
+const DEFAULT_MAX_CONNECTIONS: usize = 256;
+const DEFAULT_HEADER_TIMEOUT: Duration = Duration::from_secs(5);
+const DEFAULT_BODY_TIMEOUT: Duration = Duration::from_secs(10);
+const DEFAULT_ANSWER_TIMEOUT: Duration = Duration::from_secs(30);
+const DEFAULT_STOP_TIMEOUT: Duration = Duration::from_secs(5);
+const MAX_HEADER_BYTES: usize = 16 << 10;
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Limits of the server.
+#[derive(Debug, Clone, Copy)]
+struct Limits {
+    max_connections: usize,
+    header_timeout: Duration,
+    body_timeout: Duration,
+    answer_timeout: Duration,
+    stop_timeout: Duration,
+}
+
+/// Sets up a [`Server`].
+pub struct Builder {
+    listener: TcpListener,
+    desk: Arc<dyn Desk>,
+    keys: Vec<Digest>,
+    limits: Limits,
+}
+
+impl Builder {
+    /// Sets the digests of the keys that operators present. Without one, nobody is let in.
+    pub fn keys(mut self, keys: Vec<Digest>) -> Self {
+        self.keys = keys;
+        self
+    }
+
+    /// Sets the number of connections that are served at once.
+    pub fn max_connections(mut self, count: usize) -> Self {
+        self.limits.max_connections = count.max(1);
+        self
+    }
+
+    /// Sets the time in which a request's header must arrive.
+    pub fn header_timeout(mut self, timeout: Duration) -> Self {
+        self.limits.header_timeout = timeout;
+        self
+    }
+
+    /// Sets the time in which a request's body must arrive.
+    pub fn body_timeout(mut self, timeout: Duration) -> Self {
+        self.limits.body_timeout = timeout;
+        self
+    }
+
+    /// Sets the time after which an answer that is still not there becomes a timeout.
+    pub fn answer_timeout(mut self, timeout: Duration) -> Self {
+        self.limits.answer_timeout = timeout;
+        self
+    }
+
+    /// Sets the time that requests in progress get to finish when the server stops.
+    pub fn stop_timeout(mut self, timeout: Duration) -> Self {
+        self.limits.stop_timeout = timeout;
+        self
+    }
+
+    /// Makes the server. It serves nobody before [`Server::run`].
+    pub fn build(self) -> Server {
+        let routes = route::Routes {
+            desk: self.desk,
+            keys: self.keys,
+            body_timeout: self.limits.body_timeout,
+            answer_timeout: self.limits.answer_timeout,
+        };
+        Server { listener: self.listener, routes: Arc::new(routes), limits: self.limits }
+    }
+}
+
+/// The HTTP server for operators.
+pub struct Server {
+    listener: TcpListener,
+    routes: Arc<route::Routes>,
+    limits: Limits,
+}
+
+impl Server {
+    /// Starts to set up a server on a listener.
+    pub fn builder(listener: TcpListener, desk: Arc<dyn Desk>) -> Builder {
+        let limits = Limits {
+            max_connections: DEFAULT_MAX_CONNECTIONS,
+            header_timeout: DEFAULT_HEADER_TIMEOUT,
+            body_timeout: DEFAULT_BODY_TIMEOUT,
+            answer_timeout: DEFAULT_ANSWER_TIMEOUT,
+            stop_timeout: DEFAULT_STOP_TIMEOUT,
+        };
+        Builder { listener, desk, keys: Vec::new(), limits }
+    }
+
+    /// The address that the server listens on.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the operating system does not tell.
+    pub fn local_addr(&self) -> io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
+    /// Serves until `stop` is cancelled, then lets requests in progress finish.
+    pub async fn run(self, stop: CancellationToken) {
+        let slots = Arc::new(Semaphore::new(self.limits.max_connections));
+        let tracker = TaskTracker::new();
+        loop {
+            let accepted = tokio::select! {
+                () = stop.cancelled() => break,
+                accepted = accept(&self.listener, &slots) => accepted,
+            };
+            let Some((stream, slot)) = accepted else { continue };
+            let connection =
+                serve(stream, slot, self.routes.clone(), self.limits, stop.child_token());
+            tracker.spawn(connection);
+        }
+        drop(self.listener);
+        tracker.close();
+        if tokio::time::timeout(self.limits.stop_timeout, tracker.wait()).await.is_err() {
+            log::warn!("operator connections cut off at stop count={}", tracker.len());
+        }
+    }
+}
+
+async fn accept(
+    listener: &TcpListener,
+    slots: &Arc<Semaphore>,
+) -> Option<(TcpStream, OwnedSemaphorePermit)> {
+    let slot = slots.clone().acquire_owned().await.ok()?;
+    match listener.accept().await {
+        Ok((stream, _)) => Some((stream, slot)),
+        Err(error) => {
+            log::warn!("operator connection not accepted error={error}");
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            None
+        }
+    }
+}
+
+async fn serve(
+    stream: TcpStream,
+    slot: OwnedSemaphorePermit,
+    routes: Arc<route::Routes>,
+    limits: Limits,
+    stop: CancellationToken,
+) {
+    let service = service_fn(move |request: hyper::Request<Incoming>| {
+        let routes = routes.clone();
+        async move { Ok::<_, std::convert::Infallible>(routes.answer(request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.header_timeout)
+        .max_buf_size(MAX_HEADER_BYTES)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = stop.cancelled() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        log::debug!("operator connection ended error={error}");
+    }
+    drop(slot);
+}
--- /dev/null
+++ b/crates/operator/src/server/route.rs
@@ -0,0 +1,172 @@
+//! The paths of the administration API.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::{Method, Request, StatusCode, body::Incoming, header::AUTHORIZATION};
+use hyssop_document::{
+    catalog::Catalog,
+    digest::Digest,
+    load::MAX_DOCUMENT_BYTES,
+    order::{Order, Target},
+};
+use serde::Serialize;
+
+use super::reply::{Error, Kind, Reply, json, not_allowed, raw};
+use crate::{check, desk::Desk, outcome};
+
+const MAX_ORDER_BYTES: usize = 4 << 10;
+
+#[derive(Serialize)]
+struct Live {
+    live: bool,
+}
+
+/// Answers requests by path.
+pub(super) struct Routes {
+    pub(super) desk: Arc<dyn Desk>,
+    pub(super) keys: Vec<Digest>,
+    pub(super) body_timeout: Duration,
+    pub(super) answer_timeout: Duration,
+}
+
+impl Routes {
+    /// The answer to one request.
+    pub(super) async fn answer(&self, request: Request<Incoming>) -> Reply {
+        let answer = tokio::time::timeout(self.answer_timeout, self.find(request));
+        match answer.await {
+            Ok(Ok(reply)) => reply,
+            Ok(Err(error)) => error.reply(),
+            Err(_) => Error::new(Kind::AnswerTimeout, "the daemon found no answer in time").reply(),
+        }
+    }
+
+    async fn find(&self, request: Request<Incoming>) -> Result<Reply, Error> {
+        let path = request.uri().path();
+        match path {
+            "/livez" => return Ok(json(StatusCode::OK, &Live { live: true })),
+            "/readyz" => return Ok(self.ready().await),
+            _ => self.authorize(&request)?,
+        }
+        let read = request.method() == Method::GET;
+        let posted = request.method() == Method::POST;
+        match path {
+            "/v1/status" if read => Ok(json(StatusCode::OK, &self.desk.status().await)),
+            "/v1/orders" if read => Ok(json(StatusCode::OK, &self.desk.orders().await)),
+            "/v1/orders" if posted => self.order(request).await,
+            "/v1/histograms" if read => Ok(json(StatusCode::OK, &self.desk.histograms().await)),
+            "/v1/quarantine" if read => Ok(json(StatusCode::OK, &self.desk.quarantine().await)),
+            "/v1/document" if read => self.document().await,
+            "/v1/document/check" if posted => self.check(request).await,
+            "/v1/status" | "/v1/histograms" | "/v1/quarantine" | "/v1/document" => {
+                Ok(not_allowed("GET"))
+            }
+            "/v1/orders" => Ok(not_allowed("GET, POST")),
+            "/v1/document/check" => Ok(not_allowed("POST")),
+            _ => self.entry(&request).await,
+        }
+    }
+
+    /// Lets a request through that presents one of the operators' keys.
+    fn authorize(&self, request: &Request<Incoming>) -> Result<(), Error> {
+        let presented = bearer(request).map(Digest::of);
+        let mut known = false;
+        if let Some(presented) = presented {
+            // All keys are compared, so that the time does not tell which one matched.
+            for key in &self.keys {
+                known |= key.matches(&presented);
+            }
+        }
+        if known {
+            return Ok(());
+        }
+        Err(Error::new(Kind::Unauthorized, "an operator's key is needed as a bearer token"))
+    }
+
+    async fn ready(&self) -> Reply {
+        let readiness = self.desk.readiness().await;
+        let status = if readiness.ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        json(status, &readiness)
+    }
+
+    async fn order(&self, request: Request<Incoming>) -> Result<Reply, Error> {
+        let body = self.body(request, MAX_ORDER_BYTES).await?;
+        let order: Order = serde_json::from_slice(&body)
+            .map_err(|error| Error::new(Kind::BadRequest, format!("no order: {error}")))?;
+        let outcome = match self.unknown_zone(&order).await {
+            Some(unknown) => outcome::Order::UnknownTarget(unknown),
+            None => self.desk.order(order).await,
+        };
+        let status = match outcome {
+            outcome::Order::InForce(_) => StatusCode::OK,
+            outcome::Order::Conflict(_) => StatusCode::CONFLICT,
+            outcome::Order::UnknownTarget(_) => StatusCode::NOT_FOUND,
+        };
+        Ok(json(status, &outcome))
+    }
+
+    /// Refuses an order that takes out an availability zone which the document does not have.
+    ///
+    /// Bringing a zone back is always allowed, so that an order can be undone after the document
+    /// has dropped the zone.
+    async fn unknown_zone(&self, order: &Order) -> Option<outcome::UnknownTarget> {
+        let Target::Zone(zone) = &order.target else { return None };
+        if !order.out {
+            return None;
+        }
+        let catalog = self.desk.document().await?;
+        if catalog.zone(zone).is_some() {
+            return None;
+        }
+        let message = format!("the document in force has no availability zone {zone}");
+        Some(outcome::UnknownTarget { target: order.target.clone(), message: message.into() })
+    }
+
+    async fn document(&self) -> Result<Reply, Error> {
+        let catalog = self.desk.document().await;
+        let none = || Error::new(Kind::NotFound, "no document is in force");
+        catalog.map(|catalog| raw(StatusCode::OK, catalog.bytes().clone())).ok_or_else(none)
+    }
+
+    async fn check(&self, request: Request<Incoming>) -> Result<Reply, Error> {
+        let body = self.body(request, MAX_DOCUMENT_BYTES).await?;
+        let report = check::Report::new(Catalog::parse(body));
+        Ok(json(StatusCode::OK, &report))
+    }
+
+    async fn entry(&self, request: &Request<Incoming>) -> Result<Reply, Error> {
+        let Some(text) = request.uri().path().strip_prefix("/v1/quarantine/") else {
+            return Err(Error::new(Kind::NotFound, "there is nothing at this path"));
+        };
+        if request.method() != Method::DELETE {
+            return Ok(not_allowed("DELETE"));
+        }
+        let fingerprint =
+            text.parse().map_err(|error| Error::new(Kind::BadRequest, format!("{error}")))?;
+        let release = self.desk.release(fingerprint).await;
+        let status = if release.released { StatusCode::OK } else { StatusCode::NOT_FOUND };
+        Ok(json(status, &release))
+    }
+
+    async fn body(&self, request: Request<Incoming>, limit: usize) -> Result<Bytes, Error> {
+        let body = Limited::new(request.into_body(), limit).collect();
+        let collected = tokio::time::timeout(self.body_timeout, body)
+            .await
+            .map_err(|_| Error::new(Kind::BodyTimeout, "the body did not arrive in time"))?;
+        let body = collected.map_err(|error| {
+            if error.is::<LengthLimitError>() {
+                let message = format!("the body has more than {limit} bytes");
+                return Error::new(Kind::TooLarge, message);
+            }
+            Error::new(Kind::BadRequest, format!("the body is broken: {error}"))
+        })?;
+        Ok(body.to_bytes())
+    }
+}
+
+fn bearer(request: &Request<Incoming>) -> Option<&[u8]> {
+    let value = request.headers().get(AUTHORIZATION)?.as_bytes();
+    let (scheme, key) = value.split_at_checked("Bearer ".len())?;
+    scheme.eq_ignore_ascii_case(b"Bearer ").then_some(key)
+}
