Add the platform reader

Cause: the platform can only be read and watched, with a call limit. Change: one client over the read part of the Consul KV interface with blocking queries; a reader for each value that watches or polls as its duty says, backs off with jitter, honours Retry-After, and reads anew after a failure, since a restored server may have a lower index. Ruled out: a watch after a failure, which would wait for an index that a restored server never reaches. Checked: 4 tests, among them 2,000 random lists of hosts.

--- /dev/null
+++ b/crates/platform/src/client.rs
@@ -0,0 +1,161 @@
+//! One read of one value.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use http_body_util::{BodyExt, Empty, LengthLimitError, Limited};
+use hyper::{HeaderMap, Request, StatusCode, Uri, header};
+use hyper_util::{
+    client::legacy::{Client as Http, connect::HttpConnector},
+    rt::{TokioExecutor, TokioTimer},
+};
+
+use crate::Key;
+
+/// The largest value in bytes.
+pub const MAX_VALUE_BYTES: usize = 1 << 20;
+/// The header that carries the index of a value.
+const INDEX_HEADER: &str = "x-consul-index";
+
+/// The platform's position in its own history. A watch names the index it has seen.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    derive_more::Display,
+    derive_more::FromStr,
+)]
+pub struct Index(pub u64);
+
+/// A value as the platform has it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Value {
+    /// The index at which the value was read.
+    pub index: Index,
+    /// The bytes, or `None` if nothing is published under the key.
+    pub bytes: Option<Bytes>,
+}
+
+/// The reason why a read failed.
+#[derive(Debug, derive_more::Display, derive_more::Error)]
+pub enum Error {
+    /// The connection or the exchange failed.
+    #[display("the platform cannot be reached: {_0}")]
+    Unreachable(#[error(not(source))] CompactString),
+    /// No answer came in time.
+    #[display("the platform did not answer within {} ms", _0.as_millis())]
+    Timeout(#[error(not(source))] Duration),
+    /// The call limit is exceeded. Holds the time to wait, if the platform gave one.
+    #[display("the platform's call limit is exceeded")]
+    Limited(#[error(not(source))] Option<Duration>),
+    /// The platform answered with an unexpected status.
+    #[display("the platform answered with status {_0}")]
+    Status(#[error(not(source))] StatusCode),
+    /// The answer has no usable index.
+    #[display("the platform's answer has no index")]
+    Index,
+    /// The value is larger than [`MAX_VALUE_BYTES`].
+    #[display("the platform's value has more than {MAX_VALUE_BYTES} bytes")]
+    TooLarge,
+}
+
+/// A reader of the platform's values.
+#[derive(Debug, Clone)]
+pub struct Client {
+    http: Http<HttpConnector, Empty<Bytes>>,
+    address: SocketAddr,
+    prefix: CompactString,
+    timeout: Duration,
+}
+
+impl Client {
+    /// Makes a client for the service at `address` with all keys below `prefix`.
+    ///
+    /// `timeout` bounds each exchange, on top of the time that a watch waits.
+    pub fn new(address: SocketAddr, prefix: &str, timeout: Duration) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(timeout));
+        let http = Http::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_max_idle_per_host(Key::ALL.len())
+            .build(connector);
+        Self { http, address, prefix: CompactString::new(prefix.trim_matches('/')), timeout }
+    }
+
+    /// Reads a value as it is now.
+    ///
+    /// # Errors
+    ///
+    /// See [`Error`].
+    pub async fn read(&self, key: Key) -> Result<Value, Error> {
+        let uri = format!("http://{}/v1/kv/{}/{key}?raw", self.address, self.prefix);
+        self.get(&uri, self.timeout).await
+    }
+
+    /// Waits up to `wait` for an index higher than `seen`, then reads the value.
+    ///
+    /// Returns a value with the index `seen` if nothing changed.
+    ///
+    /// # Errors
+    ///
+    /// See [`Error`].
+    pub async fn watch(&self, key: Key, seen: Index, wait: Duration) -> Result<Value, Error> {
+        let uri = format!(
+            "http://{}/v1/kv/{}/{key}?raw&index={seen}&wait={}ms",
+            self.address,
+            self.prefix,
+            wait.as_millis()
+        );
+        self.get(&uri, wait + self.timeout).await
+    }
+
+    async fn get(&self, uri: &str, timeout: Duration) -> Result<Value, Error> {
+        let exchange = tokio::time::timeout(timeout, self.exchange(uri));
+        exchange.await.map_err(|_| Error::Timeout(timeout))?
+    }
+
+    async fn exchange(&self, uri: &str) -> Result<Value, Error> {
+        let uri: Uri = uri.parse().map_err(unreachable)?;
+        let request = Request::get(uri).body(Empty::new()).map_err(unreachable)?;
+        let response = self.http.request(request).await.map_err(unreachable)?;
+        let (head, body) = response.into_parts();
+        match head.status {
+            StatusCode::OK => {
+                let index = index(&head.headers)?;
+                let body = Limited::new(body, MAX_VALUE_BYTES).collect().await;
+                let bytes = body.map_err(|error| body_error(&*error))?.to_bytes();
+                Ok(Value { index, bytes: Some(bytes) })
+            }
+            StatusCode::NOT_FOUND => Ok(Value { index: index(&head.headers)?, bytes: None }),
+            StatusCode::TOO_MANY_REQUESTS => Err(Error::Limited(retry_after(&head.headers))),
+            status => Err(Error::Status(status)),
+        }
+    }
+}
+
+fn index(headers: &HeaderMap) -> Result<Index, Error> {
+    let text = headers.get(INDEX_HEADER).and_then(|value| value.to_str().ok());
+    text.and_then(|text| text.parse().ok()).ok_or(Error::Index)
+}
+
+fn retry_after(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get(header::RETRY_AFTER)?.to_str().ok()?;
+    text.parse().ok().map(Duration::from_secs)
+}
+
+fn unreachable(error: impl std::error::Error) -> Error {
+    Error::Unreachable(compact_str::format_compact!("{error}"))
+}
+
+fn body_error(error: &(dyn std::error::Error + Send + Sync + 'static)) -> Error {
+    if error.is::<LengthLimitError>() {
+        return Error::TooLarge;
+    }
+    Error::Unreachable(compact_str::format_compact!("{error}"))
+}
--- /dev/null
+++ b/crates/platform/tests/reader.rs
@@ -0,0 +1,151 @@
+//! The reader against a scripted platform.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use expect_test::expect;
+use hyssop_platform::{
+    Key,
+    backoff::Backoff,
+    client::{Client, Error, Value},
+    hosts,
+    reader::{Builder, Duty, Sink},
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener,
+};
+use tokio_util::sync::CancellationToken;
+
+/// Answers one exchange for each scripted answer, each on a connection of its own, and returns the
+/// request lines.
+async fn serve(listener: TcpListener, answers: Vec<&'static str>) -> Vec<String> {
+    let mut lines = Vec::new();
+    for answer in answers {
+        let (mut stream, _) = listener.accept().await.expect("accept on loopback");
+        let mut buffer = vec![0; 4096];
+        let read = stream.read(&mut buffer).await.expect("read the request");
+        let text = String::from_utf8_lossy(&buffer[..read]);
+        lines.push(text.lines().next().unwrap_or_default().to_owned());
+        stream.write_all(answer.as_bytes()).await.expect("write the answer");
+    }
+    lines
+}
+
+async fn listen() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind on loopback");
+    let address = listener.local_addr().expect("a bound listener has an address");
+    (listener, address)
+}
+
+#[derive(Default)]
+struct Recorder {
+    events: Mutex<Vec<String>>,
+    stop: CancellationToken,
+    enough: usize,
+}
+
+impl Recorder {
+    fn push(&self, event: String) {
+        let mut events = self.events.lock().expect("no panic while held");
+        events.push(event);
+        if events.len() == self.enough {
+            self.stop.cancel();
+        }
+    }
+}
+
+impl Sink for Recorder {
+    fn duty(&self) -> Duty {
+        Duty::Watch
+    }
+
+    fn value(&self, key: Key, value: Value) {
+        let bytes = value.bytes.map(|bytes| String::from_utf8_lossy(&bytes).into_owned());
+        self.push(format!("{key} index={} value={bytes:?}", value.index));
+    }
+
+    fn failed(&self, key: Key, error: &Error) {
+        self.push(format!("{key} failed: {error}"));
+    }
+}
+
+#[tokio::test]
+async fn a_reader_watches_backs_off_and_reads_anew_after_a_failure() {
+    let (listener, address) = listen().await;
+    let server = tokio::spawn(serve(
+        listener,
+        vec![
+            "HTTP/1.1 200 OK\r\nx-consul-index: 7\r\ncontent-length: 1\r\nconnection: close\r\n\r\na",
+            "HTTP/1.1 200 OK\r\nx-consul-index: 9\r\ncontent-length: 1\r\nconnection: close\r\n\r\nb",
+            "HTTP/1.1 429 Too Many Requests\r\ncontent-length: 0\r\nconnection: close\r\n\r\n",
+            "HTTP/1.1 404 Not Found\r\nx-consul-index: 3\r\ncontent-length: 0\r\nconnection: close\r\n\r\n",
+            "HTTP/1.1 200 OK\r\ncontent-length: 1\r\nconnection: close\r\n\r\nc",
+        ],
+    ));
+    let client = Client::new(address, "/hyssop/", Duration::from_secs(2));
+    let recorder = Arc::new(Recorder { enough: 5, ..Recorder::default() });
+    let stop = recorder.stop.clone();
+    let sink: Arc<dyn Sink> = Arc::<Recorder>::clone(&recorder);
+    let run = Builder::new(client, Key::Document).run(sink, stop);
+    tokio::time::timeout(Duration::from_secs(20), run).await.expect("the script ends");
+    let mut report = server.await.expect("the script does not panic");
+    report.append(&mut recorder.events.lock().expect("no panic while held"));
+    expect![[r#"
+        GET /v1/kv/hyssop/document?raw HTTP/1.1
+        GET /v1/kv/hyssop/document?raw&index=7&wait=20000ms HTTP/1.1
+        GET /v1/kv/hyssop/document?raw&index=9&wait=20000ms HTTP/1.1
+        GET /v1/kv/hyssop/document?raw HTTP/1.1
+        GET /v1/kv/hyssop/document?raw&index=3&wait=20000ms HTTP/1.1
+        document index=7 value=Some("a")
+        document index=9 value=Some("b")
+        document failed: the platform's call limit is exceeded
+        document index=3 value=None
+        document failed: the platform's answer has no index"#]]
+    .assert_eq(&report.join("\n"));
+}
+
+#[tokio::test]
+async fn a_value_above_the_limit_is_refused_while_it_is_read() {
+    let (listener, address) = listen().await;
+    let server = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("accept on loopback");
+        let mut buffer = vec![0; 4096];
+        let _request = stream.read(&mut buffer).await;
+        let head = "HTTP/1.1 200 OK\r\nx-consul-index: 1\r\ncontent-length: 1048577\r\n\r\n";
+        let _sent = stream.write_all(head.as_bytes()).await;
+        let _sent = stream.write_all(&vec![b'x'; 1_048_577]).await;
+    });
+    let client = Client::new(address, "hyssop", Duration::from_secs(5));
+    let error = client.read(Key::Document).await.expect_err("the value is too large");
+    assert!(matches!(error, Error::TooLarge), "{error}");
+    server.await.expect("the script does not panic");
+}
+
+#[test]
+fn back_off_grows_to_its_limit_and_starts_anew_after_a_success() {
+    let (base, limit) = (Duration::from_millis(100), Duration::from_secs(5));
+    let mut backoff = Backoff::new(base, limit, 1);
+    for failures in 0..20_u32 {
+        let bound = base.saturating_mul(1 << failures.min(16)).min(limit);
+        let delay = backoff.failure(None);
+        assert!(delay <= bound && delay >= bound / 2, "{delay:?} after {failures} failures");
+    }
+    assert_eq!(backoff.failure(Some(Duration::from_secs(60))), limit);
+    backoff.success();
+    assert!(backoff.failure(None) <= base);
+}
+
+#[test]
+fn a_list_of_hosts_is_read_or_refused_whole() {
+    bolero::check!().with_iterations(2000).for_each(|bytes: &[u8]| {
+        let _result = hosts::parse(bytes);
+    });
+    let entry = r#"{"host":"h1","zone":"z1","peer_address":"127.0.0.1:1","state":"live"}"#;
+    let twice = format!(r#"{{"hosts":[{entry},{entry}]}}"#);
+    let error = hosts::parse(twice.as_bytes()).expect_err("a name stands twice");
+    expect!["the list of hosts names h1 twice"].assert_eq(&error.to_string());
+}
