--- /dev/null
+++ b/crates/backend/src/load.rs
@@ -0,0 +1,88 @@
+//! Load reports of backend servers, read from their metrics.
+
+use std::{net::SocketAddr, time::Duration};
+
+use crate::{
+    client::Client,
+    failure::{Failure, Kind},
+    metrics,
+};
+
+/// The largest load report in bytes.
+pub const MAX_REPORT_BYTES: usize = 1 << 20;
+
+/// What a backend server says about itself.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Report {
+    /// The start time of its process in milliseconds since 1970.
+    pub incarnation: u64,
+    /// The number of requests that run.
+    pub running: u32,
+    /// The number of requests that wait.
+    pub waiting: u32,
+    /// The share of the KV cache in use, 0 to 1.
+    pub kv_used: f32,
+    /// Whether it says that it is in cold start.
+    pub cold: bool,
+    /// The tokens generated a second, where it says so.
+    pub tokens_per_s: Option<f64>,
+}
+
+/// A text that is no load report.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+pub enum Error {
+    /// The start time of the process is missing, so restarts would go unnoticed.
+    #[display("process_start_time_seconds is missing")]
+    StartTime,
+    /// The number of running requests is missing.
+    #[display("vllm:num_requests_running is missing")]
+    Running,
+}
+
+/// Parses a load report in the Prometheus text format.
+///
+/// # Errors
+///
+/// Fails if a value is missing without which the report is of no use.
+pub fn parse(text: &str) -> Result<Report, Error> {
+    let mut report = Report::default();
+    let mut running = None;
+    for sample in metrics::samples(text) {
+        let value = sample.value;
+        match sample.name {
+            "process_start_time_seconds" => report.incarnation = (value * 1000.0).round() as u64,
+            "vllm:num_requests_running" => *running.get_or_insert(0.0) += value,
+            "vllm:num_requests_waiting" => report.waiting = value as u32,
+            "vllm:kv_cache_usage_perc" => report.kv_used = value.clamp(0.0, 1.0) as f32,
+            "hyssop_engine_cold" => report.cold = value > 0.0,
+            "hyssop_engine_tokens_per_second" => report.tokens_per_s = Some(value),
+            _ => {}
+        }
+    }
+    if report.incarnation == 0 {
+        return Err(Error::StartTime);
+    }
+    report.running = running.ok_or(Error::Running)? as u32;
+    if !report.kv_used.is_finite() {
+        report.kv_used = 0.0;
+    }
+    report.tokens_per_s = report.tokens_per_s.filter(|rate| rate.is_finite() && *rate >= 0.0);
+    Ok(report)
+}
+
+impl Client {
+    /// Asks a backend server for its load report.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it does not answer within `timeout` or the answer is no load report.
+    pub async fn load(&self, address: SocketAddr, timeout: Duration) -> Result<Report, Failure> {
+        let get = self.get(address, "/metrics", MAX_REPORT_BYTES);
+        let bytes = tokio::time::timeout(timeout, get)
+            .await
+            .map_err(|_| Failure::may_have_run(Kind::Timeout, "the load report took too long"))??;
+        let protocol = |message: &str| Failure::answered(Kind::Protocol, message);
+        let text = str::from_utf8(&bytes).map_err(|_| protocol("the report is not UTF-8"))?;
+        parse(text).map_err(|error| protocol(&error.to_string()))
+    }
+}
