--- /dev/null
+++ b/crates/daemon/src/metrics.rs
@@ -0,0 +1,84 @@
+//! Metrics in the statsd format, sent over UDP.
+
+use std::net::{SocketAddr, UdpSocket};
+
+use cadence::{
+    BufferedUdpMetricSink, Counted, Gauged, Histogrammed, MetricError, NopMetricSink,
+    QueuingMetricSink, StatsdClient,
+};
+use hyssop_document::name;
+
+use crate::histogram::Sample;
+
+/// The prefix of all metrics.
+const PREFIX: &str = "hyssopcourse";
+/// The metrics that may wait for the sender. More are dropped.
+const QUEUE_LIMIT: usize = 4096;
+
+/// Sends metrics. Sending never blocks and a failure is ignored: metrics are a courtesy.
+#[derive(Debug)]
+pub struct Metrics {
+    client: StatsdClient,
+}
+
+impl Metrics {
+    /// Sends to `address`, or nowhere.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no local socket can be made.
+    pub fn new(address: Option<SocketAddr>, host: &name::Host) -> Result<Self, MetricError> {
+        let client = match address {
+            None => StatsdClient::from_sink(PREFIX, NopMetricSink),
+            Some(address) => {
+                let any = if address.is_ipv4() { "0.0.0.0:0" } else { "[::]:0" };
+                let socket = UdpSocket::bind(any)?;
+                socket.set_nonblocking(true)?;
+                let sink = BufferedUdpMetricSink::from(address, socket)?;
+                let sink = QueuingMetricSink::with_capacity(sink, QUEUE_LIMIT);
+                StatsdClient::builder(PREFIX, sink).with_tag("host", host.as_str()).build()
+            }
+        };
+        Ok(Self { client })
+    }
+
+    /// Sends the end of a request.
+    pub fn request(&self, class: &name::Class, workspace: &name::Workspace, sample: &Sample) {
+        let end = sample.end.to_string();
+        let _sent = self
+            .client
+            .count_with_tags("requests", 1)
+            .with_tag("class", class.as_str())
+            .with_tag("workspace", workspace.as_str())
+            .with_tag("end", &end)
+            .try_send();
+        if sample.attained {
+            let _sent = self
+                .client
+                .count_with_tags("attained", 1)
+                .with_tag("class", class.as_str())
+                .with_tag("workspace", workspace.as_str())
+                .try_send();
+        }
+        self.time("complete_ms", class, sample.complete.as_millis());
+        if let Some(first_token) = sample.first_token {
+            self.time("first_token_ms", class, first_token.as_millis());
+        }
+    }
+
+    /// Sends a count of an event.
+    pub fn event(&self, event: &str) {
+        let _sent = self.client.count(event, 1);
+    }
+
+    /// Sends a value as it is now.
+    pub fn gauge(&self, gauge: &str, value: u64) {
+        let _sent = self.client.gauge(gauge, value);
+    }
+
+    fn time(&self, metric: &str, class: &name::Class, millis: u128) {
+        let millis = u64::try_from(millis).unwrap_or(u64::MAX);
+        let metric = self.client.histogram_with_tags(metric, millis);
+        let _sent = metric.with_tag("class", class.as_str()).try_send();
+    }
+}
