Report every fault of a document at once

The derived reader stopped at the first wrong field and let unknown references, repeated names, zero limits and times that overflow an Instant through. Reading now goes field by field over the raw JSON values and goes on after a fault; the model's own Deserialize is gone, so that the shape is told in one place. A wrong key digest is never shown, as it may be the key. Collecting faults out of the derived reader by repeated repair was ruled out: it needs a default for each type.

--- /dev/null
+++ b/crates/document/src/load/check.rs
@@ -0,0 +1,156 @@
+//! Checks that concern more than one field.
+
+use std::{fmt, hash::Hash};
+
+use compact_str::format_compact;
+
+use super::{fault, object::List, shape::Draft};
+use crate::{
+    collections::{Map, Set},
+    model::{Class, Pool},
+    name,
+};
+
+/// The largest sum of all floors. The rest of each pool is left to the order of tiers.
+const MAX_FLOOR_SUM_PERCENT: u32 = 50;
+
+/// Checks everything that was read.
+pub(super) fn all(draft: &Draft, faults: &mut fault::List) {
+    empty(draft, faults);
+    duplicates(draft, faults);
+    classes(&draft.classes, faults);
+    pools(draft, faults);
+    backends(draft, faults);
+}
+
+/// A document without any of these serves nobody, so it is more likely cut than meant.
+fn empty(draft: &Draft, faults: &mut fault::List) {
+    let lists = [
+        ("classes", is_empty(&draft.classes)),
+        ("workspaces", is_empty(&draft.workspaces)),
+        ("zones", is_empty(&draft.zones)),
+        ("pools", is_empty(&draft.pools)),
+    ];
+    for (path, _) in lists.iter().filter(|(_, empty)| *empty) {
+        faults.add(*path, "the list is empty, at least one entry is needed");
+    }
+}
+
+fn is_empty<T>(list: &List<T>) -> bool {
+    list.whole && list.items.is_empty()
+}
+
+fn duplicates(draft: &Draft, faults: &mut fault::List) {
+    unique("classes", "name", &draft.classes, |class| &class.name, faults);
+    unique("workspaces", "name", &draft.workspaces, |workspace| &workspace.name, faults);
+    unique("workspaces", "key_sha256", &draft.workspaces, |entry| &entry.key_sha256, faults);
+    unique("zones", "name", &draft.zones, |zone| &zone.name, faults);
+    unique("pools", "name", &draft.pools, |pool| &pool.name, faults);
+    unique("backends", "name", &draft.backends, |backend| &backend.name, faults);
+    unique("backends", "address", &draft.backends, |backend| &backend.address, faults);
+}
+
+/// Reports each element whose value stands at an earlier element too.
+fn unique<T, K: Eq + Hash + fmt::Display>(
+    list_name: &str,
+    field: &str,
+    list: &List<T>,
+    value: impl Fn(&T) -> &K,
+    faults: &mut fault::List,
+) {
+    let mut first = Map::default();
+    first.reserve(list.items.len());
+    for (index, item) in &list.items {
+        let value = value(item);
+        let earlier = *first.entry(value).or_insert(*index);
+        if earlier != *index {
+            let path = format_compact!("{list_name}[{index}].{field}");
+            faults.add(path, format_compact!("{value} stands at {list_name}[{earlier}] too"));
+        }
+    }
+}
+
+fn classes(classes: &List<Class>, faults: &mut fault::List) {
+    for (index, class) in &classes.items {
+        targets(*index, class, faults);
+    }
+    let floors = classes.items.iter().map(|(_, class)| u32::from(class.floor_percent.0));
+    let sum: u32 = floors.sum();
+    if sum > MAX_FLOOR_SUM_PERCENT {
+        let message = format!(
+            "the sum of floor_percent is {sum}, at most {MAX_FLOOR_SUM_PERCENT} is allowed \
+             because each floor is taken out of every pool"
+        );
+        faults.add("classes", message);
+    }
+}
+
+fn targets(index: usize, class: &Class, faults: &mut fault::List) {
+    if class.first_token_ms > class.complete_ms {
+        let message = format_compact!(
+            "{} is above complete_ms, which is {}",
+            class.first_token_ms,
+            class.complete_ms
+        );
+        faults.add(format_compact!("classes[{index}].first_token_ms"), message);
+    }
+    if class.complete_ms > class.max_running_ms {
+        let message = format_compact!(
+            "{} is above max_running_ms, which is {}",
+            class.complete_ms,
+            class.max_running_ms
+        );
+        faults.add(format_compact!("classes[{index}].complete_ms"), message);
+    }
+}
+
+fn pools(draft: &Draft, faults: &mut fault::List) {
+    let classes = draft.classes.items.iter().map(|(_, class)| class);
+    let longest = classes.max_by_key(|class| class.max_running_ms);
+    for (index, pool) in &draft.pools.items {
+        limits(*index, pool, faults);
+        if let Some(class) = longest {
+            latest_end(*index, pool, class, faults);
+        }
+    }
+}
+
+fn limits(index: usize, pool: &Pool, faults: &mut fault::List) {
+    if pool.cold_limit > pool.warm_limit {
+        let message = format_compact!(
+            "{} is above warm_limit, which is {}",
+            pool.cold_limit,
+            pool.warm_limit
+        );
+        faults.add(format_compact!("pools[{index}].cold_limit"), message);
+    }
+}
+
+/// A permit must be counted at least as long as a request may run on it.
+fn latest_end(index: usize, pool: &Pool, class: &Class, faults: &mut fault::List) {
+    if pool.latest_end_ms < class.max_running_ms {
+        let message = format_compact!(
+            "{} is below max_running_ms of class {}, which is {}",
+            pool.latest_end_ms,
+            class.name,
+            class.max_running_ms
+        );
+        faults.add(format_compact!("pools[{index}].latest_end_ms"), message);
+    }
+}
+
+fn backends(draft: &Draft, faults: &mut fault::List) {
+    let zones: Set<&name::Zone> = draft.zones.items.iter().map(|(_, zone)| &zone.name).collect();
+    let pools: Set<&name::Pool> = draft.pools.items.iter().map(|(_, pool)| &pool.name).collect();
+    for (index, backend) in &draft.backends.items {
+        // An entry that could not be read may be the one that is meant.
+        if draft.zones.whole && !zones.contains(&backend.zone) {
+            let message = format_compact!("there is no availability zone {}", backend.zone);
+            faults.add(format_compact!("backends[{index}].zone"), message);
+        }
+        if draft.pools.whole && !pools.contains(&backend.pool) {
+            let message = format_compact!("there is no pool {}", backend.pool);
+            faults.add(format_compact!("backends[{index}].pool"), message);
+        }
+    }
+}
--- a/crates/document/src/model.rs
+++ b/crates/document/src/model.rs
@@ -2,7 +2,7 @@
 //!
 //! The types here only hold what was read. [`crate::load`] checks it.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, str::FromStr, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
@@ -12,16 +12,20 @@
     number::{Percent, Revision, Tier},
 };
 
+/// The number of backend servers in a group, if the document does not say.
+pub const DEFAULT_GROUP_SIZE: usize = 64;
+
+/// The number of requests that may wait in a group, if the document does not say.
+pub const DEFAULT_QUEUE_LIMIT: usize = 1000;
+
 /// One environment: everything operators declare.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct Document {
     /// The environment that the document is for.
     pub environment: name::Environment,
     /// The revision. Daemons adopt only a higher one.
     pub revision: Revision,
     /// The number of backend servers in a group, which one scheduler decides for.
-    #[serde(default = "default_group_size")]
     pub group_size: usize,
     /// The classes of requests.
     pub classes: Vec<Class>,
@@ -36,8 +40,7 @@
 }
 
 /// A class of requests.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct Class {
     /// The name that callers give in the `Request-Class` header.
     pub name: name::Class,
@@ -52,7 +55,6 @@
     /// Whether a request of the class may run more than once.
     pub idempotent: bool,
     /// The share of a pool's slots kept for the class while its requests wait.
-    #[serde(default)]
     pub floor_percent: Percent,
 }
 
@@ -74,8 +76,7 @@
 }
 
 /// A workspace: one customer's share of the platform.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct Workspace {
     /// The name.
     pub name: name::Workspace,
@@ -86,8 +87,7 @@
 }
 
 /// An availability zone.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct Zone {
     /// The name.
     pub name: name::Zone,
@@ -105,9 +105,25 @@
     Service,
 }
 
+/// A text that is no kind of pool.
+#[derive(Debug, Clone, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+#[display("a pool's kind is \"model\" or \"service\"")]
+pub struct KindError;
+
+impl FromStr for Kind {
+    type Err = KindError;
+
+    fn from_str(text: &str) -> Result<Self, KindError> {
+        match text {
+            "model" => Ok(Self::Model),
+            "service" => Ok(Self::Service),
+            _ => Err(KindError),
+        }
+    }
+}
+
 /// A pool: the backend servers of one model or of one plain service.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct Pool {
     /// The name: the `model` of a request's body, or the service in its path.
     pub name: name::Pool,
@@ -120,7 +136,6 @@
     /// The number of requests that a warm backend server can bear.
     pub warm_limit: u32,
     /// The number of requests that may wait in each group of the pool.
-    #[serde(default = "default_queue_limit")]
     pub queue_limit: usize,
 }
 
@@ -132,8 +147,7 @@
 }
 
 /// A backend server.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct Backend {
     /// The name.
     pub name: name::Backend,
@@ -144,11 +158,3 @@
     /// The pool that it belongs to.
     pub pool: name::Pool,
 }
-
-fn default_group_size() -> usize {
-    64
-}
-
-fn default_queue_limit() -> usize {
-    1000
-}
