Add the queue with tiers, deadlines and fair shares by workspace

The order is: classes below their floor, then the higher tier, then the earlier deadline of the classes' next requests; in a class the workspace served least for its share, in a workspace the earliest deadline. A full queue sheds the newest request of the largest workspace of the lowest tier that has more than the one request of each class which has a place of its own.

Fair shares use a counter of tokens served for each share instead of rounds of a deficit round robin with a quantum: a quantum as large as the longest draft lets one workspace go many short requests in a row, a smaller one needs many rounds before a draft goes. The counter is the limit of a small quantum at O(log n).

Tests: queue.rs, 3000 random sequences: order, shed only the lowest tier, bound, sums; shares within one largest request over 500 random cost sequences.

--- /dev/null
+++ b/crates/policy/benches/queue.rs
@@ -0,0 +1,90 @@
+//! The cost of one operation of the queue at 10, 1,000 and 100,000 entries.
+
+use std::time::{Duration, Instant};
+
+use hyssop_document::number::Tier;
+use hyssop_policy::{
+    entry::Ticket,
+    queue::{Item, Queue, lane, line},
+};
+
+const SIZES: [u64; 3] = [10, 1_000, 100_000];
+const CLASSES: u64 = 8;
+const WORKSPACES: u64 = 1_000;
+
+fn main() {
+    divan::main();
+}
+
+/// A number that looks random but is the same in every run.
+fn mix(value: u64) -> u64 {
+    let value = (value ^ value >> 30).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ value >> 27).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ value >> 31
+}
+
+fn item(ticket: u64, start: Instant) -> Item {
+    let random = mix(ticket);
+    let deadline = start + Duration::from_millis(random % 60_000);
+    Item {
+        ticket: Ticket(ticket),
+        class: line::Key((random >> 16) as usize % CLASSES as usize),
+        workspace: lane::Key(((random >> 24) % WORKSPACES) as u32),
+        share: 1 + (random >> 40) as u32 % 4,
+        deadline,
+        latest_start: deadline,
+        cost: 1 + (random >> 48) % 1000,
+        work_ms: 1 + (random >> 48) % 1000,
+        sequence: 0,
+    }
+}
+
+fn filled(size: u64, bound: usize, start: Instant) -> Queue {
+    let mut queue = Queue::new(bound);
+    (1..=CLASSES).for_each(|tier| {
+        queue.add_class(Tier(tier as u8));
+    });
+    (0..size).for_each(|ticket| queue.push(item(ticket, start)));
+    queue
+}
+
+/// Adds one entry and takes the next one.
+#[divan::bench(args = SIZES)]
+fn push_and_take(bencher: divan::Bencher<'_, '_>, size: u64) {
+    let start = Instant::now();
+    let mut queue = filled(size, usize::MAX, start);
+    let mut ticket = size;
+    bencher.bench_local(|| {
+        queue.push(item(ticket, start));
+        ticket += 1;
+        let next = queue.next(|_| false).expect("the queue is not empty");
+        queue.take(next)
+    });
+}
+
+/// Adds one entry to a full queue and sheds one.
+#[divan::bench(args = SIZES)]
+fn push_and_shed(bencher: divan::Bencher<'_, '_>, size: u64) {
+    let start = Instant::now();
+    let mut queue = filled(size, size.saturating_sub(CLASSES) as usize, start);
+    let mut ticket = size;
+    bencher.bench_local(|| {
+        queue.push(item(ticket, start));
+        ticket += 1;
+        while let Some(shed) = queue.overflow() {
+            queue.remove(shed);
+        }
+    });
+}
+
+/// Estimates the work before an entry.
+#[divan::bench(args = SIZES)]
+fn work_before(bencher: divan::Bencher<'_, '_>, size: u64) {
+    let start = Instant::now();
+    let queue = filled(size, usize::MAX, start);
+    let mut ticket = size;
+    bencher.bench_local(|| {
+        ticket += 1;
+        queue.work_before(&item(ticket, start))
+    });
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,8 +5,10 @@
 
 pub mod decision;
 pub mod entry;
+pub mod floor;
 pub mod load;
 pub mod permit;
+pub mod queue;
 pub mod scheduler;
 pub mod share;
 pub mod status;
--- /dev/null
+++ b/crates/policy/tests/queue.rs
@@ -0,0 +1,180 @@
+//! The order and the shedding of the queue, over random arrivals.
+
+use std::time::{Duration, Instant};
+
+use bolero::TypeGenerator;
+use hyssop_document::number::Tier;
+use hyssop_policy::{
+    entry::Ticket,
+    queue::{Item, Queue, lane, line},
+};
+
+const TIERS: [u8; 5] = [1, 1, 2, 3, 8];
+const BOUND: usize = 12;
+
+#[derive(Debug, Clone, Copy, TypeGenerator)]
+enum Step {
+    Push { class: u8, workspace: u8, deadline: u8, cost: u8 },
+    Take { below_floor: u8 },
+    Remove { ticket: u8 },
+}
+
+fn queue(bound: usize) -> Queue {
+    let mut queue = Queue::new(bound);
+    for tier in TIERS {
+        queue.add_class(Tier(tier));
+    }
+    queue
+}
+
+fn item(ticket: u64, class: usize, workspace: u32, deadline: Instant, cost: u64) -> Item {
+    Item {
+        ticket: Ticket(ticket),
+        class: line::Key(class),
+        workspace: lane::Key(workspace),
+        share: workspace + 1,
+        deadline,
+        latest_start: deadline,
+        cost,
+        work_ms: cost * 10,
+        sequence: 0,
+    }
+}
+
+fn tier(queue: &Queue, item: &Item) -> Tier {
+    queue.line(item.class).tier()
+}
+
+/// No request is shed while a lower tier has one that could have made room: any that is not the only
+/// one of its class.
+fn assert_lowest(queue: &Queue, shed: &Item) {
+    for (_, line) in queue.lines() {
+        let could_make_room = line.len() > 1;
+        assert!(!could_make_room || line.tier() <= tier(queue, shed), "a lower tier was kept");
+    }
+}
+
+fn apply(queue: &mut Queue, step: Step, ticket: u64, start: Instant) {
+    match step {
+        Step::Push { class, workspace, deadline, cost } => {
+            let deadline = start + Duration::from_millis(u64::from(deadline));
+            let class = usize::from(class) % TIERS.len();
+            let cost = u64::from(cost) + 1;
+            queue.push(item(ticket, class, u32::from(workspace % 4), deadline, cost));
+            while let Some(ticket) = queue.overflow() {
+                let shed = queue.remove(ticket).expect("the overflow waits");
+                assert_lowest(queue, &shed);
+                assert!(!queue.line(shed.class).is_empty(), "the last one of a class was shed");
+            }
+        }
+        Step::Take { below_floor } => {
+            let below = |key: line::Key| below_floor >> key.0 & 1 == 1;
+            let waiting: Vec<Item> = queue.items().cloned().collect();
+            let Some(next) = queue.next(below) else {
+                assert!(waiting.is_empty(), "a waiting request was passed over");
+                return;
+            };
+            let taken = queue.take(next).expect("the next one waits");
+            let rank = |item: &Item| (!below(item.class), tier(queue, item));
+            let best = waiting.iter().map(rank).min().expect("one waits");
+            assert_eq!(rank(&taken), best, "floors first, then tiers");
+            let same =
+                |item: &&Item| item.class == taken.class && item.workspace == taken.workspace;
+            let earliest = waiting.iter().filter(same).map(|item| item.deadline).min();
+            assert_eq!(Some(taken.deadline), earliest, "the earliest deadline of a workspace");
+        }
+        Step::Remove { ticket } => {
+            queue.remove(Ticket(u64::from(ticket)));
+        }
+    }
+}
+
+fn assert_consistent(queue: &Queue) {
+    let charged: usize = queue.lines().map(|(_, line)| line.len().saturating_sub(1)).sum();
+    assert!(charged <= BOUND);
+    let waiting: usize = queue.lines().map(|(_, line)| line.len()).sum();
+    assert_eq!(waiting, queue.len());
+    let work: u64 = queue.lines().map(|(_, line)| line.work_ms()).sum();
+    assert_eq!(work, queue.items().map(|item| item.work_ms).sum::<u64>());
+    assert_eq!(queue.next_expiry(), queue.items().map(|item| item.latest_start).min());
+}
+
+#[test]
+fn keeps_the_order_and_sheds_the_lowest_tier() {
+    let start = Instant::now();
+    bolero::check!().with_type::<Vec<Step>>().with_iterations(3000).for_each(|steps| {
+        let mut queue = queue(BOUND);
+        for (ticket, step) in steps.iter().enumerate() {
+            apply(&mut queue, *step, ticket as u64, start);
+            assert_consistent(&queue);
+        }
+    });
+}
+
+/// Workspaces that always wait are served in proportion to their shares, to within one request.
+#[test]
+fn serves_workspaces_by_their_shares() {
+    let start = Instant::now();
+    bolero::check!().with_type::<Vec<u8>>().with_iterations(500).for_each(|costs| {
+        let mut queue = queue(usize::MAX);
+        let mut served = [0_u64; 3];
+        let mut ticket = 0;
+        let mut push = |queue: &mut Queue, workspace: u32, cost: u64| {
+            queue.push(item(ticket, 0, workspace, start + Duration::from_millis(ticket), cost));
+            ticket += 1;
+        };
+        (0..3).for_each(|workspace| push(&mut queue, workspace, 1));
+        for cost in costs {
+            let next = queue.next(|_| false).expect("all workspaces wait");
+            let taken = queue.take(next).expect("the next one waits");
+            served[taken.workspace.0 as usize] += taken.cost;
+            push(&mut queue, taken.workspace.0, u64::from(*cost) + 1);
+        }
+        let for_share = |workspace: usize| served[workspace] as f64 / (workspace + 1) as f64;
+        let all = [for_share(0), for_share(1), for_share(2)];
+        let most = all.iter().copied().fold(0.0, f64::max);
+        let least = all.iter().copied().fold(f64::MAX, f64::min);
+        assert!(most - least <= 2.0 * 256.0, "{all:?}");
+    });
+}
+
+/// A workspace that was idle does not get what it missed.
+#[test]
+fn an_idle_workspace_does_not_save_up() {
+    let start = Instant::now();
+    let mut queue = queue(usize::MAX);
+    (0..100).for_each(|ticket| queue.push(item(ticket, 0, 0, start, 10)));
+    (0..50).for_each(|_| {
+        let next = queue.next(|_| false).expect("workspace 0 waits");
+        queue.take(next);
+    });
+    (100..200).for_each(|ticket| queue.push(item(ticket, 0, 1, start, 10)));
+    let first: Vec<_> = (0..12)
+        .map(|_| {
+            let next = queue.next(|_| false).expect("both wait");
+            queue.take(next).expect("the next one waits").workspace.0
+        })
+        .collect();
+    assert_eq!(first.iter().filter(|workspace| **workspace == 1).count(), 8, "{first:?}");
+}
+
+/// The newest of the largest workspace goes first, and a higher tier never goes for a lower one.
+#[test]
+fn sheds_the_newest_of_the_largest_workspace() {
+    let start = Instant::now();
+    let mut queue = queue(4);
+    let cases = [(1, 4, 0), (2, 4, 1), (3, 4, 1), (4, 4, 1), (5, 4, 0), (6, 0, 0), (7, 0, 0)];
+    let mut shed = Vec::new();
+    for (ticket, class, workspace) in cases {
+        queue.push(item(ticket, class, workspace, start, 10));
+        if let Some(ticket) = queue.overflow() {
+            queue.remove(ticket);
+            shed.push(ticket.0);
+        }
+    }
+    assert_eq!(shed, [5]);
+    queue.push(item(8, 2, 0, start, 10));
+    queue.push(item(9, 2, 0, start, 10));
+    let victim = queue.overflow().expect("the queue is over its bound");
+    assert_eq!(victim.0, 4, "three of workspace 1 with share 2 against one of workspace 0");
+}
