Decide by queue, floors, learned estimates, cold start and stragglers

The scheduler used a sorted list and one limit. It now uses the queue, refuses a request as soon as the work before it in its own and higher tiers makes its deadline unlikely (never while estimates are unknown), and counts a backend server as the larger of the own count and the last report moved on by grants and completions since then. Work conserving: a request that no free server may run is passed over, not waited for.

Running carries whether the request is a suspect, so that a new scheduler keeps suspects apart. Status: cold holds the cause, slots the usable slots.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -3,8 +3,12 @@
 //! [`scheduler::Scheduler`] decides for one group of backend servers. It is a plain value: events go
 //! in with the time at which they happened, and [`scheduler::Scheduler::poll`] gives decisions back.
 
+pub mod budget;
+pub mod choice;
+pub mod coldstart;
 pub mod decision;
 pub mod entry;
+pub mod estimate;
 pub mod floor;
 pub mod load;
 pub mod permit;
@@ -12,3 +16,4 @@
 pub mod scheduler;
 pub mod share;
 pub mod status;
+pub mod straggler;
--- a/crates/policy/src/permit.rs
+++ b/crates/policy/src/permit.rs
@@ -110,6 +110,8 @@
     pub backend_incarnation: u64,
     /// [`Permit::limit`] of the permit.
     pub limit: u32,
+    /// [`crate::entry::Entry::solo`] of the request.
+    pub solo: bool,
     /// The class.
     pub class: name::Class,
     /// The workspace.
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -1,4 +1,7 @@
 //! The scheduler of one group.
+//!
+//! Events go in with the time at which they happened. [`Scheduler::poll`] gives the decisions back:
+//! call it after each event, or after a batch of them, and at [`Scheduler::next_wake`].
 
 use std::time::{Duration, Instant};
 
@@ -6,29 +9,45 @@
     collections::Map,
     group::{self, Group},
     model, name,
-    number::{Incarnation, Tier, Tokens},
+    number::{Incarnation, Tokens},
     order,
 };
+use rand::{SeedableRng as _, rngs::SmallRng};
 
 use crate::{
-    decision::{Decision, Reason, Refusal},
+    budget::Budget,
+    choice::{self, Choice},
+    decision::Decision,
     entry::{Entry, Ticket},
+    estimate,
     load::Load,
-    permit::{self, Permit, Release, Running},
+    permit::{self, End, Release, Running},
+    queue::{Queue, lane, line},
     share::Share,
     status::{self, Status},
+    straggler,
 };
 
-/// The time after which a refused request may come back when nothing better is known.
-const RETRY_AFTER: Duration = Duration::from_millis(500);
+mod admission;
+mod backend;
+mod class;
+mod grants;
+mod placement;
+mod prefixes;
+
+use backend::Backend;
+use class::Class;
+use grants::{Grant, Grants};
+use prefixes::Prefixes;
 
 /// Builds a [`Scheduler`].
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub struct Builder {
     group: Group,
     incarnation: Incarnation,
     seed: u64,
     share: Share,
+    choice: Box<dyn Choice>,
 }
 
 impl Builder {
@@ -44,6 +63,12 @@
         self
     }
 
+    /// Sets the way to choose a backend server.
+    pub fn choice(mut self, choice: Box<dyn Choice>) -> Self {
+        self.choice = choice;
+        self
+    }
+
     /// Builds the scheduler. `now` is the start of its uptime.
     pub fn build(self, now: Instant) -> Scheduler {
         Scheduler {
@@ -52,40 +77,35 @@
             share: self.share,
             started: now,
             quiet_until: None,
+            without_slots_since: None,
             next_number: 0,
             pool: None,
             backends: Vec::new(),
-            classes: Map::default(),
-            queue: Vec::new(),
-            grants: Map::default(),
+            backend_positions: Map::default(),
+            inter_token_ms: None,
+            first_token_ms: None,
+            classes: Vec::new(),
+            class_keys: Map::default(),
+            workspaces: Map::default(),
+            queue: Queue::new(0),
+            entries: Map::default(),
+            reviewed: 0,
+            grants: Grants::default(),
+            prefixes: Prefixes::default(),
+            budget: Budget::default(),
+            choice: self.choice,
+            random: SmallRng::seed_from_u64(self.seed),
+            decisions: Vec::new(),
         }
     }
 }
 
-#[derive(Debug)]
-struct Backend {
-    model: model::Backend,
-    in_service: bool,
-    incarnation: u64,
-    running: u32,
-    load: Option<Load>,
-    granted_since_report: u32,
-}
-
-#[derive(Debug)]
-struct Waiting {
-    entry: Entry,
-    tier: Tier,
-    deadline: Instant,
-}
-
-#[derive(Debug)]
-struct Grant {
-    backend: name::Backend,
-    class: name::Class,
-    home: name::Host,
-    home_incarnation: Incarnation,
-    latest_end: Instant,
+/// A workspace of the document in force.
+#[derive(Debug, Clone, Copy)]
+struct Workspace {
+    key: lane::Key,
+    share: u32,
+    declared: bool,
 }
 
 /// Decides which requests run at which backend server of one group.
@@ -96,48 +116,53 @@
     share: Share,
     started: Instant,
     quiet_until: Option<Instant>,
+    /// The time since which no backend server has a slot for this scheduler.
+    without_slots_since: Option<Instant>,
     next_number: u64,
     pool: Option<model::Pool>,
     backends: Vec<Backend>,
-    classes: Map<name::Class, model::Class>,
-    queue: Vec<Waiting>,
-    grants: Map<permit::Id, Grant>,
+    backend_positions: Map<name::Backend, usize>,
+    /// The group's median time between tokens.
+    inter_token_ms: Option<f64>,
+    /// The group's median time to the first token.
+    first_token_ms: Option<f64>,
+    /// The classes at the positions of their keys.
+    classes: Vec<Class>,
+    class_keys: Map<name::Class, line::Key>,
+    workspaces: Map<name::Workspace, Workspace>,
+    queue: Queue,
+    entries: Map<Ticket, Entry>,
+    /// The place in the order of arrival up to which waiting requests were judged again.
+    reviewed: u64,
+    grants: Grants,
+    prefixes: Prefixes,
+    budget: Budget,
+    choice: Box<dyn Choice>,
+    random: SmallRng,
+    decisions: Vec<Decision>,
 }
 
 impl Scheduler {
     /// Starts to build a scheduler of `group`.
     pub fn builder(group: Group, incarnation: Incarnation) -> Builder {
-        Builder { group, incarnation, seed: 0, share: Share::default() }
+        Builder {
+            group,
+            incarnation,
+            seed: 0,
+            share: Share::default(),
+            choice: Box::new(choice::ExpectedFinish),
+        }
     }
 
     /// Takes over the document and the service orders in force.
-    pub fn configure(&mut self, document: &model::Document, orders: &order::State, _now: Instant) {
-        self.pool = document.pools.iter().find(|p| p.name == self.group.pool).cloned();
-        self.classes = document.classes.iter().map(|c| (c.name.clone(), c.clone())).collect();
-        let members = group::split(document, &self.group.pool)
-            .into_iter()
-            .find(|(group, _)| *group == self.group)
-            .map(|(_, members)| members)
-            .unwrap_or_default();
-        let mut old: Map<_, _> =
-            self.backends.drain(..).map(|b| (b.model.name.clone(), b)).collect();
-        for member in members {
-            let mut backend = old.remove(&member.name).unwrap_or_else(|| Backend {
-                model: member.clone(),
-                in_service: true,
-                incarnation: 0,
-                running: 0,
-                load: None,
-                granted_since_report: 0,
-            });
-            backend.model = member.clone();
-            backend.in_service = !orders.zones_out.contains(&member.zone);
-            self.backends.push(backend);
-        }
-        for backend in &mut self.backends {
-            let name = &backend.model.name;
-            backend.running = self.grants.values().filter(|g| g.backend == *name).count() as u32;
-        }
+    pub fn configure(&mut self, document: &model::Document, orders: &order::State, now: Instant) {
+        self.pool = document.pools.iter().find(|pool| pool.name == self.group.pool).cloned();
+        self.queue.set_bound(self.pool.as_ref().map_or(0, |pool| pool.queue_limit));
+        self.configure_workspaces(document);
+        self.configure_classes(document);
+        self.configure_backends(document, orders);
+        self.refuse_undeclared(now);
+        self.shed(now);
     }
 
     /// Sets the part of each limit that the scheduler may use.
@@ -150,209 +175,314 @@
         self.quiet_until = Some(until);
     }
 
-    /// Adds a request to the queue.
+    /// Adds a request to the queue, or refuses it with the next [`Scheduler::poll`].
     pub fn enqueue(&mut self, entry: Entry, now: Instant) {
-        let tier = self.classes.get(&entry.class).map_or(Tier::LOWEST, |c| c.tier);
-        let deadline = now + Duration::from_millis(entry.remaining_ms);
-        self.queue.push(Waiting { entry, tier, deadline });
+        self.admit(entry, now);
     }
 
     /// Removes a request whose caller has gone from the queue.
     pub fn cancel(&mut self, ticket: Ticket, _now: Instant) {
-        self.queue.retain(|w| w.entry.ticket != ticket);
+        self.queue.remove(ticket);
+        self.entries.remove(&ticket);
+        self.decisions.retain(|decision| {
+            let refused = matches!(decision, Decision::Refuse { .. });
+            !refused || decision.ticket() != ticket
+        });
     }
 
-    /// Takes note of the tokens that a running request has generated.
-    pub fn progress(&mut self, _id: permit::Id, _tokens: Tokens, _now: Instant) {}
+    /// Takes note of all tokens that a running request has generated so far.
+    ///
+    /// An answer that has grown longer than estimated is counted against its workspace at once.
+    pub fn progress(&mut self, id: permit::Id, tokens: Tokens, now: Instant) {
+        let Some(grant) = self.grants.get_mut(id) else { return };
+        let before = grant.output.replace((tokens, now));
+        if let Some((had, at)) = before.filter(|(had, _)| had.0 > 0 && *had < tokens) {
+            let elapsed_ms = now.saturating_duration_since(at).as_secs_f64() * 1000.0;
+            let inter_token_ms = elapsed_ms / (tokens.0 - had.0) as f64;
+            if let Some(&position) = self.backend_positions.get(&grant.backend) {
+                self.backends[position].speed.inter_token_ms.record(inter_token_ms);
+            }
+        }
+        let (Some(class), Some(workspace)) = (grant.class, grant.workspace) else { return };
+        if grant.prompt.0 + tokens.0 <= grant.cost {
+            return;
+        }
+        let expected = grant.prompt.0 + self.classes[class.0].output(tokens, None);
+        let more = expected.saturating_sub(grant.cost);
+        grant.cost += more;
+        self.queue.charge(class, workspace, grant.share, more as i64);
+    }
 
     /// Ends a permit.
-    pub fn release(&mut self, release: &Release, _now: Instant) {
-        self.forget(release.id);
+    pub fn release(&mut self, release: &Release, now: Instant) {
+        let Some(grant) = self.end(release.id, Some(release.end), now) else { return };
+        self.settle(&grant, release);
+        if release.end == End::Completed {
+            self.budget.succeed();
+        }
+        if let Some(key) = grant.class {
+            self.classes[key.0].learn(release);
+        }
+        let group_ms = self.first_token_ms;
+        if let Some(&position) = self.backend_positions.get(&grant.backend) {
+            self.backends[position].learn(&grant, release, group_ms);
+        }
+        self.compare_speeds();
     }
 
     /// Takes in the report of a backend server.
-    pub fn report(&mut self, backend: &name::Backend, load: Load, _now: Instant) {
-        if let Some(backend) = self.backends.iter_mut().find(|b| b.model.name == *backend) {
-            backend.incarnation = load.incarnation;
-            backend.load = Some(load);
-            backend.granted_since_report = 0;
+    pub fn report(&mut self, backend: &name::Backend, load: Load, now: Instant) {
+        if let Some(&position) = self.backend_positions.get(backend) {
+            self.backends[position].report(load, now);
         }
     }
 
-    /// Counts requests that run at the voters on permits of an earlier scheduler.
+    /// Counts requests that run at the voters on permits of another scheduler.
     pub fn adopt(&mut self, running: &[Running], now: Instant) {
-        for one in running {
-            if self.grants.contains_key(&one.id) {
-                continue;
-            }
-            if let Some(backend) = self.backends.iter_mut().find(|b| b.model.name == one.backend) {
-                backend.running += 1;
+        for request in running {
+            if !self.grants.contains(request.id) {
+                self.adopt_one(request, now);
             }
-            let grant = Grant {
-                backend: one.backend.clone(),
-                class: one.class.clone(),
-                home: one.home.clone(),
-                home_incarnation: one.home_incarnation,
-                latest_end: now + Duration::from_millis(one.remaining_ms),
-            };
-            self.grants.insert(one.id, grant);
         }
     }
 
     /// Drops everything of a daemon whose process has ended.
-    pub fn drop_home(&mut self, host: &name::Host, incarnation: Incarnation, _now: Instant) {
-        self.queue.retain(|w| w.entry.home != *host || w.entry.home_incarnation != incarnation);
-        let ended: Vec<_> = self
+    pub fn drop_home(&mut self, host: &name::Host, incarnation: Incarnation, now: Instant) {
+        let of_home = |entry: &Entry| entry.home == *host && entry.home_incarnation == incarnation;
+        let waiting: Vec<_> =
+            self.entries.values().filter(|entry| of_home(entry)).map(|e| e.ticket).collect();
+        for ticket in waiting {
+            self.cancel(ticket, now);
+        }
+        let running: Vec<_> = self
             .grants
             .iter()
-            .filter(|(_, g)| g.home == *host && g.home_incarnation == incarnation)
-            .map(|(id, _)| *id)
+            .filter(|(_, grant)| grant.home == *host && grant.home_incarnation == incarnation)
+            .map(|(id, _)| id)
             .collect();
-        for id in ended {
-            self.forget(id);
+        for id in running {
+            self.end(id, Some(End::Cancelled), now);
         }
     }
 
     /// Decides about all requests for which something can be decided now.
     pub fn poll(&mut self, now: Instant) -> Vec<Decision> {
         self.expire(now);
-        let mut decisions = Vec::new();
-        self.queue.sort_by_key(|w| (w.tier, w.deadline));
-        for waiting in std::mem::take(&mut self.queue) {
-            let ticket = waiting.entry.ticket;
-            let reason = if !self.classes.contains_key(&waiting.entry.class) {
-                Some(Reason::UnknownName)
-            } else if waiting.deadline <= now {
-                Some(Reason::Deadline)
-            } else {
-                None
-            };
-            if let Some(reason) = reason {
-                let refusal = Refusal { reason, retry_after_ms: RETRY_AFTER.as_millis() as u64 };
-                decisions.push(Decision::Refuse { ticket, refusal });
-                continue;
-            }
-            match self.place(&waiting.entry, now) {
-                Some(permit) => decisions.push(Decision::Grant { ticket, permit }),
-                None => self.queue.push(waiting),
-            }
+        self.refuse_hopeless(now);
+        if self.quiet_until.is_none() {
+            self.grant_all(now);
         }
-        decisions
+        std::mem::take(&mut self.decisions)
     }
 
     /// The next time at which [`Scheduler::poll`] may decide something without a further event.
     pub fn next_wake(&self) -> Option<Instant> {
-        let deadlines = self.queue.iter().map(|w| w.deadline);
-        let ends = self.grants.values().map(|g| g.latest_end);
-        deadlines.chain(ends).chain(self.quiet_until).min()
+        let rests = self
+            .queue
+            .lines()
+            .filter(|(_, line)| !line.is_empty())
+            .filter_map(|(key, _)| self.classes[key.0].floor.rests_until());
+        let broken_off = self.backends.iter().filter_map(Backend::next_expiry);
+        let decided = (!self.decisions.is_empty()).then_some(self.started);
+        rests
+            .chain(self.queue.next_expiry())
+            .chain(self.grants.next_end())
+            .chain(broken_off)
+            .chain(self.quiet_until)
+            .chain(self.without_slots_since.map(|since| since + admission::WITHOUT_SLOTS))
+            .chain(decided)
+            .min()
     }
 
     /// The state, for operators.
     pub fn status(&self, now: Instant) -> Status {
         let quiet = self.quiet_until.map_or(Duration::ZERO, |u| u.saturating_duration_since(now));
+        let classes = self.queue.lines().map(|(key, line)| {
+            let class = &self.classes[key.0];
+            status::Class {
+                name: class.model.name.clone(),
+                tier: class.model.tier,
+                waiting: line.len() as u64,
+                running: u64::from(class.running),
+                granted: class.granted,
+                refused: class.refused,
+            }
+        });
         Status {
             group: self.group.clone(),
             share: self.share,
             quiet_ms: quiet.as_millis() as u64,
             waiting: self.queue.len() as u64,
             running: self.grants.len() as u64,
-            backends: self.backends.iter().map(|b| self.backend_status(b)).collect(),
-            classes: self.classes.values().map(|c| self.class_status(c)).collect(),
+            slots: self.slots(),
+            backends: self.backends.iter().map(Backend::status).collect(),
+            classes: classes.collect(),
         }
     }
 
-    fn backend_status(&self, backend: &Backend) -> status::Backend {
-        status::Backend {
-            name: backend.model.name.clone(),
-            zone: backend.model.zone.clone(),
-            in_service: backend.in_service,
-            cold: false,
-            straggler: false,
-            limit: self.pool.as_ref().map_or(0, |p| p.warm_limit),
-            running: backend.running,
-            reported: backend.load.map_or(0, |l| l.requests()),
-            kv_used: backend.load.map_or(0.0, |l| l.kv_used),
-            first_token_ms: None,
-            inter_token_ms: None,
+    fn configure_workspaces(&mut self, document: &model::Document) {
+        for workspace in self.workspaces.values_mut() {
+            workspace.declared = false;
+        }
+        for model in &document.workspaces {
+            let key = lane::Key(self.workspaces.len() as u32);
+            let workspace = self.workspaces.entry(model.name.clone()).or_insert(Workspace {
+                key,
+                share: 1,
+                declared: true,
+            });
+            workspace.share = model.share;
+            workspace.declared = true;
         }
     }
 
-    fn class_status(&self, class: &model::Class) -> status::Class {
-        let waiting = self.queue.iter().filter(|w| w.entry.class == class.name).count();
-        let running = self.grants.values().filter(|g| g.class == class.name).count();
-        status::Class {
-            name: class.name.clone(),
-            tier: class.tier,
-            waiting: waiting as u64,
-            running: running as u64,
-            granted: 0,
-            refused: 0,
+    fn configure_classes(&mut self, document: &model::Document) {
+        for class in &mut self.classes {
+            class.declared = false;
+        }
+        for model in &document.classes {
+            if let Some(&key) = self.class_keys.get(&model.name) {
+                self.queue.set_tier(key, model.tier);
+                self.classes[key.0].configure(model.clone());
+                continue;
+            }
+            let key = self.queue.add_class(model.tier);
+            self.class_keys.insert(model.name.clone(), key);
+            self.classes.push(Class::new(model.clone()));
         }
     }
 
+    fn configure_backends(&mut self, document: &model::Document, orders: &order::State) {
+        let mut known: Map<_, _> =
+            self.backends.drain(..).map(|b| (b.model.name.clone(), b)).collect();
+        self.backend_positions.clear();
+        let Some(pool) = &self.pool else { return };
+        let members = group::split(document, &self.group.pool)
+            .into_iter()
+            .find(|(group, _)| *group == self.group)
+            .map(|(_, members)| members)
+            .unwrap_or_default();
+        for member in members {
+            let mut backend =
+                known.remove(&member.name).unwrap_or_else(|| Backend::new(member.clone(), pool));
+            if backend.model.address != member.address {
+                backend = Backend::new(member.clone(), pool);
+            }
+            backend.model = member.clone();
+            backend.in_service = !orders.zones_out.contains(&member.zone);
+            backend.tracker.set_limits(pool.cold_limit, pool.warm_limit);
+            backend.running = 0;
+            backend.suspects = 0;
+            self.backend_positions.insert(member.name.clone(), self.backends.len());
+            self.backends.push(backend);
+        }
+        for (_, grant) in self.grants.iter() {
+            if let Some(&position) = self.backend_positions.get(&grant.backend) {
+                self.backends[position].adopt(grant.solo);
+            }
+        }
+    }
+
+    fn adopt_one(&mut self, request: &Running, now: Instant) {
+        let class = self.class_keys.get(&request.class).copied();
+        if let Some(key) = class {
+            self.classes[key.0].running += 1;
+        }
+        if let Some(&position) = self.backend_positions.get(&request.backend) {
+            let backend = &mut self.backends[position];
+            backend.adopt(request.solo);
+            backend.tracker.learn(request.backend_incarnation, request.limit);
+        }
+        let workspace = self.workspaces.get(&request.workspace);
+        let grant = Grant {
+            backend: request.backend.clone(),
+            class,
+            workspace: workspace.map(|workspace| workspace.key),
+            share: workspace.map_or(1, |workspace| workspace.share),
+            home: request.home.clone(),
+            home_incarnation: request.home_incarnation,
+            granted: now,
+            latest_end: now + Duration::from_millis(request.remaining_ms),
+            epoch: None,
+            loaded: false,
+            solo: request.solo,
+            prompt: request.prompt_tokens,
+            cost: request.prompt_tokens.0 + request.output_tokens.0,
+            output: Some((request.output_tokens, now)),
+        };
+        self.grants.insert(request.id, grant);
+    }
+
     fn expire(&mut self, now: Instant) {
         if self.quiet_until.is_some_and(|until| until <= now) {
             self.quiet_until = None;
         }
-        let ended: Vec<_> =
-            self.grants.iter().filter(|(_, g)| g.latest_end <= now).map(|(id, _)| *id).collect();
-        for id in ended {
-            log::warn!("permit expired group={} permit={id}", self.group);
-            self.forget(id);
+        self.classes.iter_mut().for_each(|class| class.floor.expire(now));
+        self.backends.iter_mut().for_each(|backend| backend.expire(now));
+        while let Some(id) = self.grants.expired(now) {
+            let grant = self.end(id, None, now).expect("an expired permit is counted");
+            log::warn!(
+                "permit expired permit={id} backend={} host={} age_ms={}",
+                grant.backend,
+                grant.home,
+                grant.held(now).as_millis()
+            );
         }
     }
 
-    fn forget(&mut self, id: permit::Id) {
-        let Some(grant) = self.grants.remove(&id) else { return };
-        if let Some(backend) = self.backends.iter_mut().find(|b| b.model.name == grant.backend) {
-            backend.running = backend.running.saturating_sub(1);
+    /// Stops counting a permit.
+    fn end(&mut self, id: permit::Id, end: Option<End>, now: Instant) -> Option<Grant> {
+        let grant = self.grants.remove(id)?;
+        let slots = self.slots();
+        if let Some(key) = grant.class {
+            let class = &mut self.classes[key.0];
+            class.floor.end(class.running, slots, grant.held(now), now);
+            class.running = class.running.saturating_sub(1);
+        }
+        if let Some(&position) = self.backend_positions.get(&grant.backend) {
+            self.backends[position].end(&grant, end, now);
         }
+        Some(grant)
     }
 
-    fn place(&mut self, entry: &Entry, now: Instant) -> Option<Permit> {
-        if self.quiet_until.is_some() {
-            return None;
-        }
-        let pool = self.pool.as_ref()?;
-        let class = self.classes.get(&entry.class)?;
-        let limit = pool.warm_limit;
-        let own = self.share.limit(limit);
-        let index = (0..self.backends.len())
-            .filter(|&i| {
-                let backend = &self.backends[i];
-                let reported = backend.load.map_or(0, |l| l.requests());
-                let counted = backend.running.max(reported + backend.granted_since_report);
-                backend.in_service
-                    && !entry.exclude.contains(&backend.model.name)
-                    && backend.running < own
-                    && counted < limit
-            })
-            .min_by_key(|&i| self.backends[i].running)?;
-        let latest_end_ms = pool.latest_end_ms.min(class.max_running_ms);
-        let id = permit::Id { scheduler: self.incarnation, number: self.next_number };
-        self.next_number += 1;
-        let backend = &mut self.backends[index];
-        backend.running += 1;
-        backend.granted_since_report += 1;
-        let permit = Permit {
-            id,
-            group: self.group.clone(),
-            backend: backend.model.name.clone(),
-            address: backend.model.address,
-            backend_incarnation: backend.incarnation,
-            limit,
-            granted_at_ms: (now - self.started).as_millis() as u64,
-            use_within_ms: permit::USE_WITHIN.as_millis() as u64,
-            latest_end_ms,
+    /// Replaces the estimated tokens, which were counted against the workspace, by the true ones.
+    fn settle(&mut self, grant: &Grant, release: &Release) {
+        let (Some(class), Some(workspace)) = (grant.class, grant.workspace) else { return };
+        let used = match release.end {
+            End::NotDispatched | End::Refused503 => 0,
+            _ => grant.prompt.0 + release.output_tokens.0,
         };
-        let grant = Grant {
-            backend: permit.backend.clone(),
-            class: entry.class.clone(),
-            home: entry.home.clone(),
-            home_incarnation: entry.home_incarnation,
-            latest_end: now + Duration::from_millis(latest_end_ms),
-        };
-        self.grants.insert(id, grant);
-        Some(permit)
+        self.queue.charge(class, workspace, grant.share, used as i64 - grant.cost as i64);
+    }
+
+    /// Compares the speeds of all backend servers and finds stragglers.
+    fn compare_speeds(&mut self) {
+        let inter: Vec<_> =
+            self.backends.iter().filter_map(|b| b.speed.inter_token_ms.settled()).collect();
+        let first: Vec<_> =
+            self.backends.iter().filter_map(|b| b.speed.first_token_ms.settled()).collect();
+        self.inter_token_ms = estimate::median(inter.iter().copied());
+        self.first_token_ms = estimate::median(first.iter().copied());
+        let by_tokens = inter.len() >= straggler::LEAST_MEASURED;
+        let by_first = first.len() >= straggler::LEAST_MEASURED;
+        for backend in &mut self.backends {
+            let was = backend.verdict.is_straggler();
+            if by_tokens {
+                let own = backend.speed.inter_token_ms.settled();
+                backend.verdict.update(own, self.inter_token_ms);
+            } else {
+                let median = self.first_token_ms.filter(|_| by_first);
+                backend.verdict.update(backend.speed.first_token_ms.settled(), median);
+            }
+            if was != backend.verdict.is_straggler() {
+                let (name, limit) = (&backend.model.name, backend.limit());
+                log::info!("straggler backend={name} slow={} limit={limit}", !was);
+            }
+        }
+    }
+
+    /// The slots that this scheduler may use at the present limits.
+    fn slots(&self) -> u32 {
+        self.backends.iter().map(|backend| backend.slots(self.share)).sum()
     }
 }
--- /dev/null
+++ b/crates/policy/src/scheduler/class.rs
@@ -0,0 +1,105 @@
+//! What a scheduler knows about one class.
+
+use std::time::Instant;
+
+use hyssop_document::{model, number::Tokens};
+
+use crate::{
+    entry::Entry,
+    estimate::{Average, Histogram},
+    floor::Floor,
+    permit::{End, Release},
+};
+
+/// The tokens of an answer before anything is known.
+const UNKNOWN_OUTPUT_TOKENS: u64 = 256;
+
+/// The part of the answers that are shorter than the length by which a deadline is judged. It is low,
+/// so that a request is refused only if it is unlikely to be in time.
+const JUDGED_QUANTILE: f64 = 0.25;
+
+/// What a scheduler knows about one class.
+#[derive(Debug)]
+pub(super) struct Class {
+    pub(super) model: model::Class,
+    /// Whether the document in force has the class.
+    pub(super) declared: bool,
+    pub(super) floor: Floor,
+    pub(super) running: u32,
+    pub(super) granted: u64,
+    pub(super) refused: u64,
+    length: Histogram,
+    elapsed_ms: Histogram,
+    first_token_ms: Average,
+}
+
+impl Class {
+    pub(super) fn new(model: model::Class) -> Self {
+        Self {
+            floor: Floor::new(model.floor_percent),
+            model,
+            declared: true,
+            running: 0,
+            granted: 0,
+            refused: 0,
+            length: Histogram::default(),
+            elapsed_ms: Histogram::default(),
+            first_token_ms: Average::default(),
+        }
+    }
+
+    pub(super) fn configure(&mut self, model: model::Class) {
+        self.floor.set_percent(model.floor_percent);
+        self.model = model;
+        self.declared = true;
+    }
+
+    pub(super) fn is_below_floor(&self, slots: u32, now: Instant) -> bool {
+        self.floor.is_below(self.running, slots, now)
+    }
+
+    /// The slots of the floor, with the part of one.
+    pub(super) fn floor_slots(&self, slots: u32) -> f64 {
+        let percent = self.model.floor_percent.max(crate::floor::LEAST);
+        f64::from(slots) * f64::from(percent.0) / 100.0
+    }
+
+    /// The expected tokens of an answer of which `arrived` are there.
+    pub(super) fn output(&self, arrived: Tokens, most: Option<Tokens>) -> u64 {
+        let expected = self.length.expected(arrived.0).unwrap_or(UNKNOWN_OUTPUT_TOKENS);
+        expected.min(most.map_or(u64::MAX, |most| most.0)).max(arrived.0)
+    }
+
+    /// The expected time at a backend server in milliseconds, 0 while unknown.
+    pub(super) fn work_ms(&self, entry: &Entry, inter_token_ms: Option<f64>) -> u64 {
+        let tokens = self.output(Tokens(0), entry.max_output);
+        let streamed = self.streamed_ms(tokens, inter_token_ms);
+        streamed.or_else(|| self.elapsed_ms.expected(0)).unwrap_or(0)
+    }
+
+    /// The time at a backend server by which a deadline is judged, in milliseconds, 0 while unknown.
+    pub(super) fn judged_ms(&self, entry: &Entry, inter_token_ms: Option<f64>) -> u64 {
+        let most = entry.max_output.map_or(u64::MAX, |most| most.0);
+        let tokens = self.length.quantile(JUDGED_QUANTILE).map(|tokens| tokens.min(most));
+        let streamed = tokens.and_then(|tokens| self.streamed_ms(tokens, inter_token_ms));
+        streamed.or_else(|| self.elapsed_ms.quantile(JUDGED_QUANTILE)).unwrap_or(0)
+    }
+
+    /// Learns from a request that ended.
+    pub(super) fn learn(&mut self, release: &Release) {
+        if release.end != End::Completed {
+            return;
+        }
+        self.elapsed_ms.record(release.elapsed_ms);
+        if let Some(first) = release.first_token_ms {
+            self.length.record(release.output_tokens.0);
+            self.first_token_ms.record(first as f64);
+        }
+    }
+
+    fn streamed_ms(&self, tokens: u64, inter_token_ms: Option<f64>) -> Option<u64> {
+        let first = self.first_token_ms.settled()?;
+        let inter = inter_token_ms?;
+        Some((first + inter * tokens.saturating_sub(1) as f64) as u64)
+    }
+}
--- /dev/null
+++ b/crates/policy/src/scheduler/placement.rs
@@ -0,0 +1,158 @@
+//! Grants: which waiting request goes next, and where.
+
+use std::time::{Duration, Instant};
+
+use crate::{
+    choice::{Candidate, Request},
+    decision::{Decision, Reason},
+    entry::{Entry, Ticket},
+    permit::{self, Permit},
+};
+
+use hyssop_document::number::Tokens;
+
+use super::{Scheduler, grants::Grant};
+
+/// The number of requests that one poll passes over because no free backend server may run them.
+const MAX_PASSED_OVER: usize = 32;
+
+/// A backend server's load may be this multiple of the group's average for a cached prefix to count.
+const PREFIX_LOAD_FACTOR: f64 = 1.25;
+
+/// The time to the first token of a backend server before anything is known.
+const UNKNOWN_FIRST_TOKEN_MS: f64 = 100.0;
+
+/// The time between tokens of a backend server before anything is known.
+const UNKNOWN_INTER_TOKEN_MS: f64 = 20.0;
+
+impl Scheduler {
+    /// Grants while a request waits that a backend server with room may run.
+    pub(super) fn grant_all(&mut self, now: Instant) {
+        let slots = self.slots();
+        let mut passed_over = Vec::new();
+        while passed_over.len() < MAX_PASSED_OVER && self.has_room(now) {
+            let classes = &self.classes;
+            let next = self.queue.next(|key| classes[key.0].is_below_floor(slots, now));
+            let Some(ticket) = next else { break };
+            match self.place(ticket, now) {
+                Some(position) => self.grant(ticket, position, now),
+                None => passed_over.extend(self.queue.remove(ticket)),
+            }
+        }
+        for item in passed_over {
+            self.queue.restore(item);
+        }
+    }
+
+    fn has_room(&self, now: Instant) -> bool {
+        self.backends.iter().any(|backend| backend.has_room(self.share, now))
+    }
+
+    /// The position of the backend server that gets the request, if one with room may run it.
+    fn place(&mut self, ticket: Ticket, now: Instant) -> Option<usize> {
+        let entry = &self.entries[&ticket];
+        let class = self.queue.get(ticket).expect("the ticket waits").class;
+        let candidates = self.candidates(entry, now);
+        let request = Request {
+            output_tokens: self.classes[class.0].output(Tokens(0), entry.max_output) as f64,
+            prompt_tokens: entry.prompt_tokens.0,
+        };
+        let chosen = self.choice.choose(&request, &candidates)?;
+        Some(candidates[chosen].backend)
+    }
+
+    fn candidates(&self, entry: &Entry, now: Instant) -> Vec<Candidate> {
+        let cached = entry.prefix.and_then(|prefix| self.prefixes.get(prefix));
+        let running: u32 = self.backends.iter().map(|backend| backend.running).sum();
+        let average = f64::from(running + 1) / self.backends.len().max(1) as f64;
+        let most = (average * PREFIX_LOAD_FACTOR).ceil() as u32;
+        let first_token_ms = self.first_token_ms.unwrap_or(UNKNOWN_FIRST_TOKEN_MS);
+        let inter_token_ms = self.inter_token_ms.unwrap_or(UNKNOWN_INTER_TOKEN_MS);
+        self.backends
+            .iter()
+            .enumerate()
+            .filter(|(_, backend)| {
+                backend.has_room(self.share, now)
+                    && !entry.exclude.contains(&backend.model.name)
+                    && !(entry.solo && backend.suspects > 0)
+            })
+            .map(|(position, backend)| Candidate {
+                backend: position,
+                running: backend.counted(now),
+                limit: backend.limit(),
+                warm_limit: self.pool.as_ref().map_or(1, |pool| pool.warm_limit),
+                first_token_ms: backend.speed.first_token_ms.settled().unwrap_or(first_token_ms),
+                inter_token_ms: backend.speed.inter_token_ms.settled().unwrap_or(inter_token_ms),
+                kv_used: backend.kv_used(now),
+                near: backend.model.zone == entry.zone,
+                cached: cached == Some(&backend.model.name) && backend.running < most,
+            })
+            .collect()
+    }
+
+    fn grant(&mut self, ticket: Ticket, position: usize, now: Instant) {
+        let item = self.queue.take(ticket).expect("the ticket waits");
+        let entry = self.entries.remove(&ticket).expect("a waiting ticket has an entry");
+        let class = &mut self.classes[item.class.0];
+        class.running += 1;
+        class.granted += 1;
+        let pool = self.pool.as_ref().expect("a group with backend servers has a pool");
+        let latest_end_ms = pool.latest_end_ms.min(class.model.max_running_ms);
+        let backend = &mut self.backends[position];
+        backend.grant(entry.solo);
+        let id = permit::Id { scheduler: self.incarnation, number: self.next_number };
+        self.next_number += 1;
+        let permit = Permit {
+            id,
+            group: self.group.clone(),
+            backend: backend.model.name.clone(),
+            address: backend.model.address,
+            backend_incarnation: backend.incarnation(),
+            limit: backend.tracker.limit(),
+            granted_at_ms: now.saturating_duration_since(self.started).as_millis() as u64,
+            use_within_ms: permit::USE_WITHIN.as_millis() as u64,
+            latest_end_ms,
+        };
+        let grant = Grant {
+            backend: backend.model.name.clone(),
+            class: Some(item.class),
+            workspace: Some(item.workspace),
+            share: item.share,
+            home: entry.home,
+            home_incarnation: entry.home_incarnation,
+            granted: now,
+            latest_end: now + Duration::from_millis(latest_end_ms),
+            epoch: Some(backend.tracker.epoch()),
+            loaded: 2 * backend.running >= backend.slots(self.share),
+            solo: entry.solo,
+            prompt: entry.prompt_tokens,
+            cost: item.cost,
+            output: None,
+        };
+        if let Some(prefix) = entry.prefix {
+            self.prefixes.insert(prefix, backend.model.name.clone());
+        }
+        self.grants.insert(id, grant);
+        self.decisions.push(Decision::Grant { ticket, permit });
+    }
+
+    /// Whether some backend server in service may run the request, now or later.
+    pub(super) fn is_placeable(&self, entry: &Entry) -> bool {
+        self.backends
+            .iter()
+            .any(|backend| backend.in_service && !entry.exclude.contains(&backend.model.name))
+    }
+
+    /// Refuses all requests that no backend server in service may run.
+    pub(super) fn refuse_unplaceable(&mut self, now: Instant) {
+        let unplaceable: Vec<_> = self
+            .entries
+            .values()
+            .filter(|entry| !self.is_placeable(entry))
+            .map(|entry| entry.ticket)
+            .collect();
+        for ticket in unplaceable {
+            self.refuse_waiting(ticket, Reason::NoBackend, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/scheduler/prefixes.rs
@@ -0,0 +1,32 @@
+//! Hints about which backend server has the beginning of a prompt in its cache.
+
+use std::collections::VecDeque;
+
+use hyssop_document::{collections::Map, name};
+
+/// The number of prefixes that are remembered.
+const MAX_PREFIXES: usize = 4096;
+
+/// Where requests with a prefix went last. Old ones are forgotten first.
+#[derive(Debug, Default)]
+pub(super) struct Prefixes {
+    last: Map<u64, name::Backend>,
+    order: VecDeque<u64>,
+}
+
+impl Prefixes {
+    pub(super) fn get(&self, prefix: u64) -> Option<&name::Backend> {
+        self.last.get(&prefix)
+    }
+
+    pub(super) fn insert(&mut self, prefix: u64, backend: name::Backend) {
+        if self.last.insert(prefix, backend).is_some() {
+            return;
+        }
+        self.order.push_back(prefix);
+        if self.order.len() > MAX_PREFIXES {
+            let oldest = self.order.pop_front().expect("the order is not empty");
+            self.last.remove(&oldest);
+        }
+    }
+}
--- a/crates/policy/src/status.rs
+++ b/crates/policy/src/status.rs
@@ -3,7 +3,7 @@
 use hyssop_document::{group::Group, name, number::Tier};
 use serde::{Deserialize, Serialize};
 
-use crate::share::Share;
+use crate::{coldstart, share::Share};
 
 /// The state of a scheduler.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -18,6 +18,8 @@
     pub waiting: u64,
     /// The permits that are counted.
     pub running: u64,
+    /// The slots that it may use at the present limits.
+    pub slots: u32,
     /// The backend servers.
     pub backends: Vec<Backend>,
     /// The classes.
@@ -33,8 +35,8 @@
     pub zone: name::Zone,
     /// Whether new work may go to it.
     pub in_service: bool,
-    /// Whether it is in cold start.
-    pub cold: bool,
+    /// Why it is in cold start, if it is.
+    pub cold: Option<coldstart::Cause>,
     /// Whether it is slower than the group's median by far.
     pub straggler: bool,
     /// The number of requests that it may run at present, over all schedulers.
