--- /dev/null
+++ b/crates/peer/src/core.rs
@@ -0,0 +1,364 @@
+//! The joined state of membership and votes, without I/O.
+
+use std::time::{Duration, Instant};
+
+use hyssop_document::{collections::Map, name, number::Incarnation, order};
+use hyssop_policy::share::Share;
+
+use crate::{
+    hosts::{self, List},
+    identity::{Identity, Process},
+    member::{Peer, Table},
+    rank::{self, Key},
+    timing::Timing,
+    vote::{Book, Electorate, Sequence, Tally, Vote},
+    wire::{self, Cell, Echo, Heartbeat, Stamp},
+};
+
+/// The stamps of the values that a daemon has in force.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Stamps {
+    /// The document.
+    pub document: Stamp,
+    /// The service orders.
+    pub orders: Stamp,
+    /// The digest over the notices.
+    pub notices: u64,
+}
+
+/// The scheduler from which permits for a group may be taken.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Standing {
+    /// The scheduler.
+    pub scheduler: Process,
+    /// The epoch of the vote.
+    pub epoch: u32,
+    /// The end of the promise.
+    pub until: Instant,
+    /// The scheduler's start on the own clock, at the latest. `None` before it is known.
+    pub start: Option<Instant>,
+}
+
+/// What a heartbeat changed.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Effect {
+    /// Whether the heartbeat was taken in.
+    pub accepted: bool,
+    /// Whether own votes moved or were withdrawn, which peers should hear of at once.
+    pub moved: bool,
+    /// Whether the process is new, so that its host's process before has ended.
+    pub replaced: bool,
+}
+
+/// Membership, own votes and votes held of one daemon.
+#[derive(Debug)]
+pub struct Core {
+    identity: Identity,
+    me: Process,
+    cell: Cell,
+    started: Instant,
+    next: Sequence,
+    leaving: bool,
+    platform: bool,
+    /// The groups that votes are cast for.
+    keys: Vec<Key>,
+    out: order::State,
+    electorate: Electorate,
+    /// Membership.
+    pub members: Table,
+    /// Own votes.
+    pub book: Book,
+    /// Votes held.
+    pub tally: Tally,
+    /// The first heartbeat after the process was last stopped, until a peer has answered it.
+    refresh_from: Option<Sequence>,
+}
+
+impl Core {
+    /// The state of a daemon that has just started.
+    pub fn new(identity: Identity, cell: Cell, members: Table, timing: &Timing, now: Instant) -> Self {
+        let me = identity.process();
+        Self {
+            identity,
+            me,
+            cell,
+            started: now,
+            next: Sequence(1),
+            leaving: false,
+            platform: false,
+            keys: Vec::new(),
+            out: order::State::default(),
+            electorate: Electorate::default(),
+            members,
+            book: Book::new(timing.lease),
+            tally: Tally::new(timing),
+            refresh_from: None,
+        }
+    }
+
+    /// Who this daemon is.
+    pub fn me(&self) -> &Process {
+        &self.me
+    }
+
+    /// Who this daemon is, with its addresses.
+    pub fn identity(&self) -> &Identity {
+        &self.identity
+    }
+
+    /// Whether this daemon is leaving.
+    pub fn leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Marks this daemon as leaving.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+    }
+
+    /// Notes whether the platform was reached lately.
+    pub fn set_platform(&mut self, reached: bool) {
+        self.platform = reached;
+    }
+
+    /// Sets the groups to vote for.
+    pub fn set_keys(&mut self, keys: Vec<Key>) {
+        self.keys = keys;
+    }
+
+    /// Sets the service orders in force, which keep hosts from being schedulers.
+    pub fn set_orders(&mut self, orders: &order::State) {
+        self.out = orders.clone();
+    }
+
+    /// Takes a list of hosts if it is newer. Returns whether it was.
+    pub fn set_list(&mut self, list: List, now: Instant) -> bool {
+        let taken = self.members.set_list(list, now);
+        self.electorate = self.members.electorate(now);
+        taken
+    }
+
+    /// The hosts whose votes count.
+    pub fn electorate(&self) -> &Electorate {
+        &self.electorate
+    }
+
+    /// Begins a round of heartbeats: renews the own vote for this daemon and moves votes.
+    ///
+    /// The time `now` must have been read before any heartbeat of the round is sent.
+    pub fn begin(&mut self, now: Instant) -> Sequence {
+        let sequence = self.next;
+        self.next = Sequence(sequence.0 + 1);
+        self.tally.sent(sequence, now);
+        self.electorate = self.members.electorate(now);
+        let me = self.me.clone();
+        self.book.heard(&me, now);
+        self.move_votes(now);
+        let votes = self.votes_for(&me, now);
+        self.tally.heard(&me, sequence, Some(sequence), &votes, now);
+        self.book.echoed(&me, sequence);
+        self.move_votes(now);
+        sequence
+    }
+
+    /// Moves the votes to the hosts that should be scheduler now. Returns whether any moved.
+    pub fn move_votes(&mut self, now: Instant) -> bool {
+        let next = self.next;
+        let keys = std::mem::take(&mut self.keys);
+        let mut moved = false;
+        for &key in &keys {
+            let wanted = self.wanted(key, now);
+            moved |= self.book.want(key, wanted.as_ref(), next, now);
+        }
+        self.keys = keys;
+        moved
+    }
+
+    /// The process that should be the scheduler, as far as this daemon sees.
+    fn wanted(&self, key: Key, now: Instant) -> Option<Process> {
+        let candidates = self.candidates(now);
+        let first = rank::first(key, candidates.keys().copied())?;
+        Some(Process { host: first.clone(), incarnation: candidates[first] })
+    }
+
+    /// The hosts that may decide something: listed, alive, in service and not leaving.
+    fn candidates(&self, now: Instant) -> Map<&name::Host, Incarnation> {
+        let list = self.members.list();
+        let mut candidates = Map::default();
+        for entry in &list.hosts {
+            let staying = entry.state == hosts::State::Live && self.in_service(entry);
+            if !staying {
+                continue;
+            }
+            if entry.host == self.me.host && !self.leaving {
+                candidates.insert(&entry.host, self.me.incarnation);
+            } else if let Some(peer) = self.candidate(&entry.host, now) {
+                candidates.insert(&entry.host, peer.identity.incarnation);
+            }
+        }
+        if candidates.is_empty() && list.contains(&self.me.host) {
+            candidates.insert(&self.me.host, self.me.incarnation);
+        }
+        candidates
+    }
+
+    fn in_service(&self, entry: &hosts::Entry) -> bool {
+        !self.out.hosts_out.contains(&entry.host) && !self.out.zones_out.contains(&entry.zone)
+    }
+
+    fn candidate(&self, host: &name::Host, now: Instant) -> Option<&Peer> {
+        let peer = self.members.peer(host)?;
+        (self.members.is_alive(peer, now) && !peer.leaving).then_some(peer)
+    }
+
+    /// The host that decides between racing orders.
+    pub fn coordinator(&self, now: Instant) -> name::Host {
+        let candidates = self.candidates(now);
+        let first = rank::first(Key::coordinator(), candidates.keys().copied());
+        first.unwrap_or(&self.me.host).clone()
+    }
+
+    /// The votes to send to a scheduler, if this daemon may vote.
+    fn votes_for(&mut self, scheduler: &Process, now: Instant) -> Vec<Vote> {
+        match self.members.entitled(now) {
+            true => self.book.votes(scheduler),
+            false => Vec::new(),
+        }
+    }
+
+    /// The heartbeat `sequence` for a recipient, of which nothing may be known yet.
+    pub fn heartbeat(
+        &mut self,
+        sequence: Sequence,
+        to: Option<&Process>,
+        stamps: &Stamps,
+        now: Instant,
+    ) -> Heartbeat {
+        let peer = to.and_then(|process| self.members.peer(&process.host));
+        let echo: Option<Echo> = peer.and_then(Peer::echo);
+        let votes = to.map(|process| self.votes_for(process, now)).unwrap_or_default();
+        let identity = &self.identity;
+        Heartbeat {
+            version: wire::VERSION,
+            cell: self.cell,
+            host: identity.host.clone(),
+            zone: identity.zone.clone(),
+            incarnation: identity.incarnation,
+            caller_address: identity.caller_address,
+            peer_address: identity.peer_address,
+            sequence,
+            uptime_ms: self.uptime_ms(now),
+            echo,
+            lists_recipient: to.is_some_and(|to| self.members.list().contains(&to.host)),
+            leaving: self.leaving,
+            platform: self.platform,
+            document: stamps.document,
+            orders: stamps.orders,
+            list: self.members.list().stamp(),
+            notices: stamps.notices,
+            votes,
+        }
+    }
+
+    /// The time since this daemon started, in milliseconds.
+    pub fn uptime_ms(&self, now: Instant) -> u64 {
+        now.saturating_duration_since(self.started).as_millis() as u64
+    }
+
+    /// The time at which this daemon started.
+    pub fn started(&self) -> Instant {
+        self.started
+    }
+
+    /// Takes a peer's heartbeat in.
+    pub fn heard(&mut self, heartbeat: &Heartbeat, now: Instant) -> Effect {
+        if heartbeat.cell != self.cell {
+            return Effect::default();
+        }
+        let before = self.members.peer(&heartbeat.host).map(|peer| peer.identity.incarnation);
+        if !self.members.heard(heartbeat, now) {
+            return Effect::default();
+        }
+        let process = heartbeat.process();
+        let replaced = before.is_some_and(|before| before < process.incarnation);
+        if replaced {
+            self.book.ended(&process.host, process.incarnation);
+        }
+        let echo = heartbeat.echo.filter(|echo| echo.incarnation == self.me.incarnation);
+        let answered = echo.map(|echo| echo.sequence);
+        self.tally.heard(&process, heartbeat.sequence, answered, &heartbeat.votes, now);
+        self.book.heard(&process, now);
+        if let Some(answered) = answered {
+            self.book.echoed(&process, answered);
+            self.refreshed(answered);
+        }
+        Effect { accepted: true, moved: self.move_votes(now), replaced }
+    }
+
+    /// Notes that a process has ended. Returns whether own votes moved.
+    pub fn ended(&mut self, process: &Process, now: Instant) -> bool {
+        let after = Incarnation(process.incarnation.0 + 1);
+        self.members.ended(process);
+        self.book.ended(&process.host, after);
+        self.tally.ended(&process.host, after);
+        self.move_votes(now)
+    }
+
+    /// Notes that the process itself was stopped: what it knows may be out of date.
+    pub fn woke(&mut self) {
+        self.refresh_from = Some(self.next);
+    }
+
+    /// Whether the process was stopped and no peer has answered it since.
+    pub fn refreshing(&self, now: Instant) -> bool {
+        self.refresh_from.is_some() && self.members.alive(now).next().is_some()
+    }
+
+    fn refreshed(&mut self, answered: Sequence) {
+        if self.refresh_from.is_some_and(|from| answered >= from) {
+            self.refresh_from = None;
+        }
+    }
+
+    /// The share of a scheduler of this daemon. See [`Tally::share`].
+    pub fn share(&self, key: Key, observed: Option<Instant>, now: Instant) -> Share {
+        let share = self.tally.share(key, &self.electorate, observed, now);
+        let whole = share.votes == share.hosts && self.members.has_strangers(&self.electorate, now);
+        match whole {
+            true => self.tally.settled(key, &self.electorate, observed, now),
+            false => share,
+        }
+    }
+
+    /// The schedulers from which permits may be taken.
+    pub fn standings(&self, now: Instant) -> Map<Key, Standing> {
+        let mut standings = Map::default();
+        for (key, scheduler, epoch, until) in self.book.standing(now) {
+            let start = match *scheduler == self.me {
+                true => Some(self.started),
+                false => self.members.peer(&scheduler.host).and_then(|peer| peer.start()),
+            };
+            let scheduler = scheduler.clone();
+            standings.insert(key, Standing { scheduler, epoch, until, start });
+        }
+        standings
+    }
+
+    /// Whether this daemon is one of the few that watch the platform.
+    ///
+    /// Those are the first [`READERS`] hosts by rank among the candidates.
+    pub fn platform_duty(&self, now: Instant) -> bool {
+        let candidates = self.candidates(now);
+        let mine = rank::weight(Key::reader(), &self.me.host);
+        let before = candidates.keys().filter(|host| rank::weight(Key::reader(), host) > mine);
+        before.count() < READERS
+    }
+
+    /// The time since a peer was heard of, for display.
+    pub fn silence(&self, host: &name::Host, now: Instant) -> Option<Duration> {
+        self.members.peer(host).map(|peer| now.saturating_duration_since(peer.heard))
+    }
+}
+
+/// The number of daemons of a cell that watch the platform.
+pub const READERS: usize = 2;
--- /dev/null
+++ b/crates/peer/src/member.rs
@@ -0,0 +1,304 @@
+//! Membership of the cell: the platform's list joined with heartbeats.
+
+use std::{
+    net::{IpAddr, SocketAddr},
+    time::{Duration, Instant},
+};
+
+use hyssop_document::{collections::Map, name};
+
+use crate::{
+    hosts::List,
+    identity::{Identity, Process},
+    timing::{MAX_CELL_HOSTS, Timing},
+    vote::{Electorate, Sequence},
+    wire::{Echo, Heartbeat, Stamp},
+};
+
+/// What is known about another daemon.
+#[derive(Debug, Clone)]
+pub struct Peer {
+    /// Who it is.
+    pub identity: Identity,
+    /// The time of its last sign of life.
+    pub heard: Instant,
+    /// Its newest heartbeat that was processed.
+    pub sequence: Sequence,
+    /// The own heartbeat that it has processed last.
+    pub echoed: Option<Sequence>,
+    /// Whether its list of hosts has this daemon on it.
+    pub lists_me: bool,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// Whether it reached the platform lately.
+    pub platform: bool,
+    /// Whether its process is known to have ended.
+    pub ended: bool,
+    /// The document that it has in force.
+    pub document: Stamp,
+    /// The orders that it has in force.
+    pub orders: Stamp,
+    /// The list of hosts that it uses.
+    pub list: Stamp,
+    /// The digest over its notices.
+    pub notices: u64,
+    /// The earliest difference of arrival and uptime of its heartbeats.
+    start: Option<Instant>,
+}
+
+/// Everything this daemon knows about the daemons of its cell.
+#[derive(Debug)]
+pub struct Table {
+    me: Process,
+    alive: Duration,
+    guard: Duration,
+    started: Instant,
+    list: List,
+    listed_since: Option<Instant>,
+    last_listed: Map<name::Host, Instant>,
+    entitled: bool,
+    seeds: Vec<SocketAddr>,
+    peers: Map<name::Host, Peer>,
+}
+
+impl Table {
+    /// A table that knows no peer yet.
+    pub fn new(me: Process, seeds: Vec<SocketAddr>, timing: &Timing, now: Instant) -> Self {
+        Self {
+            me,
+            alive: timing.alive,
+            guard: timing.guard,
+            started: now,
+            list: List::default(),
+            listed_since: None,
+            last_listed: Map::default(),
+            entitled: false,
+            seeds,
+            peers: Map::default(),
+        }
+    }
+
+    /// The list of hosts in use.
+    pub fn list(&self) -> &List {
+        &self.list
+    }
+
+    /// Takes a list of hosts if it is newer. Returns whether it was.
+    pub fn set_list(&mut self, list: List, now: Instant) -> bool {
+        if list.stamp() <= self.list.stamp() && !self.list.hosts.is_empty() {
+            return false;
+        }
+        for entry in self.list.hosts.iter().chain(&list.hosts) {
+            self.last_listed.insert(entry.host.clone(), now);
+        }
+        self.listed_since = match list.contains(&self.me.host) {
+            true => self.listed_since.or(Some(now)),
+            false => None,
+        };
+        self.entitled &= self.listed_since.is_some();
+        self.list = list;
+        true
+    }
+
+    /// The hosts whose votes count: all that were listed within the guard window.
+    pub fn electorate(&self, now: Instant) -> Electorate {
+        let recent = self
+            .last_listed
+            .iter()
+            .filter(|(_, at)| now.saturating_duration_since(**at) <= self.guard)
+            .map(|(host, _)| host.clone());
+        self.list.hosts.iter().map(|entry| entry.host.clone()).chain(recent).collect()
+    }
+
+    /// Whether this daemon may vote.
+    ///
+    /// It may once it has been listed for the guard window, so that every scheduler counts it among
+    /// the hosts, and has itself run as long, so that no vote of its predecessor is counted any
+    /// more. It may earlier once every listed host has answered it and says that it lists it.
+    pub fn entitled(&mut self, now: Instant) -> bool {
+        if self.entitled {
+            return true;
+        }
+        let Some(since) = self.listed_since else { return false };
+        let waited = now.saturating_duration_since(since.max(self.started)) >= self.guard;
+        self.entitled = waited || self.confirmed_by_all();
+        self.entitled
+    }
+
+    fn confirmed_by_all(&self) -> bool {
+        self.list.hosts.iter().filter(|entry| entry.host != self.me.host).all(|entry| {
+            let peer = self.peers.get(&entry.host);
+            peer.is_some_and(|peer| peer.echoed.is_some() && peer.lists_me)
+        })
+    }
+
+    /// Whether a datagram from `address` may come from a daemon of the cell.
+    pub fn knows_address(&self, address: IpAddr) -> bool {
+        self.list.hosts.iter().any(|entry| entry.peer_address.ip() == address)
+            || self.seeds.iter().any(|seed| seed.ip() == address)
+            || self.peers.values().any(|peer| peer.identity.peer_address.ip() == address)
+    }
+
+    /// Adds a daemon that has introduced itself over TCP. Returns whether there was room.
+    pub fn introduce(&mut self, identity: &Identity, now: Instant) -> bool {
+        let known = self.peers.get(&identity.host);
+        if known.is_some_and(|peer| peer.identity.incarnation >= identity.incarnation) {
+            return true;
+        }
+        if identity.host == self.me.host || !self.make_room(&identity.host, now) {
+            return false;
+        }
+        self.peers.insert(identity.host.clone(), Peer::introduced(identity.clone(), now));
+        true
+    }
+
+    /// Takes a heartbeat in. Returns whether it was new, so that its votes may be counted.
+    pub fn heard(&mut self, heartbeat: &Heartbeat, now: Instant) -> bool {
+        if heartbeat.host == self.me.host || !self.make_room(&heartbeat.host, now) {
+            return false;
+        }
+        let uptime = Duration::from_millis(heartbeat.uptime_ms);
+        let mut start = now.checked_sub(uptime);
+        let mut echoed = self.echo_of_me(heartbeat.echo);
+        if let Some(peer) = self.peers.get(&heartbeat.host) {
+            let old = (peer.identity.incarnation, peer.sequence);
+            if (heartbeat.incarnation, heartbeat.sequence) <= old {
+                return false;
+            }
+            if peer.identity.incarnation == heartbeat.incarnation {
+                start = start.min(peer.start).or(start);
+                echoed = echoed.max(peer.echoed);
+            }
+        }
+        let peer = Peer {
+            identity: heartbeat.identity(),
+            heard: now,
+            sequence: heartbeat.sequence,
+            echoed,
+            lists_me: heartbeat.lists_recipient,
+            leaving: heartbeat.leaving,
+            platform: heartbeat.platform,
+            ended: false,
+            document: heartbeat.document,
+            orders: heartbeat.orders,
+            list: heartbeat.list,
+            notices: heartbeat.notices,
+            start,
+        };
+        self.peers.insert(heartbeat.host.clone(), peer);
+        true
+    }
+
+    fn echo_of_me(&self, echo: Option<Echo>) -> Option<Sequence> {
+        echo.filter(|echo| echo.incarnation == self.me.incarnation).map(|echo| echo.sequence)
+    }
+
+    /// Makes room for one more peer, by forgetting one that is long gone and not listed.
+    fn make_room(&mut self, host: &name::Host, now: Instant) -> bool {
+        if self.peers.contains_key(host) || self.peers.len() < 2 * MAX_CELL_HOSTS {
+            return true;
+        }
+        let gone = self
+            .peers
+            .values()
+            .filter(|peer| !self.list.contains(&peer.identity.host))
+            .filter(|peer| now.saturating_duration_since(peer.heard) > self.guard)
+            .min_by_key(|peer| peer.heard)
+            .map(|peer| peer.identity.host.clone());
+        gone.is_some_and(|gone| self.peers.remove(&gone).is_some())
+    }
+
+    /// Notes that a process has ended. Returns whether that was news.
+    pub fn ended(&mut self, process: &Process) -> bool {
+        match self.peers.get_mut(&process.host) {
+            Some(peer) if peer.identity.incarnation == process.incarnation && !peer.ended => {
+                peer.ended = true;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Whether the peer was heard of lately.
+    pub fn is_alive(&self, peer: &Peer, now: Instant) -> bool {
+        !peer.ended
+            && peer.sequence > Sequence(0)
+            && now.saturating_duration_since(peer.heard) <= self.alive
+    }
+
+    /// All peers known.
+    pub fn peers(&self) -> impl Iterator<Item = &Peer> {
+        self.peers.values()
+    }
+
+    /// The peers that were heard of lately.
+    pub fn alive(&self, now: Instant) -> impl Iterator<Item = &Peer> {
+        self.peers.values().filter(move |peer| self.is_alive(peer, now))
+    }
+
+    /// The peer on a host.
+    pub fn peer(&self, host: &name::Host) -> Option<&Peer> {
+        self.peers.get(host)
+    }
+
+    /// The address to reach a host's daemon at: the list's, else its own word.
+    pub fn address(&self, host: &name::Host) -> Option<SocketAddr> {
+        let listed = self.list.hosts.iter().find(|entry| entry.host == *host);
+        let own = || self.peers.get(host).map(|peer| peer.identity.peer_address);
+        listed.map(|entry| entry.peer_address).or_else(own)
+    }
+
+    /// Every address to send heartbeats to, with the peer behind it if that is known.
+    pub fn recipients(&self, now: Instant) -> Vec<(SocketAddr, Option<&Peer>)> {
+        let listed = self.list.hosts.iter().filter(|entry| entry.host != self.me.host);
+        let mut recipients: Vec<_> =
+            listed.map(|entry| (entry.peer_address, self.peers.get(&entry.host))).collect();
+        let unlisted = self.peers.values().filter(|peer| !self.list.contains(&peer.identity.host));
+        let recent = unlisted
+            .filter(|peer| now.saturating_duration_since(peer.heard) <= self.guard && !peer.ended);
+        recipients.extend(recent.map(|peer| (peer.identity.peer_address, Some(peer))));
+        recipients
+    }
+
+    /// The seeds: addresses to ask before anything is known.
+    pub fn seeds(&self) -> &[SocketAddr] {
+        &self.seeds
+    }
+
+    /// Whether daemons outside the electorate were heard of lately.
+    pub fn has_strangers(&self, electorate: &Electorate, now: Instant) -> bool {
+        self.alive(now).any(|peer| !electorate.contains(&peer.identity.host))
+    }
+}
+
+impl Peer {
+    fn introduced(identity: Identity, now: Instant) -> Self {
+        Self {
+            identity,
+            heard: now,
+            sequence: Sequence(0),
+            echoed: None,
+            lists_me: false,
+            leaving: false,
+            platform: false,
+            ended: false,
+            document: Stamp::NONE,
+            orders: Stamp::NONE,
+            list: Stamp::NONE,
+            notices: 0,
+            start: None,
+        }
+    }
+
+    /// What to answer to its heartbeats.
+    pub fn echo(&self) -> Option<Echo> {
+        let heard = self.sequence > Sequence(0);
+        let incarnation = self.identity.incarnation;
+        heard.then_some(Echo { incarnation, sequence: self.sequence })
+    }
+
+    /// The start of its process on the own clock, at the latest.
+    pub fn start(&self) -> Option<Instant> {
+        self.start
+    }
+}
--- /dev/null
+++ b/crates/peer/src/vote/tally.rs
@@ -0,0 +1,199 @@
+//! The scheduler's side: which votes it holds.
+
+use std::{
+    collections::VecDeque,
+    time::{Duration, Instant},
+};
+
+use hyssop_document::{
+    collections::{Map, Set},
+    name,
+    number::Incarnation,
+};
+use hyssop_policy::share::Share;
+
+use super::{Sequence, Vote};
+use crate::{identity::Process, rank::Key, timing::Timing};
+
+/// The hosts whose votes count: every host that was on a list in the guard window.
+pub type Electorate = Set<name::Host>;
+
+/// The votes that one scheduler process holds.
+#[derive(Debug)]
+pub struct Tally {
+    counted: Duration,
+    settle: Duration,
+    sent: VecDeque<(Sequence, Instant)>,
+    voters: Map<name::Host, Voter>,
+}
+
+#[derive(Debug)]
+struct Voter {
+    incarnation: Incarnation,
+    last: Sequence,
+    votes: Map<Key, Held>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Held {
+    epoch: u32,
+    /// The time at which the vote was first seen.
+    since: Instant,
+    /// The end of the lease, reckoned from the heartbeat that the voter answered.
+    until: Instant,
+    /// Whether the voter has reported what it runs.
+    reported: bool,
+}
+
+impl Held {
+    fn settled(&self, settle: Duration, observed: Option<Instant>) -> bool {
+        observed.is_some_and(|observed| observed >= self.since + settle)
+    }
+}
+
+impl Tally {
+    /// An empty tally.
+    pub fn new(timing: &Timing) -> Self {
+        Self {
+            counted: timing.lease.saturating_sub(timing.drift),
+            settle: timing.settle,
+            sent: VecDeque::new(),
+            voters: Map::default(),
+        }
+    }
+
+    /// Notes that the own heartbeat `sequence` is about to be sent.
+    pub fn sent(&mut self, sequence: Sequence, now: Instant) {
+        let counted = self.counted;
+        while self.sent.front().is_some_and(|(_, at)| now.duration_since(*at) > counted) {
+            self.sent.pop_front();
+        }
+        self.sent.push_back((sequence, now));
+    }
+
+    /// Takes the votes out of a voter's heartbeat. `answered` is the own heartbeat it answers.
+    ///
+    /// The heartbeat names every vote for this scheduler: one that is missing was withdrawn.
+    /// Returns whether the heartbeat was new; an older or repeated one changes nothing.
+    pub fn heard(
+        &mut self,
+        voter: &Process,
+        sequence: Sequence,
+        answered: Option<Sequence>,
+        votes: &[Vote],
+        now: Instant,
+    ) -> bool {
+        let until = answered.and_then(|answered| self.sent_at(answered)).map(|at| at + self.counted);
+        let entry = self.voters.entry(voter.host.clone()).or_insert_with(|| Voter::new(voter));
+        if entry.incarnation > voter.incarnation {
+            return false;
+        }
+        if entry.incarnation < voter.incarnation {
+            *entry = Voter::new(voter);
+        }
+        if sequence <= entry.last {
+            return false;
+        }
+        entry.last = sequence;
+        entry.replace(votes, until, now);
+        true
+    }
+
+    fn sent_at(&self, sequence: Sequence) -> Option<Instant> {
+        let index = self.sent.binary_search_by_key(&sequence, |(sent, _)| *sent).ok()?;
+        Some(self.sent[index].1)
+    }
+
+    /// Notes that the voter has reported everything that it runs of the group.
+    pub fn reported(&mut self, voter: &Process, vote: Vote) {
+        let Some(entry) = self.voters.get_mut(&voter.host) else { return };
+        let held = entry.votes.get_mut(&vote.key);
+        if entry.incarnation == voter.incarnation
+            && let Some(held) = held
+            && held.epoch == vote.epoch
+        {
+            held.reported = true;
+        }
+    }
+
+    /// Drops the votes of a host whose processes before `incarnation` have ended.
+    pub fn ended(&mut self, host: &name::Host, incarnation: Incarnation) {
+        if self.voters.get(host).is_some_and(|voter| voter.incarnation < incarnation) {
+            self.voters.remove(host);
+        }
+    }
+
+    /// The share that the votes for `key` give now.
+    ///
+    /// A vote counts once its voter has reported and every load report was asked for, at
+    /// `observed`, long enough after the vote came: what another scheduler granted before the vote
+    /// moved is then seen. If every host votes here, the voters' reports alone show everything.
+    pub fn share(
+        &self,
+        key: Key,
+        electorate: &Electorate,
+        observed: Option<Instant>,
+        now: Instant,
+    ) -> Share {
+        let hosts = electorate.len() as u32;
+        let reported = self.held(key, electorate, now).filter(|held| held.reported).count() as u32;
+        match reported == hosts {
+            true => Share { votes: hosts, hosts },
+            false => self.settled(key, electorate, observed, now),
+        }
+    }
+
+    /// The share that the settled votes for `key` give now. See [`Tally::share`].
+    pub fn settled(
+        &self,
+        key: Key,
+        electorate: &Electorate,
+        observed: Option<Instant>,
+        now: Instant,
+    ) -> Share {
+        let reported = self.held(key, electorate, now).filter(|held| held.reported);
+        let settled = reported.filter(|held| held.settled(self.settle, observed));
+        Share { votes: settled.count() as u32, hosts: electorate.len() as u32 }
+    }
+
+    /// The number of votes for `key`, whether they count yet or not.
+    pub fn votes(&self, key: Key, electorate: &Electorate, now: Instant) -> usize {
+        self.held(key, electorate, now).count()
+    }
+
+    /// The time at which the newest vote for `key` settles.
+    pub fn settles_at(&self, key: Key, electorate: &Electorate, now: Instant) -> Option<Instant> {
+        self.held(key, electorate, now).map(|held| held.since + self.settle).max()
+    }
+
+    fn held<'a>(
+        &'a self,
+        key: Key,
+        electorate: &'a Electorate,
+        now: Instant,
+    ) -> impl Iterator<Item = &'a Held> + Clone {
+        self.voters
+            .iter()
+            .filter(|(host, _)| electorate.contains(*host))
+            .filter_map(move |(_, voter)| voter.votes.get(&key))
+            .filter(move |held| now < held.until)
+    }
+}
+
+impl Voter {
+    fn new(process: &Process) -> Self {
+        Self { incarnation: process.incarnation, last: Sequence(0), votes: Map::default() }
+    }
+
+    fn replace(&mut self, votes: &[Vote], until: Option<Instant>, now: Instant) {
+        let mut next = Map::default();
+        for vote in votes {
+            let old = self.votes.get(&vote.key).filter(|held| held.epoch == vote.epoch);
+            let fresh = Held { epoch: vote.epoch, since: now, until: now, reported: false };
+            let mut held = old.copied().unwrap_or(fresh);
+            held.until = until.map_or(held.until, |until| until.max(held.until));
+            next.insert(vote.key, held);
+        }
+        self.votes = next;
+    }
+}
