Add the node: heartbeats, votes, permits, spread of values, orders

Cause: the daemon needs membership, schedulers and permits to serve anything.

Change: `Node` sends heartbeats with votes over UDP and answers its peers over tarpc on TCP with a postcard codec. Votes are leases counted from the time at which the answered heartbeat was sent. A home holds a permit from its arrival to its release and reports what it holds with each vote.

Shown by three tests with three nodes each on loopback: permits through every node, one scheduler with all votes, an order in force on all when it is confirmed.

--- a/crates/peer/src/core.rs
+++ b/crates/peer/src/core.rs
@@ -57,6 +57,7 @@
     me: Process,
     cell: Cell,
     started: Instant,
+    alive: Duration,
     next: Sequence,
     leaving: bool,
     platform: bool,
@@ -70,13 +71,29 @@
     pub book: Book,
     /// Votes held.
     pub tally: Tally,
-    /// The first heartbeat after the process was last stopped, until a peer has answered it.
-    refresh_from: Option<Sequence>,
+    refresh: Refresh,
+}
+
+/// What is open since the process itself was last stopped.
+#[derive(Debug, Default)]
+struct Refresh {
+    /// The number of times that it was stopped.
+    pauses: u64,
+    /// The first heartbeat after it woke, until a peer has answered that.
+    from: Option<Sequence>,
+    /// The time after which an answer is no longer waited for.
+    until: Option<Instant>,
 }
 
 impl Core {
     /// The state of a daemon that has just started.
-    pub fn new(identity: Identity, cell: Cell, members: Table, timing: &Timing, now: Instant) -> Self {
+    pub fn new(
+        identity: Identity,
+        cell: Cell,
+        members: Table,
+        timing: &Timing,
+        now: Instant,
+    ) -> Self {
         let me = identity.process();
         Self {
             identity,
@@ -92,7 +109,8 @@
             members,
             book: Book::new(timing.lease),
             tally: Tally::new(timing),
-            refresh_from: None,
+            refresh: Refresh::default(),
+            alive: timing.alive,
         }
     }
 
@@ -121,6 +139,11 @@
         self.platform = reached;
     }
 
+    /// Whether the platform was reached lately.
+    pub fn platform(&self) -> bool {
+        self.platform
+    }
+
     /// Sets the groups to vote for.
     pub fn set_keys(&mut self, keys: Vec<Key>) {
         self.keys = keys;
@@ -290,7 +313,7 @@
         self.book.heard(&process, now);
         if let Some(answered) = answered {
             self.book.echoed(&process, answered);
-            self.refreshed(answered);
+            self.answered(answered);
         }
         Effect { accepted: true, moved: self.move_votes(now), replaced }
     }
@@ -304,19 +327,25 @@
         self.move_votes(now)
     }
 
-    /// Notes that the process itself was stopped: what it knows may be out of date.
-    pub fn woke(&mut self) {
-        self.refresh_from = Some(self.next);
+    /// Notes that the process itself was stopped for the `pauses`th time, and has woken.
+    ///
+    /// What it knows may be out of date, until a peer has answered a heartbeat sent after it.
+    pub fn woke(&mut self, pauses: u64, now: Instant) {
+        let alone = self.members.list().hosts.iter().all(|entry| entry.host == self.me.host);
+        let from = (!alone).then_some(self.next);
+        self.refresh = Refresh { pauses, from, until: Some(now + self.alive) };
     }
 
-    /// Whether the process was stopped and no peer has answered it since.
-    pub fn refreshing(&self, now: Instant) -> bool {
-        self.refresh_from.is_some() && self.members.alive(now).next().is_some()
+    /// The number of pauses after which the view is fresh again, or `None` while it is not.
+    pub fn refreshed(&self, now: Instant) -> Option<u64> {
+        let Refresh { pauses, from, until } = self.refresh;
+        let waited = until.is_none_or(|until| now >= until);
+        (from.is_none() || waited).then_some(pauses)
     }
 
-    fn refreshed(&mut self, answered: Sequence) {
-        if self.refresh_from.is_some_and(|from| answered >= from) {
-            self.refresh_from = None;
+    fn answered(&mut self, answered: Sequence) {
+        if self.refresh.from.is_some_and(|from| answered >= from) {
+            self.refresh.from = None;
         }
     }
 
@@ -336,7 +365,7 @@
         for (key, scheduler, epoch, until) in self.book.standing(now) {
             let start = match *scheduler == self.me {
                 true => Some(self.started),
-                false => self.members.peer(&scheduler.host).and_then(|peer| peer.start()),
+                false => self.members.peer(&scheduler.host).and_then(Peer::start),
             };
             let scheduler = scheduler.clone();
             standings.insert(key, Standing { scheduler, epoch, until, start });
--- /dev/null
+++ b/crates/peer/src/node/beat.rs
@@ -0,0 +1,112 @@
+//! Heartbeats: sent at intervals and when something changed, and taken in.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use super::Shared;
+use crate::{
+    identity::Process,
+    wire::{self, Heartbeat, MAX_DATAGRAM_BYTES},
+};
+
+/// The shortest time between two rounds of heartbeats.
+const MIN_INTERVAL: Duration = Duration::from_millis(5);
+
+/// Sends heartbeats until the node ends.
+pub(super) async fn send(shared: Arc<Shared>) {
+    let mut ticks = shared.timer.subscribe(shared.timing.heartbeat);
+    let mut pauses = shared.timer.pauses();
+    loop {
+        tokio::select! {
+            tick = ticks.next() => if tick.is_none() { return },
+            () = shared.beat.notified() => {}
+        }
+        note_pauses(&shared, &mut pauses);
+        round(&shared);
+        tokio::time::sleep(MIN_INTERVAL).await;
+    }
+}
+
+/// Notes that the process itself was stopped.
+fn note_pauses(shared: &Shared, seen: &mut u64) {
+    let pauses = shared.timer.pauses();
+    if pauses != *seen {
+        *seen = pauses;
+        shared.core.lock().woke(pauses, shared.now());
+    }
+}
+
+/// Sends one round of heartbeats to every peer.
+fn round(shared: &Shared) {
+    let stamps = shared.stamps();
+    // Read before the first heartbeat is sent: votes are counted from this time.
+    let now = shared.now();
+    let mut core = shared.core.lock();
+    let sequence = core.begin(now);
+    let recipients: Vec<(SocketAddr, Option<Process>)> = core
+        .members
+        .recipients(now)
+        .into_iter()
+        .map(|(address, peer)| (address, peer.map(|peer| peer.identity.process())))
+        .collect();
+    let heartbeats: Vec<(SocketAddr, Heartbeat)> = recipients
+        .into_iter()
+        .map(|(address, to)| (address, core.heartbeat(sequence, to.as_ref(), &stamps, now)))
+        .collect();
+    drop(core);
+    for (address, heartbeat) in heartbeats {
+        match wire::encode(&heartbeat) {
+            // A datagram that is lost here is made up for by the next one.
+            Ok(bytes) => drop(shared.socket.try_send_to(&bytes, address)),
+            Err(error) => log::error!("heartbeat not sent to={address} error={error}"),
+        }
+    }
+    shared.publish();
+    shared.wake_groups();
+}
+
+/// Takes heartbeats in until the node ends.
+pub(super) async fn receive(shared: Arc<Shared>) {
+    let mut buffer = vec![0; MAX_DATAGRAM_BYTES + 1];
+    loop {
+        match shared.socket.recv_from(&mut buffer).await {
+            Ok((length, from)) => take(&shared, &buffer[..length], from),
+            // A port that was unreachable for an earlier datagram is reported here.
+            Err(error) => log::debug!("receive failed error={error}"),
+        }
+    }
+}
+
+fn take(shared: &Shared, bytes: &[u8], from: SocketAddr) {
+    let now = shared.now();
+    if !shared.core.lock().members.knows_address(from.ip()) {
+        log::debug!("datagram dropped from={from} reason=unknown_address");
+        return;
+    }
+    let heartbeat = match wire::decode(bytes) {
+        Ok(heartbeat) => heartbeat,
+        Err(error) => {
+            log::debug!("datagram dropped from={from} reason={error:?}");
+            return;
+        }
+    };
+    let effect = shared.core.lock().heard(&heartbeat, now);
+    if !effect.accepted {
+        return;
+    }
+    if effect.replaced {
+        log::info!("daemon replaced host={} incarnation={}", heartbeat.host, heartbeat.incarnation);
+    }
+    shared.publish();
+    if effect.moved {
+        shared.beat.notify_one();
+    }
+    let stamps = shared.stamps();
+    let list = shared.view.load().list.stamp();
+    let differs = heartbeat.document > stamps.document
+        || heartbeat.orders > stamps.orders
+        || heartbeat.list > list
+        || heartbeat.notices != stamps.notices;
+    if differs {
+        shared.spread.notify_one();
+    }
+}
--- /dev/null
+++ b/crates/peer/src/node/permit.rs
@@ -0,0 +1,235 @@
+//! Permits, as a request's home takes and uses them.
+
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::{Duration, Instant},
+};
+
+use hyssop_document::{group::Group, number::Tokens};
+use hyssop_policy::{
+    decision::{Reason, Refusal},
+    permit::{self, Permit, Release},
+};
+use serde::{Deserialize, Serialize};
+use tokio::{sync::watch::Receiver, time};
+
+use super::{Node, Shared};
+use crate::{
+    identity::Process,
+    message::{Ask, Event, Petition, Verdict},
+    rank::Key,
+};
+
+/// The longest wait for a scheduler to be elected.
+const SCHEDULER_WAIT: Duration = Duration::from_secs(3);
+/// The pause before a scheduler is asked again after a failed call.
+const ASK_AGAIN: Duration = Duration::from_millis(20);
+/// The time that a scheduler has to answer after the deadline of the request.
+const ANSWER_MARGIN: Duration = Duration::from_millis(200);
+/// The time after which a refused request may come back when no scheduler can be asked.
+const RETRY_AFTER_MS: u64 = 500;
+
+/// Why a permit may not be used any more. The request did not run.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    Hash,
+    Serialize,
+    Deserialize,
+    derive_more::Display,
+    derive_more::Error,
+)]
+pub enum Stale {
+    /// The process was stopped and its view is not fresh yet.
+    #[display("the process was stopped")]
+    Paused,
+    /// The time within which the permit must be used has passed.
+    #[display("the permit has expired")]
+    Expired,
+    /// The vote for the scheduler that granted it has ended.
+    #[display("the vote has ended")]
+    VoteEnded,
+    /// The availability zone of the backend server is out of service.
+    #[display("the availability zone is out of service")]
+    ZoneOut,
+    /// The document in force does not have the backend server at this address any more.
+    #[display("the backend server was removed")]
+    Removed,
+}
+
+/// Closes a request's number when the wait for its permit ends without one.
+struct Open<'a> {
+    shared: &'a Shared,
+    group: &'a Group,
+    number: u64,
+}
+
+impl Drop for Open<'_> {
+    fn drop(&mut self) {
+        self.shared.held.lock().close(self.group, self.number);
+    }
+}
+
+impl Node {
+    /// Asks for a permit and waits for the verdict, over changes of the scheduler.
+    ///
+    /// Dropping the future takes the request out of the queue.
+    pub async fn permit(&self, ask: Ask) -> Verdict {
+        let shared = &self.shared;
+        let number = shared.held.lock().open(&ask.group);
+        let open = Open { shared, group: &ask.group, number };
+        let verdict = shared.wait_for_verdict(&ask, number).await;
+        if let Verdict::Granted(permit) = &verdict {
+            shared.held.lock().hold(number, permit, &ask, shared.now());
+        }
+        drop(open);
+        verdict
+    }
+
+    /// Checks immediately before the first byte goes out that a permit may still be used.
+    ///
+    /// # Errors
+    ///
+    /// Says why the request must not be sent. The permit is still to be released.
+    pub fn confirm(&self, permit: &Permit) -> Result<(), Stale> {
+        self.shared.confirm(permit)
+    }
+
+    /// Notes the tokens that have arrived on a permit.
+    pub fn progress(&self, id: permit::Id, tokens: Tokens) {
+        let group = self.shared.held.lock().progress(id, tokens);
+        if let Some(group) = group {
+            self.shared.queue_event(&group, Event::Progress(id, tokens));
+        }
+    }
+
+    /// Ends the use of a permit.
+    pub fn release(&self, release: Release) {
+        let group = self.shared.held.lock().release(release.id);
+        if let Some(group) = group {
+            self.shared.queue_event(&group, Event::Release(release));
+        }
+    }
+
+    /// The number of permits in use.
+    pub fn running(&self) -> usize {
+        self.shared.held.lock().len()
+    }
+}
+
+impl Shared {
+    async fn wait_for_verdict(self: &Arc<Self>, ask: &Ask, number: u64) -> Verdict {
+        let key = Key::group(&ask.group);
+        let deadline = self.now() + Duration::from_millis(ask.remaining_ms);
+        let mut moves = self.moves.subscribe();
+        loop {
+            let remaining = deadline.saturating_duration_since(self.now());
+            if remaining.is_zero() {
+                let reason = Reason::Deadline;
+                return Verdict::Refused(Refusal { reason, retry_after_ms: RETRY_AFTER_MS });
+            }
+            moves.borrow_and_update();
+            let Some(scheduler) = self.scheduler(key) else {
+                let wait = SCHEDULER_WAIT.min(remaining);
+                if time::timeout(wait, moves.changed()).await.is_err() {
+                    return Verdict::NoScheduler { retry_after_ms: RETRY_AFTER_MS };
+                }
+                continue;
+            };
+            let petition = self.petition(ask, number, &scheduler, remaining);
+            tokio::select! {
+                verdict = self.ask(&scheduler, petition, remaining) => match verdict {
+                    Some(verdict) => return verdict,
+                    None => time::sleep(ASK_AGAIN).await,
+                },
+                () = self.scheduler_moved(key, &scheduler, &mut moves) => {}
+            }
+        }
+    }
+
+    /// The scheduler from which permits for a group may be taken now.
+    fn scheduler(&self, key: Key) -> Option<Process> {
+        let standings = self.standings.load();
+        let standing = standings.get(&key).filter(|standing| self.now() < standing.until)?;
+        Some(standing.scheduler.clone())
+    }
+
+    /// Waits until permits for a group may no longer be taken from `scheduler`.
+    async fn scheduler_moved(&self, key: Key, scheduler: &Process, moves: &mut Receiver<u64>) {
+        while self.scheduler(key).is_some_and(|standing| standing == *scheduler) {
+            if moves.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
+    fn petition(
+        &self,
+        ask: &Ask,
+        number: u64,
+        scheduler: &Process,
+        remaining: Duration,
+    ) -> Petition {
+        let remaining_ms = remaining.as_millis() as u64;
+        Petition {
+            number,
+            home: self.me(),
+            zone: self.identity.zone.clone(),
+            scheduler: scheduler.incarnation,
+            ask: Ask { remaining_ms, ..ask.clone() },
+        }
+    }
+
+    /// Asks one scheduler. `None` if it cannot be asked, or its answer was lost.
+    async fn ask(
+        self: &Arc<Self>,
+        scheduler: &Process,
+        petition: Petition,
+        remaining: Duration,
+    ) -> Option<Verdict> {
+        if *scheduler == self.me() {
+            return self.group(&petition.ask.group).ask(petition).await;
+        }
+        let link = self.link(&scheduler.host).await.ok()?;
+        let mut context = tarpc::context::current();
+        context.deadline = Instant::now() + remaining + ANSWER_MARGIN;
+        link.client.ask(context, petition).await.ok().flatten()
+    }
+
+    fn confirm(&self, permit: &Permit) -> Result<(), Stale> {
+        let paused = self.timer.paused_within(Duration::ZERO)
+            || self.timer.pauses() != self.refreshed_pauses.load(Ordering::Acquire);
+        if paused {
+            return Err(Stale::Paused);
+        }
+        let now = self.now();
+        let standings = self.standings.load();
+        let standing = standings
+            .get(&Key::group(&permit.group))
+            .filter(|s| s.scheduler.incarnation == permit.id.scheduler && now < s.until)
+            .ok_or(Stale::VoteEnded)?;
+        let start = standing.start.ok_or(Stale::VoteEnded)?;
+        let uptime_ms = now.saturating_duration_since(start).as_millis() as u64;
+        if uptime_ms.saturating_sub(permit.granted_at_ms) > permit.use_within_ms {
+            return Err(Stale::Expired);
+        }
+        self.in_service(permit)
+    }
+
+    fn in_service(&self, permit: &Permit) -> Result<(), Stale> {
+        let current = self.store.load();
+        let document = current.document.as_ref().ok_or(Stale::Removed)?;
+        let backends = &document.checked.document.backends;
+        let backend = backends
+            .iter()
+            .find(|b| b.name == permit.backend && b.address == permit.address)
+            .ok_or(Stale::Removed)?;
+        match current.orders.zones_out.contains(&backend.zone) {
+            true => Err(Stale::ZoneOut),
+            false => Ok(()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/peer/src/node/serve.rs
@@ -0,0 +1,134 @@
+//! Answers to peers' calls.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures::StreamExt as _;
+use hyssop_document::order;
+use tarpc::{
+    context::Context,
+    serde_transport,
+    server::{BaseChannel, Channel as _, Config},
+};
+use tokio::net::{TcpListener, TcpStream};
+
+use super::Shared;
+use crate::{
+    codec::{self, Postcard},
+    current::Source,
+    group::Command,
+    hosts::List,
+    identity::Identity,
+    message::{Batch, Petition, Report, Verdict},
+    notice::Notice,
+    order::Outcome,
+    rpc::Peer,
+    status::Status,
+    wire::Stamp,
+};
+
+/// The number of answers that may wait to be written on one connection.
+const MAX_PENDING_ANSWERS: usize = 1000;
+
+/// Accepts connections until the node ends.
+pub(super) async fn listen(shared: Arc<Shared>, listener: TcpListener) {
+    let mut connections = tokio::task::JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => {
+                    connections.spawn(connection(Arc::clone(&shared), stream));
+                }
+                Err(error) => log::warn!("accept failed error={error}"),
+            },
+            Some(_) = connections.join_next(), if !connections.is_empty() => {}
+        }
+    }
+}
+
+async fn connection(shared: Arc<Shared>, stream: TcpStream) {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("connection option not set error={error}");
+    }
+    let transport = serde_transport::new(codec::framing().new_framed(stream), Postcard);
+    let config = Config { pending_response_buffer: MAX_PENDING_ANSWERS };
+    let channel = BaseChannel::new(config, transport);
+    let mut calls = std::pin::pin!(channel.execute(Server { shared }.serve()));
+    let mut running = tokio::task::JoinSet::new();
+    loop {
+        tokio::select! {
+            call = calls.next() => match call {
+                Some(call) => {
+                    running.spawn(call);
+                }
+                None => return,
+            },
+            Some(_) = running.join_next(), if !running.is_empty() => {}
+        }
+    }
+}
+
+#[derive(Debug, Clone)]
+struct Server {
+    shared: Arc<Shared>,
+}
+
+impl Peer for Server {
+    async fn hello(self, _: Context, identity: Identity) -> Identity {
+        let shared = &self.shared;
+        shared.core.lock().members.introduce(&identity, shared.now());
+        shared.identity.clone()
+    }
+
+    async fn ask(self, _: Context, petition: Petition) -> Option<Verdict> {
+        if petition.scheduler != self.shared.identity.incarnation {
+            return None;
+        }
+        self.shared.group(&petition.ask.group).ask(petition).await
+    }
+
+    async fn events(self, _: Context, batch: Batch) {
+        self.shared.group(&batch.group).send(Command::Events(batch));
+    }
+
+    async fn report(self, _: Context, report: Report) -> bool {
+        let meant = report.scheduler == self.shared.identity.incarnation;
+        if meant {
+            self.shared.group(&report.group).send(Command::Report(Box::new(report)));
+        }
+        meant
+    }
+
+    async fn document(self, _: Context) -> Option<Bytes> {
+        self.shared.store.load().document.as_ref().map(|document| document.bytes.clone())
+    }
+
+    async fn orders(self, _: Context) -> order::State {
+        (*self.shared.store.load().orders).clone()
+    }
+
+    async fn list(self, _: Context) -> List {
+        self.shared.view.load().list.clone()
+    }
+
+    async fn offer_orders(self, _: Context, state: order::State) -> Stamp {
+        self.shared.offer_orders(state, &Source::Operator);
+        self.shared.store.load().orders_stamp
+    }
+
+    async fn order(self, _: Context, order: order::Order, known: order::State) -> Outcome {
+        self.shared.decide(&order, known).await
+    }
+
+    async fn notices(self, _: Context) -> Vec<Notice> {
+        self.shared.all_notices()
+    }
+
+    async fn offer_notices(self, _: Context, notices: Vec<Notice>) {
+        self.shared.take_notices(notices);
+    }
+
+    async fn status(self, _: Context) -> Status {
+        self.shared.status().await
+    }
+}
--- a/crates/peer/src/rank.rs
+++ b/crates/peer/src/rank.rs
@@ -5,7 +5,17 @@
 
 /// What hosts are ranked for: a group, or the coordinator of orders.
 #[derive(
-    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, derive_more::Display,
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+    derive_more::Display,
 )]
 #[display("{_0:016x}")]
 pub struct Key(pub u64);
--- a/crates/peer/src/vote/tally.rs
+++ b/crates/peer/src/vote/tally.rs
@@ -83,7 +83,8 @@
         votes: &[Vote],
         now: Instant,
     ) -> bool {
-        let until = answered.and_then(|answered| self.sent_at(answered)).map(|at| at + self.counted);
+        let until =
+            answered.and_then(|answered| self.sent_at(answered)).map(|at| at + self.counted);
         let entry = self.voters.entry(voter.host.clone()).or_insert_with(|| Voter::new(voter));
         if entry.incarnation > voter.incarnation {
             return false;
--- /dev/null
+++ b/crates/peer/src/vote/tests.rs
@@ -0,0 +1,1 @@
+//! Properties of votes.
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -194,17 +194,12 @@
         use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
         /// Writes the bytes.
-        pub fn serialize<S: Serializer>(
-            digest: &Digest,
-            serializer: S,
-        ) -> Result<S::Ok, S::Error> {
+        pub fn serialize<S: Serializer>(digest: &Digest, serializer: S) -> Result<S::Ok, S::Error> {
             digest.0.serialize(serializer)
         }
 
         /// Reads the bytes.
-        pub fn deserialize<'de, D: Deserializer<'de>>(
-            deserializer: D,
-        ) -> Result<Digest, D::Error> {
+        pub fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Digest, D::Error> {
             <[u8; 32]>::deserialize(deserializer).map(Digest)
         }
     }
--- /dev/null
+++ b/crates/peer/tests/node/cluster.rs
@@ -0,0 +1,65 @@
+//! Several nodes in one process: membership, votes, permits, spread of values, orders.
+
+use crate::support::{ask, cluster, group, until};
+use hyssop_document::{
+    name,
+    order::{Order, Target},
+};
+use hyssop_peer::{Verdict, order::Outcome};
+use hyssop_policy::permit::{End, Release};
+
+fn zone_out(zone: &str) -> Order {
+    Order { target: Target::Zone(name::Zone::new(zone)), out: true, if_revision: None }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn permits_are_granted_through_every_node() {
+    let nodes = cluster(3).await;
+    until("all ready", async || nodes.iter().all(|node| node.ready())).await;
+    for node in &nodes {
+        let verdict = node.permit(ask(5000)).await;
+        let Verdict::Granted(permit) = verdict else { panic!("{verdict:?}") };
+        assert_eq!(permit.group, group());
+        assert_eq!(node.confirm(&permit), Ok(()));
+        let id = permit.id;
+        node.release(Release {
+            id,
+            end: End::Completed,
+            first_token_ms: Some(1),
+            elapsed_ms: 2,
+            output_tokens: hyssop_document::number::Tokens(3),
+            late: false,
+        });
+    }
+    until("all released", async || {
+        let fleet = nodes[0].status().await;
+        assert_eq!(fleet.not_reached, []);
+        fleet.reached.iter().flat_map(|status| &status.groups).all(|group| group.running == 0)
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn one_scheduler_holds_all_votes() {
+    let nodes = cluster(3).await;
+    until("whole share", async || {
+        let fleet = nodes[1].status().await;
+        let groups: Vec<_> = fleet.reached.iter().flat_map(|status| &status.groups).collect();
+        groups.iter().filter(|group| group.share.votes == 3 && group.share.hosts == 3).count() == 1
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_order_is_in_force_on_all_when_it_is_confirmed() {
+    let nodes = cluster(3).await;
+    until("all ready", async || nodes.iter().all(|node| node.ready())).await;
+    until("all alive", async || nodes.iter().all(|node| node.view().alive.len() == 2)).await;
+    let outcome = nodes[2].order(zone_out("z1")).await;
+    let Outcome::Done { in_force, not_reached, .. } = outcome else { panic!("{outcome:?}") };
+    assert_eq!(in_force.len(), 3);
+    assert_eq!(not_reached, []);
+    for node in &nodes {
+        assert!(node.current().orders.zones_out.contains(&name::Zone::new("z1")));
+    }
+}
--- /dev/null
+++ b/crates/peer/tests/node/main.rs
@@ -0,0 +1,4 @@
+//! Nodes in one process, on loopback.
+
+mod cluster;
+mod support;
--- /dev/null
+++ b/crates/peer/tests/node/support.rs
@@ -0,0 +1,158 @@
+//! Several nodes in one process, on loopback.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use futures::{FutureExt as _, future::BoxFuture};
+use hyssop_document::{
+    group::Group,
+    model, name,
+    number::{Incarnation, Revision, Tokens},
+};
+use hyssop_peer::{
+    Ask, Identity, Loads, Node,
+    current::Source,
+    hosts::{Entry, List, State},
+    timing::Timing,
+};
+use hyssop_policy::load::Load;
+use hyssop_timer::Service;
+use parking_lot::Mutex;
+
+/// Backend servers that run nothing, or as much as a test says.
+#[derive(Debug, Default)]
+pub(crate) struct Idle {
+    pub(crate) running: Mutex<u32>,
+}
+
+impl Loads for Idle {
+    fn load(&self, _: &model::Backend) -> BoxFuture<'static, Result<Load, CompactString>> {
+        let running = *self.running.lock();
+        let load = Load {
+            incarnation: 1,
+            running,
+            waiting: 0,
+            kv_used: 0.0,
+            cold: false,
+            tokens_per_s: None,
+        };
+        async move { Ok(load) }.boxed()
+    }
+}
+
+/// Short intervals, so that tests are short.
+pub(crate) fn timing() -> Timing {
+    Timing {
+        heartbeat: Duration::from_millis(50),
+        alive: Duration::from_millis(400),
+        lease: Duration::from_millis(600),
+        guard: Duration::from_millis(1500),
+        settle: Duration::from_millis(100),
+        load: Duration::from_millis(50),
+        ..Timing::default()
+    }
+}
+
+/// A document with one pool of two backend servers in zones z1 and z2.
+pub(crate) fn document(revision: u64) -> Bytes {
+    let key = "0".repeat(64);
+    let text = format!(
+        r#"{{
+            "environment": "trial", "revision": {revision},
+            "classes": [{{"name": "desk", "tier": 1, "first_token_ms": 1000,
+                "complete_ms": 5000, "max_running_ms": 10000, "idempotent": true}}],
+            "workspaces": [{{"name": "w", "share": 1, "key_sha256": "{key}"}}],
+            "zones": [{{"name": "z1"}}, {{"name": "z2"}}, {{"name": "z3"}}],
+            "pools": [{{"name": "m", "kind": "model", "latest_end_ms": 20000,
+                "cold_limit": 4, "warm_limit": 4}}],
+            "backends": [
+                {{"name": "b1", "address": "127.0.0.1:9001", "zone": "z1", "pool": "m"}},
+                {{"name": "b2", "address": "127.0.0.1:9002", "zone": "z2", "pool": "m"}}]
+        }}"#
+    );
+    Bytes::from(text)
+}
+
+pub(crate) fn group() -> Group {
+    Group { pool: name::Pool::new("m"), index: 0 }
+}
+
+pub(crate) fn ask(remaining_ms: u64) -> Ask {
+    Ask {
+        group: group(),
+        class: name::Class::new("desk"),
+        workspace: name::Workspace::new("w"),
+        remaining_ms,
+        prompt_tokens: Tokens(10),
+        max_output: None,
+        prefix: None,
+        solo: false,
+        exclude: Vec::new(),
+    }
+}
+
+pub(crate) async fn node(host: &str, timing: Timing) -> Arc<Node> {
+    let number = host.trim_start_matches('h').parse::<u64>().expect("hosts are named h1, h2, ...");
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let identity = Identity {
+        host: name::Host::new(host),
+        zone: name::Zone::new(&format!("z{}", (number - 1) % 3 + 1)),
+        incarnation: Incarnation::new(1_000_000, number),
+        caller_address: any,
+        peer_address: any,
+    };
+    start(identity, timing, Vec::new()).await
+}
+
+pub(crate) async fn start(identity: Identity, timing: Timing, seeds: Vec<SocketAddr>) -> Arc<Node> {
+    let timer = Service::builder().resolution(Duration::from_millis(10)).start();
+    let loads = Arc::new(Idle::default());
+    Node::builder(identity, timer, loads)
+        .timing(timing)
+        .seeds(seeds)
+        .start()
+        .await
+        .expect("a port is free")
+}
+
+pub(crate) fn list(revision: u64, nodes: &[Arc<Node>]) -> List {
+    let hosts = nodes
+        .iter()
+        .map(|node| Entry {
+            host: node.identity().host.clone(),
+            zone: node.identity().zone.clone(),
+            peer_address: node.identity().peer_address,
+            state: State::Live,
+        })
+        .collect();
+    List { revision: Revision(revision), hosts }
+}
+
+/// Starts `count` nodes that list each other, one of which has read the document.
+pub(crate) async fn cluster(count: usize) -> Vec<Arc<Node>> {
+    let mut nodes = Vec::new();
+    for number in 1..=count {
+        nodes.push(node(&format!("h{number}"), timing()).await);
+    }
+    let list = list(1, &nodes);
+    for node in &nodes {
+        node.set_listed(list.clone()).expect("the list is valid");
+    }
+    nodes[0].offer_document(document(1), Source::Platform);
+    nodes
+}
+
+/// Waits until `condition` holds and returns how long that took.
+pub(crate) async fn until(what: &str, condition: impl AsyncFn() -> bool) -> Duration {
+    let start = Instant::now();
+    while !condition().await {
+        assert!(start.elapsed() < Duration::from_secs(10), "waited in vain: {what}");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    start.elapsed()
+}
