--- /dev/null
+++ b/crates/fakes/src/engine/answer.rs
@@ -0,0 +1,49 @@
+//! The answer that an engine gives: a function of the prompt alone.
+
+use hyssop_document::digest::Digest;
+use serde_json::Value;
+
+/// The shortest answer in tokens, unless the prompt or the request says otherwise.
+const MIN_TOKENS: u64 = 4;
+/// The number of different lengths.
+const LENGTHS: u64 = 29;
+
+/// The prompt of a request's body, of either form.
+pub fn prompt(body: &Value) -> Option<String> {
+    if let Some(prompt) = body.get("prompt") {
+        return prompt.as_str().map(str::to_owned);
+    }
+    let messages = body.get("messages")?.as_array()?;
+    let contents: Option<Vec<_>> =
+        messages.iter().map(|message| message.get("content")?.as_str()).collect();
+    Some(contents?.join("\n"))
+}
+
+/// The number of tokens of a prompt: its words.
+pub fn prompt_tokens(prompt: &str) -> u64 {
+    prompt.split_whitespace().count() as u64
+}
+
+/// The number of tokens of the answer to `prompt`, at most `max_tokens`.
+///
+/// A word `length=N` in the prompt sets it, otherwise it comes from the prompt's digest.
+pub fn length(prompt: &str, max_tokens: Option<u64>) -> u64 {
+    let asked =
+        prompt.split_whitespace().find_map(|word| word.strip_prefix("length=")?.parse().ok());
+    let natural =
+        asked.unwrap_or_else(|| MIN_TOKENS + Digest::of(prompt.as_bytes()).short() % LENGTHS);
+    natural.min(max_tokens.unwrap_or(u64::MAX)).max(1)
+}
+
+/// Token `index`, from 0, of the answer to the prompt with digest `digest`.
+pub(super) fn token(digest: &Digest, index: u64) -> String {
+    let mut text = digest.to_string();
+    text.push_str(&index.to_string());
+    format!("{:04x} ", Digest::of(text.as_bytes()).short() as u16)
+}
+
+/// The whole answer to `prompt`.
+pub fn expected(prompt: &str, max_tokens: Option<u64>) -> String {
+    let digest = Digest::of(prompt.as_bytes());
+    (0..length(prompt, max_tokens)).map(|index| token(&digest, index)).collect()
+}
--- /dev/null
+++ b/crates/fakes/src/link.rs
@@ -0,0 +1,210 @@
+//! Forwarder of TCP and UDP between two hosts, which can be cut and delayed in each direction.
+//!
+//! A cut link behaves as a network that drops packets: datagrams are lost, and the bytes of a
+//! connection stop, without an error, until the link is whole again.
+
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+
+use hyssop_document::collections::Map;
+use parking_lot::Mutex;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{
+        TcpListener, TcpStream, UdpSocket,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    sync::watch,
+};
+use tokio_util::sync::{CancellationToken, DropGuard};
+
+const BUFFER_BYTES: usize = 64 << 10;
+
+/// A direction over the link.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Direction {
+    /// From those who connect to the target.
+    Forth,
+    /// From the target back.
+    Back,
+}
+
+/// The state of one direction.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Condition {
+    /// Whether nothing passes.
+    pub cut: bool,
+    /// The time by which everything is late.
+    pub delay: Duration,
+}
+
+/// The forwarder.
+#[derive(Debug)]
+pub struct Link {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+    _stop: DropGuard,
+}
+
+#[derive(Debug)]
+struct Shared {
+    target: SocketAddr,
+    forth: watch::Sender<Condition>,
+    back: watch::Sender<Condition>,
+    /// The socket towards the target for each sender of datagrams.
+    senders: Mutex<Map<SocketAddr, Arc<UdpSocket>>>,
+    stop: CancellationToken,
+}
+
+impl Link {
+    /// Starts to forward from `address` to `target`, TCP and UDP on the same port.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be bound.
+    pub async fn start(address: SocketAddr, target: SocketAddr) -> io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        let socket = Arc::new(UdpSocket::bind(address).await?);
+        let stop = CancellationToken::new();
+        let shared = Arc::new(Shared {
+            target,
+            forth: watch::Sender::new(Condition::default()),
+            back: watch::Sender::new(Condition::default()),
+            senders: Mutex::default(),
+            stop: stop.clone(),
+        });
+        tokio::spawn(stop.clone().run_until_cancelled_owned(accept(listener, shared.clone())));
+        tokio::spawn(stop.clone().run_until_cancelled_owned(datagrams(socket, shared.clone())));
+        Ok(Self { address, shared, _stop: stop.drop_guard() })
+    }
+
+    /// The address that the link is entered by.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sets the condition of one direction.
+    pub fn set(&self, direction: Direction, condition: Condition) {
+        self.shared.condition(direction).send_replace(condition);
+    }
+
+    /// Cuts both directions.
+    pub fn cut(&self) {
+        for direction in [Direction::Forth, Direction::Back] {
+            self.set(direction, Condition { cut: true, delay: Duration::ZERO });
+        }
+    }
+
+    /// Makes both directions whole.
+    pub fn heal(&self) {
+        for direction in [Direction::Forth, Direction::Back] {
+            self.set(direction, Condition::default());
+        }
+    }
+}
+
+impl Shared {
+    fn condition(&self, direction: Direction) -> &watch::Sender<Condition> {
+        match direction {
+            Direction::Forth => &self.forth,
+            Direction::Back => &self.back,
+        }
+    }
+}
+
+async fn accept(listener: TcpListener, shared: Arc<Shared>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let connection = connection(stream, shared.clone());
+        tokio::spawn(shared.stop.clone().run_until_cancelled_owned(connection));
+    }
+}
+
+async fn connection(client: TcpStream, shared: Arc<Shared>) {
+    whole(&shared.forth).await;
+    let Ok(target) = TcpStream::connect(shared.target).await else { return };
+    _ = client.set_nodelay(true);
+    _ = target.set_nodelay(true);
+    let (client_read, client_write) = client.into_split();
+    let (target_read, target_write) = target.into_split();
+    tokio::join!(
+        copy(client_read, target_write, &shared.forth),
+        copy(target_read, client_write, &shared.back),
+    );
+}
+
+/// Waits until the direction is not cut. Returns its delay.
+async fn whole(condition: &watch::Sender<Condition>) -> Duration {
+    let mut receiver = condition.subscribe();
+    let whole = receiver.wait_for(|condition| !condition.cut).await;
+    whole.map_or(Duration::ZERO, |condition| condition.delay)
+}
+
+async fn copy(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    condition: &watch::Sender<Condition>,
+) {
+    let mut buffer = vec![0; BUFFER_BYTES];
+    loop {
+        let read = from.read(&mut buffer).await.unwrap_or(0);
+        let delay = whole(condition).await;
+        if !delay.is_zero() {
+            tokio::time::sleep(delay).await;
+        }
+        if read == 0 || to.write_all(&buffer[..read]).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn datagrams(socket: Arc<UdpSocket>, shared: Arc<Shared>) {
+    let mut buffer = vec![0; BUFFER_BYTES];
+    loop {
+        let Ok((read, from)) = socket.recv_from(&mut buffer).await else { continue };
+        let condition = *shared.forth.borrow();
+        if condition.cut {
+            continue;
+        }
+        let Ok(outward) = outward(&socket, &shared, from).await else { continue };
+        let datagram = buffer[..read].to_vec();
+        tokio::spawn(async move {
+            tokio::time::sleep(condition.delay).await;
+            _ = outward.send(&datagram).await;
+        });
+    }
+}
+
+/// The socket that carries the datagrams of one sender to the target and back.
+async fn outward(
+    socket: &Arc<UdpSocket>,
+    shared: &Arc<Shared>,
+    from: SocketAddr,
+) -> io::Result<Arc<UdpSocket>> {
+    if let Some(known) = shared.senders.lock().get(&from) {
+        return Ok(known.clone());
+    }
+    let outward = Arc::new(UdpSocket::bind((socket.local_addr()?.ip(), 0)).await?);
+    outward.connect(shared.target).await?;
+    shared.senders.lock().insert(from, outward.clone());
+    let answers = answers(socket.clone(), outward.clone(), shared.clone(), from);
+    tokio::spawn(shared.stop.clone().run_until_cancelled_owned(answers));
+    Ok(outward)
+}
+
+async fn answers(
+    socket: Arc<UdpSocket>,
+    outward: Arc<UdpSocket>,
+    shared: Arc<Shared>,
+    to: SocketAddr,
+) {
+    let mut buffer = vec![0; BUFFER_BYTES];
+    loop {
+        let Ok(read) = outward.recv(&mut buffer).await else { continue };
+        let condition = *shared.back.borrow();
+        if condition.cut {
+            continue;
+        }
+        tokio::time::sleep(condition.delay).await;
+        _ = socket.send_to(&buffer[..read], to).await;
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/listener.rs
@@ -0,0 +1,143 @@
+//! An HTTP listener that can crash: it resets all its connections and listens again later.
+
+use std::{
+    fmt, io,
+    net::SocketAddr,
+    os::fd::{AsFd, OwnedFd},
+    sync::Arc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use futures::future::BoxFuture;
+use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
+use hyper::{
+    Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
+};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use parking_lot::Mutex;
+use socket2::SockRef;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+
+/// The body of a stand-in's answer.
+pub type Body = UnsyncBoxBody<Bytes, io::Error>;
+
+/// What answers the requests of a [`Listener`].
+pub trait Handler: Send + Sync + 'static {
+    /// Answers one request.
+    fn handle(self: Arc<Self>, request: Request<Incoming>) -> BoxFuture<'static, Response<Body>>;
+}
+
+/// An HTTP listener that can crash and come back.
+pub struct Listener {
+    address: SocketAddr,
+    handler: Arc<dyn Handler>,
+    token: Mutex<CancellationToken>,
+}
+
+impl fmt::Debug for Listener {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Listener").field("address", &self.address).finish_non_exhaustive()
+    }
+}
+
+impl Listener {
+    /// Starts to listen on `address`. Port 0 takes a free port.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be bound.
+    pub async fn start(address: SocketAddr, handler: Arc<dyn Handler>) -> io::Result<Self> {
+        let socket = TcpListener::bind(address).await?;
+        let address = socket.local_addr()?;
+        let token = CancellationToken::new();
+        tokio::spawn(accept(socket, handler.clone(), token.clone()));
+        Ok(Self { address, handler, token: Mutex::new(token) })
+    }
+
+    /// The address that the listener is bound to.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Resets all connections and refuses new ones until [`Listener::restart`].
+    pub fn crash(&self) {
+        self.token.lock().cancel();
+    }
+
+    /// Listens again after a crash.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be bound again.
+    pub async fn restart(&self) -> io::Result<()> {
+        let socket = TcpListener::bind(self.address).await?;
+        let token = CancellationToken::new();
+        tokio::spawn(accept(socket, self.handler.clone(), token.clone()));
+        *self.token.lock() = token;
+        Ok(())
+    }
+}
+
+impl Drop for Listener {
+    fn drop(&mut self) {
+        self.crash();
+    }
+}
+
+async fn accept(socket: TcpListener, handler: Arc<dyn Handler>, token: CancellationToken) {
+    loop {
+        let accepted = tokio::select! {
+            () = token.cancelled() => return,
+            accepted = socket.accept() => accepted,
+        };
+        if let Ok((stream, _)) = accepted {
+            tokio::spawn(connection(stream, handler.clone(), token.clone()));
+        }
+    }
+}
+
+async fn connection(stream: TcpStream, handler: Arc<dyn Handler>, token: CancellationToken) {
+    _ = stream.set_nodelay(true);
+    // A second descriptor of the socket, so that the crash can ask for a reset in place of an
+    // orderly close while hyper owns the stream.
+    let Ok(handle) = stream.as_fd().try_clone_to_owned() else { return };
+    let service = service_fn(move |request| {
+        let handler = handler.clone();
+        async move { Ok::<_, io::Error>(handler.handle(request).await) }
+    });
+    let served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::select! {
+        () = token.cancelled() => reset(&handle),
+        _ = served => {}
+    }
+}
+
+/// Makes the close of the socket a reset.
+fn reset(socket: &OwnedFd) {
+    _ = SockRef::from(socket).set_linger(Some(Duration::ZERO));
+}
+
+/// A whole body.
+pub fn full(bytes: impl Into<Bytes>) -> Body {
+    Full::new(bytes.into()).map_err(|never| match never {}).boxed_unsync()
+}
+
+/// An answer with a text.
+pub fn text(status: StatusCode, text: impl Into<Bytes>) -> Response<Body> {
+    let mut response = Response::new(full(text));
+    *response.status_mut() = status;
+    response
+}
+
+/// An answer with JSON.
+pub fn json(value: &impl serde::Serialize) -> Response<Body> {
+    let bytes = serde_json::to_vec(value).expect("control values are serializable");
+    let mut response = text(StatusCode::OK, bytes);
+    let kind = hyper::header::HeaderValue::from_static("application/json");
+    response.headers_mut().insert(hyper::header::CONTENT_TYPE, kind);
+    response
+}
--- /dev/null
+++ b/crates/fakes/src/platform.rs
@@ -0,0 +1,329 @@
+//! Stand-in for the platform: the read-only part of Consul's KV API, with faults.
+//!
+//! The control listener sets values and faults:
+//!
+//! - `PUT /control/kv/KEY`: publishes the body under the key, with the next revision.
+//! - `PUT /control/limit`: calls a second, as a number.
+//! - `PUT /control/outage`: `none`, `error` (500) or `hang`.
+//! - `PUT /control/stale`: a revision up to which values are served, or `none`.
+//! - `GET /control/calls`: counts of calls.
+
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use futures::{FutureExt, future::BoxFuture};
+use http_body_util::BodyExt;
+use hyper::{Method, Request, Response, StatusCode, body::Incoming, header};
+use hyssop_document::collections::Map;
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use tokio::{sync::watch, time::Instant};
+
+use crate::listener::{self, Body, Handler, Listener};
+
+/// The calls a second that are answered unless set otherwise.
+pub const DEFAULT_CALLS_PER_S: u64 = 2_000;
+
+const SECOND: Duration = Duration::from_secs(1);
+const MAX_WAIT: Duration = Duration::from_secs(600);
+
+/// How the platform is out of order.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Outage {
+    /// It answers.
+    #[default]
+    None,
+    /// It answers every call with status 500.
+    Error,
+    /// It never answers.
+    Hang,
+}
+
+/// Counts of calls since the start.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Calls {
+    /// All calls.
+    pub total: u64,
+    /// Calls refused with 429.
+    pub limited: u64,
+    /// Watches that wait now.
+    pub waiting: u64,
+    /// The largest load in a second: calls begun in it and watches that waited.
+    pub peak: u64,
+}
+
+#[derive(Debug, Clone)]
+struct Version {
+    index: u64,
+    value: Bytes,
+}
+
+#[derive(Debug)]
+struct State {
+    values: Map<String, Vec<Version>>,
+    index: u64,
+    stale: Option<u64>,
+    outage: Outage,
+    limit: u64,
+    calls: Calls,
+    second: Instant,
+    in_second: u64,
+}
+
+impl State {
+    /// The version of a key that is served now.
+    fn served(&self, key: &str) -> Option<&Version> {
+        let newest = self.stale.unwrap_or(u64::MAX);
+        self.values.get(key)?.iter().rev().find(|version| version.index <= newest)
+    }
+
+    /// Counts a call. Returns whether it is within the limit.
+    fn admit(&mut self, now: Instant) -> bool {
+        if now - self.second >= SECOND {
+            self.second = now;
+            self.in_second = 0;
+        }
+        self.calls.total += 1;
+        self.in_second += 1;
+        let load = self.in_second + self.calls.waiting;
+        self.calls.peak = self.calls.peak.max(load);
+        let admitted = load <= self.limit;
+        self.calls.limited += u64::from(!admitted);
+        admitted
+    }
+}
+
+/// The stand-in.
+#[derive(Debug)]
+pub struct Platform {
+    shared: Arc<Shared>,
+    listener: Listener,
+    control: Listener,
+}
+
+#[derive(Debug)]
+struct Shared {
+    state: Mutex<State>,
+    changed: watch::Sender<u64>,
+}
+
+impl Platform {
+    /// Starts the platform with its listener for readers and its control listener.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address cannot be bound.
+    pub async fn start(address: SocketAddr, control: SocketAddr) -> io::Result<Self> {
+        let state = State {
+            values: Map::default(),
+            index: 0,
+            stale: None,
+            outage: Outage::None,
+            limit: DEFAULT_CALLS_PER_S,
+            calls: Calls::default(),
+            second: Instant::now(),
+            in_second: 0,
+        };
+        let shared = Arc::new(Shared { state: Mutex::new(state), changed: watch::Sender::new(0) });
+        let listener = Listener::start(address, Arc::new(Readers(shared.clone()))).await?;
+        let control = Listener::start(control, Arc::new(Control(shared.clone()))).await?;
+        Ok(Self { shared, listener, control })
+    }
+
+    /// The address for readers.
+    pub fn address(&self) -> SocketAddr {
+        self.listener.address()
+    }
+
+    /// The address of the control listener.
+    pub fn control(&self) -> SocketAddr {
+        self.control.address()
+    }
+
+    /// Publishes a value and returns its revision.
+    pub fn publish(&self, key: &str, value: impl Into<Bytes>) -> u64 {
+        self.shared.publish(key, value.into())
+    }
+
+    /// Sets the kind of outage.
+    pub fn set_outage(&self, outage: Outage) {
+        self.shared.change(|state| state.outage = outage);
+    }
+
+    /// Serves only values up to revision `index`, or all.
+    pub fn set_stale(&self, index: Option<u64>) {
+        self.shared.change(|state| state.stale = index);
+    }
+
+    /// Counts of calls.
+    pub fn calls(&self) -> Calls {
+        self.shared.state.lock().calls
+    }
+}
+
+impl Shared {
+    fn change(&self, change: impl FnOnce(&mut State)) {
+        change(&mut self.state.lock());
+        self.changed.send_modify(|changes| *changes += 1);
+    }
+
+    fn publish(&self, key: &str, value: Bytes) -> u64 {
+        let mut index = 0;
+        self.change(|state| {
+            state.index += 1;
+            index = state.index;
+            state.values.entry(key.to_owned()).or_default().push(Version { index, value });
+        });
+        index
+    }
+
+    async fn read(&self, key: &str, query: &Query) -> Response<Body> {
+        {
+            let mut state = self.state.lock();
+            if !state.admit(Instant::now()) {
+                return limited();
+            }
+        }
+        let mut changed = self.changed.subscribe();
+        let end = Instant::now() + query.wait;
+        let _waiting = query.index.map(|_| Waiting::new(self));
+        loop {
+            changed.mark_unchanged();
+            let outage = self.state.lock().outage;
+            match outage {
+                Outage::Error => {
+                    return listener::text(StatusCode::INTERNAL_SERVER_ERROR, "outage");
+                }
+                Outage::Hang => {
+                    _ = changed.changed().await;
+                    continue;
+                }
+                Outage::None => {}
+            }
+            let served = self.state.lock().served(key).cloned();
+            let index = served.as_ref().map_or(0, |version| version.index);
+            let fresh = query.index.is_none_or(|seen| index > seen);
+            if fresh || Instant::now() >= end {
+                return answer(served);
+            }
+            _ = tokio::time::timeout_at(end, changed.changed()).await;
+        }
+    }
+}
+
+/// Counts a watch while it waits.
+struct Waiting<'a>(&'a Shared);
+
+impl<'a> Waiting<'a> {
+    fn new(shared: &'a Shared) -> Self {
+        shared.state.lock().calls.waiting += 1;
+        Self(shared)
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.0.state.lock().calls.waiting -= 1;
+    }
+}
+
+fn limited() -> Response<Body> {
+    let mut response = listener::text(StatusCode::TOO_MANY_REQUESTS, "too many calls");
+    response.headers_mut().insert(header::RETRY_AFTER, header::HeaderValue::from_static("1"));
+    response
+}
+
+fn answer(version: Option<Version>) -> Response<Body> {
+    let Some(Version { index, value }) = version else {
+        return listener::text(StatusCode::NOT_FOUND, "");
+    };
+    let mut response = listener::text(StatusCode::OK, value);
+    response.headers_mut().insert("X-Consul-Index", header::HeaderValue::from(index));
+    response
+}
+
+#[derive(Debug)]
+struct Query {
+    index: Option<u64>,
+    wait: Duration,
+}
+
+impl Query {
+    fn parse(text: &str) -> Self {
+        let mut query = Self { index: None, wait: Duration::from_secs(300) };
+        for pair in text.split('&') {
+            match pair.split_once('=') {
+                Some(("index", index)) => query.index = index.parse().ok(),
+                Some(("wait", wait)) => query.wait = parse_wait(wait).unwrap_or(query.wait),
+                _ => {}
+            }
+        }
+        query.index = query.index.filter(|&index| index > 0);
+        query.wait = query.wait.min(MAX_WAIT);
+        query
+    }
+}
+
+fn parse_wait(text: &str) -> Option<Duration> {
+    if let Some(ms) = text.strip_suffix("ms") {
+        return ms.parse().ok().map(Duration::from_millis);
+    }
+    text.strip_suffix('s')?.parse().ok().map(Duration::from_secs)
+}
+
+#[derive(Debug)]
+struct Readers(Arc<Shared>);
+
+impl Handler for Readers {
+    fn handle(self: Arc<Self>, request: Request<Incoming>) -> BoxFuture<'static, Response<Body>> {
+        async move {
+            let Some(key) = request.uri().path().strip_prefix("/v1/kv/") else {
+                return listener::text(StatusCode::NOT_FOUND, "");
+            };
+            if request.method() != Method::GET {
+                return listener::text(StatusCode::METHOD_NOT_ALLOWED, "read only");
+            }
+            let query = Query::parse(request.uri().query().unwrap_or_default());
+            self.0.read(key, &query).await
+        }
+        .boxed()
+    }
+}
+
+#[derive(Debug)]
+struct Control(Arc<Shared>);
+
+impl Handler for Control {
+    fn handle(self: Arc<Self>, request: Request<Incoming>) -> BoxFuture<'static, Response<Body>> {
+        async move {
+            let path = request.uri().path().to_owned();
+            let Ok(body) = request.into_body().collect().await else {
+                return listener::text(StatusCode::BAD_REQUEST, "body");
+            };
+            let body = body.to_bytes();
+            if let Some(key) = path.strip_prefix("/control/kv/") {
+                return listener::json(&self.0.publish(key, body));
+            }
+            let text = String::from_utf8_lossy(&body);
+            match path.as_str() {
+                "/control/calls" => return listener::json(&self.0.state.lock().calls),
+                "/control/limit" => {
+                    self.0.change(|state| state.limit = text.parse().unwrap_or(state.limit));
+                }
+                "/control/stale" => self.0.change(|state| state.stale = text.parse().ok()),
+                "/control/outage" => self.0.change(|state| state.outage = parse_outage(&text)),
+                _ => return listener::text(StatusCode::NOT_FOUND, ""),
+            }
+            listener::text(StatusCode::OK, "")
+        }
+        .boxed()
+    }
+}
+
+fn parse_outage(text: &str) -> Outage {
+    match text {
+        "error" => Outage::Error,
+        "hang" => Outage::Hang,
+        _ => Outage::None,
+    }
+}
