--- /dev/null
+++ b/crates/fakes/src/history.rs
@@ -0,0 +1,318 @@
+//! History of what callers saw, as JSON lines, and its check against the execution records.
+
+use std::{
+    fs::File,
+    io::{self, BufWriter, Write},
+    net::SocketAddr,
+    path::Path,
+};
+
+use compact_str::CompactString;
+use hyssop_document::{
+    collections::{Map, Set},
+    digest::Digest,
+    name,
+    number::Tokens,
+};
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+
+use crate::record::{End, Execution, Record};
+
+/// How one try of a request ended for its caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize, derive_more::Display)]
+#[serde(rename_all = "snake_case")]
+pub enum Outcome {
+    /// An answer came. Whether it is the right one stands beside.
+    #[display("answered")]
+    Answered,
+    /// Refused, and not run.
+    #[display("refused")]
+    Refused,
+    /// It may have run.
+    #[display("unknown")]
+    Unknown,
+    /// It ran and failed, or can never run.
+    #[display("failed")]
+    Failed,
+    /// No answer came: the connection failed or the caller gave up waiting.
+    #[display("lost")]
+    Lost,
+}
+
+/// A try of a request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sent {
+    /// The number of the request.
+    pub request: u64,
+    /// The number of the try, from 0.
+    pub attempt: u32,
+    /// The class.
+    pub class: name::Class,
+    /// The workspace.
+    pub workspace: name::Workspace,
+    /// The idempotency key.
+    pub key: Option<CompactString>,
+    /// Whether the request may run more than once.
+    pub idempotent: bool,
+    /// The digest of the prompt, or of the body for a plain service. No two requests share it.
+    pub content: Digest,
+    /// The daemon that it was sent to.
+    pub to: SocketAddr,
+    /// When, in milliseconds since 1970.
+    pub at_ms: u64,
+}
+
+/// The end of a try.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ended {
+    /// The number of the request.
+    pub request: u64,
+    /// The number of the try.
+    pub attempt: u32,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// Whether the answer is exactly the expected one.
+    pub whole: bool,
+    /// The reason or the error, as the caller saw it.
+    pub reason: CompactString,
+    /// The tokens of the answer.
+    pub tokens: Tokens,
+    /// The time to the first token.
+    pub first_token_ms: Option<u64>,
+    /// The time from sending to the end.
+    pub elapsed_ms: u64,
+    /// When, in milliseconds since 1970.
+    pub at_ms: u64,
+}
+
+/// An event of a history.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+pub enum Event {
+    /// A try was sent.
+    Sent(Sent),
+    /// A try ended.
+    Ended(Ended),
+}
+
+/// Collects the events of many callers.
+#[derive(Debug, Default)]
+pub struct History {
+    events: Mutex<Vec<Event>>,
+}
+
+impl History {
+    /// Adds an event.
+    pub fn add(&self, event: Event) {
+        self.events.lock().push(event);
+    }
+
+    /// All events so far.
+    pub fn events(&self) -> Vec<Event> {
+        self.events.lock().clone()
+    }
+
+    /// Writes the events as JSON lines.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the file cannot be written.
+    pub fn write(&self, path: &Path) -> io::Result<()> {
+        let mut file = BufWriter::new(File::create(path)?);
+        for event in self.events.lock().iter() {
+            serde_json::to_writer(&mut file, event)?;
+            file.write_all(b"\n")?;
+        }
+        file.flush()
+    }
+}
+
+/// A broken promise found in a history.
+#[derive(Debug, Clone, PartialEq, Eq, derive_more::Display)]
+pub enum Violation {
+    /// A try has no end, or two.
+    #[display("request {request}: {ends} ends of try {attempt}")]
+    Ends {
+        /// The request.
+        request: u64,
+        /// The try.
+        attempt: u32,
+        /// The number of its ends.
+        ends: usize,
+    },
+    /// An answer is not the expected one.
+    #[display("request {request}: a wrong answer in try {attempt}: {reason}")]
+    WrongAnswer {
+        /// The request.
+        request: u64,
+        /// The try.
+        attempt: u32,
+        /// What came.
+        reason: CompactString,
+    },
+    /// A request was refused as not run, and ran.
+    #[display("request {request}: try {attempt} was refused as not run, and {backend} ran it")]
+    RanAfterAll {
+        /// The request.
+        request: u64,
+        /// The try.
+        attempt: u32,
+        /// The backend server.
+        backend: CompactString,
+    },
+    /// A request that must run at most once ran more often.
+    #[display("request {request}: is not idempotent and ran {runs} times")]
+    Repeated {
+        /// The request.
+        request: u64,
+        /// The number of its executions.
+        runs: usize,
+    },
+    /// A request was answered that no backend server ran.
+    #[display("request {request}: answered, and no backend server ran it to its end")]
+    NeverRan {
+        /// The request.
+        request: u64,
+    },
+}
+
+/// One request with its tries and executions.
+#[derive(Debug)]
+struct Story<'a> {
+    request: u64,
+    tries: Vec<(&'a Sent, Vec<&'a Ended>)>,
+    executions: Vec<&'a Execution>,
+}
+
+/// Checks a history against what the backend servers executed.
+pub fn check(events: &[Event], records: &[Record]) -> Vec<Violation> {
+    stories(events, records).iter().flat_map(Story::check).collect()
+}
+
+fn stories<'a>(events: &'a [Event], records: &'a [Record]) -> Vec<Story<'a>> {
+    let mut by_content: Map<Digest, Vec<&Execution>> = Map::default();
+    for execution in records.iter().flat_map(|record| &record.executions) {
+        by_content.entry(execution.content).or_default().push(execution);
+    }
+    let mut by_request: Map<u64, Story<'_>> = Map::default();
+    for event in events {
+        match event {
+            Event::Sent(sent) => {
+                let story = by_request.entry(sent.request).or_insert_with(|| Story {
+                    request: sent.request,
+                    tries: Vec::new(),
+                    executions: by_content.get(&sent.content).cloned().unwrap_or_default(),
+                });
+                story.tries.push((sent, Vec::new()));
+            }
+            Event::Ended(ended) => {
+                let story = by_request.get_mut(&ended.request);
+                let tries = story.into_iter().flat_map(|story| &mut story.tries);
+                tries
+                    .filter(|(sent, _)| sent.attempt == ended.attempt)
+                    .for_each(|(_, ends)| ends.push(ended));
+            }
+        }
+    }
+    let mut stories: Vec<_> = by_request.into_values().collect();
+    stories.sort_by_key(|story| story.request);
+    stories
+}
+
+impl Story<'_> {
+    fn check(&self) -> Vec<Violation> {
+        let mut violations = Vec::new();
+        for (sent, ends) in &self.tries {
+            let (request, attempt) = (self.request, sent.attempt);
+            if ends.len() != 1 {
+                violations.push(Violation::Ends { request, attempt, ends: ends.len() });
+            }
+            for end in ends.iter().filter(|end| end.outcome == Outcome::Answered && !end.whole) {
+                let reason = end.reason.clone();
+                violations.push(Violation::WrongAnswer { request, attempt, reason });
+            }
+        }
+        violations.extend(self.check_refusals());
+        violations.extend(self.check_runs());
+        violations
+    }
+
+    /// A refused try must not have run: no execution of its key may have begun.
+    fn check_refusals(&self) -> Option<Violation> {
+        let mut after_ms = 0;
+        for (position, (sent, ends)) in self.tries.iter().enumerate() {
+            let Some(refused) = ends.iter().find(|end| end.outcome == Outcome::Refused) else {
+                continue;
+            };
+            // The next try has a new key, and its executions are its own.
+            let before_ms = self.tries.get(position + 1).map_or(u64::MAX, |(next, _)| next.at_ms);
+            let ran = |execution: &&&Execution| {
+                let at = execution.arrived_ms;
+                at > after_ms && at < before_ms
+            };
+            if let Some(execution) = self.executions.iter().find(ran) {
+                let (request, attempt) = (self.request, sent.attempt);
+                let backend = execution.backend.clone();
+                return Some(Violation::RanAfterAll { request, attempt, backend });
+            }
+            after_ms = refused.at_ms;
+        }
+        None
+    }
+
+    fn check_runs(&self) -> Vec<Violation> {
+        let mut violations = Vec::new();
+        let request = self.request;
+        let runs = self.executions.len();
+        let idempotent = self.tries.iter().all(|(sent, _)| sent.idempotent);
+        if !idempotent && runs > 1 {
+            violations.push(Violation::Repeated { request, runs });
+        }
+        let complete = self.executions.iter().any(|execution| execution.end == End::Completed);
+        if self.answered() && !complete {
+            violations.push(Violation::NeverRan { request });
+        }
+        violations
+    }
+
+    fn answered(&self) -> bool {
+        let mut ends = self.tries.iter().flat_map(|(_, ends)| ends);
+        ends.any(|end| end.outcome == Outcome::Answered)
+    }
+}
+
+/// Tokens over a whole history.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Work {
+    /// The tokens that backend servers generated.
+    pub generated: u64,
+    /// Those of them that reached no caller in an answer.
+    pub wasted: u64,
+}
+
+/// The work done for each class, and how much of it was in vain.
+///
+/// Of the executions of an answered request, one completed one counts as used.
+pub fn work(events: &[Event], records: &[Record]) -> Map<name::Class, Work> {
+    let mut works: Map<name::Class, Work> = Map::default();
+    for story in stories(events, records) {
+        let Some((sent, _)) = story.tries.first() else { continue };
+        let generated: u64 = story.executions.iter().map(|execution| execution.tokens).sum();
+        let complete = story.executions.iter().filter(|execution| execution.end == End::Completed);
+        let used = if story.answered() { complete.map(|e| e.tokens).max().unwrap_or(0) } else { 0 };
+        let work = works.entry(sent.class.clone()).or_default();
+        work.generated += generated;
+        work.wasted += generated - used;
+    }
+    works
+}
+
+/// The numbers of the requests that were answered.
+pub fn answered(events: &[Event]) -> Set<u64> {
+    let answered = |event: &Event| match event {
+        Event::Ended(ended) if ended.outcome == Outcome::Answered => Some(ended.request),
+        _ => None,
+    };
+    events.iter().filter_map(answered).collect()
+}
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -4,9 +4,15 @@
 //! binary `node`, which can also be the daemon or the operators' command.
 
 pub mod client;
+pub mod cluster;
 pub mod engine;
+pub mod history;
 pub mod link;
 pub mod listener;
+pub mod load;
+pub mod node;
 pub mod platform;
+pub mod process;
 pub mod record;
 pub mod service;
+pub mod shape;
--- /dev/null
+++ b/crates/fakes/src/load.rs
@@ -0,0 +1,123 @@
+//! Load source: callers that use the system as its callers' page says.
+//!
+//! A caller asks any daemon for the addresses, keeps the answer for its lifetime, and sends each
+//! request with an idempotency key of the daemon that it is meant for.
+
+mod answer;
+mod caller;
+mod source;
+
+pub use self::{
+    answer::Answer,
+    caller::{Caller, Retry},
+    source::{Mix, Source, run},
+};
+
+use compact_str::CompactString;
+use hyssop_document::{digest::Digest, name};
+use serde_json::json;
+
+use crate::{engine, service};
+
+/// What a request asks for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Ask {
+    /// A chat completion.
+    Chat {
+        /// The prompt.
+        prompt: String,
+        /// The largest number of tokens of the answer.
+        max_tokens: Option<u64>,
+        /// Whether the answer comes as an event stream.
+        stream: bool,
+    },
+    /// A text completion.
+    Completion {
+        /// The prompt.
+        prompt: String,
+        /// The largest number of tokens of the answer.
+        max_tokens: Option<u64>,
+        /// Whether the answer comes as an event stream.
+        stream: bool,
+    },
+    /// A call of a plain service.
+    Call {
+        /// The path after the service's name.
+        path: String,
+        /// The body.
+        body: String,
+    },
+}
+
+/// A request of a caller.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Request {
+    /// The number, which differs for each request of a run.
+    pub number: u64,
+    /// The class.
+    pub class: name::Class,
+    /// The workspace.
+    pub workspace: name::Workspace,
+    /// The model or the plain service.
+    pub pool: name::Pool,
+    /// Whether it may run more than once.
+    pub idempotent: bool,
+    /// The time after which the caller needs no answer any more, in milliseconds.
+    pub deadline_ms: u64,
+    /// What it asks for.
+    pub ask: Ask,
+}
+
+impl Request {
+    /// The path of the request at a daemon.
+    pub fn path(&self) -> String {
+        match &self.ask {
+            Ask::Chat { .. } => "/v1/chat/completions".to_owned(),
+            Ask::Completion { .. } => "/v1/completions".to_owned(),
+            Ask::Call { path, .. } => format!("/v1/services/{}/{path}", self.pool),
+        }
+    }
+
+    /// The body.
+    pub fn body(&self) -> String {
+        let mut body = match &self.ask {
+            Ask::Chat { prompt, stream, .. } => {
+                json!({"messages": [{"role": "user", "content": prompt}], "stream": stream})
+            }
+            Ask::Completion { prompt, stream, .. } => json!({"prompt": prompt, "stream": stream}),
+            Ask::Call { body, .. } => return body.clone(),
+        };
+        body["model"] = json!(self.pool);
+        if let Ask::Chat { max_tokens: Some(max), .. }
+        | Ask::Completion { max_tokens: Some(max), .. } = &self.ask
+        {
+            body["max_tokens"] = json!(max);
+        }
+        body.to_string()
+    }
+
+    /// What identifies the request in execution records.
+    pub fn content(&self) -> Digest {
+        match &self.ask {
+            Ask::Chat { prompt, .. } | Ask::Completion { prompt, .. } => {
+                Digest::of(prompt.as_bytes())
+            }
+            Ask::Call { body, .. } => Digest::of(body.as_bytes()),
+        }
+    }
+
+    /// The text of the only right answer.
+    pub fn expected(&self) -> String {
+        match &self.ask {
+            Ask::Chat { prompt, max_tokens, .. } | Ask::Completion { prompt, max_tokens, .. } => {
+                engine::expected(prompt, *max_tokens)
+            }
+            Ask::Call { path, body } => service::expected(&format!("/{path}"), body.as_bytes()),
+        }
+    }
+
+    /// The caller's part of the idempotency key.
+    fn key_part(&self, renewals: u32) -> CompactString {
+        compact_str::format_compact!("r{}-{renewals}", self.number)
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/node.rs
@@ -0,0 +1,164 @@
+//! The command line of the binary `node`: one process that is a daemon, `hyssopctl` or a stand-in.
+
+use std::{ffi::OsString, io::Read, net::SocketAddr, path::PathBuf, process::ExitCode};
+
+use anyhow::{Context, Result};
+use clap::{Parser, Subcommand};
+use serde::{Deserialize, Serialize};
+
+use crate::{engine, link::Link, platform::Platform, service};
+
+/// A backend server's stand-in in the file of `node backends`.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Backend {
+    /// What it is.
+    pub kind: Kind,
+    /// The address for requests.
+    pub address: SocketAddr,
+    /// The address of the control listener.
+    pub control: SocketAddr,
+}
+
+/// What a backend server's stand-in is, with its settings.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    /// A model engine.
+    Engine(engine::Settings),
+    /// A plain service.
+    Service(service::Settings),
+}
+
+#[derive(Debug, Parser)]
+#[command(name = "node", about = "A daemon, the operators' command or a stand-in, for tests")]
+struct Flags {
+    /// Ends the process when its standard input is closed, so that it does not outlive its parent.
+    #[arg(long)]
+    attached: bool,
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// The daemon `hyssopcourse`.
+    Daemon {
+        #[arg(trailing_var_arg = true, allow_hyphen_values = true)]
+        args: Vec<OsString>,
+    },
+    /// The operators' command `hyssopctl`.
+    Ctl {
+        #[arg(trailing_var_arg = true, allow_hyphen_values = true)]
+        args: Vec<OsString>,
+    },
+    /// The stand-in for the platform.
+    Platform {
+        #[arg(long, value_name = "IP:PORT")]
+        listen: SocketAddr,
+        #[arg(long, value_name = "IP:PORT")]
+        control: SocketAddr,
+    },
+    /// Stand-ins for backend servers.
+    Backends {
+        /// The JSON file with their list.
+        #[arg(long, value_name = "FILE")]
+        file: PathBuf,
+    },
+    /// The forwarder, never cut.
+    Link {
+        #[arg(long, value_name = "IP:PORT")]
+        listen: SocketAddr,
+        #[arg(long, value_name = "IP:PORT")]
+        target: SocketAddr,
+    },
+}
+
+/// Runs the command that `args` give, the first of which is the program.
+pub fn main(args: impl IntoIterator<Item = OsString>) -> ExitCode {
+    let flags = match Flags::try_parse_from(args) {
+        Ok(flags) => flags,
+        Err(error) => {
+            _ = error.print();
+            return ExitCode::from(2);
+        }
+    };
+    if flags.attached {
+        std::thread::spawn(end_with_parent);
+    }
+    let program = |name: &str, args: Vec<OsString>| std::iter::once(name.into()).chain(args);
+    match flags.command {
+        Command::Daemon { args } => not_built(program("hyssopcourse", args)),
+        Command::Ctl { args } => not_built(program("hyssopctl", args)),
+        stand_in => match run(stand_in) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(error) => {
+                log::error!("{error:#}");
+                ExitCode::FAILURE
+            }
+        },
+    }
+}
+
+/// Waits for the end of the standard input, then ends the process.
+fn end_with_parent() {
+    let mut buffer = [0; 16];
+    while std::io::stdin().read(&mut buffer).is_ok_and(|read| read > 0) {}
+    std::process::exit(0);
+}
+
+#[tokio::main]
+async fn run(command: Command) -> Result<()> {
+    match command {
+        Command::Platform { listen, control } => {
+            let _platform = Platform::start(listen, control).await?;
+            std::future::pending().await
+        }
+        Command::Link { listen, target } => {
+            let _link = Link::start(listen, target).await?;
+            std::future::pending().await
+        }
+        Command::Backends { file } => {
+            let text = std::fs::read(&file).with_context(|| file.display().to_string())?;
+            let list: Vec<Backend> = serde_json::from_slice(&text)?;
+            let mut started = Vec::new();
+            for backend in list {
+                started.push(start(backend).await?);
+            }
+            std::future::pending().await
+        }
+        Command::Daemon { .. } | Command::Ctl { .. } => unreachable!("main handles them"),
+    }
+}
+
+/// A started stand-in of a backend server.
+#[derive(Debug)]
+pub enum Started {
+    /// A model engine.
+    Engine(engine::Engine),
+    /// A plain service.
+    Service(service::Service),
+}
+
+/// Starts the stand-in of a backend server in this process.
+///
+/// # Errors
+///
+/// Fails if an address cannot be bound.
+pub async fn start(backend: Backend) -> Result<Started> {
+    let Backend { kind, address, control } = backend;
+    Ok(match kind {
+        Kind::Engine(settings) => {
+            Started::Engine(engine::Engine::start(settings, address, control).await?)
+        }
+        Kind::Service(settings) => {
+            Started::Service(service::Service::start(settings, address, control).await?)
+        }
+    })
+}
+
+/// Stands for a program that this binary does not carry yet.
+fn not_built(mut args: impl Iterator<Item = OsString>) -> ExitCode {
+    log::error!("{:?} is not built in", args.next());
+    ExitCode::FAILURE
+}
--- /dev/null
+++ b/crates/fakes/src/process.rs
@@ -0,0 +1,132 @@
+//! A child process that can be killed, frozen and thawed by its id.
+
+use std::{
+    ffi::OsString,
+    fs::File,
+    io,
+    path::{Path, PathBuf},
+    process::{Child, Command, ExitStatus, Stdio},
+    time::{Duration, Instant},
+};
+
+use anyhow::{Context, Result, bail};
+use rustix::process::{Pid, Signal, kill_process};
+
+const POLL: Duration = Duration::from_millis(10);
+
+/// A child process. It ends when this value is dropped.
+#[derive(Debug)]
+pub struct Process {
+    program: PathBuf,
+    args: Vec<OsString>,
+    log: PathBuf,
+    child: Child,
+}
+
+impl Process {
+    /// Starts `program --attached ARGS`, with its output appended to the file `log`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the program cannot be started.
+    pub fn start(program: &Path, args: Vec<OsString>, log: PathBuf) -> Result<Self> {
+        let child = spawn(program, &args, &log)?;
+        Ok(Self { program: program.to_owned(), args, log, child })
+    }
+
+    /// The id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// What the process has written.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
+    /// Kills the process at once and waits for its end.
+    pub fn kill(&mut self) {
+        _ = self.child.kill();
+        _ = self.child.wait();
+    }
+
+    /// Stops the process, which keeps its connections.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no such process any more.
+    pub fn freeze(&self) -> Result<()> {
+        self.signal(Signal::STOP)
+    }
+
+    /// Lets a stopped process go on.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no such process any more.
+    pub fn thaw(&self) -> Result<()> {
+        self.signal(Signal::CONT)
+    }
+
+    /// Asks the process to stop gracefully.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no such process any more.
+    pub fn terminate(&self) -> Result<()> {
+        self.signal(Signal::TERM)
+    }
+
+    /// Waits for the end of the process.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it takes longer than `limit`.
+    pub async fn wait(&mut self, limit: Duration) -> Result<ExitStatus> {
+        let end = Instant::now() + limit;
+        loop {
+            if let Some(status) = self.child.try_wait()? {
+                return Ok(status);
+            }
+            if Instant::now() >= end {
+                bail!("process {} still runs after {limit:?}:\n{}", self.id(), self.log());
+            }
+            tokio::time::sleep(POLL).await;
+        }
+    }
+
+    /// Starts the program again, after its end, with the same arguments.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the program cannot be started.
+    pub fn restart(&mut self) -> Result<()> {
+        self.kill();
+        self.child = spawn(&self.program, &self.args, &self.log)?;
+        Ok(())
+    }
+
+    fn signal(&self, signal: Signal) -> Result<()> {
+        let id = i32::try_from(self.id()).ok().and_then(Pid::from_raw);
+        let id = id.context("no process id")?;
+        Ok(kill_process(id, signal).map_err(io::Error::from)?)
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+fn spawn(program: &Path, args: &[OsString], log: &Path) -> Result<Child> {
+    let output = File::options().create(true).append(true).open(log)?;
+    let child = Command::new(program)
+        .arg("--attached")
+        .args(args)
+        .stdin(Stdio::piped())
+        .stdout(output.try_clone()?)
+        .stderr(output)
+        .spawn();
+    child.with_context(|| format!("start {}", program.display()))
+}
--- /dev/null
+++ b/crates/fakes/src/shape.rs
@@ -0,0 +1,209 @@
+//! The shape of a deployment: its document and its network on loopback.
+
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    sync::atomic::{AtomicU16, Ordering},
+};
+
+use hyssop_document::{
+    digest::Digest,
+    model::{Backend, Class, Document, Kind, Pool, Workspace, Zone},
+    name,
+    number::{Percent, Revision, Tier},
+};
+
+/// The key that the operators of every stand-in deployment present.
+pub const OPERATOR_KEY: &str = "operator-key";
+
+const FIRST_PORT: u16 = 20_000;
+/// The ports that one network takes on each of its addresses.
+const PORTS: u16 = 100;
+const NETWORKS: u16 = 100;
+
+static NETWORK: AtomicU16 = AtomicU16::new(0);
+
+/// The key that callers of a workspace present.
+pub fn workspace_key(workspace: &name::Workspace) -> String {
+    format!("key-of-{workspace}")
+}
+
+/// Addresses on loopback that no other process of the tests uses.
+///
+/// Each host and backend server has an IP number of its own, made from the process id, and ports
+/// below those that the operating system gives out by itself.
+#[derive(Debug, Clone, Copy)]
+pub struct Network {
+    high: u8,
+    middle: u8,
+    port: u16,
+}
+
+impl Network {
+    /// A network that differs from all others of this process.
+    pub fn new() -> Self {
+        let process = std::process::id();
+        let number = NETWORK.fetch_add(1, Ordering::Relaxed) % NETWORKS;
+        Self {
+            high: (1 + process / 250 % 250) as u8,
+            middle: (1 + process % 250) as u8,
+            port: FIRST_PORT + number * PORTS,
+        }
+    }
+
+    /// The address of `host`, 1 to 254, with one of its ports.
+    pub fn address(&self, host: u8, port: u16) -> SocketAddr {
+        let ip = IpAddr::V4(Ipv4Addr::new(127, self.high, self.middle, host));
+        SocketAddr::new(ip, self.port + port)
+    }
+
+    /// The addresses of the daemon with index `index`.
+    pub fn daemon(&self, index: usize) -> Daemon {
+        let host = 1 + index as u8;
+        Daemon {
+            caller: self.address(host, 0),
+            peer: self.address(host, 1),
+            operator: self.address(host, 2),
+        }
+    }
+
+    /// The addresses for requests and for control of the backend server with index `index`.
+    pub fn backend(&self, index: usize) -> (SocketAddr, SocketAddr) {
+        let host = 100 + index as u8;
+        (self.address(host, 0), self.address(host, 1))
+    }
+
+    /// The addresses for readers and for control of the platform.
+    pub fn platform(&self) -> (SocketAddr, SocketAddr) {
+        (self.address(250, 0), self.address(250, 1))
+    }
+
+    /// The address by which the link with index `index` is entered.
+    pub fn link(&self, index: usize) -> SocketAddr {
+        self.address(251, index as u16)
+    }
+}
+
+impl Default for Network {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// The addresses of a daemon.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Daemon {
+    /// For callers.
+    pub caller: SocketAddr,
+    /// For other daemons.
+    pub peer: SocketAddr,
+    /// For operators.
+    pub operator: SocketAddr,
+}
+
+/// A deployment to be built: a document whose backend servers are stand-ins.
+#[derive(Debug, Clone)]
+pub struct Shape {
+    /// The document.
+    pub document: Document,
+    /// The network.
+    pub network: Network,
+}
+
+impl Shape {
+    /// A deployment with `zones` availability zones, without pools, classes and workspaces.
+    pub fn new(environment: &str, zones: usize) -> Self {
+        let zones = (0..zones).map(|index| Zone { name: zone(index) });
+        let document = Document {
+            environment: name::Environment::new(environment),
+            revision: Revision(1),
+            group_size: 64,
+            classes: Vec::new(),
+            workspaces: Vec::new(),
+            zones: zones.collect(),
+            pools: Vec::new(),
+            backends: Vec::new(),
+        };
+        Self { document, network: Network::new() }
+    }
+
+    /// Adds a class.
+    pub fn class(mut self, class: Class) -> Self {
+        self.document.classes.push(class);
+        self
+    }
+
+    /// Adds a workspace with a share.
+    pub fn workspace(mut self, workspace: &str, share: u32) -> Self {
+        let name = name::Workspace::new(workspace);
+        let key_sha256 = Digest::of(workspace_key(&name).as_bytes());
+        self.document.workspaces.push(Workspace { name, share, key_sha256 });
+        self
+    }
+
+    /// Adds a pool with `count` backend servers, spread over the availability zones.
+    pub fn pool(mut self, pool: Pool, count: usize) -> Self {
+        for index in 0..count {
+            let (address, _) = self.network.backend(self.document.backends.len());
+            let zones = self.document.zones.len();
+            let name = format!("{}-{index}", pool.name);
+            self.document.backends.push(Backend {
+                name: name::Backend::new(&name),
+                address,
+                zone: zone(index % zones),
+                pool: pool.name.clone(),
+            });
+        }
+        self.document.pools.push(pool);
+        self
+    }
+
+    /// The document as it is published.
+    pub fn bytes(&self) -> Vec<u8> {
+        serde_json::to_vec_pretty(&self.document).expect("a document is serializable")
+    }
+}
+
+/// The availability zone with index `index`.
+pub fn zone(index: usize) -> name::Zone {
+    name::Zone::new(&format!("z{}", index + 1))
+}
+
+/// The host with index `index`.
+pub fn host(index: usize) -> name::Host {
+    name::Host::new(&format!("h{}", index + 1))
+}
+
+/// A class with targets in milliseconds.
+pub fn class(name: &str, tier: u8, first_token_ms: u64, complete_ms: u64) -> Class {
+    Class {
+        name: name::Class::new(name),
+        tier: Tier(tier),
+        first_token_ms,
+        complete_ms,
+        max_running_ms: 4 * complete_ms,
+        idempotent: true,
+        floor_percent: Percent(5),
+    }
+}
+
+/// A pool of model engines.
+pub fn model(name: &str, warm_limit: u32) -> Pool {
+    Pool {
+        name: name::Pool::new(name),
+        kind: Kind::Model,
+        latest_end_ms: 60_000,
+        cold_limit: 2,
+        warm_limit,
+        queue_limit: 1_000,
+    }
+}
+
+/// A pool of plain services.
+pub fn service(name: &str, warm_limit: u32) -> Pool {
+    Pool {
+        kind: Kind::Service,
+        cold_limit: warm_limit,
+        latest_end_ms: 10_000,
+        ..model(name, warm_limit)
+    }
+}
