Add baselines and test the harness with one of them

A baseline daemon passes streams through, repeats idempotent requests that failed before the first byte, and passes over a failed backend server for 1 s.

--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -2,7 +2,8 @@
 //!
 //! The control listener stays up while the engine is down:
 //!
-//! - `PUT /control/crash`: crashes the engine.
+//! - `PUT /control/crash`: crashes the engine, which restarts by itself.
+//! - `PUT /control/down` and `PUT /control/up`: crashes it and starts it again.
 //! - `PUT /control/cold`: turns it cold.
 //! - `PUT /control/slow`: multiplies the time of each step by the body.
 //! - `PUT /control/faults`: sets [`Faults`].
@@ -237,22 +238,38 @@
         probability > 0.0 && self.random.lock().random_bool(probability.min(1.0))
     }
 
+    /// Ends this incarnation and starts the next after a while.
     fn crash(self: &Arc<Self>) {
         let shared = self.clone();
-        let Some(listener) = self.listener.lock().clone() else { return };
-        listener.crash();
-        self.crashed.lock().cancel();
-        self.batch.lock().crash();
+        self.go_down();
         tokio::spawn(async move {
             tokio::time::sleep(Duration::from_millis(shared.settings.restart_ms)).await;
-            *shared.crashed.lock() = CancellationToken::new();
-            *shared.started_ms.lock() = unix_ms();
-            if listener.restart().await.is_err() {
-                log::error!("engine not restarted name={}", shared.settings.name);
-            }
+            shared.come_up().await;
         });
     }
 
+    fn go_down(&self) {
+        let listener = self.listener.lock().clone();
+        if let Some(listener) = listener {
+            listener.crash();
+        }
+        self.crashed.lock().cancel();
+        self.batch.lock().crash();
+    }
+
+    async fn come_up(&self) {
+        let listener = self.listener.lock().clone();
+        let Some(listener) = listener else { return };
+        if !self.crashed().is_cancelled() {
+            return;
+        }
+        *self.crashed.lock() = CancellationToken::new();
+        *self.started_ms.lock() = unix_ms();
+        if listener.restart().await.is_err() {
+            log::error!("engine not restarted name={}", self.settings.name);
+        }
+    }
+
     /// Starts to answer a request, or crashes.
     fn generate(
         self: &Arc<Self>,
@@ -378,6 +395,8 @@
             match path.as_str() {
                 "/control/record" => return listener::json(&self.0.batch.lock().record),
                 "/control/crash" => self.0.crash(),
+                "/control/down" => self.0.go_down(),
+                "/control/up" => self.0.come_up().await,
                 "/control/cold" => self.0.batch.lock().chill(Instant::now()),
                 "/control/slow" => match String::from_utf8_lossy(&body).parse() {
                     Ok(factor) => self.0.batch.lock().slow = factor,
--- a/crates/fakes/src/history.rs
+++ b/crates/fakes/src/history.rs
@@ -245,6 +245,9 @@
             let Some(refused) = ends.iter().find(|end| end.outcome == Outcome::Refused) else {
                 continue;
             };
+            if self.clouded(position) {
+                return None;
+            }
             // The next try has a new key, and its executions are its own.
             let before_ms = self.tries.get(position + 1).map_or(u64::MAX, |(next, _)| next.at_ms);
             let ran = |execution: &&&Execution| {
@@ -261,6 +264,14 @@
         None
     }
 
+    /// Whether an earlier try under another key may still run, so that an execution cannot be told
+    /// to belong to the try at `position`.
+    fn clouded(&self, position: usize) -> bool {
+        let key = &self.tries[position].0.key;
+        let open = |ends: &[&Ended]| ends.iter().any(|end| end.outcome != Outcome::Refused);
+        self.tries[..position].iter().any(|(sent, ends)| sent.key != *key && open(ends))
+    }
+
     fn check_runs(&self) -> Vec<Violation> {
         let mut violations = Vec::new();
         let request = self.request;
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each stand-in is a library type that starts in the caller's runtime, and a subcommand of the
 //! binary `node`, which can also be the daemon or the operators' command.
 
+pub mod baseline;
 pub mod client;
 pub mod cluster;
 pub mod engine;
--- a/crates/fakes/src/node.rs
+++ b/crates/fakes/src/node.rs
@@ -6,7 +6,7 @@
 use clap::{Parser, Subcommand};
 use serde::{Deserialize, Serialize};
 
-use crate::{engine, link::Link, platform::Platform, service};
+use crate::{baseline, engine, link::Link, platform::Platform, service};
 
 /// A backend server's stand-in in the file of `node backends`.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -65,6 +65,12 @@
         #[arg(long, value_name = "FILE")]
         file: PathBuf,
     },
+    /// The daemon of a baseline.
+    Baseline {
+        /// The JSON file with its settings.
+        #[arg(long, value_name = "FILE")]
+        file: PathBuf,
+    },
     /// The forwarder, never cut.
     Link {
         #[arg(long, value_name = "IP:PORT")]
@@ -109,6 +115,7 @@
 
 #[tokio::main]
 async fn run(command: Command) -> Result<()> {
+    simplelog::SimpleLogger::init(log::LevelFilter::Warn, simplelog::Config::default())?;
     match command {
         Command::Platform { listen, control } => {
             let _platform = Platform::start(listen, control).await?;
@@ -127,6 +134,11 @@
             }
             std::future::pending().await
         }
+        Command::Baseline { file } => {
+            let text = std::fs::read(&file).with_context(|| file.display().to_string())?;
+            let _daemon = baseline::Daemon::start(serde_json::from_slice(&text)?).await?;
+            std::future::pending().await
+        }
         Command::Daemon { .. } | Command::Ctl { .. } => unreachable!("main handles them"),
     }
 }
