--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,3 +1,7 @@
-//! Entry point.
+//! The daemon's entry point.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    hyssop_daemon::main(std::env::args_os())
+}
--- a/crates/peer/src/held.rs
+++ b/crates/peer/src/held.rs
@@ -126,6 +126,7 @@
             remaining_ms: ends.saturating_duration_since(now).as_millis() as u64,
             prompt_tokens: ask.prompt_tokens,
             output_tokens: *output,
+            solo: ask.solo,
         }
     }
 }
