Add the server for callers and the home of requests

A request that may run gets a record that any caller with the same key reads. The directory is asked for the names of one request in one call, so that they come out of one revision.

--- a/crates/backend/src/blame.rs
+++ b/crates/backend/src/blame.rs
@@ -6,7 +6,7 @@
 
 use std::time::{Duration, Instant};
 
-use hyssop_document::{collections::Map, digest::Digest};
+use hyssop_document::collections::Map;
 
 /// The number of crashes after which a fingerprint is quarantined.
 ///
@@ -31,19 +31,6 @@
 #[display("{_0:016x}")]
 pub struct Fingerprint(pub u64);
 
-impl Fingerprint {
-    /// The fingerprint of a request of a workspace.
-    pub fn of(workspace: &str, path: &str, body: &[u8]) -> Self {
-        let mut bytes = Vec::with_capacity(workspace.len() + path.len() + body.len() + 2);
-        bytes.extend_from_slice(workspace.as_bytes());
-        bytes.push(0);
-        bytes.extend_from_slice(path.as_bytes());
-        bytes.push(0);
-        bytes.extend_from_slice(body);
-        Self(Digest::of(&bytes).short())
-    }
-}
-
 impl std::str::FromStr for Fingerprint {
     type Err = std::num::ParseIntError;
 
@@ -110,9 +97,13 @@
     }
 
     /// Blames a fingerprint for one crash and returns the record to spread.
-    pub fn blame(&mut self, fingerprint: Fingerprint, now: Instant) -> Record {
-        let crashes = self.get(fingerprint, now).map_or(0, |record| record.crashes);
-        let record = Record { crashes: crashes + 1, expires: now + self.lifetime };
+    ///
+    /// Crashes where other suspects ran too only make it a suspect, however many of its copies
+    /// ran there: a request that is sent often must not be quarantined for what others did.
+    pub fn blame(&mut self, fingerprint: Fingerprint, solo: bool, now: Instant) -> Record {
+        let known = self.get(fingerprint, now).map_or(0, |record| record.crashes);
+        let crashes = if solo { known.max(1) + 1 } else { known.max(1) };
+        let record = Record { crashes, expires: now + self.lifetime };
         self.insert(fingerprint, record, now);
         record
     }
--- a/crates/backend/src/connection.rs
+++ b/crates/backend/src/connection.rs
@@ -1,6 +1,6 @@
 //! A connection to a backend server, on which one attempt is sent.
 
-use std::{fmt, net::SocketAddr, sync::Arc, time::Duration};
+use std::{fmt, io, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use compact_str::CompactString;
@@ -49,11 +49,15 @@
 impl Link {
     /// Opens a connection.
     pub(crate) async fn open(address: SocketAddr, limit: Duration) -> Result<Self, Failure> {
-        let not_run = |message: String| Failure::not_run(Kind::Connect, message);
+        let kind = |refused| Kind::Connect { refused };
+        let not_run = |message: String| Failure::not_run(kind(false), message);
         let stream = timeout(limit, TcpStream::connect(address))
             .await
             .map_err(|_| not_run(format!("{address} did not accept within {limit:?}")))?
-            .map_err(|error| not_run(format!("{address}: {error}")))?;
+            .map_err(|error| {
+                let refused = error.kind() == io::ErrorKind::ConnectionRefused;
+                Failure::not_run(kind(refused), format!("{address}: {error}"))
+            })?;
         stream.set_nodelay(true).map_err(|error| not_run(error.to_string()))?;
         let (mut sender, driver) = http1::Builder::new()
             .max_headers(64)
--- a/crates/backend/src/failure.rs
+++ b/crates/backend/src/failure.rs
@@ -24,7 +24,10 @@
 pub enum Kind {
     /// No connection could be opened.
     #[display("connect")]
-    Connect,
+    Connect {
+        /// Whether the host answered that nothing listens there, as it does after a crash.
+        refused: bool,
+    },
     /// The backend server answered 503: it is overloaded or in cold start.
     #[display("overloaded")]
     Overloaded {
--- a/crates/backend/src/load.rs
+++ b/crates/backend/src/load.rs
@@ -2,6 +2,8 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use hyssop_policy::load::Load;
+
 use crate::{
     client::Client,
     failure::{Failure, Kind},
@@ -11,23 +13,6 @@
 /// The largest load report in bytes.
 pub const MAX_REPORT_BYTES: usize = 1 << 20;
 
-/// What a backend server says about itself.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
-pub struct Report {
-    /// The start time of its process in milliseconds since 1970.
-    pub incarnation: u64,
-    /// The number of requests that run.
-    pub running: u32,
-    /// The number of requests that wait.
-    pub waiting: u32,
-    /// The share of the KV cache in use, 0 to 1.
-    pub kv_used: f32,
-    /// Whether it says that it is in cold start.
-    pub cold: bool,
-    /// The tokens generated a second, where it says so.
-    pub tokens_per_s: Option<f64>,
-}
-
 /// A text that is no load report.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display, derive_more::Error)]
 pub enum Error {
@@ -44,8 +29,15 @@
 /// # Errors
 ///
 /// Fails if a value is missing without which the report is of no use.
-pub fn parse(text: &str) -> Result<Report, Error> {
-    let mut report = Report::default();
+pub fn parse(text: &str) -> Result<Load, Error> {
+    let mut report = Load {
+        incarnation: 0,
+        running: 0,
+        waiting: 0,
+        kv_used: 0.0,
+        cold: false,
+        tokens_per_s: None,
+    };
     let mut running = None;
     for sample in metrics::samples(text) {
         let value = sample.value;
@@ -76,7 +68,7 @@
     /// # Errors
     ///
     /// Fails if it does not answer within `timeout` or the answer is no load report.
-    pub async fn load(&self, address: SocketAddr, timeout: Duration) -> Result<Report, Failure> {
+    pub async fn load(&self, address: SocketAddr, timeout: Duration) -> Result<Load, Failure> {
         let get = self.get(address, "/metrics", MAX_REPORT_BYTES);
         let bytes = tokio::time::timeout(timeout, get)
             .await
--- /dev/null
+++ b/crates/caller/src/home/entry.rs
@@ -0,0 +1,260 @@
+//! How requests enter the home: authentication, keys, relay, and the response.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Instant,
+};
+
+use bytes::Bytes;
+use compact_str::{CompactString, format_compact};
+use futures::future::BoxFuture;
+use hyper::{Response, http::request::Parts};
+use hyssop_document::name;
+
+use super::{
+    Home,
+    run::{Order, Run},
+    supervise,
+};
+use crate::{
+    body::Body,
+    desk::Desk,
+    directory::{Missing, Terms},
+    key::Key,
+    outcome::{Kind, Outcome, Reason},
+    record::{End, Next, Reader, Record},
+    registry::{Begin, Owned},
+    render,
+    request::{self, Request, Route},
+};
+
+impl Desk for Home {
+    fn serve(&self, head: Parts, body: Bytes) -> BoxFuture<'_, Response<Body>> {
+        Box::pin(async move {
+            let id = self.request_id(&head);
+            let answered = self.answer(&id, head, body).await;
+            answered.unwrap_or_else(|outcome| self.outcome(&outcome, &id))
+        })
+    }
+
+    fn refuse(&self, head: &Parts, outcome: Outcome) -> Response<Body> {
+        let id = self.request_id(head);
+        let outcome = self.settle_head(head, outcome);
+        self.outcome(&outcome, &id)
+    }
+}
+
+impl Home {
+    async fn answer(
+        &self,
+        id: &CompactString,
+        head: Parts,
+        body: Bytes,
+    ) -> Result<Response<Body>, Outcome> {
+        let arrived = self.shared.clock.now();
+        let route = Route::find(&head.method, head.uri.path(), head.uri.query())?;
+        if route == Route::Addresses {
+            return Ok(render::json(&self.shared.directory.addresses()));
+        }
+        let workspace = self.workspace(&head)?;
+        let key = request::key(&head.headers)?;
+        match key.filter(|key| key.incarnation != self.shared.directory.incarnation()) {
+            Some(key) => self.foreign(id, &key, head, body, arrived).await,
+            None => self.own(id, &workspace, &head, body, arrived).await,
+        }
+    }
+
+    /// Answers a request whose key is bound to this daemon, or that has none.
+    async fn own(
+        &self,
+        id: &CompactString,
+        workspace: &name::Workspace,
+        head: &Parts,
+        body: Bytes,
+        arrived: Instant,
+    ) -> Result<Response<Body>, Outcome> {
+        let checked = Request::parse(id.clone(), head, body)
+            .and_then(|request| self.terms(&request).map(|terms| (request, terms)));
+        match checked {
+            Ok((request, terms)) => self.run(request, terms, arrived).await,
+            Err(outcome) => {
+                let key = request::key(&head.headers)?;
+                Err(self.settle(workspace, key, outcome))
+            }
+        }
+    }
+
+    /// Answers a request whose key is bound to another daemon.
+    async fn foreign(
+        &self,
+        id: &CompactString,
+        key: &Key,
+        head: Parts,
+        body: Bytes,
+        arrived: Instant,
+    ) -> Result<Response<Body>, Outcome> {
+        let relayed = head.headers.contains_key(request::RELAYED);
+        let address = self.shared.directory.locate(key.incarnation).filter(|_| !relayed);
+        if let Some(address) = address {
+            let answered = self.relay(id, key, address, head.clone(), body.clone()).await;
+            if let Some(response) = answered {
+                return Ok(response);
+            }
+        }
+        let gone = || {
+            let message = "the daemon that the key is bound to cannot be reached";
+            Outcome::unknown(Reason::HomeGone, message)
+        };
+        let request = Request::parse(id.clone(), &head, body).map_err(|_| gone())?;
+        let terms = self.terms(&request).map_err(|_| gone())?;
+        if !terms.class.idempotent {
+            return Err(gone());
+        }
+        self.run(request, terms, arrived).await
+    }
+
+    async fn relay(
+        &self,
+        id: &CompactString,
+        key: &Key,
+        address: SocketAddr,
+        head: Parts,
+        body: Bytes,
+    ) -> Option<Response<Body>> {
+        let by = format_compact!("{}", self.shared.directory.incarnation());
+        match self.shared.relay.relay(address, by, head, body).await {
+            Ok(response) => Some(response),
+            Err(error) => {
+                let home = key.incarnation;
+                log::info!("relay failed request={id} home={home} error=\"{error}\"");
+                None
+            }
+        }
+    }
+
+    async fn run(
+        &self,
+        request: Request,
+        terms: Terms,
+        arrived: Instant,
+    ) -> Result<Response<Body>, Outcome> {
+        let (record, owned, is_new) = self.begin(&request, &terms)?;
+        let reader = record.reader();
+        let order = Order { request, terms, arrived, number: self.next_number() };
+        let request = order.request.clone();
+        if is_new {
+            let run = Run::new(Arc::clone(&self.shared), order, record);
+            self.shared.runs.spawn(supervise::run(run, owned));
+        }
+        self.respond(&request, reader).await
+    }
+
+    /// Registers a request, and says whether it is to be run.
+    fn begin(
+        &self,
+        request: &Request,
+        terms: &Terms,
+    ) -> Result<(Arc<Record>, Option<Owned>, bool), Outcome> {
+        let idempotent = terms.class.idempotent;
+        let Some(key) = request.head.key.clone() else {
+            if idempotent {
+                return Ok((Arc::default(), None, true));
+            }
+            let message = "a non-idempotent request needs an Idempotency-Key";
+            return Err(Outcome::refused(Reason::KeyRequired, message));
+        };
+        let owned = Owned { workspace: terms.workspace.clone(), key };
+        let now = self.shared.clock.now();
+        match self.shared.registry.begin(&owned, request.digest(), idempotent, now) {
+            Begin::Run(record) => Ok((record, Some(owned), true)),
+            Begin::Unregistered(record) => Ok((record, None, true)),
+            Begin::Join(record) => Ok((record, None, false)),
+            Begin::Refuse(outcome) => Err(outcome),
+        }
+    }
+
+    /// Reads the record of a run for one caller.
+    async fn respond(
+        &self,
+        request: &Request,
+        mut reader: Reader,
+    ) -> Result<Response<Body>, Outcome> {
+        if let Some(prompt) = request.prompt.as_ref().filter(|prompt| prompt.stream) {
+            // The response begins with the first part, so that a refusal still has its status.
+            match reader.first().await {
+                Next::Part(part) if reader.record().has_chunks() => {
+                    let usage = prompt.include_usage;
+                    return Ok(render::events(reader, part, usage, &request.id));
+                }
+                Next::End(End::Other(outcome)) => return Err(outcome),
+                _ => {}
+            }
+        }
+        match reader.end().await {
+            End::Whole => Ok(render::whole(reader.record(), &request.id)),
+            End::Other(outcome) => Err(outcome),
+        }
+    }
+
+    fn workspace(&self, head: &Parts) -> Result<name::Workspace, Outcome> {
+        let bearer = request::bearer(&head.headers)?;
+        self.shared.directory.workspace(&bearer).map_err(missing)
+    }
+
+    fn terms(&self, request: &Request) -> Result<Terms, Outcome> {
+        let terms =
+            self.shared.directory.terms(&request.head.bearer, &request.head.class, request.pool());
+        let terms = terms.map_err(missing)?;
+        if terms.pool.kind != request.route.kind() {
+            return Err(missing(Missing::Pool));
+        }
+        Ok(terms)
+    }
+
+    /// Makes a refusal final for its key, or says less if that cannot be done.
+    fn settle(&self, workspace: &name::Workspace, key: Option<Key>, outcome: Outcome) -> Outcome {
+        let Some(key) = key.filter(|_| outcome.kind == Kind::Refused) else { return outcome };
+        let own = key.incarnation == self.shared.directory.incarnation();
+        let owned = Owned { workspace: workspace.clone(), key };
+        let now = self.shared.clock.now();
+        if own && self.shared.registry.bury(&owned, &outcome, now) {
+            return outcome;
+        }
+        let message = format_compact!("{}; a copy of the request may have run", outcome.message);
+        Outcome { message, ..Outcome::unknown(outcome.reason, "") }
+    }
+
+    /// Settles the refusal of a request of which only the head was read.
+    fn settle_head(&self, head: &Parts, outcome: Outcome) -> Outcome {
+        let (Ok(workspace), Ok(key)) = (self.workspace(head), request::key(&head.headers)) else {
+            return outcome;
+        };
+        self.settle(&workspace, key, outcome)
+    }
+
+    fn outcome(&self, outcome: &Outcome, id: &str) -> Response<Body> {
+        log::debug!("request ended request={id} outcome={outcome}");
+        render::outcome(outcome, id)
+    }
+
+    fn request_id(&self, head: &Parts) -> CompactString {
+        request::request_id(&head.headers).unwrap_or_else(|| self.next_number())
+    }
+
+    /// A number that no other request of any daemon has.
+    fn next_number(&self) -> CompactString {
+        let number = self.shared.requests.fetch_add(1, Ordering::Relaxed);
+        format_compact!("{}-{number:x}", self.shared.directory.incarnation())
+    }
+}
+
+fn missing(missing: Missing) -> Outcome {
+    let reason = match missing {
+        Missing::Document => Reason::NotReady,
+        Missing::Workspace => Reason::Unauthorized,
+        Missing::Class => Reason::UnknownClass,
+        Missing::Pool => Reason::UnknownPool,
+    };
+    Outcome::refused(reason, missing.to_string())
+}
--- /dev/null
+++ b/crates/caller/src/home/held.rs
@@ -0,0 +1,77 @@
+//! A permit in use, given back in any case.
+
+use std::{sync::Arc, time::Instant};
+
+use hyssop_document::number::Tokens;
+use hyssop_policy::permit::{End, Permit, Release};
+
+use super::Shared;
+
+/// The tokens after which progress is reported.
+const PROGRESS_TOKENS: u64 = 16;
+
+/// A permit in use. Dropping it gives it back.
+pub(super) struct Held {
+    shared: Arc<Shared>,
+    /// The permit.
+    pub(super) permit: Permit,
+    /// How its use has ended so far.
+    pub(super) end: End,
+    /// Whether a target of the class was missed.
+    pub(super) late: bool,
+    dispatched: Option<Instant>,
+    first_token: Option<Instant>,
+    tokens: u64,
+}
+
+impl Held {
+    pub(super) fn new(shared: Arc<Shared>, permit: Permit) -> Self {
+        Self {
+            shared,
+            permit,
+            end: End::NotDispatched,
+            late: false,
+            dispatched: None,
+            first_token: None,
+            tokens: 0,
+        }
+    }
+
+    /// Notes that the bytes go out now. Until told otherwise the caller counts as gone.
+    pub(super) fn dispatch(&mut self) {
+        self.dispatched = Some(self.shared.clock.now());
+        self.end = End::Cancelled;
+    }
+
+    /// Notes the arrival of a token.
+    pub(super) fn token(&mut self) {
+        self.first_token.get_or_insert_with(|| self.shared.clock.now());
+        self.tokens += 1;
+        if self.tokens.is_multiple_of(PROGRESS_TOKENS) {
+            self.shared.permits.progress(self.permit.id, Tokens(self.tokens));
+        }
+    }
+
+    /// The tokens that arrived.
+    pub(super) fn tokens(&self) -> u64 {
+        self.tokens
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        let now = self.shared.clock.now();
+        let since = |at: Instant| {
+            let dispatched = self.dispatched.unwrap_or(at);
+            at.saturating_duration_since(dispatched).as_millis() as u64
+        };
+        self.shared.permits.release(Release {
+            id: self.permit.id,
+            end: self.end,
+            first_token_ms: self.first_token.map(since),
+            elapsed_ms: since(now),
+            output_tokens: Tokens(self.tokens),
+            late: self.late,
+        });
+    }
+}
--- /dev/null
+++ b/crates/caller/src/home/run/exchange.rs
@@ -0,0 +1,193 @@
+//! The exchange of one attempt with a backend server, resumed where its connection broke.
+
+use std::sync::atomic::Ordering;
+
+use compact_str::format_compact;
+use hyssop_document::model::Kind;
+
+use super::{Fault, Held, Run};
+use crate::{
+    backends::{Answer, Attempt, Connection, Dropped, Failure, FailureKind, Part, Target},
+    outcome::Ran,
+    record::{self, Head},
+    render,
+};
+
+const SERVICE_UNAVAILABLE: u16 = 503;
+const NOT_FOUND: u16 = 404;
+const GONE: u16 = 410;
+
+/// How far the answer to an attempt has come.
+#[derive(Debug, Default)]
+struct Position {
+    /// The number of parts written.
+    parts: usize,
+    /// The number that the engine gave to the last part, and which it can resume after.
+    number: Option<u64>,
+    /// Whether the engine gives numbers to its parts.
+    unnumbered: bool,
+}
+
+impl Run {
+    pub(super) async fn exchange(
+        &mut self,
+        held: &mut Held,
+        connection: Box<dyn Connection>,
+        solo: bool,
+    ) -> Result<(), Fault> {
+        let mut position = Position::default();
+        let mut connection = connection;
+        let mut resumptions = 0;
+        loop {
+            let attempt = self.build(position.number);
+            let resumed = resumptions > 0;
+            let failure = match self.pass(held, connection, attempt, &mut position).await {
+                Ok(()) => return Ok(()),
+                Err(Fault::Failed(failure)) => failure,
+                Err(fault) => return Err(fault),
+            };
+            if resumed && is_forgotten(&failure) {
+                return Err(Fault::Crashed { failure, solo });
+            }
+            if !is_broken(&failure) {
+                return Err(Fault::Failed(failure));
+            }
+            // A host on which nothing listens any more tells a crash from a broken connection.
+            let target = Target { address: held.permit.address, fresh: true };
+            let connected = self.shared.backends.connect(target).await;
+            connection = match connected {
+                Ok(connection) => connection,
+                Err(Failure { kind: FailureKind::Connect { refused: true }, .. }) => {
+                    return Err(Fault::Crashed { failure, solo });
+                }
+                Err(_) => return Err(Fault::Failed(failure)),
+            };
+            if resumptions >= self.shared.limits.resumptions || !self.may_resume(&position) {
+                return Err(Fault::Failed(failure));
+            }
+            resumptions += 1;
+            position.number.get_or_insert(0);
+            let (id, after) = (self.id(), position.parts);
+            log::info!("resume request={id} backend={} after={after}", held.permit.backend);
+        }
+    }
+
+    /// Only an engine resumes an answer, and only an idempotent request is put at the risk that it
+    /// takes the resumption for a new request.
+    fn may_resume(&self, position: &Position) -> bool {
+        let terms = &self.order.terms;
+        terms.pool.kind == Kind::Model && terms.class.idempotent && !position.unnumbered
+    }
+
+    fn build(&self, resume_after: Option<u64>) -> Attempt {
+        let request = &self.order.request;
+        let terms = &self.order.terms;
+        let silence = match terms.pool.kind {
+            Kind::Model => self.shared.limits.silence,
+            // A plain service sends nothing before its answer is there.
+            Kind::Service => terms.class.max_running(),
+        };
+        Attempt {
+            id: format_compact!("{}-{}", self.order.number, self.tally.attempts),
+            kind: terms.pool.kind,
+            path: request.path(),
+            content_type: request.head.content_type.clone(),
+            body: request.body.clone(),
+            tier: terms.class.tier,
+            resume_after,
+            silence,
+        }
+    }
+
+    /// Sends the attempt once and writes what comes.
+    async fn pass(
+        &mut self,
+        held: &mut Held,
+        connection: Box<dyn Connection>,
+        attempt: Attempt,
+        position: &mut Position,
+    ) -> Result<(), Fault> {
+        let mut answer = connection.send(attempt).await.map_err(Fault::Failed)?;
+        let overloaded = answer.status() == SERVICE_UNAVAILABLE;
+        if overloaded && self.order.terms.class.idempotent {
+            return Err(Fault::Failed(Failure {
+                kind: FailureKind::Overloaded { retry_after: None },
+                ran: Ran::Ran,
+                message: "the service is overloaded".into(),
+            }));
+        }
+        self.record.set_head(Head {
+            status: answer.status(),
+            content_type: answer.content_type(),
+            chunks: self.order.terms.pool.kind == Kind::Model,
+        });
+        let copied = self.copy(held, &mut *answer, position).await;
+        self.count_dropped(answer.dropped());
+        copied
+    }
+
+    async fn copy(
+        &mut self,
+        held: &mut Held,
+        answer: &mut dyn Answer,
+        position: &mut Position,
+    ) -> Result<(), Fault> {
+        while let Some(part) = answer.next().await.map_err(Fault::Failed)? {
+            let part = self.convert(held, &part, position)?;
+            self.record.write(position.parts, part).map_err(|_| Fault::Changed)?;
+            position.parts += 1;
+        }
+        self.record.complete(position.parts).map_err(|_| Fault::Changed)
+    }
+
+    fn convert(
+        &mut self,
+        held: &mut Held,
+        part: &Part,
+        position: &mut Position,
+    ) -> Result<record::Part, Fault> {
+        let id = &self.order.number;
+        let converted = match part {
+            Part::Token { number, data } => {
+                position.unnumbered = number.is_none();
+                position.number = *number;
+                held.token();
+                render::part(id, data, false)
+            }
+            Part::Usage { data, .. } => render::part(id, data, true),
+            Part::Body(data) => Some(render::piece(data.clone())),
+        };
+        self.tally.tokens = held.tokens();
+        self.progress.tokens.store(held.tokens(), Ordering::Relaxed);
+        let now = self.shared.clock.now();
+        self.tally.first_token.get_or_insert(now);
+        converted.ok_or_else(|| {
+            Fault::Failed(Failure {
+                kind: FailureKind::Invalid,
+                ran: Ran::MayHaveRun,
+                message: "a chunk is no JSON object".into(),
+            })
+        })
+    }
+
+    fn count_dropped(&mut self, dropped: Dropped) {
+        if dropped != Dropped::default() {
+            let Dropped { crossed, repeated, gaps } = dropped;
+            let id = self.id();
+            log::warn!(
+                "parts dropped request={id} crossed={crossed} repeated={repeated} gaps={gaps}"
+            );
+        }
+        self.tally.dropped = self.tally.dropped + dropped;
+    }
+}
+
+/// Whether the answer broke off in a way that resuming may mend.
+fn is_broken(failure: &Failure) -> bool {
+    matches!(failure.kind, FailureKind::Broken)
+}
+
+/// Whether the engine does not know the attempt that is resumed, since it has started anew.
+fn is_forgotten(failure: &Failure) -> bool {
+    matches!(failure.kind, FailureKind::Status { code: NOT_FOUND | GONE, .. })
+}
--- /dev/null
+++ b/crates/caller/src/home/solo.rs
@@ -0,0 +1,36 @@
+//! Turns of suspects: of requests with the same fingerprint one runs at a time.
+
+use std::sync::Arc;
+
+use hyssop_document::collections::Map;
+use parking_lot::Mutex;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+
+use crate::quarantine::Fingerprint;
+
+/// The turns of all suspects of a daemon.
+#[derive(Debug, Default)]
+pub(super) struct Solo {
+    turns: Mutex<Map<Fingerprint, Arc<Semaphore>>>,
+}
+
+/// A suspect's turn. It ends when this is dropped.
+#[derive(Debug)]
+pub(super) struct Turn {
+    _permit: OwnedSemaphorePermit,
+}
+
+impl Solo {
+    /// Waits for the turn of a suspect.
+    pub(super) async fn turn(&self, fingerprint: Fingerprint) -> Turn {
+        let semaphore = {
+            let mut turns = self.turns.lock();
+            // Only the map holds a semaphore that nobody waits for or runs on.
+            turns.retain(|_, semaphore| Arc::strong_count(semaphore) > 1);
+            let new = || Arc::new(Semaphore::new(1));
+            Arc::clone(turns.entry(fingerprint).or_insert_with(new))
+        };
+        let permit = semaphore.acquire_owned().await.expect("the semaphore is never closed");
+        Turn { _permit: permit }
+    }
+}
--- /dev/null
+++ b/crates/caller/src/registry.rs
@@ -0,0 +1,314 @@
+//! The registry of idempotency keys.
+//!
+//! A key that was taken in is remembered until its time of issue lies further back than the window.
+//! From then on it is refused as expired, by the same clock, so that it is never taken for a new
+//! one. Memory is bounded by a number of keys and a number of bytes. A full registry takes in no
+//! further key and forgets none early; idempotent requests then run unregistered.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::{Duration, Instant, SystemTime},
+};
+
+use hyssop_document::{collections::Map, digest::Digest, name};
+use parking_lot::Mutex;
+
+use crate::{
+    key::Key,
+    outcome::{Outcome, Ran, Reason},
+    record::{End, Record},
+};
+
+/// The bounds of a registry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Limits {
+    /// The time for which a key is remembered after its issue.
+    pub window: Duration,
+    /// The time by which a key may be issued in the future.
+    pub skew: Duration,
+    /// The number of keys.
+    pub keys: usize,
+    /// The number of keys of one workspace.
+    pub keys_per_workspace: usize,
+    /// The bytes of all remembered answers.
+    pub answer_bytes: usize,
+    /// The bytes of one remembered answer.
+    pub answer_bytes_per_key: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            window: Duration::from_secs(15 * 60),
+            skew: Duration::from_secs(30),
+            keys: 50_000,
+            keys_per_workspace: 25_000,
+            answer_bytes: 64 << 20,
+            answer_bytes_per_key: 64 << 10,
+        }
+    }
+}
+
+/// A key with its workspace. The same key of another workspace is another key.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Owned {
+    /// The workspace.
+    pub workspace: name::Workspace,
+    /// The key.
+    pub key: Key,
+}
+
+/// What to do with a request that has a key.
+#[derive(Debug)]
+pub enum Begin {
+    /// Run it and write the record.
+    Run(Arc<Record>),
+    /// Run it without registration, which is allowed to idempotent requests only.
+    Unregistered(Arc<Record>),
+    /// Read the record of the run that has this key.
+    Join(Arc<Record>),
+    /// Answer with this outcome. Nothing was registered.
+    Refuse(Outcome),
+}
+
+#[derive(Debug)]
+struct Entry {
+    /// The digest of the request, absent if the key was refused before the request was known.
+    digest: Option<Digest>,
+    record: Arc<Record>,
+    idempotent: bool,
+    finished: bool,
+    /// The bytes that count against the bound: reserved while it runs, used afterwards.
+    bytes: usize,
+    place: Place,
+}
+
+/// The place of a key in the order of issue: the time of issue and a number that is unique.
+type Place = (u64, u64);
+
+#[derive(Debug, Default)]
+struct Inner {
+    entries: Map<Arc<Owned>, Entry>,
+    by_issue: BTreeMap<Place, Arc<Owned>>,
+    /// The finished idempotent requests, which may be forgotten early.
+    evictable: BTreeSet<Place>,
+    sequence: u64,
+    per_workspace: Map<name::Workspace, usize>,
+    bytes: usize,
+    /// For each workspace the latest time of issue of a key that was refused for want of room.
+    refused_until: Map<name::Workspace, u64>,
+}
+
+/// The registry.
+#[derive(Debug)]
+pub struct Registry {
+    inner: Mutex<Inner>,
+    limits: Limits,
+    started: Instant,
+    started_ms: u64,
+}
+
+impl Registry {
+    /// An empty registry whose wall clock is read once, at `now`, and moves with the monotonic
+    /// clock from then on. A step of the system's clock can so not bring an expired key back.
+    pub fn new(limits: Limits, now: Instant) -> Self {
+        let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+        let started_ms = since_epoch.unwrap_or_default().as_millis() as u64;
+        Self { inner: Mutex::default(), limits, started: now, started_ms }
+    }
+
+    /// The registry's wall clock in milliseconds since 1970.
+    pub fn wall_ms(&self, now: Instant) -> u64 {
+        self.started_ms + now.saturating_duration_since(self.started).as_millis() as u64
+    }
+
+    /// Begins a request.
+    pub fn begin(&self, owned: &Owned, digest: Digest, idempotent: bool, now: Instant) -> Begin {
+        let wall_ms = self.wall_ms(now);
+        let mut inner = self.inner.lock();
+        inner.expire(self.oldest_ms(wall_ms));
+        if let Some(entry) = inner.entries.get(owned) {
+            if entry.digest.is_some_and(|known| known != digest) {
+                return Begin::Refuse(reused());
+            }
+            return Begin::Join(Arc::clone(&entry.record));
+        }
+        if let Err(outcome) = self.check_time(&inner, owned, wall_ms) {
+            return Begin::Refuse(outcome);
+        }
+        let record = Arc::new(Record::default());
+        if self.insert(&mut inner, owned, Some(digest), Arc::clone(&record), idempotent) {
+            return Begin::Run(record);
+        }
+        if idempotent {
+            return Begin::Unregistered(record);
+        }
+        inner.refuse_until(owned);
+        Begin::Refuse(full(self.limits.window))
+    }
+
+    /// Makes sure that a key which is refused before it began will not run later either.
+    ///
+    /// Returns whether that holds. It does not if the key has begun already.
+    pub fn bury(&self, owned: &Owned, outcome: &Outcome, now: Instant) -> bool {
+        let wall_ms = self.wall_ms(now);
+        let mut inner = self.inner.lock();
+        inner.expire(self.oldest_ms(wall_ms));
+        if inner.entries.contains_key(owned) {
+            return false;
+        }
+        if let Err(outcome) = self.check_time(&inner, owned, wall_ms) {
+            return outcome.ran == Ran::NotRun;
+        }
+        let record = Arc::new(Record::ended(outcome.clone()));
+        if !self.insert(&mut inner, owned, None, record, false) {
+            inner.refuse_until(owned);
+        }
+        true
+    }
+
+    /// Notes that the run of a key has ended, as its record says.
+    pub fn finish(&self, owned: &Owned) {
+        let mut inner = self.inner.lock();
+        let inner = &mut *inner;
+        let Some(entry) = inner.entries.get_mut(owned) else { return };
+        let whole = entry.record.end() == Some(End::Whole);
+        let bytes = entry.record.bytes();
+        inner.bytes -= entry.bytes;
+        entry.bytes = 0;
+        entry.finished = true;
+        let fits = bytes <= self.limits.answer_bytes_per_key;
+        if entry.idempotent && !(whole && fits) {
+            // It may run again, so there is nothing to remember.
+            inner.remove(owned);
+            return;
+        }
+        if entry.idempotent {
+            inner.evictable.insert(entry.place);
+        }
+        if fits {
+            entry.bytes = bytes;
+            inner.bytes += bytes;
+        } else {
+            entry.record = Arc::new(Record::ended(not_kept()));
+        }
+    }
+
+    /// The number of keys remembered and the bytes of their answers.
+    pub fn size(&self) -> (usize, usize) {
+        let inner = self.inner.lock();
+        (inner.entries.len(), inner.bytes)
+    }
+
+    fn oldest_ms(&self, wall_ms: u64) -> u64 {
+        wall_ms.saturating_sub(self.limits.window.as_millis() as u64)
+    }
+
+    fn check_time(&self, inner: &Inner, owned: &Owned, wall_ms: u64) -> Result<(), Outcome> {
+        let issued_ms = owned.key.issued_ms;
+        if issued_ms < self.oldest_ms(wall_ms) {
+            // A key of that age may have run and been forgotten.
+            let message = "the key is older than keys are remembered";
+            return Err(Outcome::unknown(Reason::KeyExpired, message));
+        }
+        if issued_ms > wall_ms + self.limits.skew.as_millis() as u64 {
+            let message = "the key was issued in the future";
+            return Err(Outcome::refused(Reason::KeyInFuture, message));
+        }
+        let until = inner.refused_until.get(&owned.workspace);
+        if until.is_some_and(|until| issued_ms <= *until) {
+            return Err(full(Duration::from_secs(1)));
+        }
+        Ok(())
+    }
+
+    fn insert(
+        &self,
+        inner: &mut Inner,
+        owned: &Owned,
+        digest: Option<Digest>,
+        record: Arc<Record>,
+        idempotent: bool,
+    ) -> bool {
+        let finished = record.end().is_some();
+        let bytes = if finished { 0 } else { self.limits.answer_bytes_per_key };
+        while !self.has_room(inner, owned, bytes) {
+            if !inner.evict_idempotent() {
+                return false;
+            }
+        }
+        inner.sequence += 1;
+        let place = (owned.key.issued_ms, inner.sequence);
+        let owned = Arc::new(owned.clone());
+        inner.by_issue.insert(place, Arc::clone(&owned));
+        *inner.per_workspace.entry(owned.workspace.clone()).or_default() += 1;
+        inner.bytes += bytes;
+        let entry = Entry { digest, record, idempotent, finished, bytes, place };
+        inner.entries.insert(owned, entry);
+        true
+    }
+
+    fn has_room(&self, inner: &Inner, owned: &Owned, bytes: usize) -> bool {
+        let own = inner.per_workspace.get(&owned.workspace).copied().unwrap_or(0);
+        inner.entries.len() < self.limits.keys
+            && own < self.limits.keys_per_workspace
+            && inner.bytes + bytes <= self.limits.answer_bytes
+    }
+}
+
+impl Inner {
+    /// Forgets what was issued before `oldest_ms` and has ended.
+    fn expire(&mut self, oldest_ms: u64) {
+        let old = self.by_issue.range(..(oldest_ms, 0)).map(|(_, owned)| Arc::clone(owned));
+        for owned in old.collect::<Vec<_>>() {
+            if self.entries.get(&*owned).is_some_and(|entry| entry.finished) {
+                self.remove(&owned);
+            }
+        }
+    }
+
+    /// Forgets the finished idempotent request that was issued first.
+    fn evict_idempotent(&mut self) -> bool {
+        let first = self.evictable.first().and_then(|place| self.by_issue.get(place).cloned());
+        first.is_some_and(|owned| {
+            self.remove(&owned);
+            true
+        })
+    }
+
+    fn remove(&mut self, owned: &Owned) {
+        let Some(entry) = self.entries.remove(owned) else { return };
+        self.bytes -= entry.bytes;
+        self.by_issue.remove(&entry.place);
+        self.evictable.remove(&entry.place);
+        if let Some(count) = self.per_workspace.get_mut(&owned.workspace) {
+            *count -= 1;
+            if *count == 0 {
+                self.per_workspace.remove(&owned.workspace);
+            }
+        }
+    }
+
+    /// Remembers with one number that a key was refused: no key of the workspace that was issued
+    /// up to then is taken in any more, so that a late copy of the refused request cannot run.
+    fn refuse_until(&mut self, owned: &Owned) {
+        let until = self.refused_until.entry(owned.workspace.clone()).or_default();
+        *until = (*until).max(owned.key.issued_ms);
+    }
+}
+
+fn reused() -> Outcome {
+    let message = "the key was used with another request, whose outcome is not affected";
+    Outcome::refused(Reason::KeyReused, message)
+}
+
+fn full(retry_after: Duration) -> Outcome {
+    let message = "no further key can be remembered now; use a new key later";
+    Outcome::refused(Reason::KeysFull, message).retry_after(retry_after)
+}
+
+fn not_kept() -> Outcome {
+    let message = "the request ran once; its answer was too large to be kept";
+    Outcome::failed(Ran::Ran, Reason::AnswerNotKept, message)
+}
--- /dev/null
+++ b/crates/caller/src/relay.rs
@@ -0,0 +1,153 @@
+//! Relay of requests to the daemon that their keys are bound to.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use compact_str::{CompactString, format_compact};
+use futures::future::BoxFuture;
+use http_body_util::{BodyExt as _, Full};
+use hyper::{
+    Request, Response,
+    body::Incoming,
+    client::conn::http1,
+    header::{CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderValue, RETRY_AFTER},
+    http::request::Parts,
+};
+use hyper_util::rt::TokioIo;
+use tokio::{net::TcpStream, time::timeout};
+use tokio_util::task::AbortOnDropHandle;
+
+use crate::{
+    body::{self, Body},
+    desk::REQUEST_OUTCOME,
+    request::{self, RELAYED},
+};
+
+/// A daemon that could not be reached, or that gave no answer.
+#[derive(Debug, Clone, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+#[display("{message}")]
+pub struct Error {
+    /// A plain message for logs.
+    pub message: CompactString,
+}
+
+/// Where requests are relayed to.
+pub trait Relay: Send + Sync {
+    /// Sends a request to another daemon's address for callers, marked as relayed.
+    fn relay(
+        &self,
+        address: SocketAddr,
+        by: CompactString,
+        head: Parts,
+        body: Bytes,
+    ) -> BoxFuture<'_, Result<Response<Body>, Error>>;
+}
+
+/// A relay over HTTP. It never repeats a request.
+#[derive(Debug, Clone, Copy)]
+pub struct Http {
+    /// The time within which the other daemon must accept a connection.
+    pub connect_timeout: Duration,
+}
+
+impl Default for Http {
+    fn default() -> Self {
+        Self { connect_timeout: Duration::from_secs(1) }
+    }
+}
+
+/// The headers of a caller that the other daemon needs.
+const FORWARDED: [&str; 6] = [
+    "authorization",
+    request::REQUEST_CLASS,
+    request::IDEMPOTENCY_KEY,
+    request::PREFER,
+    request::REQUEST_ID,
+    "content-type",
+];
+
+impl Relay for Http {
+    fn relay(
+        &self,
+        address: SocketAddr,
+        by: CompactString,
+        head: Parts,
+        body: Bytes,
+    ) -> BoxFuture<'_, Result<Response<Body>, Error>> {
+        Box::pin(self.send(address, by, head, body))
+    }
+}
+
+impl Http {
+    async fn send(
+        &self,
+        address: SocketAddr,
+        by: CompactString,
+        head: Parts,
+        body: Bytes,
+    ) -> Result<Response<Body>, Error> {
+        let stream = timeout(self.connect_timeout, TcpStream::connect(address))
+            .await
+            .map_err(|_| error("the daemon did not accept in time"))?
+            .map_err(error)?;
+        stream.set_nodelay(true).map_err(error)?;
+        let (mut sender, driver) = http1::handshake(TokioIo::new(stream)).await.map_err(error)?;
+        let driver = AbortOnDropHandle::new(tokio::spawn(async move {
+            if let Err(error) = driver.await {
+                log::debug!("relay connection ended error=\"{error}\"");
+            }
+        }));
+        let response = sender.send_request(request(address, &by, &head, body)?).await;
+        Ok(reply(response.map_err(error)?, driver))
+    }
+}
+
+fn request(
+    address: SocketAddr,
+    by: &str,
+    head: &Parts,
+    body: Bytes,
+) -> Result<Request<Full<Bytes>>, Error> {
+    let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+    let mut builder = Request::builder()
+        .method(head.method.clone())
+        .uri(path)
+        .header(HOST, address.to_string())
+        .header(RELAYED, by);
+    for name in FORWARDED {
+        for value in head.headers.get_all(name) {
+            builder = builder.header(name, value);
+        }
+    }
+    builder.body(Full::new(body)).map_err(error)
+}
+
+/// The other daemon's response with the headers that concern the caller.
+fn reply(response: Response<Incoming>, driver: AbortOnDropHandle<()>) -> Response<Body> {
+    let (head, incoming) = response.into_parts();
+    let body = incoming
+        .map_err(|error| body::Error { message: CompactString::new(error.to_string()) })
+        .boxed_unsync();
+    // The connection is driven for as long as its body is read.
+    let mut reply = Response::new(body::guard(body, driver));
+    *reply.status_mut() = head.status;
+    let kept = [
+        CONTENT_TYPE.as_str(),
+        CONTENT_LENGTH.as_str(),
+        RETRY_AFTER.as_str(),
+        request::REQUEST_ID,
+        REQUEST_OUTCOME,
+    ];
+    for name in kept {
+        let value: Option<&HeaderValue> = head.headers.get(name);
+        if let Some(value) = value {
+            let name = hyper::header::HeaderName::from_static(name);
+            reply.headers_mut().insert(name, value.clone());
+        }
+    }
+    reply
+}
+
+fn error(error: impl std::fmt::Display) -> Error {
+    Error { message: format_compact!("{error}") }
+}
--- /dev/null
+++ b/crates/caller/src/render.rs
@@ -0,0 +1,239 @@
+//! The forms in which answers go to callers.
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use futures::stream;
+use hyper::{
+    Response, StatusCode,
+    header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue, RETRY_AFTER},
+};
+use hyssop_document::digest::Digest;
+use serde_json::{Map, Value, json};
+
+use crate::{
+    body::{self, Body},
+    desk::REQUEST_OUTCOME,
+    outcome::{Kind, Outcome},
+    record::{End, Head, Next, Part, Reader, Record},
+    request,
+};
+
+const ANSWERED: HeaderValue = HeaderValue::from_static("answered");
+const EVENT_STREAM: HeaderValue = HeaderValue::from_static("text/event-stream");
+const JSON: HeaderValue = HeaderValue::from_static("application/json");
+
+/// Makes a part for callers out of an engine's chunk.
+///
+/// The attempt's id is replaced by that of the request, which stays the same over all attempts.
+pub fn part(id: &str, chunk: &Bytes, is_usage: bool) -> Option<Part> {
+    let mut object: Map<String, Value> = serde_json::from_slice(chunk).ok()?;
+    object.insert("id".to_owned(), json!(format!("cmpl-{id}")));
+    let compared = if is_usage { object.get("usage") } else { object.get("choices") };
+    let compared = serde_json::to_vec(&compared).ok()?;
+    let data = serde_json::to_vec(&object).ok()?.into();
+    Some(Part { data, digest: Digest::of(&compared).short(), is_usage })
+}
+
+/// Makes a part out of a piece of a plain service's answer.
+pub fn piece(data: Bytes) -> Part {
+    let digest = Digest::of(&data).short();
+    Part { data, digest, is_usage: false }
+}
+
+/// The response for an outcome other than an answer.
+pub fn outcome(outcome: &Outcome, request_id: &str) -> Response<Body> {
+    let mut response = Response::new(body::full(outcome.to_json(request_id)));
+    *response.status_mut() = outcome.status();
+    let kind = match outcome.kind {
+        Kind::Refused => "refused",
+        Kind::Unknown => "unknown",
+        Kind::Failed => "failed",
+    };
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, JSON);
+    headers.insert(REQUEST_OUTCOME, HeaderValue::from_static(kind));
+    if let Some(seconds) = outcome.retry_after_seconds() {
+        headers.insert(RETRY_AFTER, header_value(&seconds));
+    }
+    headers.insert(request::REQUEST_ID, header_value(request_id));
+    response
+}
+
+/// The response for a value in JSON.
+pub fn json(value: &impl serde::Serialize) -> Response<Body> {
+    let text = serde_json::to_string(value).expect("the value is serializable");
+    let mut response = Response::new(body::full(text));
+    response.headers_mut().insert(CONTENT_TYPE, JSON);
+    response.headers_mut().insert(CACHE_CONTROL, HeaderValue::from_static("no-store"));
+    response
+}
+
+/// The response for a whole answer.
+pub fn whole(record: &Record, request_id: &str) -> Response<Body> {
+    let (head, parts) = record.snapshot();
+    let head = head.unwrap_or(Head { status: 200, content_type: None, chunks: false });
+    let (bytes, content_type) = if head.chunks {
+        (Bytes::from(merge(&parts).to_string()), Some(JSON))
+    } else {
+        let bytes: Vec<u8> = parts.iter().flat_map(|part| part.data.iter().copied()).collect();
+        (bytes.into(), head.content_type.as_deref().map(header_value))
+    };
+    let mut response = Response::new(body::full(bytes));
+    *response.status_mut() = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    if let Some(content_type) = content_type {
+        response.headers_mut().insert(CONTENT_TYPE, content_type);
+    }
+    answered(&mut response, request_id);
+    response
+}
+
+/// The response for an answer as an event stream, of which the first part is there.
+pub fn events(
+    reader: Reader,
+    first: Part,
+    include_usage: bool,
+    request_id: &CompactString,
+) -> Response<Body> {
+    let state = Events {
+        reader,
+        first: Some(first),
+        number: 0,
+        include_usage,
+        request_id: request_id.clone(),
+        ended: false,
+    };
+    let pieces = stream::unfold(state, |mut state| async move {
+        let piece = state.next().await?;
+        Some((Ok(piece), state))
+    });
+    let mut response = Response::new(body::stream(Box::pin(pieces)));
+    response.headers_mut().insert(CONTENT_TYPE, EVENT_STREAM);
+    response.headers_mut().insert(CACHE_CONTROL, HeaderValue::from_static("no-store"));
+    answered(&mut response, request_id);
+    response
+}
+
+fn answered(response: &mut Response<Body>, request_id: &str) {
+    response.headers_mut().insert(REQUEST_OUTCOME, ANSWERED);
+    response.headers_mut().insert(request::REQUEST_ID, header_value(request_id));
+}
+
+fn header_value(text: &str) -> HeaderValue {
+    HeaderValue::from_str(text).unwrap_or(HeaderValue::from_static("invalid"))
+}
+
+struct Events {
+    reader: Reader,
+    first: Option<Part>,
+    number: u64,
+    include_usage: bool,
+    request_id: CompactString,
+    ended: bool,
+}
+
+impl Events {
+    async fn next(&mut self) -> Option<Bytes> {
+        loop {
+            if self.ended {
+                return None;
+            }
+            let next = match self.first.take() {
+                Some(part) => Next::Part(part),
+                None => self.reader.next().await,
+            };
+            match next {
+                Next::Part(part) if part.is_usage && !self.include_usage => {}
+                Next::Part(part) => return Some(self.event(&part)),
+                Next::End(end) => {
+                    self.ended = true;
+                    return Some(self.end(&end));
+                }
+            }
+        }
+    }
+
+    fn event(&mut self, part: &Part) -> Bytes {
+        self.number += 1;
+        let mut event = format!("id: {}\ndata: ", self.number).into_bytes();
+        event.extend_from_slice(&part.data);
+        event.extend_from_slice(b"\n\n");
+        event.into()
+    }
+
+    /// The end mark, or the outcome as an event of its own.
+    fn end(&self, end: &End) -> Bytes {
+        match end {
+            End::Whole => Bytes::from_static(b"data: [DONE]\n\n"),
+            End::Other(outcome) => {
+                let json = outcome.to_json(&self.request_id);
+                format!("event: error\ndata: {json}\n\n").into()
+            }
+        }
+    }
+}
+
+/// Merges the chunks of a whole answer into one object.
+fn merge(parts: &[Part]) -> Value {
+    let mut merged = Map::new();
+    let mut choices: Vec<Value> = Vec::new();
+    for part in parts {
+        let Ok(Value::Object(mut chunk)) = serde_json::from_slice(&part.data) else { continue };
+        if let Some(Value::Array(more)) = chunk.remove("choices") {
+            more.into_iter().for_each(|choice| merge_item(&mut choices, choice));
+        }
+        for (field, value) in chunk {
+            if !value.is_null() || !merged.contains_key(&field) {
+                merged.insert(field, value);
+            }
+        }
+    }
+    let chat = choices.iter_mut().filter_map(Value::as_object_mut).fold(false, |chat, choice| {
+        let delta = choice.remove("delta");
+        let is_chat = delta.is_some();
+        delta.and_then(|delta| choice.insert("message".to_owned(), delta));
+        chat || is_chat
+    });
+    let object = if chat { "chat.completion" } else { "text_completion" };
+    merged.insert("object".to_owned(), json!(object));
+    merged.insert("choices".to_owned(), Value::Array(choices));
+    Value::Object(merged)
+}
+
+/// Merges an element into the one with the same `index`, or appends it.
+fn merge_item(items: &mut Vec<Value>, item: Value) {
+    let index = item.get("index").cloned();
+    let same = items.iter_mut().find(|old| index.is_some() && old.get("index") == index.as_ref());
+    match same {
+        Some(old) => merge_value(old, item),
+        None => items.push(item),
+    }
+}
+
+fn merge_value(old: &mut Value, new: Value) {
+    match (old, new) {
+        (Value::Object(old), Value::Object(new)) => {
+            new.into_iter().for_each(|(field, value)| merge_field(old, field, value));
+        }
+        (Value::Array(old), Value::Array(new)) => {
+            new.into_iter().for_each(|item| merge_item(old, item));
+        }
+        (old, new) => *old = new,
+    }
+}
+
+fn merge_field(object: &mut Map<String, Value>, field: String, new: Value) {
+    /// The texts that come in pieces. All other texts come whole.
+    const PIECED: [&str; 5] = ["text", "content", "reasoning_content", "refusal", "arguments"];
+    match (object.get_mut(&field), new) {
+        (Some(Value::String(old)), Value::String(new)) if PIECED.contains(&field.as_str()) => {
+            old.push_str(&new);
+        }
+        (Some(old @ (Value::Object(_) | Value::Array(_))), new) if !new.is_null() => {
+            merge_value(old, new);
+        }
+        (Some(old), Value::Null) if !old.is_null() => {}
+        (_, new) => {
+            object.insert(field, new);
+        }
+    }
+}
