Assemble the daemon

Cause: the packages of the peers do not know each other; something must join them into one path of a request. Change: adaptors for permits, backend servers, the document, the platform, quarantine, measurements and the administration API; start, service and graceful stop of a daemon; one call by which daemons ask each other for their histograms; peers keep the indexed catalog instead of a second parse.

--- /dev/null
+++ b/crates/daemon/src/adapt.rs
@@ -0,0 +1,10 @@
+//! Adaptors between the packages of the peers, which do not know each other.
+
+pub(crate) mod backends;
+pub(crate) mod desk;
+pub(crate) mod directory;
+pub(crate) mod loads;
+pub(crate) mod observer;
+pub(crate) mod permits;
+pub(crate) mod platform;
+pub(crate) mod quarantine;
--- /dev/null
+++ b/crates/daemon/src/adapt/permits.rs
@@ -0,0 +1,102 @@
+//! Permits, from the schedulers to a request's home.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use futures::future::BoxFuture;
+use hyssop_caller::permits::{Ask, Permits as Border, Stale, Verdict};
+use hyssop_document::{group::Group, number::Tokens};
+use hyssop_peer::Node;
+use hyssop_policy::{
+    decision::{Reason, Refusal},
+    permit::{Id, Permit, Release},
+};
+
+/// Takes permits from the schedulers of a pool's groups.
+#[derive(Debug)]
+pub(crate) struct Permits {
+    pub(crate) node: Arc<Node>,
+}
+
+impl Permits {
+    /// Asks one group after the other, and refuses only after the last.
+    async fn ask_groups(&self, ask: Ask) -> Verdict {
+        let started = Instant::now();
+        let mut verdict =
+            Verdict::Refused(Refusal { reason: Reason::NoBackend, retry_after_ms: 0 });
+        for group in self.groups(&ask) {
+            let remaining = ask.remaining.saturating_sub(started.elapsed());
+            verdict = self.ask_group(&ask, group, remaining).await;
+            if !may_ask_on(&verdict) {
+                break;
+            }
+        }
+        verdict
+    }
+
+    /// The groups of the pool. Requests with a common prefix begin with the same group.
+    fn groups(&self, ask: &Ask) -> Vec<Group> {
+        let current = self.node.current();
+        let Some(document) = &current.document else { return Vec::new() };
+        let all = document.catalog.groups_of(&ask.pool);
+        let mut groups: Vec<_> = all.iter().map(|members| members.group.clone()).collect();
+        if !groups.is_empty() {
+            let first = ask.prefix.unwrap_or_else(rand::random) % groups.len() as u64;
+            groups.rotate_left(first as usize);
+        }
+        groups
+    }
+
+    async fn ask_group(&self, ask: &Ask, group: Group, remaining: Duration) -> Verdict {
+        let peer_ask = hyssop_peer::Ask {
+            group,
+            class: ask.class.clone(),
+            workspace: ask.workspace.clone(),
+            remaining_ms: remaining.as_millis() as u64,
+            prompt_tokens: ask.prompt_tokens,
+            max_output: ask.max_output,
+            prefix: ask.prefix,
+            solo: ask.solo,
+            exclude: ask.exclude.clone(),
+        };
+        match self.node.permit(peer_ask).await {
+            hyssop_peer::Verdict::Granted(permit) => Verdict::Granted(permit),
+            hyssop_peer::Verdict::Refused(refusal) => Verdict::Refused(refusal),
+            hyssop_peer::Verdict::NoScheduler { retry_after_ms } => {
+                Verdict::NoScheduler { retry_after: Duration::from_millis(retry_after_ms) }
+            }
+        }
+    }
+}
+
+/// Whether another group of the pool may still grant a permit.
+fn may_ask_on(verdict: &Verdict) -> bool {
+    match verdict {
+        Verdict::Granted(_) => false,
+        Verdict::Refused(refusal) => refusal.reason != Reason::UnknownName,
+        Verdict::NoScheduler { .. } => true,
+    }
+}
+
+impl Border for Permits {
+    fn ask(&self, ask: Ask) -> BoxFuture<'_, Verdict> {
+        Box::pin(self.ask_groups(ask))
+    }
+
+    fn confirm(&self, permit: &Permit) -> Result<(), Stale> {
+        self.node.confirm(permit).map_err(|stale| {
+            log::info!("permit not used permit={} reason=\"{stale}\"", permit.id);
+            Stale
+        })
+    }
+
+    fn release(&self, release: Release) {
+        self.node.release(release);
+    }
+
+    fn progress(&self, id: Id, tokens: Tokens) {
+        self.node.progress(id, tokens);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/adapt/platform.rs
@@ -0,0 +1,72 @@
+//! Published values, from the platform to the node.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use compact_str::ToCompactString;
+use hyssop_document::{number::Revision, order};
+use hyssop_peer::{Node, current::Source, hosts as listed};
+use hyssop_platform::{
+    Key,
+    client::{Error, Value},
+    hosts,
+    reader::{Duty, Sink},
+};
+
+/// Offers what the platform publishes to the node.
+#[derive(Debug)]
+pub(crate) struct Platform {
+    pub(crate) node: Arc<Node>,
+}
+
+impl Platform {
+    fn hosts(&self, revision: Revision, bytes: &Bytes) {
+        let entries = match hosts::parse(bytes) {
+            Ok(list) => list.hosts.into_iter().map(entry).collect(),
+            Err(error) => return log::warn!("platform value rejected key=hosts error=\"{error}\""),
+        };
+        if let Err(error) = self.node.set_listed(listed::List { revision, hosts: entries }) {
+            log::warn!("platform value rejected key=hosts error={error:?}");
+        }
+    }
+
+    fn orders(&self, bytes: &Bytes) {
+        match serde_json::from_slice::<order::State>(bytes) {
+            Ok(state) => {
+                self.node.offer_orders(state, &Source::Platform);
+            }
+            Err(error) => log::warn!("platform value rejected key=orders error=\"{error}\""),
+        }
+    }
+}
+
+fn entry(host: hosts::Host) -> listed::Entry {
+    let state = match host.state {
+        hosts::State::Live => listed::State::Live,
+        hosts::State::Leaving => listed::State::Leaving,
+    };
+    listed::Entry { host: host.host, zone: host.zone, peer_address: host.peer_address, state }
+}
+
+impl Sink for Platform {
+    fn duty(&self) -> Duty {
+        if self.node.platform_duty() { Duty::Watch } else { Duty::Poll }
+    }
+
+    fn value(&self, key: Key, value: Value) {
+        self.node.set_platform(true);
+        let Some(bytes) = value.bytes else { return };
+        match key {
+            Key::Document => {
+                self.node.offer_document(bytes, Source::Platform);
+            }
+            Key::Hosts => self.hosts(Revision(value.index.0), &bytes),
+            Key::Orders => self.orders(&bytes),
+        }
+    }
+
+    fn failed(&self, key: Key, error: &Error) {
+        self.node.set_platform(false);
+        log::warn!("platform read failed key={key} error={:?}", error.to_compact_string());
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,6 +1,84 @@
 //! The daemon: settings, assembly of all parts, the path of a request.
 
+mod adapt;
 pub mod histogram;
 pub mod logging;
 pub mod metrics;
+pub mod run;
 pub mod settings;
+
+use std::{ffi::OsString, io::Write as _, process::ExitCode};
+
+use anyhow::Context as _;
+use clap::Parser as _;
+use tokio::{
+    runtime,
+    signal::unix::{SignalKind, signal},
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    run::Daemon,
+    settings::{Error, Flags, Settings},
+};
+
+/// The exit code for faults of the command line or the settings.
+const EXIT_SETTINGS: u8 = 2;
+/// The exit code for a stop that cut off requests, and for other failures.
+const EXIT_FAILURE: u8 = 1;
+
+/// Runs the daemon with a command line, whose first argument is the program's name.
+pub fn main(args: impl IntoIterator<Item = OsString>) -> ExitCode {
+    let flags = match Flags::try_parse_from(args) {
+        Ok(flags) => flags,
+        Err(error) => {
+            let _printed = error.print();
+            return ExitCode::from(error.exit_code() as u8);
+        }
+    };
+    match start(&flags) {
+        Ok(code) => code,
+        Err(error) => {
+            say(&format!("{error:#}"));
+            let settings = error.downcast_ref::<Error>().is_some();
+            ExitCode::from(if settings { EXIT_SETTINGS } else { EXIT_FAILURE })
+        }
+    }
+}
+
+fn start(flags: &Flags) -> anyhow::Result<ExitCode> {
+    let settings = Settings::read(flags)?;
+    if flags.check_settings {
+        say(&format!("{}: settings are valid", flags.settings.display()));
+        return Ok(ExitCode::SUCCESS);
+    }
+    logging::start(settings.log_level);
+    let runtime = runtime::Builder::new_multi_thread().enable_all().build();
+    runtime.context("the runtime cannot be started")?.block_on(serve(settings, flags))
+}
+
+async fn serve(settings: Settings, flags: &Flags) -> anyhow::Result<ExitCode> {
+    let daemon = Daemon::bind(settings).await;
+    let daemon = daemon.map_err(|error| Error::new(&flags.settings, error.field, &error))?;
+    let stop = CancellationToken::new();
+    stop_on_signal(&stop)?;
+    let ended = daemon.run(stop).await;
+    Ok(if ended.cut_off == 0 { ExitCode::SUCCESS } else { ExitCode::from(EXIT_FAILURE) })
+}
+
+fn stop_on_signal(stop: &CancellationToken) -> anyhow::Result<()> {
+    for kind in [SignalKind::terminate(), SignalKind::interrupt()] {
+        let mut signals = signal(kind).context("signals cannot be received")?;
+        let stop = stop.clone();
+        tokio::spawn(async move {
+            signals.recv().await;
+            stop.cancel();
+        });
+    }
+    Ok(())
+}
+
+/// Writes a line to standard error. There is nobody to tell if that fails.
+fn say(line: &str) {
+    let _written = writeln!(std::io::stderr(), "{line}");
+}
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -15,6 +15,15 @@
 /// The metrics that may wait for the sender. More are dropped.
 const QUEUE_LIMIT: usize = 4096;
 
+fn connect(address: SocketAddr, host: &name::Host) -> Result<StatsdClient, MetricError> {
+    let any = if address.is_ipv4() { "0.0.0.0:0" } else { "[::]:0" };
+    let socket = UdpSocket::bind(any)?;
+    socket.set_nonblocking(true)?;
+    let sink = BufferedUdpMetricSink::from(address, socket)?;
+    let sink = QueuingMetricSink::with_capacity(sink, QUEUE_LIMIT);
+    Ok(StatsdClient::builder(PREFIX, sink).with_tag("host", host.as_str()).build())
+}
+
 /// Sends metrics. Sending never blocks and a failure is ignored: metrics are a courtesy.
 #[derive(Debug)]
 pub struct Metrics {
@@ -22,24 +31,17 @@
 }
 
 impl Metrics {
-    /// Sends to `address`, or nowhere.
-    ///
-    /// # Errors
-    ///
-    /// Fails if no local socket can be made.
-    pub fn new(address: Option<SocketAddr>, host: &name::Host) -> Result<Self, MetricError> {
-        let client = match address {
-            None => StatsdClient::from_sink(PREFIX, NopMetricSink),
-            Some(address) => {
-                let any = if address.is_ipv4() { "0.0.0.0:0" } else { "[::]:0" };
-                let socket = UdpSocket::bind(any)?;
-                socket.set_nonblocking(true)?;
-                let sink = BufferedUdpMetricSink::from(address, socket)?;
-                let sink = QueuingMetricSink::with_capacity(sink, QUEUE_LIMIT);
-                StatsdClient::builder(PREFIX, sink).with_tag("host", host.as_str()).build()
+    /// Sends to `address`, or nowhere. Without a local socket the daemon runs without metrics.
+    pub fn new(address: Option<SocketAddr>, host: &name::Host) -> Self {
+        let client = match address.map(|address| connect(address, host)) {
+            Some(Ok(client)) => client,
+            Some(Err(error)) => {
+                log::warn!("metrics not sent error=\"{error}\"");
+                StatsdClient::from_sink(PREFIX, NopMetricSink)
             }
+            None => StatsdClient::from_sink(PREFIX, NopMetricSink),
         };
-        Ok(Self { client })
+        Self { client }
     }
 
     /// Sends the end of a request.
@@ -66,9 +68,11 @@
         }
     }
 
-    /// Sends a count of an event.
-    pub fn event(&self, event: &str) {
-        let _sent = self.client.count(event, 1);
+    /// Adds to a count.
+    pub fn add(&self, counter: &str, amount: u64) {
+        if amount > 0 {
+            let _sent = self.client.count(counter, amount);
+        }
     }
 
     /// Sends a value as it is now.
--- /dev/null
+++ b/crates/daemon/src/run.rs
@@ -0,0 +1,214 @@
+//! Start, service and graceful stop of a daemon.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use hyssop_backend::client::Client;
+use hyssop_caller::{home::Home, server::Server as CallerServer};
+use hyssop_document::number::Incarnation;
+use hyssop_operator::server::Server as OperatorServer;
+use hyssop_peer::{Identity, Node};
+use hyssop_platform::{Key, client::Client as PlatformClient, reader};
+use hyssop_timer::Service;
+use tokio::{
+    net::TcpListener,
+    time::{Instant, timeout},
+};
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+
+use crate::{
+    adapt::{
+        backends::Backends,
+        desk::{Desk, Inquiry},
+        directory::Directory,
+        loads::Loads,
+        observer::Observer,
+        permits::Permits,
+        platform::Platform,
+        quarantine::Quarantine,
+    },
+    histogram::Book,
+    metrics::Metrics,
+    settings::Settings,
+};
+
+/// The time within which a backend server must accept a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
+/// The time within which a backend server must report its load.
+const LOAD_TIMEOUT: Duration = Duration::from_millis(500);
+/// The time within which the platform must answer, on top of a watch's own wait.
+const PLATFORM_TIMEOUT: Duration = Duration::from_secs(3);
+/// The time between two looks at whether schedulers are handed over.
+const HAND_OVER_CHECK: Duration = Duration::from_millis(50);
+/// The longest wait for schedulers to be handed over.
+const HAND_OVER_LIMIT: Duration = Duration::from_secs(5);
+
+/// An address that cannot be bound.
+#[derive(Debug, derive_more::Display, derive_more::Error)]
+#[display("{address} cannot be bound: {error}")]
+pub struct BindError {
+    /// The field of the settings.
+    pub field: &'static str,
+    /// The address.
+    pub address: SocketAddr,
+    /// The reason.
+    #[error(source)]
+    pub error: io::Error,
+}
+
+/// How a graceful stop ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Stop {
+    /// The requests that were cut off because the stop took too long.
+    pub cut_off: usize,
+}
+
+/// A daemon whose addresses are bound and which serves.
+pub struct Daemon {
+    settings: Settings,
+    node: Arc<Node>,
+    home: Home,
+    caller: CallerServer,
+    operator: OperatorServer,
+    platform: Arc<Platform>,
+    stop_callers: CancellationToken,
+}
+
+impl Daemon {
+    /// Binds all addresses and joins the peers. Nothing is served yet.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address cannot be bound.
+    pub async fn bind(settings: Settings) -> Result<Self, BindError> {
+        let caller = listen("caller_address", settings.caller_address).await?;
+        let operator = listen("operator_address", settings.operator_address).await?;
+        let timer = Service::builder().start();
+        let client = Client::new(CONNECT_TIMEOUT);
+        let histograms = Arc::new(Book::default());
+        let node = start_node(&settings, &timer, &client, &histograms).await?;
+        let quarantine = Arc::new(Quarantine::new(Arc::clone(&node)));
+        let home = home(&settings, &node, client, &histograms, &quarantine);
+        let desk = Desk { node: Arc::clone(&node), quarantine };
+        let operator = OperatorServer::builder(operator, Arc::new(desk))
+            .keys(settings.operator_keys_sha256.clone())
+            .build();
+        let stop_callers = CancellationToken::new();
+        let caller = CallerServer::builder(caller, Arc::new(home.clone()))
+            .stop(stop_callers.clone())
+            .build();
+        let platform = Arc::new(Platform { node: Arc::clone(&node) });
+        Ok(Self { settings, node, home, caller, operator, platform, stop_callers })
+    }
+
+    /// Serves until `stop` is cancelled, then stops gracefully.
+    pub async fn run(self, stop: CancellationToken) -> Stop {
+        let tasks = TaskTracker::new();
+        let stop_others = CancellationToken::new();
+        self.follow_platform(&tasks, &stop_others);
+        let callers = tokio::spawn(self.caller.run());
+        tasks.spawn(self.operator.run(stop_others.clone()));
+        log::info!(
+            "daemon started host={} incarnation={} caller_address={} peer_address={} operator_address={}",
+            self.settings.host,
+            self.node.identity().incarnation,
+            self.settings.caller_address,
+            self.settings.peer_address,
+            self.settings.operator_address,
+        );
+        stop.cancelled().await;
+        let started = Instant::now();
+        leave(&self.node, self.settings.addresses_lifetime).await;
+        self.stop_callers.cancel();
+        let left = self.settings.stop_limit.saturating_sub(started.elapsed());
+        let drained = timeout(left, async {
+            let _ended = callers.await;
+            self.home.drain().await;
+        });
+        let cut_off = if drained.await.is_ok() { 0 } else { self.home.running() };
+        stop_others.cancel();
+        tasks.close();
+        tasks.wait().await;
+        log::info!("daemon stopped host={} cut_off={cut_off}", self.settings.host);
+        Stop { cut_off }
+    }
+
+    fn follow_platform(&self, tasks: &TaskTracker, stop: &CancellationToken) {
+        let Settings { platform_address, platform_prefix, .. } = &self.settings;
+        let client = PlatformClient::new(*platform_address, platform_prefix, PLATFORM_TIMEOUT);
+        for key in Key::ALL {
+            let sink = Arc::clone(&self.platform);
+            let reader = reader::Builder::new(client.clone(), key).seed(rand::random());
+            tasks.spawn(reader.run(sink, stop.clone()));
+        }
+    }
+}
+
+/// Tells the peers, hands the schedulers over, and serves on for as long as a caller may still keep
+/// an old answer of `/v1/addresses`.
+async fn leave(node: &Node, addresses_lifetime: Duration) {
+    let end = Instant::now() + addresses_lifetime;
+    node.leave();
+    let handed_over = timeout(HAND_OVER_LIMIT, async {
+        while !node.handed_over() {
+            tokio::time::sleep(HAND_OVER_CHECK).await;
+        }
+    });
+    if handed_over.await.is_err() {
+        log::warn!("schedulers not handed over limit_ms={}", HAND_OVER_LIMIT.as_millis());
+    }
+    tokio::time::sleep_until(end).await;
+}
+
+async fn listen(field: &'static str, address: SocketAddr) -> Result<TcpListener, BindError> {
+    TcpListener::bind(address).await.map_err(|error| BindError { field, address, error })
+}
+
+async fn start_node(
+    settings: &Settings,
+    timer: &Arc<Service>,
+    client: &Client,
+    histograms: &Arc<Book>,
+) -> Result<Arc<Node>, BindError> {
+    let identity = Identity {
+        host: settings.host.clone(),
+        zone: settings.zone.clone(),
+        incarnation: incarnation(),
+        caller_address: settings.caller_address,
+        peer_address: settings.peer_address,
+    };
+    let loads = Arc::new(Loads { client: client.clone(), timeout: LOAD_TIMEOUT });
+    let inquiry = Arc::new(Inquiry { histograms: Arc::clone(histograms) });
+    let node = Node::builder(identity, Arc::clone(timer), loads)
+        .seeds(settings.peers.clone())
+        .inquiry(inquiry)
+        .start();
+    let address = settings.peer_address;
+    node.await.map_err(|error| BindError { field: "peer_address", address, error })
+}
+
+fn home(
+    settings: &Settings,
+    node: &Arc<Node>,
+    client: Client,
+    histograms: &Arc<Book>,
+    quarantine: &Arc<Quarantine>,
+) -> Home {
+    let lifetime = settings.addresses_lifetime;
+    let directory = Arc::new(Directory { node: Arc::clone(node), lifetime });
+    let permits = Arc::new(Permits { node: Arc::clone(node) });
+    let backends = Arc::new(Backends { client });
+    let metrics = Arc::new(Metrics::new(settings.metrics_address, &settings.host));
+    let observer = Arc::new(Observer { histograms: Arc::clone(histograms), metrics });
+    let quarantine = Arc::clone(quarantine);
+    Home::builder(directory, permits, backends).observer(observer).quarantine(quarantine).build()
+}
+
+fn incarnation() -> Incarnation {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    Incarnation::new(since_epoch.as_millis() as u64, rand::random())
+}
--- a/crates/operator/src/outcome.rs
+++ b/crates/operator/src/outcome.rs
@@ -18,6 +18,8 @@
     Conflict(Conflict),
     /// The order is about an availability zone or a host that nobody knows.
     UnknownTarget(UnknownTarget),
+    /// The host that decides about orders did not answer. The order may be in force or not.
+    Undecided(Undecided),
 }
 
 /// Where an order is in force.
@@ -50,6 +52,13 @@
     pub state: State,
 }
 
+/// Nobody can say whether the order was taken. The orders in force tell.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Undecided {
+    /// What happened, in one sentence.
+    pub message: CompactString,
+}
+
 /// The target of an order is unknown, and nothing was changed.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UnknownTarget {
--- a/crates/operator/src/server/route.rs
+++ b/crates/operator/src/server/route.rs
@@ -102,6 +102,7 @@
             outcome::Order::InForce(_) => StatusCode::OK,
             outcome::Order::Conflict(_) => StatusCode::CONFLICT,
             outcome::Order::UnknownTarget(_) => StatusCode::NOT_FOUND,
+            outcome::Order::Undecided(_) => StatusCode::GATEWAY_TIMEOUT,
         };
         Ok(json(status, &outcome))
     }
--- a/crates/peer/src/current.rs
+++ b/crates/peer/src/current.rs
@@ -5,10 +5,7 @@
 use arc_swap::ArcSwap;
 use bytes::Bytes;
 use compact_str::CompactString;
-use hyssop_document::{
-    load::{self, Checked, Fault},
-    order,
-};
+use hyssop_document::{catalog::Catalog, load::Fault, order};
 use serde::{Deserialize, Serialize};
 
 use crate::wire::Stamp;
@@ -30,10 +27,8 @@
 /// A document in force.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Document {
-    /// The checked document.
-    pub checked: Arc<Checked>,
-    /// The bytes as published.
-    pub bytes: Bytes,
+    /// The checked document, with the bytes as published.
+    pub catalog: Catalog,
     /// The revision and the digest.
     pub stamp: Stamp,
     /// Where this daemon has it from.
@@ -125,16 +120,16 @@
     ///
     /// Must not be called by two tasks at once; the node has a lock for this.
     pub fn offer_document(&self, bytes: Bytes, source: Source) -> Outcome {
-        let checked = match load::parse(&bytes) {
-            Ok(checked) => checked,
+        let catalog = match Catalog::parse(bytes) {
+            Ok(catalog) => catalog,
             Err(faults) => return self.reject(faults, source),
         };
-        let stamp = Stamp { revision: checked.document.revision, digest: checked.digest };
+        let stamp = Stamp { revision: catalog.revision(), digest: catalog.digest() };
         let current = self.load();
         let outcome = self.compare("document", stamp, current.document_stamp(), &source);
         if outcome == Outcome::Adopted {
             log::info!("document adopted revision={} source={source}", stamp.revision);
-            let document = Document { checked: Arc::new(checked), bytes, stamp, source };
+            let document = Document { catalog, stamp, source };
             let document = Some(Arc::new(document));
             self.current.store(Arc::new(Current { document, ..(*current).clone() }));
             self.rejection.store(Arc::new(None));
--- a/crates/peer/src/group.rs
+++ b/crates/peer/src/group.rs
@@ -218,7 +218,7 @@
     fn configure(&mut self) {
         let current = self.shared.store.load();
         let Some(document) = &current.document else { return };
-        let document = &document.checked.document;
+        let document = document.catalog.document();
         self.scheduler.configure(document, &current.orders, self.shared.timer.now());
         let members = group::split(document, &self.group.pool);
         let members = members.into_iter().find(|(group, _)| *group == self.group);
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod held;
 pub mod hosts;
 pub mod identity;
+pub mod inquiry;
 pub mod link;
 pub mod member;
 pub mod message;
@@ -26,5 +27,6 @@
 
 pub use group::Loads;
 pub use identity::{Identity, Process};
+pub use inquiry::Inquiry;
 pub use message::{Ask, Verdict};
 pub use node::Node;
--- a/crates/peer/src/node.rs
+++ b/crates/peer/src/node.rs
@@ -47,6 +47,7 @@
     held,
     hosts::List,
     identity::{Identity, Process},
+    inquiry::{Inquiry, Replies},
     link,
     message::{Batch, Event},
     notice::{self, Board, Notice},
@@ -79,6 +80,7 @@
     slots: AtomicU64,
     pool: link::Pool,
     pub(crate) loads: Arc<dyn Loads>,
+    inquiry: Arc<dyn Inquiry>,
     socket: UdpSocket,
     /// Asks for a round of heartbeats at once.
     beat: Notify,
@@ -197,6 +199,11 @@
         self.shared.fleet().await
     }
 
+    /// Asks all daemons, this one included, about a topic.
+    pub async fn inquire(&self, topic: &str) -> Replies {
+        self.shared.inquire(topic).await
+    }
+
     /// Puts up a notice on every daemon.
     pub fn put_notice(&self, name: notice::Name, text: CompactString, expires: Duration) {
         let now = self.shared.timer.now();
@@ -213,6 +220,11 @@
         found
     }
 
+    /// A notice, also one that was taken back, with the time that it has left.
+    pub fn notice(&self, name: &notice::Name) -> Option<Notice> {
+        self.shared.board.lock().get(name, self.shared.timer.now())
+    }
+
     /// Whether a notice holds.
     pub fn has_notice(&self, name: &notice::Name) -> bool {
         self.shared.board.lock().holds(name, self.shared.timer.now())
@@ -275,7 +287,7 @@
         if outcome == Outcome::Adopted {
             let current = self.store.load();
             let groups = current.document.as_ref().map(|document| {
-                let groups = group::all(&document.checked.document);
+                let groups = group::all(document.catalog.document());
                 groups.into_iter().map(|(group, _)| Key::group(&group)).collect()
             });
             self.core.lock().set_keys(groups.unwrap_or_default());
@@ -412,7 +424,7 @@
         let current = self.store.load();
         let standings = self.standings.load_full();
         let document = current.document.as_ref();
-        let all = document.map(|document| group::all(&document.checked.document));
+        let all = document.map(|document| group::all(document.catalog.document()));
         let schedulers = all.unwrap_or_default().into_iter().map(|(group, _)| {
             let standing = standings.get(&Key::group(&group)).filter(|s| now < s.until);
             let scheduler = standing.map(|standing| standing.scheduler.host.clone());
@@ -441,24 +453,47 @@
     }
 
     async fn fleet(&self) -> Fleet {
+        let call =
+            |link: link::Link| async move { link.client.status(tarpc::context::current()).await };
+        let (answers, not_reached) = self.call_all(call).await;
+        let mut reached: Vec<_> = answers.into_iter().map(|(_, status)| status).collect();
+        reached.push(self.status().await);
+        reached.sort_by(|a, b| a.identity.host.cmp(&b.identity.host));
+        Fleet { reached, not_reached }
+    }
+
+    async fn inquire(&self, topic: &str) -> Replies {
+        let call = |link: link::Link| {
+            let topic = CompactString::new(topic);
+            async move { link.client.inquire(tarpc::context::current(), topic).await }
+        };
+        let (mut answers, not_reached) = self.call_all(call).await;
+        answers.push((self.identity.host.clone(), self.inquiry.answer(topic).await));
+        answers.sort_by(|a, b| a.0.cmp(&b.0));
+        Replies { answers, not_reached }
+    }
+
+    /// Calls all peers at once. Returns the answers, and the hosts that gave none in time.
+    async fn call_all<T, E, F: Future<Output = Result<T, E>>>(
+        &self,
+        call: impl Fn(link::Link) -> F,
+    ) -> (Vec<(name::Host, T)>, Vec<name::Host>) {
         let hosts = self.audience();
-        let calls = hosts.iter().map(|host| async move {
-            let call = async {
-                let link = self.link(host).await.ok()?;
-                link.client.status(tarpc::context::current()).await.ok()
-            };
-            time::timeout(STATUS_TIMEOUT, call).await.ok().flatten()
-        });
+        let mut calls = Vec::with_capacity(hosts.len());
+        for host in hosts.clone() {
+            let call = &call;
+            let answer = async move { call(self.link(&host).await.ok()?).await.ok() };
+            calls.push(async { time::timeout(STATUS_TIMEOUT, answer).await.ok().flatten() });
+        }
         let answers = future::join_all(calls).await;
-        let mut reached = vec![self.status().await];
+        let mut reached = Vec::with_capacity(answers.len());
         let mut not_reached = Vec::new();
         for (host, answer) in hosts.into_iter().zip(answers) {
             match answer {
-                Some(status) => reached.push(status),
+                Some(answer) => reached.push((host, answer)),
                 None => not_reached.push(host),
             }
         }
-        reached.sort_by(|a, b| a.identity.host.cmp(&b.identity.host));
-        Fleet { reached, not_reached }
+        (reached, not_reached)
     }
 }
--- a/crates/peer/src/node/builder.rs
+++ b/crates/peer/src/node/builder.rs
@@ -24,6 +24,7 @@
     group::Loads,
     held,
     identity::Identity,
+    inquiry::{Inquiry, Silent},
     link, member,
     timing::Timing,
     view::{Standings, View},
@@ -39,6 +40,7 @@
     identity: Identity,
     timer: Arc<Service>,
     loads: Arc<dyn Loads>,
+    inquiry: Arc<dyn Inquiry>,
     seeds: Vec<SocketAddr>,
     timing: Timing,
     cell: Cell,
@@ -51,6 +53,7 @@
             identity,
             timer,
             loads,
+            inquiry: Arc::new(Silent),
             seeds: Vec::new(),
             timing: Timing::default(),
             cell: Cell::default(),
@@ -58,6 +61,12 @@
         }
     }
 
+    /// Sets what answers the peers' questions about the daemon around the node.
+    pub fn inquiry(mut self, inquiry: Arc<dyn Inquiry>) -> Self {
+        self.inquiry = inquiry;
+        self
+    }
+
     /// Sets addresses of peers to ask before a list of hosts is known.
     pub fn seeds(mut self, seeds: Vec<SocketAddr>) -> Self {
         self.seeds = seeds;
@@ -111,6 +120,7 @@
             slots: AtomicU64::new(0),
             pool: link::Pool::new(identity.clone(), closed),
             loads: self.loads,
+            inquiry: self.inquiry,
             socket,
             beat: Notify::new(),
             spread: Notify::new(),
--- a/crates/peer/src/node/direct.rs
+++ b/crates/peer/src/node/direct.rs
@@ -100,7 +100,7 @@
             }
         }
         in_force.sort();
-        Outcome::Done { revision: state.revision, in_force, not_reached }
+        Outcome::Done { state, in_force, not_reached }
     }
 
     async fn offer_to(&self, host: &name::Host, state: &State) -> Option<Stamp> {
--- a/crates/peer/src/node/permit.rs
+++ b/crates/peer/src/node/permit.rs
@@ -222,7 +222,7 @@
     fn in_service(&self, permit: &Permit) -> Result<(), Stale> {
         let current = self.store.load();
         let document = current.document.as_ref().ok_or(Stale::Removed)?;
-        let backends = &document.checked.document.backends;
+        let backends = &document.catalog.document().backends;
         let backend = backends
             .iter()
             .find(|b| b.name == permit.backend && b.address == permit.address)
--- a/crates/peer/src/node/report.rs
+++ b/crates/peer/src/node/report.rs
@@ -110,7 +110,7 @@
     let current = shared.store.load();
     let Some(document) = &current.document else { return Vec::new() };
     let standings = shared.standings.load();
-    let groups = group::all(&document.checked.document).into_iter();
+    let groups = group::all(document.catalog.document()).into_iter();
     groups
         .filter_map(|(group, _)| {
             let standing = standings.get(&Key::group(&group))?.clone();
--- a/crates/peer/src/node/serve.rs
+++ b/crates/peer/src/node/serve.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use compact_str::CompactString;
 use futures::StreamExt as _;
 use hyssop_document::order;
 use tarpc::{
@@ -100,7 +101,7 @@
     }
 
     async fn document(self, _: Context) -> Option<Bytes> {
-        self.shared.store.load().document.as_ref().map(|document| document.bytes.clone())
+        self.shared.store.load().document.as_ref().map(|document| document.catalog.bytes().clone())
     }
 
     async fn orders(self, _: Context) -> order::State {
@@ -128,6 +129,10 @@
         self.shared.take_notices(notices);
     }
 
+    async fn inquire(self, _: Context, topic: CompactString) -> Bytes {
+        self.shared.inquiry.answer(&topic).await
+    }
+
     async fn status(self, _: Context) -> Status {
         self.shared.status().await
     }
--- a/crates/peer/src/notice.rs
+++ b/crates/peer/src/notice.rs
@@ -97,6 +97,12 @@
         true
     }
 
+    /// A notice, also one that was taken back, with the time that it has left.
+    pub fn get(&self, name: &Name, now: Instant) -> Option<Notice> {
+        let kept = self.kept.get(name).filter(|kept| now < kept.until)?;
+        Some(kept.left(now))
+    }
+
     /// Whether a notice holds.
     pub fn holds(&self, name: &Name, now: Instant) -> bool {
         self.kept.get(name).is_some_and(|kept| kept.notice.holds && now < kept.until)
--- a/crates/peer/src/order.rs
+++ b/crates/peer/src/order.rs
@@ -1,7 +1,7 @@
 //! What operators' orders come to.
 
 use compact_str::CompactString;
-use hyssop_document::{name, number::Revision, order::State};
+use hyssop_document::{name, order::State};
 use serde::{Deserialize, Serialize};
 
 /// The answer to an operator's order.
@@ -9,8 +9,8 @@
 pub enum Outcome {
     /// The order is in force on the hosts named.
     Done {
-        /// The revision of the orders after it.
-        revision: Revision,
+        /// The orders after it.
+        state: State,
         /// The hosts on which it is in force.
         in_force: Vec<name::Host>,
         /// The listed or live hosts that did not confirm it.
--- a/crates/peer/src/rpc.rs
+++ b/crates/peer/src/rpc.rs
@@ -4,6 +4,7 @@
 #![allow(missing_docs)]
 
 use bytes::Bytes;
+use compact_str::CompactString;
 use hyssop_document::order;
 
 use crate::{
@@ -41,6 +42,8 @@
     async fn notices() -> Vec<Notice>;
     /// Offers notices.
     async fn offer_notices(notices: Vec<Notice>) -> ();
+    /// Asks about something that only the daemon around this package knows.
+    async fn inquire(topic: CompactString) -> Bytes;
     /// The state of the daemon.
     async fn status() -> Status;
 }
