Test shares, cold starts, stragglers and limits over random histories

Each was seen failing with its rule taken out: majority rounding, share, report, on-time completions, cold start of a completion, tier of shedding, floor before tier, suspects apart.

Found on the way: servers of one speed were chosen in the order of their names, so an idle group used one server and never measured or warmed the others (equal_servers_take_turns: 1 of 4 used). Candidates now start at a seeded random position: 4 of 4.

Status says whether a server has room, which the tests use to check work conservation.

--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -315,7 +315,7 @@
             waiting: self.queue.len() as u64,
             running: self.grants.len() as u64,
             slots: self.slots(),
-            backends: self.backends.iter().map(Backend::status).collect(),
+            backends: self.backends.iter().map(|b| b.status(self.share, now)).collect(),
             classes: classes.collect(),
         }
     }
--- a/crates/policy/src/scheduler/backend.rs
+++ b/crates/policy/src/scheduler/backend.rs
@@ -170,7 +170,7 @@
         self.log_cold(cause);
     }
 
-    pub(super) fn status(&self) -> status::Backend {
+    pub(super) fn status(&self, share: Share, now: Instant) -> status::Backend {
         status::Backend {
             name: self.model.name.clone(),
             zone: self.model.zone.clone(),
@@ -178,6 +178,7 @@
             cold: self.tracker.is_cold().then(|| self.tracker.cause()),
             straggler: self.verdict.is_straggler(),
             limit: self.limit(),
+            has_room: self.has_room(share, now),
             running: self.running,
             reported: self.report.map_or(0, |report| report.load.requests()),
             kv_used: self.report.map_or(0.0, |report| report.load.kv_used),
--- a/crates/policy/src/scheduler/placement.rs
+++ b/crates/policy/src/scheduler/placement.rs
@@ -10,6 +10,7 @@
 };
 
 use hyssop_document::number::Tokens;
+use rand::RngExt as _;
 
 use super::{Scheduler, grants::Grant};
 
@@ -52,11 +53,16 @@
     fn place(&mut self, ticket: Ticket, now: Instant) -> Option<usize> {
         let entry = &self.entries[&ticket];
         let class = self.queue.get(ticket).expect("the ticket waits").class;
-        let candidates = self.candidates(entry, now);
+        let mut candidates = self.candidates(entry, now);
         let request = Request {
             output_tokens: self.classes[class.0].output(Tokens(0), entry.max_output) as f64,
             prompt_tokens: entry.prompt_tokens.0,
         };
+        if !candidates.is_empty() {
+            // Among equals the first one is chosen. A random start lets them take turns.
+            let start = self.random.random_range(0..candidates.len());
+            candidates.rotate_left(start);
+        }
         let chosen = self.choice.choose(&request, &candidates)?;
         Some(candidates[chosen].backend)
     }
--- a/crates/policy/src/status.rs
+++ b/crates/policy/src/status.rs
@@ -41,6 +41,8 @@
     pub straggler: bool,
     /// The number of requests that it may run at present, over all schedulers.
     pub limit: u32,
+    /// Whether this scheduler may grant one more request there.
+    pub has_room: bool,
     /// The permits counted by this scheduler.
     pub running: u32,
     /// The requests that it last reported.
--- /dev/null
+++ b/crates/policy/tests/limits.rs
@@ -0,0 +1,456 @@
+//! Shares, cold starts, stragglers and the budget for retries.
+
+mod common;
+
+use std::time::Instant;
+
+use bolero::TypeGenerator;
+use common::{document, entry, load, ms, permits, release, scheduler};
+use hyssop_document::{model, name, number::Tier, order};
+use hyssop_policy::{
+    budget::Budget,
+    coldstart::{Cause, Completion, Tracker},
+    permit::{End, Permit},
+    scheduler::Scheduler,
+    share::Share,
+    straggler::Verdict,
+};
+
+/// Each host votes for at most one scheduler. Whatever the votes, the shares sum to at most the
+/// limit, also while some schedulers count more hosts than others.
+#[test]
+fn shares_never_sum_above_the_limit() {
+    bolero::check!().with_type::<(Vec<Option<u8>>, u16, [u8; 4])>().with_iterations(5000).for_each(
+        |(votes, limit, more_hosts)| {
+            let hosts = votes.len() as u32;
+            let sum: u64 = (0..4_u8)
+                .map(|scheduler| {
+                    let held = votes.iter().flatten().filter(|v| **v % 4 == scheduler).count();
+                    let hosts = hosts + u32::from(more_hosts[usize::from(scheduler)] % 3);
+                    let share = Share { votes: held as u32, hosts };
+                    u64::from(share.limit(u32::from(*limit)))
+                })
+                .sum();
+            assert!(sum <= u64::from(*limit));
+        },
+    );
+}
+
+#[test]
+fn the_majority_rounds_up_and_all_others_down() {
+    let limit = |votes, hosts, limit| Share { votes, hosts }.limit(limit);
+    assert_eq!(limit(5, 9, 1), 1);
+    assert_eq!(limit(4, 9, 1), 0);
+    assert_eq!(limit(4, 9, 8), 3);
+    assert_eq!(limit(5, 9, 8), 5);
+    // An even split leaves a cold server with limit 1 without work on both sides.
+    assert_eq!((limit(4, 8, 1), limit(4, 8, 2)), (0, 1));
+    assert_eq!((limit(0, 0, 8), limit(3, 2, 8)), (0, 8));
+}
+
+#[derive(Debug, Clone, Copy, TypeGenerator)]
+enum Event {
+    Complete { on_time: bool, loaded: bool },
+    Report { incarnation: bool, cold: bool },
+    Fail,
+    Drift,
+    Refuse,
+    Limits { cold: u8, warm: u8 },
+}
+
+/// The limit stays between the document's limits, and grows only by on-time completions under load
+/// in the present cold start, unless the document raises it.
+#[test]
+fn a_limit_grows_only_by_completions_on_time() {
+    bolero::check!().with_type::<Vec<Event>>().with_iterations(3000).for_each(|events| {
+        let (mut cold, mut warm) = (1, 8);
+        let mut tracker = Tracker::new(cold, warm);
+        for event in events {
+            let before = tracker.limit();
+            match *event {
+                Event::Complete { on_time, loaded } => {
+                    let epoch = tracker.epoch();
+                    tracker.complete(Completion { epoch, on_time, loaded });
+                    assert!(tracker.limit() == before || on_time && loaded);
+                }
+                Event::Report { incarnation, cold: says } => {
+                    if tracker.report(u64::from(incarnation), says).is_some() {
+                        assert_eq!(tracker.limit(), cold);
+                    }
+                    assert!(tracker.limit() <= before);
+                }
+                Event::Fail => {
+                    tracker.fail(tracker.epoch());
+                    assert_eq!(tracker.limit(), cold);
+                }
+                Event::Drift => {
+                    tracker.drift();
+                    assert!(tracker.limit() <= before);
+                }
+                Event::Refuse => {
+                    tracker.refuse(tracker.epoch());
+                    assert!(tracker.limit() <= before);
+                }
+                Event::Limits { cold: c, warm: w } => {
+                    warm = u32::from(w % 16) + 1;
+                    cold = (u32::from(c % 8) + 1).min(warm);
+                    tracker.set_limits(cold, warm);
+                    assert!(tracker.limit() <= before.max(cold), "a higher warm limit is earned");
+                }
+            }
+            assert!((cold..=warm).contains(&tracker.limit()));
+        }
+    });
+}
+
+#[test]
+fn completions_of_an_earlier_cold_start_do_not_count() {
+    let mut tracker = Tracker::new(1, 8);
+    let completion =
+        |tracker: &Tracker| Completion { epoch: tracker.epoch(), on_time: true, loaded: true };
+    tracker.report(1, false);
+    let early = completion(&tracker);
+    (0..11).for_each(|_| tracker.complete(early));
+    assert_eq!(tracker.limit(), 8);
+    assert_eq!(tracker.report(2, false), Some(Cause::Incarnation));
+    (0..20).for_each(|_| tracker.complete(early));
+    assert_eq!(tracker.limit(), 1);
+    assert_eq!(tracker.fail(early.epoch), None, "a failure of the earlier run is known already");
+    assert_eq!(tracker.report(2, true), Some(Cause::Reported));
+    let now = completion(&tracker);
+    (0..20).for_each(|_| tracker.complete(now));
+    assert_eq!(tracker.limit(), 1, "no growth while the server says that it is cold");
+    assert_eq!(tracker.report(2, false), None);
+    tracker.complete(now);
+    assert_eq!(tracker.limit(), 2);
+}
+
+/// Runs requests to completion until the only backend server is warm.
+fn warm_up(scheduler: &mut Scheduler, now: &mut Instant, first_ticket: u64) {
+    for ticket in first_ticket..first_ticket + 200 {
+        scheduler.enqueue(entry(ticket, "desk", "w1"), *now);
+        let granted = permits(scheduler.poll(*now));
+        *now += ms(100);
+        if scheduler.status(*now).backends[0].running < 4 {
+            continue;
+        }
+        for (_, permit) in granted {
+            scheduler.release(&release(&permit, End::Completed, 100), *now);
+        }
+    }
+}
+
+#[test]
+fn turning_cold_while_loaded_stops_new_work_until_below_the_limit() {
+    let mut now = Instant::now();
+    let mut scheduler = scheduler(&document(1, 2, 8), now);
+    let b0 = name::Backend::new("b0");
+    scheduler.report(&b0, load(1, 0), now);
+    let mut running: Vec<Permit> = Vec::new();
+    // Fill the server again and again, so that its limit grows.
+    let mut ticket = 0;
+    while scheduler.status(now).backends[0].cold.is_some() {
+        (0..10).for_each(|_| {
+            ticket += 1;
+            scheduler.enqueue(entry(ticket, "desk", "w1"), now);
+        });
+        running.extend(permits(scheduler.poll(now)).into_iter().map(|(_, permit)| permit));
+        now += ms(100);
+        for permit in running.drain(..) {
+            scheduler.release(&release(&permit, End::Completed, 100), now);
+        }
+        assert!(ticket < 1000, "the limit does not grow");
+    }
+    running.extend(permits(scheduler.poll(now)).into_iter().map(|(_, permit)| permit));
+    assert_eq!(running.len(), 8);
+    let mut cold = load(1, 8);
+    cold.cold = true;
+    scheduler.report(&b0, cold, now);
+    for left in (0..8).rev() {
+        now += ms(100);
+        let permit = running.pop().expect("one runs");
+        scheduler.release(&release(&permit, End::Completed, 100), now);
+        cold.running = left;
+        scheduler.report(&b0, cold, now);
+        let granted = permits(scheduler.poll(now));
+        assert_eq!(granted.len() as u32, 2_u32.saturating_sub(left).min(1), "{left} left");
+        running.splice(0..0, granted.into_iter().map(|(_, permit)| permit));
+        if left == 0 {
+            break;
+        }
+        if running.len() == 2 {
+            break;
+        }
+    }
+    assert_eq!(scheduler.status(now).backends[0].running, 2);
+}
+
+#[test]
+fn a_failed_connection_makes_a_server_cold() {
+    let mut now = Instant::now();
+    let mut scheduler = scheduler(&document(1, 1, 4), now);
+    warm_up(&mut scheduler, &mut now, 0);
+    let (mut granted, mut ticket) = (Vec::new(), 1000);
+    while granted.is_empty() {
+        scheduler.enqueue(entry(ticket, "desk", "w1"), now);
+        ticket += 1;
+        granted = permits(scheduler.poll(now));
+        now += ms(70_000);
+    }
+    let release = release(&granted[0].1, End::BackendFailed, 10);
+    scheduler.release(&release, now - ms(70_000));
+    let backend = &scheduler.status(now).backends[0];
+    assert_eq!((backend.cold, backend.limit), (Some(Cause::Connection), 1));
+}
+
+#[test]
+fn reports_count_what_others_run_and_age_by_own_events() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(&document(1, 4, 4), now);
+    let b0 = name::Backend::new("b0");
+    (0..9).for_each(|ticket| scheduler.enqueue(entry(ticket, "desk", "w1"), now));
+    scheduler.report(&b0, load(1, 4), now);
+    assert!(scheduler.poll(now).is_empty(), "others fill the server");
+    scheduler.report(&b0, load(1, 2), now + ms(10));
+    let granted = permits(scheduler.poll(now + ms(10)));
+    assert_eq!(granted.len(), 2, "two of others, two new ones");
+    scheduler.release(&release(&granted[0].1, End::Completed, 10), now + ms(20));
+    assert_eq!(permits(scheduler.poll(now + ms(20))).len(), 1, "granted and done since the report");
+    scheduler.report(&b0, load(1, 4), now + ms(30));
+    assert!(scheduler.poll(now + ms(30)).is_empty());
+    scheduler.release(&release(&granted[1].1, End::Completed, 10), now + ms(40));
+    assert_eq!(permits(scheduler.poll(now + ms(40))).len(), 1, "it was in the report and is done");
+    scheduler.report(&b0, load(1, 9), now + ms(50));
+    assert!(scheduler.poll(now + ms(50)).is_empty());
+}
+
+#[test]
+fn a_straggler_keeps_a_probe_and_recovers() {
+    let mut verdict = Verdict::default();
+    verdict.update(Some(40.0), Some(10.0));
+    assert_eq!((verdict.limit(8), verdict.limit(2), verdict.limit(0)), (2, 1, 0));
+    verdict.update(Some(16.0), Some(10.0));
+    assert!(verdict.is_straggler(), "it leaves later than it enters");
+    verdict.update(Some(14.0), Some(10.0));
+    assert_eq!(verdict.limit(8), 8);
+    verdict.update(Some(1000.0), None);
+    assert_eq!(verdict.limit(8), 8);
+}
+
+#[test]
+fn a_slow_server_gets_less() {
+    let mut now = Instant::now();
+    let document = document(4, 4, 4);
+    let mut scheduler = scheduler(&document, now);
+    for round in 0..40 {
+        (0..12).for_each(|one| scheduler.enqueue(entry(round * 12 + one, "desk", "w1"), now));
+        now += ms(1000);
+        for (_, permit) in permits(scheduler.poll(now)) {
+            let slow = permit.backend.as_str() == "b3";
+            let elapsed_ms = if slow { 1000 } else { 100 };
+            scheduler.release(&release(&permit, End::Completed, elapsed_ms), now);
+        }
+    }
+    let status = scheduler.status(now);
+    let limits: Vec<_> = status.backends.iter().map(|b| (b.straggler, b.limit)).collect();
+    assert_eq!(limits, [(false, 4), (false, 4), (false, 4), (true, 1)]);
+}
+
+/// Idle servers of one speed share the work, so that all of them get measured and warm.
+#[test]
+fn equal_servers_take_turns() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(&document(4, 4, 4), now);
+    let mut used = std::collections::BTreeSet::new();
+    for ticket in 0..64 {
+        let mut entry = entry(ticket, "desk", "w1");
+        entry.zone = name::Zone::new("z3");
+        scheduler.enqueue(entry, now);
+        for (_, permit) in permits(scheduler.poll(now)) {
+            used.insert(permit.backend.clone());
+            scheduler.release(&release(&permit, End::Completed, 100), now);
+        }
+    }
+    assert_eq!(used.len(), 4);
+}
+
+#[test]
+fn retries_come_from_the_successes_and_never_into_shedding() {
+    let now = Instant::now();
+    let mut budget = Budget::default();
+    let retries = (0..100).filter(|_| budget.retry(Tier(1), now)).count();
+    assert_eq!(retries, 64);
+    (0..25).for_each(|_| budget.succeed());
+    assert_eq!((0..100).filter(|_| budget.retry(Tier(1), now)).count(), 2);
+    (0..100).for_each(|_| budget.succeed());
+    budget.shed(Tier(3), now);
+    assert!(!budget.retry(Tier(3), now), "its own tier is being shed");
+    assert!(!budget.retry(Tier(4), now), "a higher tier is being shed");
+    assert!(budget.retry(Tier(2), now), "only lower tiers are being shed");
+    assert!(budget.retry(Tier(3), now + ms(1000)));
+}
+
+#[derive(Debug, Clone, Copy, TypeGenerator)]
+enum Action {
+    Enqueue { class: u8, workspace: u8, solo: bool, exclude: Option<u8>, remaining: u8 },
+    Release { permit: u8, end: u8, late: bool },
+    Report { backend: u8, incarnation: u8, running: u8, cold: bool },
+    Share { votes: u8, hosts: u8 },
+    Limits { cold: u8, warm: u8 },
+    Zone { out: u8 },
+    Wait { tens_of_ms: u8 },
+}
+
+const ENDS: [End; 6] = [
+    End::Completed,
+    End::Cancelled,
+    End::NotDispatched,
+    End::BackendFailed,
+    End::Refused503,
+    End::TimedOut,
+];
+
+/// A scheduler with what a checker outside it knows.
+struct World {
+    scheduler: Scheduler,
+    document: model::Document,
+    orders: order::State,
+    share: Share,
+    now: Instant,
+    ticket: u64,
+    running: Vec<(Permit, bool)>,
+    solo: Vec<u64>,
+    excluded: Vec<(u64, name::Backend)>,
+    decided: Vec<u64>,
+}
+
+impl World {
+    fn new() -> Self {
+        let now = Instant::now();
+        let document = document(3, 1, 4);
+        Self {
+            scheduler: scheduler(&document, now),
+            document,
+            orders: order::State::default(),
+            share: Share::WHOLE,
+            now,
+            ticket: 0,
+            running: Vec::new(),
+            solo: Vec::new(),
+            excluded: Vec::new(),
+            decided: Vec::new(),
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        let now = self.now;
+        match action {
+            Action::Enqueue { class, workspace, solo, exclude, remaining } => {
+                let class = ["desk", "draft", "bulk"][usize::from(class % 3)];
+                let workspace = ["w1", "w2", "w3"][usize::from(workspace % 3)];
+                let mut entry = entry(self.ticket, class, workspace);
+                entry.remaining_ms = u64::from(remaining) * 100;
+                entry.solo = solo;
+                if let Some(exclude) = exclude {
+                    let backend = name::Backend::new(&format!("b{}", exclude % 3));
+                    self.excluded.push((self.ticket, backend.clone()));
+                    entry.exclude = vec![backend];
+                }
+                if solo {
+                    self.solo.push(self.ticket);
+                }
+                self.ticket += 1;
+                self.scheduler.enqueue(entry, now);
+            }
+            Action::Release { permit, end, late } if !self.running.is_empty() => {
+                let index = usize::from(permit) % self.running.len();
+                let (permit, _) = self.running.swap_remove(index);
+                let mut release = release(&permit, ENDS[usize::from(end) % ENDS.len()], 50);
+                release.late = late;
+                self.scheduler.release(&release, now);
+            }
+            Action::Release { .. } => {}
+            Action::Report { backend, incarnation, running, cold } => {
+                let mut load = load(u64::from(incarnation % 2), u32::from(running % 6));
+                load.cold = cold;
+                let backend = name::Backend::new(&format!("b{}", backend % 3));
+                self.scheduler.report(&backend, load, now);
+            }
+            Action::Share { votes, hosts } => {
+                self.share = Share { votes: u32::from(votes % 10), hosts: u32::from(hosts % 10) };
+                self.scheduler.set_share(self.share, now);
+            }
+            Action::Limits { cold, warm } => {
+                self.document.pools[0].warm_limit = u32::from(warm % 6) + 1;
+                self.document.pools[0].cold_limit = u32::from(cold % 3) + 1;
+                self.scheduler.configure(&self.document, &self.orders, now);
+            }
+            Action::Zone { out } => {
+                self.orders = order::State::default();
+                if out % 3 < 2 {
+                    let zone = name::Zone::new(["z1", "z2"][usize::from(out % 3)]);
+                    self.orders.zones_out.insert(zone);
+                }
+                self.scheduler.configure(&self.document, &self.orders, now);
+            }
+            Action::Wait { tens_of_ms } => self.now += ms(u64::from(tens_of_ms) * 10),
+        }
+    }
+
+    fn poll(&mut self) {
+        let before = self.scheduler.status(self.now);
+        let decisions = self.scheduler.poll(self.now);
+        for decision in &decisions {
+            let ticket = decision.ticket().0;
+            assert!(!self.decided.contains(&ticket), "{ticket} was decided twice");
+            self.decided.push(ticket);
+        }
+        for (ticket, permit) in permits(decisions) {
+            let solo = self.solo.contains(&ticket.0);
+            let suspect = |(other, solo): &(Permit, bool)| *solo && other.backend == permit.backend;
+            assert!(!solo || !self.running.iter().any(suspect), "two suspects run together");
+            let excluded = (ticket.0, permit.backend.clone());
+            assert!(!self.excluded.contains(&excluded), "an excluded server got the request");
+            self.running.push((permit, solo));
+        }
+        self.assert_limits(&before);
+    }
+
+    /// Where something was granted, the share and the limit hold, and the zone is in service.
+    fn assert_limits(&self, before: &hyssop_policy::status::Status) {
+        let after = self.scheduler.status(self.now);
+        for (before, after) in before.backends.iter().zip(&after.backends) {
+            if after.running <= before.running {
+                continue;
+            }
+            assert!(after.in_service, "a server out of service got work");
+            assert!(after.running <= self.share.limit(after.limit), "above the share");
+            let granted = after.running - before.running;
+            assert!(granted <= after.limit, "above the limit");
+        }
+    }
+
+    /// No request that may run anywhere waits while a server has room.
+    fn assert_work_conserving(&self) {
+        let status = self.scheduler.status(self.now);
+        let free = status.backends.iter().any(|b| b.has_room);
+        let waiting = (0..self.ticket).filter(|ticket| {
+            let constrained = self.solo.contains(ticket)
+                || self.excluded.iter().any(|(excluded, _)| excluded == ticket);
+            !constrained && !self.decided.contains(ticket)
+        });
+        assert!(!free || waiting.count() == 0, "a request waits beside a free server");
+    }
+}
+
+#[test]
+fn limits_hold_and_no_slot_is_wasted_over_random_histories() {
+    bolero::check!().with_type::<Vec<Action>>().with_iterations(2000).for_each(|actions| {
+        let mut world = World::new();
+        for action in actions {
+            world.act(*action);
+            world.poll();
+            world.assert_work_conserving();
+        }
+    });
+}
