--- /dev/null
+++ b/crates/caller/tests/answers.rs
@@ -0,0 +1,143 @@
+//! Answers: whole, streamed, resumed, run again, and never spliced.
+
+mod bench;
+
+use bench::{
+    Bench, Call,
+    engine::{Act, Fleet, booked, expected},
+    key,
+};
+
+#[tokio::test]
+async fn a_whole_answer_is_the_engines() {
+    let bench = Bench::new(Fleet::new(2));
+    let call = Call::draft("whole");
+    let reply = bench.send(call.clone()).await;
+    assert_eq!((reply.status, reply.outcome.as_str()), (200, "answered"));
+    assert_eq!(reply.text(), expected(&call.body));
+    assert_eq!(reply.json()["usage"]["completion_tokens"], 12);
+    assert_eq!(reply.json()["choices"][0]["finish_reason"], "stop");
+}
+
+#[tokio::test]
+async fn an_event_stream_has_every_token_and_its_end_mark() {
+    let bench = Bench::new(Fleet::new(2));
+    let call = Call::draft("stream").stream();
+    let reply = bench.send(call.clone()).await;
+    assert_eq!(reply.text(), expected(&call.body));
+    assert!(reply.body.ends_with("data: [DONE]\n\n"));
+    assert!(!reply.body.contains("usage"), "the caller did not ask for the count");
+}
+
+#[tokio::test]
+async fn a_plain_service_is_answered() {
+    let bench = Bench::new(Fleet::new(1));
+    let reply = bench.send(Call::booking("m7").key(key(1, "a"))).await;
+    assert_eq!((reply.status, reply.body.as_str()), (200, booked("m7").as_str()));
+}
+
+#[tokio::test]
+async fn a_broken_connection_is_resumed_at_the_same_engine() {
+    let bench = Bench::new(Fleet::new(2));
+    bench.fleet.act(Act::Break(5));
+    let call = Call::draft("resume").stream();
+    let reply = bench.send(call.clone()).await;
+    assert_eq!(reply.text(), expected(&call.body));
+    assert_eq!(bench.fleet.runs(), 1, "a resumed attempt is not run again");
+}
+
+#[tokio::test]
+async fn an_answer_that_cannot_be_resumed_is_run_again_and_continues() {
+    for call in [Call::draft("again"), Call::draft("again").stream()] {
+        let bench = Bench::new(Fleet::new(2));
+        bench.fleet.act(Act::BreakForGood(5));
+        bench.fleet.servers[1].acts.lock().clear();
+        let reply = bench.send(call.clone()).await;
+        assert_eq!(reply.text(), expected(&call.body));
+        assert_eq!(bench.fleet.runs(), 2);
+        let measure = bench.notes.0.lock()[0].clone();
+        assert_eq!((measure.attempts, measure.wasted.0, measure.tokens.0), (2, 5, 12));
+    }
+}
+
+#[tokio::test]
+async fn a_different_second_answer_is_never_spliced_to_a_delivered_part() {
+    let bench = Bench::new(Fleet::new(2));
+    bench.fleet.servers[0].acts.lock().push_back(Act::BreakForGood(5));
+    bench.fleet.servers[1].acts.lock().push_back(Act::Differ(3));
+    let reply = bench.send(Call::draft("splice").stream()).await;
+    assert!(!reply.text().contains("other"));
+    assert!(!reply.body.contains("[DONE]"));
+    let (_, error) = reply.body.split_once("event: error\ndata: ").unwrap();
+    let error: serde_json::Value = serde_json::from_str(error.trim()).unwrap();
+    assert_eq!(error["reason"], "answer_changed");
+    assert_eq!(error["ran"], "may_have_run");
+}
+
+#[tokio::test]
+async fn a_whole_answer_may_come_from_a_different_second_run() {
+    let bench = Bench::new(Fleet::new(2));
+    bench.fleet.servers[0].acts.lock().push_back(Act::BreakForGood(5));
+    bench.fleet.servers[1].acts.lock().push_back(Act::Differ(3));
+    let reply = bench.send(Call::draft("second")).await;
+    assert_eq!(reply.text().matches("other").count(), 10);
+}
+
+#[tokio::test]
+async fn an_engines_refusal_of_the_request_is_passed_on() {
+    for call in [Call::draft("bad"), Call::draft("bad").stream()] {
+        let bench = Bench::new(Fleet::new(1));
+        bench.fleet.act(Act::Status(400));
+        let reply = bench.send(call).await;
+        assert_eq!((reply.status, reply.outcome.as_str()), (400, "answered"));
+        assert_eq!(reply.body, "{\"error\":1}");
+    }
+}
+
+#[tokio::test]
+async fn overload_is_retried_within_the_budget_only() {
+    let bench = Bench::new(Fleet::new(2));
+    bench.fleet.act(Act::Overloaded);
+    let reply = bench.send(Call::draft("busy")).await;
+    assert_eq!(reply.status, 200);
+    for _ in 0..10 {
+        for _ in 0..3 {
+            bench.fleet.act(Act::Overloaded);
+        }
+        let reply = bench.send(Call::draft("busy")).await;
+        assert_ne!(reply.ran(), "not_run");
+    }
+    let granted = bench.grants.next.load(std::sync::atomic::Ordering::SeqCst);
+    assert!(granted <= 11 + 11, "{granted} permits were used by 11 requests with a budget of 10");
+}
+
+#[tokio::test]
+async fn every_permit_is_given_back_once() {
+    let bench = Bench::new(Fleet::new(2));
+    bench.grants.stale.store(1, std::sync::atomic::Ordering::SeqCst);
+    for act in [Act::Break(2), Act::BreakForGood(3), Act::Overloaded, Act::Die(1), Act::Answer] {
+        bench.fleet.act(act);
+        bench.send(Call::draft("permits")).await;
+    }
+    let granted = bench.grants.next.load(std::sync::atomic::Ordering::SeqCst);
+    let mut released: Vec<_> = bench.grants.released.lock().iter().map(|r| r.id.number).collect();
+    released.sort_unstable();
+    assert_eq!(released, (0..granted).collect::<Vec<_>>());
+}
+
+#[tokio::test]
+async fn the_caller_that_leaves_is_cancelled_at_the_engine() {
+    let mut fleet = Fleet::build(1);
+    fleet.step = std::time::Duration::from_millis(5);
+    let bench = Bench::new(std::sync::Arc::new(fleet));
+    let sent = tokio::time::timeout(
+        std::time::Duration::from_millis(20),
+        bench.send(Call::draft("leave")),
+    );
+    assert!(sent.await.is_err());
+    bench.home.drain().await;
+    let executions = bench.fleet.executions.lock().clone();
+    assert!(executions[0].cancelled);
+    let released = bench.grants.released.lock()[0];
+    assert_eq!(released.end, hyssop_policy::permit::End::Cancelled);
+}
--- /dev/null
+++ b/crates/caller/tests/bench/mod.rs
@@ -0,0 +1,438 @@
+//! Stand-ins at the home's traits, for tests in one process.
+#![allow(dead_code, unreachable_pub, missing_docs)]
+
+pub mod engine;
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use futures::future::BoxFuture;
+use http_body_util::BodyExt as _;
+use hyper::{Request, Response, http::request::Parts};
+use hyssop_caller::{
+    body::Body,
+    desk::Desk,
+    directory::{Address, Addresses, Directory, Missing, Terms},
+    home::{self, Home},
+    observer::{Measure, Observer},
+    permits::{Ask, Permits, Stale, Verdict},
+    quarantine::{Fingerprint, Quarantine, Standing},
+    registry,
+    relay::{Error, Relay},
+};
+use hyssop_document::{
+    collections::Map,
+    digest::Digest,
+    group::Group,
+    model::{self, Kind},
+    name,
+    number::{Incarnation, Percent, Tier, Tokens},
+};
+use hyssop_policy::{
+    decision::{Reason, Refusal},
+    permit::{Id, Permit, Release},
+};
+use parking_lot::Mutex;
+
+use self::engine::{Door, Fleet};
+
+/// What the stand-in for the document and the other daemons holds.
+pub struct Names {
+    pub own: Incarnation,
+    pub peers: Mutex<Map<Incarnation, SocketAddr>>,
+}
+
+fn class(name: &str, tier: u8, idempotent: bool) -> model::Class {
+    model::Class {
+        name: name::Class::new(name),
+        tier: Tier(tier),
+        first_token_ms: 5_000,
+        complete_ms: 20_000,
+        max_running_ms: 20_000,
+        idempotent,
+        floor_percent: Percent(0),
+    }
+}
+
+fn pool(name: &str, kind: Kind) -> model::Pool {
+    model::Pool {
+        name: name::Pool::new(name),
+        kind,
+        latest_end_ms: 30_000,
+        cold_limit: 1,
+        warm_limit: 8,
+        queue_limit: 100,
+    }
+}
+
+impl Directory for Names {
+    fn workspace(&self, key: &Digest) -> Result<name::Workspace, Missing> {
+        let known = [("key-desk", "desk"), ("key-quay", "quay")];
+        let found = known.iter().find(|(text, _)| Digest::of(text.as_bytes()) == *key);
+        found.map(|(_, name)| name::Workspace::new(name)).ok_or(Missing::Workspace)
+    }
+
+    fn terms(
+        &self,
+        key: &Digest,
+        class_name: &name::Class,
+        pool_name: &name::Pool,
+    ) -> Result<Terms, Missing> {
+        let workspace = self.workspace(key)?;
+        let class = match class_name.as_str() {
+            "draft" => class("draft", 2, true),
+            "booking" => class("booking", 1, false),
+            _ => return Err(Missing::Class),
+        };
+        let pool = match pool_name.as_str() {
+            "model" => pool("model", Kind::Model),
+            "orders" => pool("orders", Kind::Service),
+            _ => return Err(Missing::Pool),
+        };
+        Ok(Terms { workspace, class, pool })
+    }
+
+    fn addresses(&self) -> Addresses {
+        let address = Address {
+            address: "127.0.0.1:1".parse().unwrap(),
+            host: name::Host::new("h1"),
+            zone: name::Zone::new("z1"),
+            incarnation: self.own,
+        };
+        Addresses { lifetime_ms: 10_000, addresses: vec![address] }
+    }
+
+    fn incarnation(&self) -> Incarnation {
+        self.own
+    }
+
+    fn locate(&self, incarnation: Incarnation) -> Option<SocketAddr> {
+        self.peers.lock().get(&incarnation).copied()
+    }
+}
+
+/// Grants permits to the backend servers of a fleet in turn.
+pub struct Grants {
+    pub scheduler: Incarnation,
+    pub fleet: Arc<Fleet>,
+    pub next: AtomicU64,
+    pub asked: Mutex<Vec<Ask>>,
+    pub released: Mutex<Vec<Release>>,
+    /// Answers given before any permit is granted.
+    pub script: Mutex<Vec<Verdict>>,
+    /// The number of permits that are stale when they are confirmed.
+    pub stale: AtomicU64,
+}
+
+impl Grants {
+    fn grant(&self, ask: &Ask) -> Option<Permit> {
+        let number = self.next.load(Ordering::SeqCst);
+        let (backend, address) = self.fleet.choose(ask, number)?;
+        let id = Id { scheduler: self.scheduler, number };
+        self.next.fetch_add(1, Ordering::SeqCst);
+        if ask.solo {
+            self.fleet.take_solo(id, address);
+        }
+        Some(Permit {
+            id,
+            group: Group { pool: ask.pool.clone(), index: 0 },
+            backend,
+            address,
+            backend_incarnation: 1,
+            limit: 8,
+            granted_at_ms: 0,
+            use_within_ms: 500,
+            latest_end_ms: 30_000,
+        })
+    }
+}
+
+impl Permits for Grants {
+    fn ask(&self, ask: Ask) -> BoxFuture<'_, Verdict> {
+        self.asked.lock().push(ask.clone());
+        if let Some(verdict) = self.script.lock().pop() {
+            return Box::pin(async move { verdict });
+        }
+        Box::pin(async move {
+            loop {
+                let ended = self.fleet.solo_ended.notified();
+                if let Some(permit) = self.grant(&ask) {
+                    return Verdict::Granted(permit);
+                }
+                if !ask.solo || self.fleet.solo.lock().is_empty() {
+                    let refusal = Refusal { reason: Reason::NoBackend, retry_after_ms: 500 };
+                    return Verdict::Refused(refusal);
+                }
+                ended.await;
+            }
+        })
+    }
+
+    fn confirm(&self, _permit: &Permit) -> Result<(), Stale> {
+        let taken =
+            self.stale.fetch_update(Ordering::SeqCst, Ordering::SeqCst, |n| n.checked_sub(1));
+        if taken.is_ok() { Err(Stale) } else { Ok(()) }
+    }
+
+    fn release(&self, release: Release) {
+        self.fleet.release(release.id);
+        self.released.lock().push(release);
+    }
+
+    fn progress(&self, _id: Id, _tokens: Tokens) {}
+}
+
+/// Records of suspects, shared by all homes of a test as notices are among daemons.
+#[derive(Default)]
+pub struct Suspects {
+    pub crashes: Mutex<Map<Fingerprint, u32>>,
+}
+
+impl Quarantine for Suspects {
+    fn standing(&self, fingerprint: Fingerprint) -> Standing {
+        match self.crashes.lock().get(&fingerprint) {
+            None => Standing::Clear,
+            Some(1 | 2) => Standing::Suspect,
+            Some(_) => Standing::Quarantined,
+        }
+    }
+
+    fn blame(&self, fingerprint: Fingerprint, solo: bool) -> Standing {
+        let mut crashes = self.crashes.lock();
+        let count = crashes.entry(fingerprint).or_insert(0);
+        *count = (*count).max(1) + u32::from(solo);
+        drop(crashes);
+        self.standing(fingerprint)
+    }
+
+    fn clear(&self, fingerprint: Fingerprint) {
+        self.crashes.lock().remove(&fingerprint);
+    }
+}
+
+/// Relays to homes in the same process.
+#[derive(Default)]
+pub struct Wire {
+    pub homes: Mutex<Map<SocketAddr, Home>>,
+    /// Whether the reply of the other daemon is lost.
+    pub lossy: std::sync::atomic::AtomicBool,
+}
+
+impl Relay for Wire {
+    fn relay(
+        &self,
+        address: SocketAddr,
+        by: compact_str::CompactString,
+        mut head: Parts,
+        body: Bytes,
+    ) -> BoxFuture<'_, Result<Response<Body>, Error>> {
+        let home = self.homes.lock().get(&address).cloned();
+        Box::pin(async move {
+            let gone = || Error { message: "gone".into() };
+            let home = home.ok_or_else(gone)?;
+            head.headers.insert("x-relayed-by", by.parse().unwrap());
+            let response = home.serve(head, body).await;
+            if self.lossy.load(Ordering::SeqCst) { Err(gone()) } else { Ok(response) }
+        })
+    }
+}
+
+/// Keeps measurements.
+#[derive(Default)]
+pub struct Notes(pub Mutex<Vec<Measure>>);
+
+impl Observer for Notes {
+    fn ended(&self, measure: &Measure) {
+        self.0.lock().push(measure.clone());
+    }
+}
+
+/// One home with its stand-ins.
+pub struct Bench {
+    pub home: Home,
+    pub names: Arc<Names>,
+    pub grants: Arc<Grants>,
+    pub suspects: Arc<Suspects>,
+    pub notes: Arc<Notes>,
+    pub fleet: Arc<Fleet>,
+    pub wire: Arc<Wire>,
+}
+
+pub fn incarnation(number: u64) -> Incarnation {
+    Incarnation::new(1_700_000_000_000 + number, number)
+}
+
+impl Bench {
+    pub fn new(fleet: Arc<Fleet>) -> Self {
+        Self::with(1, fleet, Arc::default(), Arc::default(), |builder| builder)
+    }
+
+    pub fn with(
+        number: u64,
+        fleet: Arc<Fleet>,
+        suspects: Arc<Suspects>,
+        wire: Arc<Wire>,
+        settings: impl FnOnce(home::Builder) -> home::Builder,
+    ) -> Self {
+        let names = Arc::new(Names { own: incarnation(number), peers: Mutex::default() });
+        let grants = Arc::new(Grants {
+            scheduler: names.own,
+            fleet: Arc::clone(&fleet),
+            next: AtomicU64::new(0),
+            asked: Mutex::default(),
+            released: Mutex::default(),
+            script: Mutex::default(),
+            stale: AtomicU64::new(0),
+        });
+        let notes = Arc::new(Notes::default());
+        let limits =
+            home::Limits { patience: Duration::from_millis(100), ..home::Limits::default() };
+        let door = Arc::new(Door(fleet.clone()));
+        let builder = Home::builder(names.clone(), grants.clone(), door)
+            .quarantine(suspects.clone())
+            .relay(wire.clone())
+            .observer(notes.clone())
+            .limits(limits);
+        let home = settings(builder).build();
+        Self { home, names, grants, suspects, notes, fleet, wire }
+    }
+
+    pub fn keys(limits: registry::Limits, fleet: Arc<Fleet>) -> Self {
+        Self::with(1, fleet, Arc::default(), Arc::default(), |builder| builder.keys(limits))
+    }
+
+    /// Sends a request and reads its whole reply.
+    pub async fn send(&self, call: Call) -> Reply {
+        let (head, body) = call.parts();
+        Reply::read(self.home.serve(head, body).await).await
+    }
+}
+
+/// A request to be sent.
+#[derive(Clone)]
+pub struct Call {
+    pub path: String,
+    pub headers: Vec<(String, String)>,
+    pub body: String,
+}
+
+impl Call {
+    /// A draft of the model.
+    pub fn draft(prompt: &str) -> Self {
+        let body = serde_json::json!({"model": "model", "prompt": prompt, "max_tokens": 12});
+        Self::new("/v1/completions", "draft", body.to_string())
+    }
+
+    /// A booking at the plain service.
+    pub fn booking(what: &str) -> Self {
+        Self::new("/v1/services/orders/book", "booking", what.to_owned())
+    }
+
+    pub fn new(path: &str, class: &str, body: String) -> Self {
+        let headers = vec![
+            ("authorization".to_owned(), "Bearer key-desk".to_owned()),
+            ("request-class".to_owned(), class.to_owned()),
+            ("x-request-id".to_owned(), "r1".to_owned()),
+        ];
+        Self { path: path.to_owned(), headers, body }
+    }
+
+    pub fn set(mut self, name: &str, value: impl ToString) -> Self {
+        self.headers.retain(|(old, _)| old != name);
+        self.headers.push((name.to_owned(), value.to_string()));
+        self
+    }
+
+    pub fn key(self, key: impl ToString) -> Self {
+        self.set("idempotency-key", key)
+    }
+
+    pub fn stream(mut self) -> Self {
+        let mut body: serde_json::Value = serde_json::from_str(&self.body).unwrap();
+        body["stream"] = true.into();
+        self.body = body.to_string();
+        self
+    }
+
+    pub fn parts(self) -> (Parts, Bytes) {
+        let mut builder = Request::post(self.path);
+        for (name, value) in self.headers {
+            builder = builder.header(name, value);
+        }
+        let (head, ()) = builder.body(()).unwrap().into_parts();
+        (head, self.body.into())
+    }
+}
+
+/// The key of a home, issued now.
+pub fn key(home: u64, part: &str) -> String {
+    key_at(home, now_ms(), part)
+}
+
+pub fn key_at(home: u64, issued_ms: u64, part: &str) -> String {
+    format!("{}.{issued_ms}.{part}", incarnation(home))
+}
+
+pub fn now_ms() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::SystemTime::UNIX_EPOCH);
+    since.unwrap().as_millis() as u64
+}
+
+/// A whole reply.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Reply {
+    pub status: u16,
+    pub outcome: String,
+    pub body: String,
+    pub broke_off: bool,
+}
+
+impl Reply {
+    pub async fn read(response: Response<Body>) -> Self {
+        let (head, mut body) = response.into_parts();
+        let outcome = head.headers.get("request-outcome");
+        let outcome = outcome.map_or(String::new(), |value| value.to_str().unwrap().to_owned());
+        let mut bytes = Vec::new();
+        let mut broke_off = false;
+        while let Some(frame) = body.frame().await {
+            match frame {
+                Ok(frame) => bytes.extend_from_slice(&frame.into_data().unwrap_or_default()),
+                Err(_) => broke_off = true,
+            }
+        }
+        let body = String::from_utf8(bytes).unwrap();
+        Self { status: head.status.as_u16(), outcome, body, broke_off }
+    }
+
+    /// The text of a model's whole answer or event stream.
+    pub fn text(&self) -> String {
+        let choice = |value: &serde_json::Value| {
+            value["choices"][0]["text"].as_str().unwrap_or_default().to_owned()
+        };
+        if !self.body.contains("data: ") {
+            return serde_json::from_str(&self.body).map_or(String::new(), |value| choice(&value));
+        }
+        let data = self.body.lines().filter_map(|line| line.strip_prefix("data: "));
+        let chunks = data.filter_map(|data| serde_json::from_str(data).ok());
+        chunks.map(|chunk| choice(&chunk)).collect()
+    }
+
+    pub fn json(&self) -> serde_json::Value {
+        serde_json::from_str(&self.body).unwrap_or_default()
+    }
+
+    pub fn ran(&self) -> String {
+        self.json()["ran"].as_str().unwrap_or_default().to_owned()
+    }
+
+    pub fn reason(&self) -> String {
+        self.json()["reason"].as_str().unwrap_or_default().to_owned()
+    }
+}
--- /dev/null
+++ b/crates/caller/tests/crash.rs
@@ -0,0 +1,97 @@
+//! Requests that crash backend servers: blamed, run alone, quarantined.
+
+mod bench;
+
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use bench::{
+    Bench, Call,
+    engine::{Fleet, expected},
+};
+
+/// Daemons that share the records of suspects, as notices make them do.
+fn daemons(fleet: &Arc<Fleet>, count: u64) -> Vec<Bench> {
+    let suspects = Arc::default();
+    (1..=count)
+        .map(|number| {
+            let wire = Arc::default();
+            Bench::with(number, Arc::clone(fleet), Arc::clone(&suspects), wire, |b| b)
+        })
+        .collect()
+}
+
+#[tokio::test]
+async fn one_request_costs_at_most_three_backend_servers() {
+    let fleet = Fleet::new(6);
+    let daemons = daemons(&fleet, 3);
+    for round in 0..5 {
+        for daemon in &daemons {
+            let reply = daemon.send(Call::draft("poison")).await;
+            assert_eq!((reply.status, reply.reason().as_str()), (422, "quarantined"), "{round}");
+            assert_eq!(reply.ran(), "ran");
+        }
+    }
+    assert_eq!(fleet.crashes.load(Ordering::SeqCst), 3);
+}
+
+#[tokio::test]
+async fn requests_caught_in_a_crash_are_answered_and_cleared() {
+    let mut fleet = Fleet::build(2);
+    fleet.step = Duration::from_millis(2);
+    let fleet = Arc::new(fleet);
+    let daemons = daemons(&fleet, 2);
+    let calls: Vec<_> = (0..20).map(|n| Call::draft(&format!("innocent {n}"))).collect();
+    let sent = calls.iter().enumerate().map(|(n, call)| daemons[n % 2].send(call.clone()));
+    let (replies, poison) =
+        tokio::join!(futures::future::join_all(sent), daemons[0].send(Call::draft("poison")));
+    for (call, reply) in calls.iter().zip(replies) {
+        assert_eq!(reply.text(), expected(&call.body), "{}", reply.body);
+    }
+    assert_eq!(poison.reason(), "quarantined");
+    assert!(fleet.crashes.load(Ordering::SeqCst) <= 3);
+    let suspects = daemons[0].suspects.crashes.lock().len();
+    assert_eq!(suspects, 1, "only the culprit is still recorded");
+}
+
+#[tokio::test]
+async fn copies_of_a_suspect_run_one_at_a_time() {
+    let mut fleet = Fleet::build(6);
+    fleet.step = Duration::from_millis(1);
+    let fleet = Arc::new(fleet);
+    let daemons = daemons(&fleet, 1);
+    // The first copy makes it a suspect, and the others wait for their turn.
+    let first = daemons[0].send(Call::draft("poison"));
+    let later = async {
+        tokio::time::sleep(Duration::from_millis(8)).await;
+        futures::future::join_all((0..8).map(|_| daemons[0].send(Call::draft("poison")))).await
+    };
+    let (first, later) = tokio::join!(first, later);
+    assert_eq!(first.reason(), "quarantined");
+    assert!(later.iter().all(|reply| reply.reason() == "quarantined"));
+    assert!(fleet.crashes.load(Ordering::SeqCst) <= 3);
+}
+
+#[tokio::test]
+async fn suspects_ask_for_a_place_of_their_own() {
+    let fleet = Fleet::new(6);
+    let daemons = daemons(&fleet, 1);
+    daemons[0].send(Call::draft("poison")).await;
+    let solo: Vec<_> = daemons[0].grants.asked.lock().iter().map(|ask| ask.solo).collect();
+    assert_eq!(solo, [false, true, true]);
+}
+
+#[tokio::test]
+async fn a_booking_that_crashes_its_service_is_unknown_and_not_repeated() {
+    let fleet = Fleet::new(3);
+    let daemons = daemons(&fleet, 2);
+    for (round, daemon) in daemons.iter().cycle().take(8).enumerate() {
+        let home = round as u64 % 2 + 1;
+        let call = Call::booking("poison").key(bench::key(home, &format!("k{round}")));
+        let reply = daemon.send(call).await;
+        assert_ne!(reply.ran(), "not_run");
+    }
+    assert_eq!(fleet.crashes.load(Ordering::SeqCst), 3);
+}
--- /dev/null
+++ b/crates/caller/tests/once.rs
@@ -0,0 +1,257 @@
+//! Idempotency keys: at most one run, joined and replayed, bound to a home and a workspace.
+
+mod bench;
+
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use bench::{
+    Bench, Call,
+    engine::{Act, Fleet, booked},
+    incarnation, key, key_at, now_ms,
+};
+use hyssop_caller::{registry, registry::Limits};
+
+fn slow(servers: usize) -> Arc<Fleet> {
+    let mut fleet = Fleet::build(servers);
+    fleet.step = Duration::from_millis(5);
+    Arc::new(fleet)
+}
+
+#[tokio::test]
+async fn copies_of_a_booking_run_once_and_all_get_its_answer() {
+    let bench = Bench::new(slow(2));
+    let call = Call::booking("m1").key(key(1, "a"));
+    let copies = (0..10).map(|_| bench.send(call.clone()));
+    for reply in futures::future::join_all(copies).await {
+        assert_eq!((reply.status, reply.body), (200, booked("m1")));
+    }
+    let replay = bench.send(call).await;
+    assert_eq!(replay.body, booked("m1"));
+    assert_eq!(bench.fleet.runs(), 1);
+}
+
+#[tokio::test]
+async fn copies_of_a_draft_join_the_running_one_in_either_form() {
+    let bench = Bench::new(slow(2));
+    let call = Call::draft("join").stream().key(key(1, "a"));
+    let (first, second) = tokio::join!(bench.send(call.clone()), bench.send(call.clone()));
+    assert_eq!(first, second);
+    assert_eq!(bench.send(call).await, first);
+    assert_eq!(bench.fleet.runs(), 1);
+}
+
+#[tokio::test]
+async fn a_caller_that_left_gets_the_answer_of_its_booking() {
+    let bench = Bench::new(slow(1));
+    let call = Call::booking("m1").key(key(1, "a"));
+    let left = tokio::time::timeout(Duration::from_millis(2), bench.send(call.clone())).await;
+    assert!(left.is_err());
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(bench.send(call).await.body, booked("m1"));
+    assert_eq!(bench.fleet.runs(), 1);
+}
+
+#[tokio::test]
+async fn a_key_with_another_body_is_refused_and_disturbs_nothing() {
+    let bench = Bench::new(Fleet::new(1));
+    let name = key(1, "a");
+    bench.send(Call::booking("m1").key(&name)).await;
+    let reply = bench.send(Call::booking("m2").key(&name)).await;
+    assert_eq!((reply.status, reply.reason().as_str()), (422, "key_reused"));
+    assert_eq!(bench.send(Call::booking("m1").key(&name)).await.body, booked("m1"));
+    assert_eq!(bench.fleet.runs(), 1);
+}
+
+#[tokio::test]
+async fn a_key_belongs_to_its_workspace() {
+    let bench = Bench::new(Fleet::new(1));
+    let name = key(1, "a");
+    let own = bench.send(Call::booking("m1").key(&name)).await;
+    let call = Call::booking("m2").key(&name).set("authorization", "Bearer key-quay");
+    let other = bench.send(call).await;
+    assert_eq!((own.body, other.body), (booked("m1"), booked("m2")));
+    assert_eq!(bench.fleet.runs(), 2);
+}
+
+#[tokio::test]
+async fn old_future_and_malformed_keys_dispatch_nothing() {
+    let bench = Bench::new(Fleet::new(1));
+    let hour = 3_600_000;
+    let cases = [
+        (key_at(1, now_ms() - hour, "a"), 410, "unknown", "key_expired"),
+        (key_at(1, now_ms() + hour, "a"), 400, "refused", "key_in_future"),
+        ("nonsense".to_owned(), 400, "refused", "key_malformed"),
+        (format!("{}.007.a", incarnation(1)), 400, "refused", "key_malformed"),
+    ];
+    for (name, status, outcome, reason) in cases {
+        let reply = bench.send(Call::booking("m1").key(name)).await;
+        let seen = (reply.status, reply.outcome.clone(), reply.reason());
+        assert_eq!(seen, (status, outcome.to_owned(), reason.to_owned()));
+    }
+    let reply = bench.send(Call::booking("m1")).await;
+    assert_eq!((reply.status, reply.reason().as_str()), (400, "key_required"));
+    assert_eq!(bench.fleet.runs(), 0);
+}
+
+#[tokio::test]
+async fn a_booking_whose_home_is_gone_is_unknown_at_once() {
+    let bench = Bench::new(Fleet::new(1));
+    let reply = bench.send(Call::booking("m1").key(key(2, "a"))).await;
+    assert_eq!((reply.status, reply.outcome.as_str()), (502, "unknown"));
+    assert_eq!((reply.reason().as_str(), reply.ran().as_str()), ("home_gone", "may_have_run"));
+    assert_eq!(bench.fleet.runs(), 0);
+    let draft = bench.send(Call::draft("gone").key(key(2, "a"))).await;
+    assert_eq!(draft.status, 200, "an idempotent request may run here");
+}
+
+/// Two homes that relay to each other.
+fn pair(fleet: &Arc<Fleet>) -> (Bench, Bench) {
+    let first = Bench::new(Arc::clone(fleet));
+    let wire = Arc::clone(&first.wire);
+    let second = Bench::with(2, Arc::clone(fleet), Arc::default(), wire, |builder| builder);
+    for (number, bench) in [(1, &first), (2, &second)] {
+        let address = ([127, 0, 0, 1], number).into();
+        first.wire.homes.lock().insert(address, bench.home.clone());
+        for names in [&first.names, &second.names] {
+            names.peers.lock().insert(incarnation(number.into()), address);
+        }
+    }
+    (first, second)
+}
+
+#[tokio::test]
+async fn a_copy_through_another_daemon_reaches_the_home_of_its_key() {
+    let fleet = slow(2);
+    let (first, second) = pair(&fleet);
+    let call = Call::booking("m1").key(key(1, "a"));
+    let (direct, relayed) = tokio::join!(first.send(call.clone()), second.send(call.clone()));
+    assert_eq!((direct.body, relayed.body), (booked("m1"), booked("m1")));
+    first.wire.lossy.store(true, Ordering::SeqCst);
+    let reply = second.send(call).await;
+    assert_eq!(reply.outcome, "unknown", "the home may have run it");
+    assert_eq!(fleet.runs(), 1);
+}
+
+#[tokio::test]
+async fn a_relayed_request_is_not_relayed_again() {
+    let fleet = Fleet::new(1);
+    let (first, second) = pair(&fleet);
+    // Both believe that the other one is the incarnation 3.
+    first.names.peers.lock().insert(incarnation(3), ([127, 0, 0, 1], 2).into());
+    second.names.peers.lock().insert(incarnation(3), ([127, 0, 0, 1], 1).into());
+    let reply = first.send(Call::booking("m1").key(key(3, "a"))).await;
+    assert_eq!((reply.outcome.as_str(), fleet.runs()), ("unknown", 0));
+}
+
+#[tokio::test]
+async fn nothing_is_sent_when_no_connection_opens_and_it_is_said_so() {
+    let bench = Bench::new(Fleet::new(2));
+    bench.fleet.refuse_connections.store(true, Ordering::SeqCst);
+    let call = Call::booking("m1").key(key(1, "a"));
+    let reply = bench.send(call.clone()).await;
+    assert_eq!((reply.status, reply.ran().as_str()), (503, "not_run"));
+    bench.fleet.refuse_connections.store(false, Ordering::SeqCst);
+    let copy = bench.send(call).await;
+    assert_eq!(copy.ran(), "not_run", "the caller may already use another key");
+    assert_eq!(bench.fleet.runs(), 0);
+}
+
+#[tokio::test]
+async fn a_booking_that_was_sent_is_never_sent_again() {
+    let cases =
+        [(Act::Die(0), "unknown"), (Act::Break(0), "unknown"), (Act::Overloaded, "unknown")];
+    for (act, outcome) in cases {
+        let bench = Bench::new(Fleet::new(2));
+        bench.fleet.act(act);
+        let call = Call::booking("m1").key(key(1, "a"));
+        let reply = bench.send(call.clone()).await;
+        assert_eq!((reply.outcome.as_str(), reply.ran().as_str()), (outcome, "may_have_run"));
+        assert_eq!(bench.send(call).await, reply);
+        assert_eq!(bench.grants.next.load(Ordering::SeqCst), 1, "{act:?}");
+    }
+}
+
+#[tokio::test]
+async fn a_stale_permit_is_not_used() {
+    let bench = Bench::new(Fleet::new(1));
+    bench.grants.stale.store(3, Ordering::SeqCst);
+    let reply = bench.send(Call::booking("m1").key(key(1, "a"))).await;
+    assert_eq!((reply.status, bench.fleet.runs()), (200, 1));
+    bench.grants.stale.store(1000, Ordering::SeqCst);
+    let reply = bench.send(Call::booking("m2").key(key(1, "b"))).await;
+    assert_eq!((reply.ran().as_str(), bench.fleet.runs()), ("not_run", 1));
+}
+
+#[tokio::test]
+async fn a_full_registry_refuses_and_forgets_nothing() {
+    let limits = Limits { keys: 3, ..Limits::default() };
+    let bench = Bench::keys(limits, Fleet::new(1));
+    let issued = now_ms();
+    for part in ["a", "b", "c"] {
+        let reply = bench.send(Call::booking(part).key(key_at(1, issued, part))).await;
+        assert_eq!(reply.status, 200);
+    }
+    let refused = bench.send(Call::booking("d").key(key_at(1, issued, "d"))).await;
+    assert_eq!((refused.reason().as_str(), refused.ran().as_str()), ("keys_full", "not_run"));
+    for part in ["a", "b", "c"] {
+        let reply = bench.send(Call::booking(part).key(key_at(1, issued, part))).await;
+        assert_eq!(reply.body, booked(part));
+    }
+    assert_eq!(bench.fleet.runs(), 3);
+    let draft = bench.send(Call::draft("x").key(key(1, "e"))).await;
+    assert_eq!(draft.status, 200, "an idempotent request runs unregistered");
+}
+
+#[tokio::test]
+async fn a_refusal_for_want_of_room_holds_for_late_copies() {
+    let clock = Arc::new(hyssop_timer::Manual::default());
+    let window = Duration::from_secs(60);
+    let limits = Limits { keys: 1, window, ..Limits::default() };
+    let bench = Bench::with(1, Fleet::new(1), Arc::default(), Arc::default(), |builder| {
+        builder.keys(limits).clock(clock.clone())
+    });
+    let start = now_ms();
+    bench.send(Call::booking("old").key(key_at(1, start - 50_000, "old"))).await;
+    let call = Call::booking("late").key(key_at(1, start, "late"));
+    assert_eq!(bench.send(call.clone()).await.ran(), "not_run");
+    // The old key is forgotten, so there is room again.
+    clock.advance(Duration::from_secs(20));
+    assert_eq!(bench.send(call).await.ran(), "not_run");
+    let next = Call::booking("next").key(key_at(1, start + 20_000, "next"));
+    assert_eq!(bench.send(next).await.status, 200);
+}
+
+#[tokio::test]
+async fn a_refusal_before_registration_holds_for_late_copies() {
+    let bench = Bench::new(Fleet::new(1));
+    let name = key(1, "a");
+    let wrong = Call::booking("m1").key(&name).set("request-class", "no-such-class");
+    assert_eq!(bench.send(wrong).await.ran(), "not_run");
+    let copy = bench.send(Call::booking("m1").key(&name)).await;
+    assert_eq!((copy.ran().as_str(), bench.fleet.runs()), ("not_run", 0));
+}
+
+#[tokio::test]
+async fn a_refusal_of_a_copy_says_nothing_about_a_key_that_has_begun() {
+    let bench = Bench::new(Fleet::new(1));
+    let name = key(1, "a");
+    bench.send(Call::booking("m1").key(&name)).await;
+    let wrong = Call::booking("m1").key(&name).set("request-class", "no-such-class");
+    let reply = bench.send(wrong).await;
+    assert_eq!((reply.outcome.as_str(), reply.ran().as_str()), ("unknown", "may_have_run"));
+}
+
+#[tokio::test]
+async fn an_answer_too_large_to_keep_is_still_not_run_twice() {
+    let limits = registry::Limits { answer_bytes_per_key: 4, ..Limits::default() };
+    let bench = Bench::keys(limits, Fleet::new(1));
+    let call = Call::booking("m1").key(key(1, "a"));
+    assert_eq!(bench.send(call.clone()).await.body, booked("m1"));
+    bench.home.drain().await;
+    let replay = bench.send(call).await;
+    assert_eq!((replay.reason().as_str(), replay.ran().as_str()), ("answer_not_kept", "ran"));
+    assert_eq!(bench.fleet.runs(), 1);
+}
