Take a missing value without an index as nothing published

Cause: the smoke run of three daemons logged a failed read of the orders five times in 6 s: a 404 without an index was an error and went into back-off, and the daemon reported the platform as out of reach. Change: it is a value that is not published and cannot be watched; it is read again each 2 s with jitter. Ruled out: a watch from index 0, which returns at once and would spin. Checked: the new test failed before and passes now.

--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -33,10 +33,15 @@
 )]
 pub struct Index(pub u64);
 
+impl Index {
+    /// No index: the platform gave none with its answer, so nothing can be watched.
+    pub const NONE: Self = Self(0);
+}
+
 /// A value as the platform has it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Value {
-    /// The index at which the value was read.
+    /// The index at which the value was read, or [`Index::NONE`].
     pub index: Index,
     /// The bytes, or `None` if nothing is published under the key.
     pub bytes: Option<Bytes>,
@@ -132,7 +137,10 @@
                 let bytes = body.map_err(|error| body_error(&*error))?.to_bytes();
                 Ok(Value { index, bytes: Some(bytes) })
             }
-            StatusCode::NOT_FOUND => Ok(Value { index: index(&head.headers)?, bytes: None }),
+            StatusCode::NOT_FOUND => {
+                let index = index(&head.headers).unwrap_or(Index::NONE);
+                Ok(Value { index, bytes: None })
+            }
             StatusCode::TOO_MANY_REQUESTS => Err(Error::Limited(retry_after(&head.headers))),
             status => Err(Error::Status(status)),
         }
--- a/crates/platform/src/reader.rs
+++ b/crates/platform/src/reader.rs
@@ -105,6 +105,10 @@
     ) -> Result<Value, Error> {
         match (seen, duty) {
             (None, _) => self.client.read(self.key).await,
+            (Some(Index::NONE), Duty::Watch) => {
+                tokio::time::sleep(backoff.spread(UNWATCHED)).await;
+                self.client.read(self.key).await
+            }
             (Some(seen), Duty::Watch) => {
                 let value = self.client.watch(self.key, seen, self.watch).await?;
                 if value.index < seen {
@@ -131,6 +135,8 @@
 
 const BACKOFF_BASE: Duration = Duration::from_millis(100);
 const BACKOFF_LIMIT: Duration = Duration::from_secs(5);
+/// The mean time between two reads of a value that cannot be watched.
+const UNWATCHED: Duration = Duration::from_secs(2);
 const DUTY_CHECK: Duration = Duration::from_millis(500);
 
 fn at_least(error: &Error) -> Option<Duration> {
--- a/crates/platform/tests/reader.rs
+++ b/crates/platform/tests/reader.rs
@@ -149,3 +149,16 @@
     let error = hosts::parse(twice.as_bytes()).expect_err("a name stands twice");
     expect!["the list of hosts names h1 twice"].assert_eq(&error.to_string());
 }
+
+#[tokio::test]
+async fn a_missing_value_without_an_index_is_no_failure() {
+    let (listener, address) = listen().await;
+    let server = tokio::spawn(serve(
+        listener,
+        vec!["HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"],
+    ));
+    let client = Client::new(address, "hyssop", Duration::from_secs(2));
+    let value = client.read(Key::Orders).await.expect("nothing is published yet");
+    assert_eq!(value.bytes, None);
+    server.await.expect("the script does not panic");
+}
