--- /dev/null
+++ b/crates/fakes/examples/measure/report.rs
@@ -0,0 +1,288 @@
+//! The figures of a run.
+
+use std::{
+    fmt,
+    io::{self, Write},
+};
+
+use hyssop_document::collections::Map;
+use hyssop_fakes::{
+    history::{self, Ended, Event, Outcome, Sent, Work},
+    record::Record,
+};
+use serde::Serialize;
+
+use crate::{
+    scenario::{Plan, Scenario},
+    shapes,
+};
+
+/// The figures of one class in one run. The class `all` has the sums.
+#[derive(Debug, Clone, Serialize)]
+pub(crate) struct Row {
+    shape: String,
+    scenario: String,
+    variant: String,
+    seed: u64,
+    class: String,
+    tier: u8,
+    sent: usize,
+    answered: usize,
+    attained: usize,
+    refused: usize,
+    unknown: usize,
+    failed: usize,
+    p50_ms: u64,
+    p99_ms: u64,
+    goodput_tokens_per_s: f64,
+    generated_tokens: u64,
+    wasted_tokens: u64,
+    /// The answers in that 10 s of the run in which there were fewest.
+    least_answered_in_10s: usize,
+}
+
+/// The figures of a run.
+#[derive(Debug)]
+pub(crate) struct Report {
+    pub(crate) rows: Vec<Row>,
+    /// Broken promises that the history shows.
+    pub(crate) violations: Vec<String>,
+    /// Crashes of cold engines that got more than they bear.
+    pub(crate) overloads: u64,
+}
+
+/// The fate of one request over all its tries.
+#[derive(Debug)]
+struct Fate<'a> {
+    first: &'a Sent,
+    last: &'a Sent,
+    end: &'a Ended,
+}
+
+impl Fate<'_> {
+    fn elapsed_ms(&self) -> u64 {
+        self.end.at_ms.saturating_sub(self.first.at_ms)
+    }
+
+    fn first_token_ms(&self) -> u64 {
+        let waited = self.last.at_ms.saturating_sub(self.first.at_ms);
+        self.end.first_token_ms.map_or_else(|| self.elapsed_ms(), |ms| waited + ms)
+    }
+}
+
+fn fates(events: &[Event]) -> Vec<Fate<'_>> {
+    let mut fates: Map<u64, (&Sent, &Sent, Option<&Ended>)> = Map::default();
+    for event in events {
+        match event {
+            Event::Sent(sent) => {
+                fates.entry(sent.request).or_insert((sent, sent, None)).1 = sent;
+            }
+            Event::Ended(ended) => {
+                if let Some(fate) = fates.get_mut(&ended.request) {
+                    fate.2 = Some(ended);
+                }
+            }
+        }
+    }
+    let whole = fates.into_values();
+    whole.filter_map(|(first, last, end)| Some(Fate { first, last, end: end? })).collect()
+}
+
+/// Builds the figures from a history and the execution records.
+pub(crate) fn build(
+    plan: &Plan,
+    scenario: Scenario,
+    variant: &str,
+    seed: u64,
+    events: &[Event],
+    records: &[Record],
+) -> Report {
+    let fates = fates(events);
+    let begin_ms = fates.iter().map(|fate| fate.first.at_ms).min().unwrap_or(0);
+    let counted_ms = begin_ms + plan.warm_up.as_millis() as u64;
+    let counted: Vec<_> = fates.iter().filter(|fate| fate.first.at_ms >= counted_ms).collect();
+    let works = history::work(events, records);
+    let mut rows = Vec::new();
+    let base = Row {
+        shape: plan.deployment.to_string(),
+        scenario: scenario.to_string(),
+        variant: variant.to_owned(),
+        seed,
+        class: "all".to_owned(),
+        tier: 0,
+        sent: 0,
+        answered: 0,
+        attained: 0,
+        refused: 0,
+        unknown: 0,
+        failed: 0,
+        p50_ms: 0,
+        p99_ms: 0,
+        goodput_tokens_per_s: 0.0,
+        generated_tokens: 0,
+        wasted_tokens: 0,
+        least_answered_in_10s: 0,
+    };
+    for class in &plan.shape.document.classes {
+        let own: Vec<_> =
+            counted.iter().copied().filter(|fate| fate.first.class == class.name).collect();
+        let work = works.get(&class.name).copied().unwrap_or_default();
+        let mut row = Row { class: class.name.to_string(), tier: class.tier.0, ..base.clone() };
+        fill(&mut row, plan, &own, work);
+        rows.push(row);
+    }
+    let mut all = base;
+    let sum = works.values().fold(Work::default(), |sum, work| Work {
+        generated: sum.generated + work.generated,
+        wasted: sum.wasted + work.wasted,
+    });
+    fill(&mut all, plan, &counted, sum);
+    rows.push(all);
+    let violations = history::check(events, records);
+    Report {
+        rows,
+        violations: violations.iter().map(ToString::to_string).collect(),
+        overloads: records.iter().map(|record| record.overloads).sum(),
+    }
+}
+
+fn fill(row: &mut Row, plan: &Plan, fates: &[&Fate<'_>], work: Work) {
+    let count = |outcome| fates.iter().filter(|fate| fate.end.outcome == outcome).count();
+    let answered = || fates.iter().filter(|fate| fate.end.outcome == Outcome::Answered);
+    let attained: Vec<_> = answered().filter(|fate| attains(plan, fate)).collect();
+    let mut times: Vec<_> = answered().map(|fate| fate.elapsed_ms()).collect();
+    times.sort_unstable();
+    let seconds = (plan.time - plan.warm_up).as_secs_f64();
+    let tokens: u64 = attained.iter().map(|fate| fate.end.tokens.0).sum();
+    row.sent = fates.len();
+    row.answered = count(Outcome::Answered);
+    row.attained = attained.len();
+    row.refused = count(Outcome::Refused);
+    row.unknown = count(Outcome::Unknown) + count(Outcome::Lost);
+    row.failed = count(Outcome::Failed);
+    row.p50_ms = percentile(&times, 50);
+    row.p99_ms = percentile(&times, 99);
+    row.goodput_tokens_per_s = tokens as f64 / seconds;
+    row.generated_tokens = work.generated;
+    row.wasted_tokens = work.wasted;
+    row.least_answered_in_10s = least_in_window(plan, fates);
+}
+
+fn attains(plan: &Plan, fate: &Fate<'_>) -> bool {
+    let classes = &plan.shape.document.classes;
+    let class = classes.iter().find(|class| class.name == fate.first.class);
+    let Some(class) = class else { return false };
+    fate.end.whole
+        && fate.elapsed_ms() <= class.complete_ms
+        && fate.first_token_ms() <= class.first_token_ms
+}
+
+fn percentile(sorted: &[u64], percent: usize) -> u64 {
+    let position = (sorted.len() * percent).div_ceil(100).saturating_sub(1);
+    sorted.get(position).copied().unwrap_or(0)
+}
+
+/// The answers in the window of 10 s, a second apart, that has the fewest.
+fn least_in_window(plan: &Plan, fates: &[&Fate<'_>]) -> usize {
+    const WINDOW_S: u64 = 10;
+    let Some(begin) = fates.iter().map(|fate| fate.first.at_ms).min() else { return 0 };
+    let seconds = (plan.time - plan.warm_up).as_secs();
+    let ends = fates.iter().filter(|fate| fate.end.outcome == Outcome::Answered);
+    let ends: Vec<_> = ends.map(|fate| fate.end.at_ms).collect();
+    let starts = 0..=seconds.saturating_sub(WINDOW_S);
+    let answered = |start: u64| {
+        let from = begin + start * 1_000;
+        let to = from + WINDOW_S * 1_000;
+        ends.iter().filter(|&&at| at >= from && at < to).count()
+    };
+    starts.map(answered).min().unwrap_or(0)
+}
+
+/// Counts of requests by how they ended so far.
+#[derive(Debug, Default)]
+pub(crate) struct Counts {
+    answered: usize,
+    refused: usize,
+    other: usize,
+}
+
+impl Counts {
+    pub(crate) fn new(events: &[Event]) -> Self {
+        let mut counts = Self::default();
+        for event in events {
+            match event {
+                Event::Ended(Ended { outcome: Outcome::Answered, .. }) => counts.answered += 1,
+                Event::Ended(Ended { outcome: Outcome::Refused, .. }) => counts.refused += 1,
+                Event::Ended(_) => counts.other += 1,
+                Event::Sent(_) => {}
+            }
+        }
+        counts
+    }
+}
+
+impl fmt::Display for Counts {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} answered, {} refused, {} other", self.answered, self.refused, self.other)
+    }
+}
+
+/// Writes a table for people.
+pub(crate) fn table(out: &mut dyn Write, reports: &[Report]) -> io::Result<()> {
+    let capacity = shapes::capacity_tokens_per_s();
+    writeln!(out, "engines' capacity: {capacity:.0} tokens/s")?;
+    writeln!(
+        out,
+        "{:10} {:11} {:18} {:13} {:>4} {:>6} {:>8} {:>9} {:>8} {:>8} {:>7} {:>7} {:>9} {:>8}",
+        "shape",
+        "scenario",
+        "variant",
+        "class",
+        "tier",
+        "sent",
+        "answered",
+        "attained",
+        "refused",
+        "unknown",
+        "p50 ms",
+        "p99 ms",
+        "goodput/s",
+        "wasted",
+    )?;
+    for report in reports {
+        for row in &report.rows {
+            write_row(out, row)?;
+        }
+        let shown = report.violations.iter().take(5);
+        shown.clone().try_for_each(|violation| writeln!(out, "  violation: {violation}"))?;
+        writeln!(
+            out,
+            "  {} violations, {} overloads of cold engines",
+            report.violations.len(),
+            report.overloads
+        )?;
+    }
+    Ok(())
+}
+
+fn write_row(out: &mut dyn Write, row: &Row) -> io::Result<()> {
+    let share = |part: f64, all: f64| if all > 0.0 { 100.0 * part / all } else { 0.0 };
+    writeln!(
+        out,
+        "{:10} {:11} {:18} {:13} {:>4} {:>6} {:>8} {:>8.1}% {:>8} {:>8} {:>7} {:>7} {:>9.0} {:>7.1}%",
+        row.shape,
+        row.scenario,
+        row.variant,
+        row.class,
+        row.tier,
+        row.sent,
+        row.answered,
+        share(row.attained as f64, row.sent as f64),
+        row.refused,
+        row.unknown + row.failed,
+        row.p50_ms,
+        row.p99_ms,
+        row.goodput_tokens_per_s,
+        share(row.wasted_tokens as f64, row.generated_tokens as f64),
+    )
+}
