Keep operators' connections before those without a key

When the bound is reached, the oldest connection that has not presented a key now gives way. Waiting for the header timeout alone was ruled out: an operator needs the API most while the daemon is flooded.

A stop waits for requests in progress and then cuts off what is left.

--- a/crates/operator/src/server.rs
+++ b/crates/operator/src/server.rs
@@ -1,19 +1,18 @@
 //! The HTTP server for operators.
 
-pub mod reply;
+mod connections;
+mod reply;
 mod route;
 
-use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{convert::Infallible, io, net::SocketAddr, pin::pin, sync::Arc, time::Duration};
 
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyssop_document::digest::Digest;
-use tokio::{
-    net::{TcpListener, TcpStream},
-    sync::{OwnedSemaphorePermit, Semaphore},
-};
+use tokio::net::{TcpListener, TcpStream};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
+use self::connections::{Connections, Slot};
 use crate::desk::Desk;
 
 const DEFAULT_MAX_CONNECTIONS: usize = 256;
@@ -122,67 +121,76 @@
 
     /// Serves until `stop` is cancelled, then lets requests in progress finish.
     pub async fn run(self, stop: CancellationToken) {
-        let slots = Arc::new(Semaphore::new(self.limits.max_connections));
+        let connections = Connections::new(self.limits.max_connections);
         let tracker = TaskTracker::new();
         loop {
-            let accepted = tokio::select! {
+            let stream = tokio::select! {
                 () = stop.cancelled() => break,
-                accepted = accept(&self.listener, &slots) => accepted,
+                stream = accept(&self.listener) => stream,
             };
-            let Some((stream, slot)) = accepted else { continue };
-            let connection =
-                serve(stream, slot, self.routes.clone(), self.limits, stop.child_token());
-            tracker.spawn(connection);
+            match connections.admit() {
+                Some(slot) => {
+                    let connection = Connection { stream, slot, stop: stop.clone() };
+                    tracker.spawn(connection.serve(self.routes.clone(), self.limits));
+                }
+                None => log::warn!("operator connection refused open={}", connections.count()),
+            }
         }
         drop(self.listener);
         tracker.close();
         if tokio::time::timeout(self.limits.stop_timeout, tracker.wait()).await.is_err() {
-            log::warn!("operator connections cut off at stop count={}", tracker.len());
+            log::warn!("operator connections cut off at stop count={}", connections.count());
+            connections.cut_all();
+            tracker.wait().await;
         }
     }
 }
 
-async fn accept(
-    listener: &TcpListener,
-    slots: &Arc<Semaphore>,
-) -> Option<(TcpStream, OwnedSemaphorePermit)> {
-    let slot = slots.clone().acquire_owned().await.ok()?;
-    match listener.accept().await {
-        Ok((stream, _)) => Some((stream, slot)),
-        Err(error) => {
-            log::warn!("operator connection not accepted error={error}");
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            None
+async fn accept(listener: &TcpListener) -> TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => return stream,
+            Err(error) => {
+                log::warn!("operator connection not accepted error={error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
         }
     }
 }
 
-async fn serve(
+/// One connection of an operator.
+struct Connection {
     stream: TcpStream,
-    slot: OwnedSemaphorePermit,
-    routes: Arc<route::Routes>,
-    limits: Limits,
+    slot: Slot,
     stop: CancellationToken,
-) {
-    let service = service_fn(move |request: hyper::Request<Incoming>| {
-        let routes = routes.clone();
-        async move { Ok::<_, std::convert::Infallible>(routes.answer(request).await) }
-    });
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.header_timeout)
-        .max_buf_size(MAX_HEADER_BYTES)
-        .serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
-    let ended = tokio::select! {
-        ended = connection.as_mut() => ended,
-        () = stop.cancelled() => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+}
+
+impl Connection {
+    async fn serve(self, routes: Arc<route::Routes>, limits: Limits) {
+        let slot = &self.slot;
+        let service = service_fn(|request: hyper::Request<Incoming>| {
+            let routes = routes.clone();
+            async move { Ok::<_, Infallible>(routes.answer(request, slot).await) }
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(limits.header_timeout)
+            .max_buf_size(MAX_HEADER_BYTES)
+            .serve_connection(TokioIo::new(self.stream), service);
+        let mut connection = pin!(connection);
+        let ended = tokio::select! {
+            ended = connection.as_mut() => ended,
+            () = slot.cut() => return,
+            () = self.stop.cancelled() => {
+                connection.as_mut().graceful_shutdown();
+                tokio::select! {
+                    ended = connection => ended,
+                    () = slot.cut() => return,
+                }
+            }
+        };
+        if let Err(error) = ended {
+            log::debug!("operator connection ended error={error}");
         }
-    };
-    if let Err(error) = ended {
-        log::debug!("operator connection ended error={error}");
     }
-    drop(slot);
 }
--- a/crates/operator/src/server/route.rs
+++ b/crates/operator/src/server/route.rs
@@ -13,8 +13,16 @@
 };
 use serde::Serialize;
 
-use super::reply::{Error, Kind, Reply, json, not_allowed, raw};
-use crate::{check, desk::Desk, outcome};
+use super::{
+    connections::Slot,
+    reply::{self, Reply, json, not_allowed, raw},
+};
+use crate::{
+    check,
+    desk::Desk,
+    error::{Error, Kind},
+    outcome,
+};
 
 const MAX_ORDER_BYTES: usize = 4 << 10;
 
@@ -33,23 +41,23 @@
 
 impl Routes {
     /// The answer to one request.
-    pub(super) async fn answer(&self, request: Request<Incoming>) -> Reply {
-        let answer = tokio::time::timeout(self.answer_timeout, self.find(request));
-        match answer.await {
-            Ok(Ok(reply)) => reply,
-            Ok(Err(error)) => error.reply(),
-            Err(_) => Error::new(Kind::AnswerTimeout, "the daemon found no answer in time").reply(),
-        }
+    pub(super) async fn answer(&self, request: Request<Incoming>, slot: &Slot) -> Reply {
+        let answer = tokio::time::timeout(self.answer_timeout, self.find(request, slot));
+        let late = || Error::new(Kind::AnswerTimeout, "the daemon found no answer in time");
+        let answer = answer.await.unwrap_or_else(|_| Err(late()));
+        answer.unwrap_or_else(|error| reply::error(&error))
     }
 
-    async fn find(&self, request: Request<Incoming>) -> Result<Reply, Error> {
+    async fn find(&self, request: Request<Incoming>, slot: &Slot) -> Result<Reply, Error> {
         let path = request.uri().path();
+        let read = request.method() == Method::GET;
         match path {
-            "/livez" => return Ok(json(StatusCode::OK, &Live { live: true })),
-            "/readyz" => return Ok(self.ready().await),
+            "/livez" if read => return Ok(json(StatusCode::OK, &Live { live: true })),
+            "/readyz" if read => return Ok(self.ready().await),
+            "/livez" | "/readyz" => return Ok(not_allowed("GET")),
             _ => self.authorize(&request)?,
         }
-        let read = request.method() == Method::GET;
+        slot.trust();
         let posted = request.method() == Method::POST;
         match path {
             "/v1/status" if read => Ok(json(StatusCode::OK, &self.desk.status().await)),
