--- a/crates/document/src/lib.rs
+++ b/crates/document/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod catalog;
 pub mod collections;
+pub mod difference;
 pub mod digest;
 pub mod group;
 pub mod load;
