Add the quickstart and the same path as a process test

Each daemon and stand-in is a process of its own: the example starts copies of itself, the test the binary node. First run against the daemon: the platform's 404 lacked X-Consul-Index (added, as Consul does), and the document was rejected since a pool's latest end lay below a class's longest running time.

--- a/crates/fakes/src/baseline.rs
+++ b/crates/fakes/src/baseline.rs
@@ -9,12 +9,12 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use anyhow::Result;
+use anyhow::{Result, anyhow};
 use bytes::Bytes;
 use futures::{FutureExt, future::BoxFuture};
 use http_body_util::BodyExt;
 use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming};
-use hyssop_document::{collections::Set, model::Document, name};
+use hyssop_document::{collections::Set, load, model::Document, name};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use tokio::time::Instant;
@@ -39,7 +39,7 @@
     /// How it chooses.
     pub strategy: Strategy,
     /// The document.
-    pub document: Document,
+    pub document: Value,
     /// The address for callers.
     pub caller: SocketAddr,
     /// The address for control.
@@ -60,6 +60,7 @@
 #[derive(Debug)]
 struct Shared {
     settings: Settings,
+    document: Document,
     choice: Arc<Choice>,
 }
 
@@ -70,9 +71,12 @@
     ///
     /// Fails if an address cannot be bound.
     pub async fn start(settings: Settings) -> Result<Self> {
-        let choice = Arc::new(Choice::new(&settings));
+        let bytes = settings.document.to_string();
+        let checked = load::parse(bytes.as_bytes()).map_err(|faults| anyhow!("{faults:?}"))?;
+        let document = checked.document;
+        let choice = Arc::new(Choice::new(&settings, &document));
         let (caller, operator) = (settings.caller, settings.operator);
-        let shared = Arc::new(Shared { settings, choice });
+        let shared = Arc::new(Shared { settings, document, choice });
         Ok(Self {
             _caller: Listener::start(caller, Arc::new(Callers(shared.clone()))).await?,
             _operator: Listener::start(operator, Arc::new(Operators(shared))).await?,
@@ -104,8 +108,7 @@
     fn exchange(&self, path: &str, headers: &HeaderMap, body: Bytes) -> Option<Exchange> {
         let header = |name: &str| headers.get(name)?.to_str().ok();
         let class = header("request-class")?;
-        let class =
-            self.settings.document.classes.iter().find(|known| known.name.as_str() == class)?;
+        let class = self.document.classes.iter().find(|known| known.name.as_str() == class)?;
         let seconds: f64 = header("prefer")?.strip_prefix("wait=")?.parse().ok()?;
         let deadline = Instant::now() + Duration::from_secs_f64(seconds);
         let id = header("idempotency-key")?.into();
--- a/crates/fakes/src/baseline/choice.rs
+++ b/crates/fakes/src/baseline/choice.rs
@@ -2,7 +2,11 @@
 
 use std::{collections::VecDeque, net::SocketAddr, sync::Arc, time::Duration};
 
-use hyssop_document::{collections::Set, name};
+use hyssop_document::{
+    collections::Set,
+    model::{self, Document},
+    name,
+};
 use parking_lot::Mutex;
 use rand::{SeedableRng, rngs::SmallRng, seq::IteratorRandom};
 use tokio::{sync::oneshot, time::Instant};
@@ -46,9 +50,8 @@
 }
 
 impl Choice {
-    pub(super) fn new(settings: &Settings) -> Self {
-        let document = &settings.document;
-        let backend = |backend: &hyssop_document::model::Backend| {
+    pub(super) fn new(settings: &Settings, document: &Document) -> Self {
+        let backend = |backend: &model::Backend| {
             let pool = document.pools.iter().find(|pool| pool.name == backend.pool);
             Backend {
                 address: backend.address,
--- a/crates/fakes/src/cluster.rs
+++ b/crates/fakes/src/cluster.rs
@@ -228,8 +228,8 @@
     ///
     /// # Errors
     ///
-    /// Fails after [`READY_LIMIT`], with the daemon's log.
-    pub async fn ready(&self, index: usize) -> Result<()> {
+    /// Fails after [`READY_LIMIT`], or when the daemon ends, with its log.
+    pub async fn ready(&mut self, index: usize) -> Result<()> {
         let address = self.shape.network.daemon(index).operator;
         let end = Instant::now() + READY_LIMIT;
         while Instant::now() < end {
@@ -237,6 +237,9 @@
             if matches!(ready, Ok(Ok(_))) {
                 return Ok(());
             }
+            if let Some(status) = self.daemons[index].ended()? {
+                bail!("daemon {index} ended with {status}:\n{}", self.daemons[index].log());
+            }
             tokio::time::sleep(POLL).await;
         }
         bail!("daemon {index} is not ready after {READY_LIMIT:?}:\n{}", self.daemons[index].log())
@@ -488,7 +491,7 @@
         let addresses = self.shape.network.daemon(index);
         let settings = baseline::Settings {
             strategy,
-            document: self.shape.document.clone(),
+            document: serde_json::to_value(&self.shape.document)?,
             caller: addresses.caller,
             operator: addresses.operator,
             all: self.callers(),
@@ -505,10 +508,8 @@
             "caller_address": addresses.caller,
             "peer_address": addresses.peer,
             "operator_address": addresses.operator,
-            "platform": {
-                "address": self.shape.network.platform().0,
-                "prefix": self.prefix(index),
-            },
+            "platform_address": self.shape.network.platform().0,
+            "platform_prefix": self.prefix(index),
             "operator_keys_sha256": [Digest::of(OPERATOR_KEY.as_bytes())],
             "log_level": self.settings.log_level,
             "addresses_lifetime_ms": self.settings.lifetime_ms,
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod node;
 pub mod platform;
 pub mod process;
+pub mod quickstart;
 pub mod record;
 pub mod service;
 pub mod shape;
--- a/crates/fakes/src/node.rs
+++ b/crates/fakes/src/node.rs
@@ -94,7 +94,7 @@
     }
     let program = |name: &str, args: Vec<OsString>| std::iter::once(name.into()).chain(args);
     match flags.command {
-        Command::Daemon { args } => not_built(program("hyssopcourse", args)),
+        Command::Daemon { args } => hyssop_daemon::main(program("hyssopcourse", args)),
         Command::Ctl { args } => not_built(program("hyssopctl", args)),
         stand_in => match run(stand_in) {
             Ok(()) => ExitCode::SUCCESS,
--- a/crates/fakes/src/platform.rs
+++ b/crates/fakes/src/platform.rs
@@ -71,10 +71,15 @@
 }
 
 impl State {
-    /// The version of a key that is served now.
-    fn served(&self, key: &str) -> Option<&Version> {
+    /// The value of a key that is served now, and its revision. A key without a value has the
+    /// revision of the whole store.
+    fn look_up(&self, key: &str) -> (Option<Bytes>, u64) {
         let newest = self.stale.unwrap_or(u64::MAX);
-        self.values.get(key)?.iter().rev().find(|version| version.index <= newest)
+        let versions = self.values.get(key).into_iter().flatten();
+        match versions.rev().find(|version| version.index <= newest) {
+            Some(version) => (Some(version.value.clone()), version.index),
+            None => (None, self.index.min(newest).max(1)),
+        }
     }
 
     /// Counts a call. Returns whether it is within the limit.
@@ -200,11 +205,10 @@
                 }
                 Outage::None => {}
             }
-            let served = self.state.lock().served(key).cloned();
-            let index = served.as_ref().map_or(0, |version| version.index);
+            let (served, index) = self.state.lock().look_up(key);
             let fresh = query.index.is_none_or(|seen| index > seen);
             if fresh || Instant::now() >= end {
-                return answer(served);
+                return answer(served, index);
             }
             _ = tokio::time::timeout_at(end, changed.changed()).await;
         }
@@ -233,11 +237,11 @@
     response
 }
 
-fn answer(version: Option<Version>) -> Response<Body> {
-    let Some(Version { index, value }) = version else {
-        return listener::text(StatusCode::NOT_FOUND, "");
+fn answer(value: Option<Bytes>, index: u64) -> Response<Body> {
+    let mut response = match value {
+        Some(value) => listener::text(StatusCode::OK, value),
+        None => listener::text(StatusCode::NOT_FOUND, ""),
     };
-    let mut response = listener::text(StatusCode::OK, value);
     response.headers_mut().insert("X-Consul-Index", header::HeaderValue::from(index));
     response
 }
--- a/crates/fakes/src/process.rs
+++ b/crates/fakes/src/process.rs
@@ -77,6 +77,15 @@
         self.signal(Signal::TERM)
     }
 
+    /// The status of a process that has ended.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the operating system does not tell.
+    pub fn ended(&mut self) -> Result<Option<ExitStatus>> {
+        Ok(self.child.try_wait()?)
+    }
+
     /// Waits for the end of the process.
     ///
     /// # Errors
--- a/crates/fakes/src/shape.rs
+++ b/crates/fakes/src/shape.rs
@@ -180,7 +180,7 @@
         tier: Tier(tier),
         first_token_ms,
         complete_ms,
-        max_running_ms: 4 * complete_ms,
+        max_running_ms: 2 * complete_ms,
         idempotent: true,
         floor_percent: Percent(5),
     }
@@ -200,10 +200,5 @@
 
 /// A pool of plain services.
 pub fn service(name: &str, warm_limit: u32) -> Pool {
-    Pool {
-        kind: Kind::Service,
-        cold_limit: warm_limit,
-        latest_end_ms: 10_000,
-        ..model(name, warm_limit)
-    }
+    Pool { kind: Kind::Service, cold_limit: warm_limit, ..model(name, warm_limit) }
 }
