Sum the work before a waiting request exactly

The wait was estimated as if deadlines were spread evenly over a line. A treap by deadline and arrival with sums replaces the ordered set. Also, the wait for a floor now includes the rest of a class that keeps less than one slot; without it the first request of a class was always admitted.

Ruled out: sums by buckets of deadlines (equal deadlines fall into one bucket) and a review of the queue in order (linear).

--- a/crates/policy/src/floor.rs
+++ b/crates/policy/src/floor.rs
@@ -40,6 +40,19 @@
         running < whole || running == whole && part > 0 && rested
     }
 
+    /// The time until a class that runs `running` requests may be below its floor again, where a
+    /// request holds a slot for `hold`.
+    pub fn rest(&self, running: u32, slots: u32, hold: Duration, now: Instant) -> Duration {
+        let (whole, part) = self.split(slots);
+        if running < whole || part == 0 {
+            return Duration::ZERO;
+        }
+        if running > whole {
+            return rest_after(hold, part);
+        }
+        self.rests_until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
+    }
+
     /// Forgets a rest that is over.
     pub fn expire(&mut self, now: Instant) {
         self.rests_until = self.rests_until.filter(|until| *until > now);
@@ -56,8 +69,7 @@
         if running <= whole || part == 0 {
             return;
         }
-        let rest = held * (100 - part) / part;
-        self.rests_until = Some(now + rest.min(LONGEST_REST));
+        self.rests_until = Some(now + rest_after(held, part));
     }
 
     fn split(&self, slots: u32) -> (u32, u32) {
@@ -65,3 +77,9 @@
         (hundredths / 100, hundredths % 100)
     }
 }
+
+/// The rest after one slot was held for `held`, of which `part` percent are kept.
+fn rest_after(held: Duration, part: u32) -> Duration {
+    let rest = held * (100 - part) / part;
+    rest.min(LONGEST_REST)
+}
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -14,6 +14,7 @@
 
 pub mod lane;
 pub mod line;
+mod ranked;
 
 /// What the queue needs to know about a waiting request.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -34,7 +35,8 @@
     pub cost: u64,
     /// The estimated time at a backend server, in milliseconds.
     pub work_ms: u64,
-    /// The place in the order of arrival. [`Queue::push`] sets it.
+    /// The place in the order of arrival. [`Queue::push`] sets it. Before, the highest number stands
+    /// for behind all others.
     pub sequence: u64,
 }
 
@@ -197,14 +199,13 @@
     /// The work in milliseconds that goes before `item`, from the lines of its tier and of higher
     /// tiers.
     ///
-    /// Lower tiers do not count: an entry is never refused for work that it would overtake. Inside a
-    /// line the deadlines are taken as evenly spread.
+    /// Lower tiers do not count: an entry is never refused for work that it would overtake.
     pub fn work_before(&self, item: &Item) -> u64 {
         let own = &self.lines[item.class.0];
         let others = self.lines().filter(|(key, _)| *key != item.class).map(|(_, line)| line);
         let before = others.map(|line| match line.tier().cmp(&own.tier()) {
             std::cmp::Ordering::Less => line.work_ms(),
-            std::cmp::Ordering::Equal => line.work_before(item.deadline),
+            std::cmp::Ordering::Equal => line.work_before(item),
             std::cmp::Ordering::Greater => 0,
         });
         before.sum::<u64>() + own.fair_work_before(item)
--- a/crates/policy/src/queue/lane.rs
+++ b/crates/policy/src/queue/lane.rs
@@ -1,11 +1,11 @@
 //! The waiting requests of one workspace in one class.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    time::Instant,
-};
+use std::{collections::BTreeMap, time::Instant};
 
-use super::Item;
+use super::{
+    Item,
+    ranked::{self, Ranked},
+};
 use crate::entry::Ticket;
 
 /// The key of a workspace.
@@ -27,8 +27,7 @@
     /// The tokens served for each unit of share.
     pub(super) served: u64,
     tokens: u64,
-    work_ms: u64,
-    by_deadline: BTreeSet<(Instant, u64, Ticket)>,
+    ranked: Ranked,
     by_age: BTreeMap<u64, Ticket>,
 }
 
@@ -43,54 +42,31 @@
     }
 
     pub(super) fn work_ms(&self) -> u64 {
-        self.work_ms
+        self.ranked.work_ms()
     }
 
     pub(super) fn insert(&mut self, item: &Item) {
         self.share = item.share;
         self.tokens += item.cost;
-        self.work_ms += item.work_ms;
-        self.by_deadline.insert((item.deadline, item.sequence, item.ticket));
+        self.ranked.insert(item);
         self.by_age.insert(item.sequence, item.ticket);
     }
 
     pub(super) fn remove(&mut self, item: &Item) {
         self.tokens -= item.cost;
-        self.work_ms -= item.work_ms;
-        self.by_deadline.remove(&(item.deadline, item.sequence, item.ticket));
+        self.ranked.remove(item);
         self.by_age.remove(&item.sequence);
     }
 
     pub(super) fn head(&self) -> Option<(Instant, Ticket)> {
-        self.by_deadline.first().map(|(deadline, _, ticket)| (*deadline, *ticket))
+        self.ranked.first().map(|((deadline, _), ticket)| (deadline, ticket))
     }
 
     pub(super) fn newest(&self) -> Option<Ticket> {
         self.by_age.last_key_value().map(|(_, ticket)| *ticket)
     }
 
-    /// The part of the work that is due before `deadline`, with deadlines taken as evenly spread.
-    pub(super) fn work_before(&self, deadline: Instant) -> u64 {
-        let first = self.by_deadline.first().map(|(at, _, _)| *at);
-        let last = self.by_deadline.last().map(|(at, _, _)| *at);
-        part_before(self.work_ms, first, last, deadline)
-    }
-}
-
-/// The part of `work_ms`, spread evenly from `first` to `last`, that lies before `deadline`.
-pub(super) fn part_before(
-    work_ms: u64,
-    first: Option<Instant>,
-    last: Option<Instant>,
-    deadline: Instant,
-) -> u64 {
-    let (Some(first), Some(last)) = (first, last) else { return 0 };
-    if deadline <= first {
-        return 0;
-    }
-    if deadline > last {
-        return work_ms;
+    pub(super) fn work_before(&self, item: &Item) -> u64 {
+        self.ranked.work_before(ranked::key(item))
     }
-    let part = (deadline - first).as_secs_f64() / (last - first).as_secs_f64();
-    (work_ms as f64 * part) as u64
 }
--- a/crates/policy/src/queue/line.rs
+++ b/crates/policy/src/queue/line.rs
@@ -7,6 +7,7 @@
 use super::{
     Item,
     lane::{self, Lane},
+    ranked::{self, Ranked},
 };
 use crate::entry::Ticket;
 
@@ -26,8 +27,7 @@
     lanes: Map<lane::Key, Lane>,
     by_turn: BTreeSet<(u64, lane::Key)>,
     by_size: BTreeSet<(u64, lane::Key)>,
-    by_deadline: BTreeSet<(Instant, u64)>,
-    work_ms: u64,
+    ranked: Ranked,
     shares: u64,
     clock: u64,
 }
@@ -39,8 +39,7 @@
             lanes: Map::default(),
             by_turn: BTreeSet::new(),
             by_size: BTreeSet::new(),
-            by_deadline: BTreeSet::new(),
-            work_ms: 0,
+            ranked: Ranked::default(),
             shares: 0,
             clock: 0,
         }
@@ -53,17 +52,17 @@
 
     /// The number of entries.
     pub fn len(&self) -> usize {
-        self.by_deadline.len()
+        self.ranked.len()
     }
 
     /// Whether there is no entry.
     pub fn is_empty(&self) -> bool {
-        self.by_deadline.is_empty()
+        self.ranked.is_empty()
     }
 
     /// The work of all entries, in milliseconds.
     pub fn work_ms(&self) -> u64 {
-        self.work_ms
+        self.ranked.work_ms()
     }
 
     /// The number of entries that count against the bound of the queue. The first has a place of its
@@ -84,8 +83,7 @@
             lane.served = lane.served.max(clock);
         }
         lane.insert(item);
-        self.work_ms += item.work_ms;
-        self.by_deadline.insert((item.deadline, item.sequence));
+        self.ranked.insert(item);
         self.list(item.workspace);
     }
 
@@ -93,8 +91,7 @@
         self.unlist(item.workspace);
         let lane = self.lanes.get_mut(&item.workspace).expect("an entry's lane exists");
         lane.remove(item);
-        self.work_ms -= item.work_ms;
-        self.by_deadline.remove(&(item.deadline, item.sequence));
+        self.ranked.remove(item);
         self.list(item.workspace);
     }
 
@@ -128,18 +125,17 @@
         self.lanes[key].newest()
     }
 
-    pub(super) fn work_before(&self, deadline: Instant) -> u64 {
-        let first = self.by_deadline.first().map(|(at, _)| *at);
-        let last = self.by_deadline.last().map(|(at, _)| *at);
-        lane::part_before(self.work_ms, first, last, deadline)
+    /// The work of the line that is due before `item`.
+    pub(super) fn work_before(&self, item: &Item) -> u64 {
+        self.ranked.work_before(ranked::key(item))
     }
 
     /// The work of the line that goes before `item` when all lanes are served by their shares.
     pub fn fair_work_before(&self, item: &Item) -> u64 {
         let lane = self.lanes.get(&item.workspace);
-        let own = lane.map_or(0, |lane| lane.work_before(item.deadline));
+        let own = lane.map_or(0, |lane| lane.work_before(item));
         let waiting = lane.filter(|lane| !lane.is_empty());
-        let others = self.work_ms - waiting.map_or(0, Lane::work_ms);
+        let others = self.work_ms() - waiting.map_or(0, Lane::work_ms);
         let other_shares = self.shares - waiting.map_or(0, |lane| u64::from(lane.share));
         let matched = (own + item.work_ms) * other_shares / u64::from(item.share.max(1));
         own + others.min(matched)
--- a/crates/policy/src/scheduler/admission.rs
+++ b/crates/policy/src/scheduler/admission.rs
@@ -33,7 +33,7 @@
 const REVIEWED_PER_POLL: usize = 16;
 
 /// A request is refused only if the estimated wait is this multiple of what its deadline allows,
-/// because the estimate for one in the middle of the queue is rough.
+/// because all that it is worked out from are averages.
 const WAIT_MARGIN: f64 = 1.25;
 
 impl Scheduler {
@@ -134,33 +134,36 @@
             latest_start: deadline.checked_sub(judged).unwrap_or(now),
             cost: entry.prompt_tokens.0 + estimates.output(Tokens(0), entry.max_output),
             work_ms: estimates.work_ms(entry, self.inter_token_ms),
-            sequence: 0,
+            sequence: u64::MAX,
         }
     }
 
     /// The estimated time until `item` is granted, zero while nothing is known.
     ///
     /// The way that is shorter counts: by the tiers with all slots, or by the class's floor.
-    fn wait(&self, item: &Item) -> Duration {
+    fn wait(&self, item: &Item, now: Instant) -> Duration {
         let slots = self.slots();
         if slots == 0 {
             return Duration::ZERO;
         }
         let by_tier = self.queue.work_before(item) as f64 / f64::from(slots);
-        let floor_slots = self.classes[item.class.0].floor_slots(slots);
-        let by_floor = self.queue.line(item.class).fair_work_before(item) as f64 / floor_slots;
+        let class = &self.classes[item.class.0];
+        let in_class = self.queue.line(item.class).fair_work_before(item) as f64;
+        let hold = Duration::from_millis(item.work_ms);
+        let rest = class.floor.rest(class.running, slots, hold, now);
+        let by_floor = rest.as_secs_f64() * 1000.0 + in_class / class.floor_slots(slots);
         Duration::from_secs_f64(by_tier.min(by_floor) / 1000.0)
     }
 
     fn is_hopeless(&self, item: &Item, now: Instant) -> bool {
         let allowed = item.latest_start.saturating_duration_since(now);
-        self.wait(item) > allowed.mul_f64(WAIT_MARGIN)
+        self.wait(item, now) > allowed.mul_f64(WAIT_MARGIN)
     }
 
     /// The time by which the estimated wait is too long, in milliseconds.
     fn excess_ms(&self, item: &Item, now: Instant) -> u64 {
         let allowed = item.latest_start.saturating_duration_since(now);
-        self.wait(item).saturating_sub(allowed).as_millis() as u64
+        self.wait(item, now).saturating_sub(allowed).as_millis() as u64
     }
 
     /// The time until half of the queue down to `tier` is done, in milliseconds.
--- /dev/null
+++ b/crates/policy/tests/fairness.rs
@@ -0,0 +1,229 @@
+//! Floors, starvation and refusals of a loaded scheduler.
+
+mod common;
+
+use std::{collections::BTreeMap, time::Instant};
+
+use bolero::TypeGenerator;
+use common::{document, entry, ms, permits, refusals, release, scheduler};
+use hyssop_document::number::Percent;
+use hyssop_policy::{
+    decision::{Decision, Reason},
+    floor::LONGEST_REST,
+    permit::{End, Permit},
+    scheduler::Scheduler,
+};
+
+const CLASSES: [&str; 3] = ["desk", "draft", "bulk"];
+
+#[derive(Debug, Clone, TypeGenerator)]
+struct Shape {
+    servers: u8,
+    limit: u8,
+    floors: [u8; 3],
+    holds: [u8; 3],
+}
+
+/// A group in which all classes always wait.
+struct Flood {
+    scheduler: Scheduler,
+    start: Instant,
+    now: Instant,
+    ticket: u64,
+    holds: [u64; 3],
+    running: BTreeMap<(Instant, u64), Permit>,
+    class_of: BTreeMap<u64, usize>,
+    last_grant: [Instant; 3],
+    longest_gap_ms: [u64; 3],
+    held_ms: [u64; 3],
+}
+
+impl Flood {
+    fn new(shape: &Shape) -> Self {
+        let limit = u32::from(shape.limit % 4) + 1;
+        let mut document = document(usize::from(shape.servers % 3) + 1, limit, limit);
+        for (class, floor) in document.classes.iter_mut().zip(shape.floors) {
+            class.floor_percent = Percent(floor % 30);
+        }
+        document.pools[0].latest_end_ms = 1 << 40;
+        document.classes.iter_mut().for_each(|class| class.max_running_ms = 1 << 40);
+        let start = Instant::now();
+        Self {
+            scheduler: scheduler(&document, start),
+            start,
+            now: start,
+            ticket: 0,
+            holds: shape.holds.map(|hold| u64::from(hold) * 8 + 200),
+            running: BTreeMap::new(),
+            class_of: BTreeMap::new(),
+            last_grant: [start; 3],
+            longest_gap_ms: [0; 3],
+            held_ms: [0; 3],
+        }
+    }
+
+    fn enqueue(&mut self, class: usize) {
+        let mut entry = entry(self.ticket, CLASSES[class], "w1");
+        entry.remaining_ms = 1 << 40;
+        self.class_of.insert(self.ticket, class);
+        self.ticket += 1;
+        self.scheduler.enqueue(entry, self.now);
+    }
+
+    fn poll(&mut self) {
+        for (ticket, permit) in permits(self.scheduler.poll(self.now)) {
+            let class = self.class_of[&ticket.0];
+            let gap = self.now - self.last_grant[class];
+            let longest = &mut self.longest_gap_ms[class];
+            *longest = (*longest).max(gap.as_millis() as u64);
+            self.last_grant[class] = self.now;
+            self.held_ms[class] += self.holds[class];
+            self.running.insert((self.now + ms(self.holds[class]), ticket.0), permit);
+            self.enqueue(class);
+        }
+    }
+
+    fn run(&mut self, seconds: u64) {
+        (0..3).for_each(|class| (0..20).for_each(|_| self.enqueue(class)));
+        self.poll();
+        while self.now - self.start < ms(seconds * 1000) {
+            let ((at, ticket), permit) = self.running.pop_first().expect("something runs");
+            self.now = at;
+            let hold = self.holds[self.class_of[&ticket]];
+            self.scheduler.release(&release(&permit, End::Completed, hold), at);
+            self.poll();
+        }
+    }
+}
+
+/// While a higher tier floods the group, each class is granted within the longest rest and one turn
+/// of the other classes, and lower tiers hold hardly more than their floors.
+#[test]
+fn every_class_is_served_within_its_floors_bound() {
+    bolero::check!().with_type::<Shape>().with_iterations(20).for_each(|shape| {
+        let mut flood = Flood::new(shape);
+        flood.run(60);
+        let slots = u64::from(flood.scheduler.status(flood.now).slots);
+        let longest_hold = flood.holds.iter().max().expect("three classes");
+        let bound = LONGEST_REST.as_millis() as u64 + 3 * longest_hold;
+        assert!(flood.longest_gap_ms.iter().all(|gap| *gap <= bound), "{:?}", flood.longest_gap_ms);
+        let elapsed_ms = (flood.now - flood.start).as_millis() as u64;
+        for class in 1..3 {
+            let percent = u64::from(shape.floors[class] % 30).max(1);
+            let (whole, part) = (slots * percent / 100, slots * percent % 100);
+            let hold = flood.holds[class];
+            let by_rest = hold * 100 / (hold + LONGEST_REST.as_millis() as u64) + 1;
+            let most = elapsed_ms * (whole * 100 + part.max(by_rest)) / 100 + (whole + 2) * hold;
+            assert!(flood.held_ms[class] <= most, "{} above {most}", flood.held_ms[class]);
+            let least = elapsed_ms.saturating_sub(3 * longest_hold) * whole * 9 / 10;
+            assert!(flood.held_ms[class] >= least, "{} below {least}", flood.held_ms[class]);
+        }
+    });
+}
+
+/// A scheduler of 2 slots that has learned that requests take a second, both in use.
+fn loaded() -> (Scheduler, Instant) {
+    let mut now = Instant::now();
+    let mut document = document(1, 2, 2);
+    document.classes.iter_mut().for_each(|class| class.floor_percent = Percent(0));
+    let mut scheduler = scheduler(&document, now);
+    for ticket in 1000..1040 {
+        scheduler.enqueue(entry(ticket, CLASSES[ticket as usize % 3], "w1"), now);
+        for (_, permit) in permits(scheduler.poll(now)) {
+            now += ms(1000);
+            scheduler.release(&release(&permit, End::Completed, 1000), now);
+        }
+    }
+    (2000..2002).for_each(|ticket| scheduler.enqueue(entry(ticket, "desk", "w1"), now));
+    assert_eq!(permits(scheduler.poll(now)).len(), 2);
+    (scheduler, now)
+}
+
+#[test]
+fn a_deadline_behind_the_own_tier_is_refused_at_once_and_behind_a_lower_one_it_is_not() {
+    let (mut scheduler, now) = loaded();
+    // Forty seconds of lower tiers are no reason to refuse.
+    (0..80).for_each(|ticket| {
+        let mut lower = entry(ticket, "draft", "w1");
+        lower.remaining_ms = 100_000;
+        scheduler.enqueue(lower, now);
+    });
+    let mut short = entry(100, "desk", "w1");
+    short.remaining_ms = 3000;
+    scheduler.enqueue(short.clone(), now);
+    assert!(scheduler.poll(now).is_empty());
+    // Ten seconds of the own tier with the same deadline are.
+    (101..121).for_each(|ticket| {
+        let mut same = short.clone();
+        same.ticket.0 = ticket;
+        same.remaining_ms = 60_000;
+        scheduler.enqueue(same, now);
+    });
+    assert!(scheduler.poll(now).is_empty());
+    let mut bulk = entry(200, "bulk", "w1");
+    bulk.remaining_ms = 20_000;
+    scheduler.enqueue(bulk, now);
+    let decisions = scheduler.poll(now);
+    let [Decision::Refuse { ticket, refusal }] = decisions.as_slice() else {
+        panic!("one refusal: {decisions:?}")
+    };
+    assert_eq!((ticket.0, refusal.reason), (200, Reason::Deadline));
+    // The floor of bulk rests for at most 30 s, of which the deadline allows about 19.
+    assert!((9_000..18_000).contains(&refusal.retry_after_ms), "{refusal:?}");
+}
+
+#[test]
+fn unknown_estimates_refuse_nobody() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(&document(1, 1, 1), now);
+    for ticket in 0..50 {
+        let mut entry = entry(ticket, "bulk", "w1");
+        entry.remaining_ms = 10;
+        scheduler.enqueue(entry, now);
+    }
+    let decisions = scheduler.poll(now);
+    assert_eq!((refusals(&decisions).len(), permits(decisions).len()), (0, 1));
+    // What still waits when its deadline passes is refused then.
+    assert_eq!(refusals(&scheduler.poll(now + ms(10))).len(), 49);
+}
+
+#[test]
+fn a_request_is_refused_once_a_start_no_longer_makes_sense() {
+    let (mut scheduler, now) = loaded();
+    let mut short = entry(1, "desk", "w1");
+    short.remaining_ms = 3000;
+    scheduler.enqueue(short, now);
+    assert!(scheduler.poll(now).is_empty());
+    let wake = scheduler.next_wake().expect("a deadline comes");
+    let left_ms = (now + ms(3000) - wake).as_millis();
+    assert!((700..=1000).contains(&left_ms), "the usual second is left out: {left_ms}");
+    assert_eq!(refusals(&scheduler.poll(wake)), ["1 deadline"]);
+}
+
+/// Entries that were admitted before the group lost capacity are refused when the loss shows, not
+/// at their deadlines.
+#[test]
+fn lost_capacity_refuses_what_no_longer_fits() {
+    let mut now = Instant::now();
+    let mut document = document(4, 4, 4);
+    let mut scheduler = scheduler(&document, now);
+    for ticket in 1000..1100 {
+        scheduler.enqueue(entry(ticket, "desk", "w1"), now);
+        for (_, permit) in permits(scheduler.poll(now)) {
+            now += ms(1000);
+            scheduler.release(&release(&permit, End::Completed, 1000), now);
+        }
+    }
+    (0..96).for_each(|ticket| {
+        let mut entry = entry(ticket, "desk", "w1");
+        entry.remaining_ms = 8000;
+        scheduler.enqueue(entry, now);
+    });
+    let decisions = scheduler.poll(now);
+    assert_eq!((refusals(&decisions).len(), permits(decisions).len()), (0, 16));
+    document.pools[0].warm_limit = 1;
+    scheduler.configure(&document, &hyssop_document::order::State::default(), now);
+    let refused: usize = (0..10).map(|_| refusals(&scheduler.poll(now)).len()).sum();
+    // Four slots do 28 requests of a second in the 7 s that are left, with a margin 35.
+    assert!((40..=60).contains(&refused), "{refused}");
+}
--- a/crates/policy/tests/queue.rs
+++ b/crates/policy/tests/queue.rs
@@ -89,6 +89,23 @@
     }
 }
 
+/// The work before `item` in its class when all workspaces are served by their shares.
+fn fair_work_before(queue: &Queue, item: &Item) -> u64 {
+    let class: Vec<_> = queue.items().filter(|other| other.class == item.class).collect();
+    let own = |other: &&&Item| other.workspace == item.workspace;
+    let place = |item: &Item| (item.deadline, item.sequence);
+    let before = class.iter().filter(own).filter(|other| place(other) < place(item));
+    let before: u64 = before.map(|other| other.work_ms).sum();
+    let others = class.iter().filter(|other| !own(other));
+    let mut shares: Vec<_> =
+        others.clone().map(|other| (other.workspace, u64::from(other.share))).collect();
+    shares.sort_unstable();
+    shares.dedup();
+    let shares: u64 = shares.iter().map(|(_, share)| share).sum();
+    let others: u64 = others.map(|other| other.work_ms).sum();
+    before + others.min((before + item.work_ms) * shares / u64::from(item.share))
+}
+
 fn assert_consistent(queue: &Queue) {
     let charged: usize = queue.lines().map(|(_, line)| line.len().saturating_sub(1)).sum();
     assert!(charged <= BOUND);
@@ -96,6 +113,9 @@
     assert_eq!(waiting, queue.len());
     let work: u64 = queue.lines().map(|(_, line)| line.work_ms()).sum();
     assert_eq!(work, queue.items().map(|item| item.work_ms).sum::<u64>());
+    for item in queue.items() {
+        assert_eq!(queue.line(item.class).fair_work_before(item), fair_work_before(queue, item));
+    }
     assert_eq!(queue.next_expiry(), queue.items().map(|item| item.latest_start).min());
 }
 
