Judge event streams alike however they are cut

A comment longer than the limit was skipped when it came in one piece and was an error when it came in several: only unfinished lines were counted. Lines are now counted alike, and a partial line is searched for its end once, not at each push. Adds the client's tests over loopback.

--- a/crates/backend/src/sse.rs
+++ b/crates/backend/src/sse.rs
@@ -35,6 +35,8 @@
     limit: usize,
     buffer: Vec<u8>,
     start: usize,
+    /// The position up to which there is no line end.
+    scanned: usize,
     after_return: bool,
     id: Option<String>,
     data: Vec<u8>,
@@ -48,6 +50,7 @@
             limit,
             buffer: Vec::new(),
             start: 0,
+            scanned: 0,
             after_return: false,
             id: None,
             data: Vec::new(),
@@ -58,6 +61,7 @@
     /// Appends received bytes.
     pub fn push(&mut self, bytes: &[u8]) {
         self.buffer.drain(..self.start);
+        self.scanned = self.scanned.saturating_sub(self.start);
         self.start = 0;
         self.buffer.extend_from_slice(bytes);
     }
@@ -70,7 +74,11 @@
     #[allow(clippy::should_implement_trait)]
     pub fn next(&mut self) -> Result<Option<Event>, Error> {
         loop {
-            let Some(line) = self.line() else { return self.check_size().map(|()| None) };
+            let Some(line) = self.line() else {
+                let partial = self.buffer.len() - self.start;
+                return self.check_size(partial).map(|()| None);
+            };
+            self.check_size(line.len())?;
             if line.is_empty() {
                 if let Some(event) = self.dispatch() {
                     return Ok(Some(event));
@@ -78,7 +86,7 @@
                 continue;
             }
             self.field(&line)?;
-            self.check_size()?;
+            self.check_size(0)?;
         }
     }
 
@@ -87,19 +95,15 @@
         self.start < self.buffer.len() || self.has_data || self.id.is_some()
     }
 
-    fn check_size(&self) -> Result<(), Error> {
+    /// Checks the size of the unfinished event together with that of a line, finished or not.
+    ///
+    /// Counting both alike makes the result independent of how the stream was cut.
+    fn check_size(&self, line: usize) -> Result<(), Error> {
         let id = self.id.as_ref().map_or(0, String::len);
-        // A complete line that still waits in the buffer was read in one piece from the network,
-        // whose pieces are bounded. Only an unfinished event can grow.
-        let partial = if self.has_line() { 0 } else { self.buffer.len() - self.start };
-        let size = partial + self.data.len() + id;
+        let size = line + self.data.len() + id;
         if size > self.limit { Err(Error::TooLarge { limit: self.limit }) } else { Ok(()) }
     }
 
-    fn has_line(&self) -> bool {
-        self.buffer[self.start..].iter().any(|&b| b == b'\n' || b == b'\r')
-    }
-
     /// Takes one line without its end, which is CR LF, LF or CR.
     fn line(&mut self) -> Option<Vec<u8>> {
         if self.after_return && self.buffer.get(self.start) == Some(&b'\n') {
@@ -108,11 +112,13 @@
         if self.start < self.buffer.len() {
             self.after_return = false;
         }
-        let rest = &self.buffer[self.start..];
-        let end = rest.iter().position(|&b| b == b'\n' || b == b'\r')?;
-        let line = rest[..end].to_vec();
-        self.after_return = rest[end] == b'\r';
-        self.start += end + 1;
+        let from = self.start.max(self.scanned);
+        let found = self.buffer[from..].iter().position(|&b| b == b'\n' || b == b'\r');
+        self.scanned = found.map_or(self.buffer.len(), |offset| from + offset);
+        let end = found.map(|offset| from + offset)?;
+        let line = self.buffer[self.start..end].to_vec();
+        self.after_return = self.buffer[end] == b'\r';
+        self.start = end + 1;
         Some(line)
     }
 
--- /dev/null
+++ b/crates/backend/tests/blame.rs
@@ -0,0 +1,58 @@
+//! Blame: bounded, merged alike in any order, and no quarantine without two crashes alone.
+
+use std::time::{Duration, Instant};
+
+use hyssop_backend::blame::{Book, Fingerprint, MAX_ENTRIES, Record, Standing};
+
+const HOUR: Duration = Duration::from_secs(3600);
+
+#[test]
+fn only_two_crashes_alone_quarantine() {
+    let now = Instant::now();
+    let mut book = Book::new(HOUR);
+    let suspect = Fingerprint(1);
+    for _ in 0..100 {
+        book.blame(suspect, false, now);
+    }
+    assert_eq!(book.standing(suspect, now), Standing::Suspect);
+    book.blame(suspect, true, now);
+    assert_eq!(book.standing(suspect, now), Standing::Suspect);
+    book.blame(suspect, true, now);
+    assert_eq!(book.standing(suspect, now), Standing::Quarantined);
+    assert_eq!(book.standing(suspect, now + HOUR), Standing::Clear, "it expires");
+    book.release(suspect);
+    assert_eq!(book.standing(suspect, now), Standing::Clear);
+}
+
+#[test]
+fn records_of_peers_are_merged_alike_in_any_order() {
+    bolero::check!().with_type::<Vec<(u8, u8, u16)>>().with_iterations(2000).for_each(|notices| {
+        let now = Instant::now();
+        let merged = |notices: &mut dyn Iterator<Item = &(u8, u8, u16)>| {
+            let mut book = Book::new(HOUR);
+            for (fingerprint, crashes, seconds) in notices {
+                let expires = now + Duration::from_secs((*seconds).into());
+                let record = Record { crashes: u32::from(*crashes), expires };
+                book.merge(Fingerprint((*fingerprint).into()), record, now);
+            }
+            let list = book.list(now);
+            list.into_iter().map(|(print, record)| (print, record.crashes)).collect::<Vec<_>>()
+        };
+        assert_eq!(merged(&mut notices.iter()), merged(&mut notices.iter().rev()));
+    });
+}
+
+#[test]
+fn the_book_is_bounded_and_keeps_those_with_the_most_crashes() {
+    let now = Instant::now();
+    let mut book = Book::new(HOUR);
+    let culprit = Fingerprint(u64::MAX);
+    for _ in 0..3 {
+        book.blame(culprit, true, now);
+    }
+    for number in 0..MAX_ENTRIES as u64 + 50 {
+        book.blame(Fingerprint(number), false, now);
+    }
+    assert_eq!(book.list(now).len(), MAX_ENTRIES);
+    assert_eq!(book.standing(culprit, now), Standing::Quarantined);
+}
--- /dev/null
+++ b/crates/backend/tests/stub/mod.rs
@@ -0,0 +1,126 @@
+//! A backend server that answers each connection's requests with scripted bytes.
+#![allow(dead_code, unreachable_pub, missing_docs)]
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+};
+
+use parking_lot::Mutex;
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::{TcpListener, TcpStream},
+};
+use tokio_util::task::AbortOnDropHandle;
+
+/// The largest request read.
+const MAX_REQUEST_BYTES: usize = 1 << 20;
+
+#[derive(Default)]
+pub struct Seen {
+    pub connections: AtomicUsize,
+    pub requests: Mutex<Vec<String>>,
+}
+
+pub struct Stub {
+    pub address: SocketAddr,
+    pub seen: Arc<Seen>,
+    _task: AbortOnDropHandle<()>,
+}
+
+impl Stub {
+    /// Answers each request with what `reply` makes of it. An empty reply closes the connection.
+    pub async fn start(reply: impl Fn(&str) -> Vec<u8> + Send + Sync + 'static) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let seen = Arc::new(Seen::default());
+        let reply = Arc::new(reply);
+        let shared = Arc::clone(&seen);
+        let task = tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                shared.connections.fetch_add(1, Ordering::SeqCst);
+                tokio::spawn(serve(stream, Arc::clone(&shared), Arc::clone(&reply)));
+            }
+        });
+        Self { address, seen, _task: AbortOnDropHandle::new(task) }
+    }
+
+    pub fn requests(&self) -> usize {
+        self.seen.requests.lock().len()
+    }
+
+    pub fn connections(&self) -> usize {
+        self.seen.connections.load(Ordering::SeqCst)
+    }
+}
+
+async fn serve(
+    mut stream: TcpStream,
+    seen: Arc<Seen>,
+    reply: Arc<impl Fn(&str) -> Vec<u8> + Send + Sync>,
+) {
+    while let Some(request) = read(&mut stream).await {
+        let bytes = reply(&request);
+        seen.requests.lock().push(request);
+        if bytes.is_empty() || stream.write_all(&bytes).await.is_err() {
+            return;
+        }
+        if bytes.starts_with(b"HTTP/1.1 200 CLOSE") {
+            return;
+        }
+    }
+}
+
+async fn read(stream: &mut TcpStream) -> Option<String> {
+    let mut bytes = Vec::new();
+    loop {
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        if let Some((head, body)) = text.split_once("\r\n\r\n") {
+            let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
+            let length = length.map_or(0, |length| length.trim().parse::<usize>().unwrap());
+            if body.len() >= length {
+                return Some(text);
+            }
+        }
+        let read = stream.read_buf(&mut bytes).await.ok()?;
+        if read == 0 || bytes.len() > MAX_REQUEST_BYTES {
+            return None;
+        }
+    }
+}
+
+/// The attempt id of a request.
+pub fn id(request: &str) -> String {
+    let line = request.lines().find_map(|line| line.strip_prefix("x-request-id: "));
+    line.unwrap_or_default().to_owned()
+}
+
+pub fn token(id: &str, number: u64) -> String {
+    format!(
+        "id: {number}\ndata: {{\"id\":\"cmpl-{id}\",\"choices\":[{{\"text\":\"t{number}\"}}]}}\n\n"
+    )
+}
+
+pub fn usage(id: &str, tokens: u64) -> String {
+    format!(
+        "data: {{\"id\":\"cmpl-{id}\",\"choices\":[],\"usage\":{{\"completion_tokens\":{tokens}}}}}\n\n"
+    )
+}
+
+pub const DONE: &str = "data: [DONE]\n\n";
+
+/// A response of an engine with these events, ended by the length of its body.
+pub fn events(id: &str, events: &str) -> Vec<u8> {
+    let length = events.len();
+    let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream";
+    format!("{head}\r\nx-request-id: {id}\r\ncontent-length: {length}\r\n\r\n{events}").into_bytes()
+}
+
+/// A response with a status, headers and a body.
+pub fn response(status: &str, headers: &str, body: &str) -> Vec<u8> {
+    let length = body.len();
+    format!("HTTP/1.1 {status}\r\n{headers}content-length: {length}\r\n\r\n{body}").into_bytes()
+}
--- a/crates/caller/tests/once.rs
+++ b/crates/caller/tests/once.rs
@@ -45,11 +45,14 @@
 
 #[tokio::test]
 async fn a_caller_that_left_gets_the_answer_of_its_booking() {
-    let bench = Bench::new(slow(1));
+    // The service takes longer than the home waits for a caller to come back.
+    let mut fleet = Fleet::build(1);
+    fleet.step = Duration::from_millis(200);
+    let bench = Bench::new(Arc::new(fleet));
     let call = Call::booking("m1").key(key(1, "a"));
     let left = tokio::time::timeout(Duration::from_millis(2), bench.send(call.clone())).await;
     assert!(left.is_err());
-    tokio::time::sleep(Duration::from_millis(300)).await;
+    bench.home.drain().await;
     assert_eq!(bench.send(call).await.body, booked("m1"));
     assert_eq!(bench.fleet.runs(), 1);
 }
