Add the operators' command

Exit codes: 0 all went well, 1 a document has faults or an order was refused, 2 wrong command line, no daemon answered, or an order may or may not be in force. An order without --if-revision reads the revision first, so that two operators who race get one conflict. Tested as a process against the operators' server.

--- /dev/null
+++ b/crates/ctl/src/arguments.rs
@@ -0,0 +1,149 @@
+//! The command line.
+
+use std::{net::SocketAddr, path::PathBuf};
+
+use clap::{Args, Parser, Subcommand};
+use clap_complete::Shell;
+use hyssop_document::{name, number::Revision};
+use hyssop_operator::quarantine::Fingerprint;
+
+/// Checks documents and drives a fleet of hyssopcourse daemons.
+#[derive(Debug, Parser)]
+#[command(name = "hyssopctl", version, max_term_width = 100)]
+pub(crate) struct Arguments {
+    /// What to do.
+    #[command(subcommand)]
+    pub(crate) command: Command,
+    /// How to reach the daemons.
+    #[command(flatten)]
+    pub(crate) connection: Connection,
+    /// Print JSON for programs instead of text for people.
+    #[arg(long, global = true)]
+    pub(crate) json: bool,
+}
+
+/// How to reach the daemons.
+#[derive(Debug, Args)]
+#[command(next_help_heading = "Connection")]
+pub(crate) struct Connection {
+    /// Operators' address of a daemon; may be repeated. The next one is tried when one fails.
+    /// [env: HYSSOP_SERVERS]
+    #[arg(long, global = true, value_name = "ADDRESS", value_delimiter = ',')]
+    pub(crate) server: Vec<SocketAddr>,
+    /// File with the operator's key. [env: HYSSOP_OPERATOR_KEY has the key itself]
+    #[arg(long, global = true, value_name = "FILE")]
+    pub(crate) key_file: Option<PathBuf>,
+    /// Seconds after which the next daemon is tried.
+    #[arg(long, global = true, value_name = "SECONDS", default_value_t = 10,
+          value_parser = clap::value_parser!(u64).range(1..=3600))]
+    pub(crate) timeout: u64,
+}
+
+/// What to do.
+#[derive(Debug, Subcommand)]
+pub(crate) enum Command {
+    /// Check documents as the daemons do; print every fault.
+    Check {
+        /// The documents.
+        #[arg(required = true, value_name = "FILE")]
+        files: Vec<PathBuf>,
+    },
+    /// Show what changes from one document to another.
+    Diff {
+        /// The old document.
+        #[arg(value_name = "OLD")]
+        old: PathBuf,
+        /// The new document.
+        #[arg(value_name = "NEW")]
+        new: PathBuf,
+    },
+    /// Show the status of the fleet.
+    Status {
+        /// List every backend server, not only those that are not warm.
+        #[arg(long)]
+        all: bool,
+    },
+    /// Take an availability zone out of service or bring it back.
+    Zone {
+        /// What to do with it.
+        #[command(subcommand)]
+        order: Order<name::Zone>,
+    },
+    /// Take a host out of service or bring it back.
+    Host {
+        /// What to do with it.
+        #[command(subcommand)]
+        order: Order<name::Host>,
+    },
+    /// Show histograms by class and workspace.
+    Histograms(Histograms),
+    /// List or release the requests that crashed backend servers.
+    Quarantine {
+        /// What to do; lists them if it is not given.
+        #[command(subcommand)]
+        action: Option<Quarantine>,
+    },
+    /// Print the document in force.
+    Document,
+    /// Print a script that completes the command line in a shell.
+    Completions {
+        /// The shell.
+        shell: Shell,
+    },
+}
+
+/// What to do with an availability zone or a host.
+#[derive(Debug, Subcommand)]
+pub(crate) enum Order<N: Named> {
+    /// Take it out of service.
+    Out(Target<N>),
+    /// Bring it back into service.
+    In(Target<N>),
+}
+
+/// What an order is about.
+#[derive(Debug, Args)]
+pub(crate) struct Target<N: Named> {
+    /// The name.
+    #[arg(value_name = "NAME")]
+    pub(crate) name: N,
+    /// Only carry the order out while this revision of the orders is in force. If it is not given,
+    /// the revision is read first.
+    #[arg(long, value_name = "REVISION")]
+    pub(crate) if_revision: Option<Revision>,
+}
+
+/// A name that can stand on the command line.
+pub(crate) trait Named:
+    Clone + Send + Sync + 'static + std::str::FromStr<Err = name::Error>
+{
+}
+
+impl Named for name::Zone {}
+impl Named for name::Host {}
+
+/// Which histograms to show.
+#[derive(Debug, Args)]
+pub(crate) struct Histograms {
+    /// Only this class.
+    #[arg(long, value_name = "CLASS")]
+    pub(crate) class: Option<name::Class>,
+    /// Only this workspace.
+    #[arg(long, value_name = "WORKSPACE")]
+    pub(crate) workspace: Option<name::Workspace>,
+    /// Draw the buckets as bars.
+    #[arg(long)]
+    pub(crate) buckets: bool,
+}
+
+/// What to do with quarantined requests.
+#[derive(Debug, Subcommand)]
+pub(crate) enum Quarantine {
+    /// List them.
+    List,
+    /// Let a request run again.
+    Release {
+        /// The fingerprint of the request.
+        fingerprint: Fingerprint,
+    },
+}
--- /dev/null
+++ b/crates/ctl/src/command.rs
@@ -0,0 +1,38 @@
+//! Carries out the commands.
+
+mod documents;
+mod fleet;
+
+use std::io::Write;
+
+use clap::CommandFactory;
+use serde::Serialize;
+
+use crate::{
+    arguments::{Arguments, Command},
+    error::Error,
+    exit::Exit,
+};
+
+/// Carries out what the command line says.
+pub(crate) fn run(arguments: Arguments, out: &mut dyn Write) -> Result<Exit, Error> {
+    let Arguments { command, connection, json } = arguments;
+    match command {
+        Command::Check { files } => documents::check(&files, json, out),
+        Command::Diff { old, new } => documents::diff(&old, &new, json, out),
+        Command::Completions { shell } => {
+            let mut script = Vec::new();
+            clap_complete::generate(shell, &mut Arguments::command(), "hyssopctl", &mut script);
+            out.write_all(&script)?;
+            Ok(Exit::Success)
+        }
+        command => fleet::run(command, &connection, json, out),
+    }
+}
+
+/// Writes a value as JSON.
+fn write_json(value: &impl Serialize, out: &mut dyn Write) -> Result<(), Error> {
+    let text = serde_json::to_string_pretty(value).expect("the values are serializable");
+    writeln!(out, "{text}")?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/ctl/src/command/fleet.rs
@@ -0,0 +1,147 @@
+//! Commands that ask a daemon.
+
+use std::io::Write;
+
+use hyssop_document::{catalog::Catalog, number::Revision, order};
+use hyssop_operator::{client::Client, outcome, quarantine::Fingerprint};
+
+use super::write_json;
+use crate::{
+    arguments::{self, Command, Order, Quarantine, Target},
+    connection,
+    error::Error,
+    exit::Exit,
+    view,
+};
+
+/// Carries out a command that asks a daemon.
+pub(super) fn run(
+    command: Command,
+    connection: &arguments::Connection,
+    json: bool,
+    out: &mut dyn Write,
+) -> Result<Exit, Error> {
+    let client = connection::client(connection)?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let mut fleet = Fleet { client, json, out };
+    runtime.block_on(fleet.run(command))
+}
+
+struct Fleet<'a> {
+    client: Client,
+    json: bool,
+    out: &'a mut dyn Write,
+}
+
+impl Fleet<'_> {
+    async fn run(&mut self, command: Command) -> Result<Exit, Error> {
+        match command {
+            Command::Status { all } => self.status(all).await,
+            Command::Zone { order } => {
+                let (target, out) = split(order);
+                self.order(order::Target::Zone(target.name), out, target.if_revision).await
+            }
+            Command::Host { order } => {
+                let (target, out) = split(order);
+                self.order(order::Target::Host(target.name), out, target.if_revision).await
+            }
+            Command::Histograms(which) => self.histograms(&which).await,
+            Command::Quarantine { action: Some(Quarantine::Release { fingerprint }) } => {
+                self.release(fingerprint).await
+            }
+            Command::Quarantine { .. } => self.quarantine().await,
+            Command::Document => self.document().await,
+            Command::Check { .. } | Command::Diff { .. } | Command::Completions { .. } => {
+                unreachable!("these commands ask no daemon")
+            }
+        }
+    }
+
+    async fn status(&mut self, all: bool) -> Result<Exit, Error> {
+        let fleet = self.client.status().await?;
+        if self.json {
+            write_json(&fleet, self.out)?;
+            return Ok(Exit::Success);
+        }
+        // The document only tells which groups have no scheduler; the status stands without it.
+        let document = self.client.document().await.ok();
+        let catalog = document.and_then(|bytes| Catalog::parse(bytes).ok());
+        view::status::write(&fleet, catalog.as_ref(), all, self.out)?;
+        Ok(Exit::Success)
+    }
+
+    async fn order(
+        &mut self,
+        target: order::Target,
+        out: bool,
+        if_revision: Option<Revision>,
+    ) -> Result<Exit, Error> {
+        let if_revision = match if_revision {
+            Some(revision) => revision,
+            None => self.client.orders().await?.revision,
+        };
+        let outcome = self.client.order(target.clone(), out, Some(if_revision)).await?;
+        if self.json {
+            write_json(&outcome, self.out)?;
+        } else {
+            view::order::write(&target, out, &outcome, self.out)?;
+        }
+        Ok(match outcome {
+            outcome::Order::InForce(_) => Exit::Success,
+            outcome::Order::Conflict(_) | outcome::Order::UnknownTarget(_) => Exit::Refused,
+            outcome::Order::Undecided(_) => Exit::Usage,
+        })
+    }
+
+    async fn histograms(&mut self, which: &arguments::Histograms) -> Result<Exit, Error> {
+        let mut report = self.client.histograms().await?;
+        report.rows.retain(|row| {
+            let class = which.class.as_ref().is_none_or(|class| row.class == *class);
+            let workspace = which.workspace.is_none() || row.workspace == which.workspace;
+            class && workspace
+        });
+        if self.json {
+            write_json(&report, self.out)?;
+        } else {
+            view::histograms::write(&report, which.buckets, self.out)?;
+        }
+        Ok(Exit::Success)
+    }
+
+    async fn quarantine(&mut self) -> Result<Exit, Error> {
+        let report = self.client.quarantine().await?;
+        if self.json {
+            write_json(&report, self.out)?;
+        } else {
+            view::quarantine::write(&report, self.out)?;
+        }
+        Ok(Exit::Success)
+    }
+
+    async fn release(&mut self, fingerprint: Fingerprint) -> Result<Exit, Error> {
+        let release = self.client.release(fingerprint).await?;
+        if self.json {
+            write_json(&release, self.out)?;
+        } else {
+            view::quarantine::write_release(&release, self.out)?;
+        }
+        Ok(if release.released { Exit::Success } else { Exit::Refused })
+    }
+
+    async fn document(&mut self) -> Result<Exit, Error> {
+        let document = self.client.document().await?;
+        self.out.write_all(&document)?;
+        if !document.ends_with(b"\n") {
+            self.out.write_all(b"\n")?;
+        }
+        Ok(Exit::Success)
+    }
+}
+
+/// What an order is about, and whether it leaves service.
+fn split<N: arguments::Named>(order: Order<N>) -> (Target<N>, bool) {
+    match order {
+        Order::Out(target) => (target, true),
+        Order::In(target) => (target, false),
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/error.rs
@@ -0,0 +1,64 @@
+//! Why the command could not do its work.
+
+use std::{io, path::PathBuf};
+
+use hyssop_document::load::Fault;
+use hyssop_operator::client;
+
+use crate::exit::Exit;
+
+/// Why the command could not do its work.
+#[derive(Debug, derive_more::Display, derive_more::Error, derive_more::From)]
+pub(crate) enum Error {
+    /// A file cannot be read.
+    #[display("{}: {error}", path.display())]
+    #[from(skip)]
+    File {
+        /// The file.
+        path: PathBuf,
+        /// The reason.
+        #[error(source)]
+        error: io::Error,
+    },
+    /// A document has faults, so it cannot be compared.
+    #[display("{}: {} faults, the first is {}", path.display(), faults.len(), faults[0])]
+    #[from(skip)]
+    Document {
+        /// The file.
+        path: PathBuf,
+        /// Every fault.
+        faults: Vec<Fault>,
+    },
+    /// There is no key to present.
+    #[display("no key: give --key-file or set {}", crate::connection::KEY_VARIABLE)]
+    #[from(skip)]
+    NoKey,
+    /// There is no daemon to ask.
+    #[display("no daemon to ask: give --server or set {}", crate::connection::SERVERS_VARIABLE)]
+    #[from(skip)]
+    NoServer,
+    /// The servers in the environment variable are no addresses.
+    #[display("{}: {_0:?} is no address", crate::connection::SERVERS_VARIABLE)]
+    #[from(skip)]
+    Server(#[error(not(source))] String),
+    /// A daemon could not be asked.
+    Client(client::Error),
+    /// The output cannot be written.
+    #[display("output: {_0}")]
+    Output(io::Error),
+}
+
+impl Error {
+    /// Whether the reader of the output has gone, such as `head` in a pipe.
+    pub(crate) fn is_closed_output(&self) -> bool {
+        matches!(self, Self::Output(error) if error.kind() == io::ErrorKind::BrokenPipe)
+    }
+
+    /// The exit code for the error.
+    pub(crate) fn exit(&self) -> Exit {
+        match self {
+            Self::Document { .. } | Self::Client(client::Error::Refused { .. }) => Exit::Refused,
+            _ => Exit::Usage,
+        }
+    }
+}
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -1,3 +1,7 @@
-//! Entry point.
+//! The entry point of `hyssopctl`.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    hyssop_ctl::main(std::env::args_os())
+}
--- a/crates/operator/src/client.rs
+++ b/crates/operator/src/client.rs
@@ -204,11 +204,18 @@
         let order = order::Order { target, out, if_revision };
         let body = serde_json::to_vec(&order).expect("an order is serializable").into();
         let answer = self.change(&Method::POST, "/v1/orders", &body).await?;
-        if answer.status == StatusCode::GATEWAY_TIMEOUT {
-            let message = "the daemon found no answer in time".into();
-            return Err(Error::Unknown { server: answer.server, message });
+        let expected = [
+            StatusCode::OK,
+            StatusCode::CONFLICT,
+            StatusCode::NOT_FOUND,
+            StatusCode::GATEWAY_TIMEOUT,
+        ];
+        match answer.value(&expected) {
+            Err(Error::Refused { server, error }) if error.error == error::Kind::AnswerTimeout => {
+                Err(Error::Unknown { server, message: error.message })
+            }
+            outcome => outcome,
         }
-        answer.value(&[StatusCode::OK, StatusCode::CONFLICT, StatusCode::NOT_FOUND])
     }
 
     /// Ends the quarantine of a request.
--- a/crates/operator/tests/common/mod.rs
+++ b/crates/operator/tests/common/mod.rs
@@ -1,4 +1,4 @@
-//! A desk with fixed answers, and a server in front of it.
+//! A desk with fixed answers, and a server in front of it. The tests of `hyssopctl` use it too.
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
 use std::{
