Read a document in parts and split one

28,000 workspaces and 12,000 backend servers do not fit into one published value of 1 MB. The document now may name parts by digest; each part adds workspaces and backend servers, and everything is checked after the join. A part is named by its content, so a reader of any revision gets exactly what was published or nothing. Nothing fetches parts from the platform or from peers yet.

--- a/crates/ctl/src/arguments.rs
+++ b/crates/ctl/src/arguments.rs
@@ -47,6 +47,22 @@
         /// The documents.
         #[arg(required = true, value_name = "FILE")]
         files: Vec<PathBuf>,
+        /// Directory with the parts that a document names, each in a file named by its digest.
+        #[arg(long, value_name = "DIRECTORY")]
+        parts: Option<PathBuf>,
+    },
+    /// Split a document of any size into parts that can be published.
+    Split {
+        /// The document.
+        #[arg(value_name = "FILE")]
+        file: PathBuf,
+        /// Directory that gets the file `document` and the directory `parts`.
+        #[arg(long, value_name = "DIRECTORY")]
+        into: PathBuf,
+        /// Number of parts; chosen by the size of the document if it is not given.
+        #[arg(long, value_name = "COUNT",
+              value_parser = clap::value_parser!(u16).range(1..=4096))]
+        count: Option<u16>,
     },
     /// Show what changes from one document to another.
     Diff {
--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -18,7 +18,8 @@
 pub(crate) fn run(arguments: Arguments, out: &mut dyn Write) -> Result<Exit, Error> {
     let Arguments { command, connection, json } = arguments;
     match command {
-        Command::Check { files } => documents::check(&files, json, out),
+        Command::Check { files, parts } => documents::check(&files, parts.as_deref(), json, out),
+        Command::Split { file, into, count } => documents::split(&file, &into, count, out),
         Command::Diff { old, new } => documents::diff(&old, &new, json, out),
         Command::Completions { shell } => {
             let mut script = Vec::new();
--- a/crates/ctl/src/command/documents.rs
+++ b/crates/ctl/src/command/documents.rs
@@ -6,7 +6,13 @@
     path::{Path, PathBuf},
 };
 
-use hyssop_document::{catalog::Catalog, difference::Difference, load::Fault};
+use hyssop_document::{
+    catalog::Catalog,
+    difference::Difference,
+    digest::Digest,
+    load::Fault,
+    parts::{Assembly, Published},
+};
 use hyssop_operator::check::Report;
 use serde::Serialize;
 
@@ -21,11 +27,16 @@
 }
 
 /// Checks each file and tells every fault.
-pub(super) fn check(files: &[PathBuf], json: bool, out: &mut dyn Write) -> Result<Exit, Error> {
+pub(super) fn check(
+    files: &[PathBuf],
+    parts: Option<&Path>,
+    json: bool,
+    out: &mut dyn Write,
+) -> Result<Exit, Error> {
     let mut valid = true;
     let mut reports = Vec::new();
     for file in files {
-        let result = read(file)?;
+        let result = read(file, parts)?;
         valid &= result.is_ok();
         if json {
             reports.push(Checked { file, report: Report::new(result) });
@@ -50,11 +61,52 @@
     Ok(Exit::Success)
 }
 
-fn read(path: &Path) -> Result<Result<Catalog, Vec<Fault>>, Error> {
-    let bytes = fs::read(path).map_err(|error| Error::File { path: path.to_owned(), error })?;
-    Ok(Catalog::parse(bytes))
+/// Splits a file into a document and its parts.
+pub(super) fn split(
+    file: &Path,
+    into: &Path,
+    count: Option<u16>,
+    out: &mut dyn Write,
+) -> Result<Exit, Error> {
+    let split = Published::split(&bytes(file)?, count.map(usize::from));
+    let published = split.map_err(|faults| Error::Document { path: file.to_owned(), faults })?;
+    let parts = into.join("parts");
+    fs::create_dir_all(&parts).map_err(|error| Error::File { path: parts.clone(), error })?;
+    // The document comes last, so that a directory with a document has all its parts.
+    for part in &published.parts {
+        write_file(&parts.join(Digest::of(part).to_string()), part)?;
+    }
+    write_file(&into.join("document"), &published.bytes)?;
+    let (count, length) = (published.parts.len(), published.bytes.len());
+    writeln!(out, "{count} parts and a document of {length} bytes in {}", into.display())?;
+    Ok(Exit::Success)
+}
+
+fn write_file(path: &Path, bytes: &[u8]) -> Result<(), Error> {
+    fs::write(path, bytes).map_err(|error| Error::File { path: path.to_owned(), error })
+}
+
+fn bytes(path: &Path) -> Result<Vec<u8>, Error> {
+    fs::read(path).map_err(|error| Error::File { path: path.to_owned(), error })
+}
+
+/// Reads a document with the parts that stand in a directory.
+fn read(path: &Path, parts: Option<&Path>) -> Result<Result<Catalog, Vec<Fault>>, Error> {
+    let mut assembly = match Assembly::new(bytes(path)?) {
+        Ok(assembly) => assembly,
+        Err(faults) => return Ok(Err(faults)),
+    };
+    if let Some(directory) = parts {
+        for digest in assembly.missing() {
+            let path = directory.join(digest.to_string());
+            // A part that cannot be read, or is another one, is told as a fault of the document.
+            let Ok(bytes) = fs::read(path) else { continue };
+            assembly.add(bytes).ok();
+        }
+    }
+    Ok(assembly.finish())
 }
 
 fn valid(path: &Path) -> Result<Catalog, Error> {
-    read(path)?.map_err(|faults| Error::Document { path: path.to_owned(), faults })
+    read(path, None)?.map_err(|faults| Error::Document { path: path.to_owned(), faults })
 }
--- a/crates/ctl/src/command/fleet.rs
+++ b/crates/ctl/src/command/fleet.rs
@@ -51,9 +51,10 @@
             }
             Command::Quarantine { .. } => self.quarantine().await,
             Command::Document => self.document().await,
-            Command::Check { .. } | Command::Diff { .. } | Command::Completions { .. } => {
-                unreachable!("these commands ask no daemon")
-            }
+            Command::Check { .. }
+            | Command::Split { .. }
+            | Command::Diff { .. }
+            | Command::Completions { .. } => unreachable!("these commands ask no daemon"),
         }
     }
 
--- a/crates/ctl/tests/files.rs
+++ b/crates/ctl/tests/files.rs
@@ -110,6 +110,35 @@
     assert!(json.contains("\"field\": \"warm_limit\""), "{json}");
 }
 
+#[test]
+fn split() {
+    let directory = TempDir::new().unwrap();
+    write(&directory, "whole.json", DOCUMENT);
+    write(&directory, "faulty.json", "{}");
+    let split = ["split", "whole.json", "--into", "published", "--count", "2"];
+    expect![[r#"
+        2 parts and a document of 527 bytes in published
+        exit 0
+    "#]]
+    .assert_eq(&run(&directory, &split));
+    let check = ["check", "published/document", "--parts", "published/parts"];
+    expect![[r#"
+        published/document: no faults: environment trial, revision 7, 1 classes, 1 workspaces, 2 zones, 1 pools, 1 backend servers in 1 groups
+        exit 0
+    "#]].assert_eq(&run(&directory, &check));
+    let part = fs::read_dir(directory.path().join("published/parts")).unwrap().next().unwrap();
+    let part = part.unwrap();
+    fs::write(part.path(), "{}").unwrap();
+    let missing = run(&directory, &check).replace(part.file_name().to_str().unwrap(), "DIGEST");
+    assert!(missing.contains("DIGEST is not at hand\n") && missing.ends_with("exit 1\n"));
+    expect![[r#"
+        hyssopctl: faulty.json: 7 faults, the first is environment: the field is missing
+        exit 1
+    "#]]
+    .assert_eq(&run(&directory, &["split", "faulty.json", "--into", "none"]));
+    assert!(!directory.path().join("none").exists());
+}
+
 #[test]
 fn usage() {
     let directory = TempDir::new().unwrap();
--- a/crates/document/benches/load.rs
+++ b/crates/document/benches/load.rs
@@ -3,15 +3,20 @@
 //! The input is fixed: every workspace has about 119 bytes. 8,000 of them are close to the largest
 //! document.
 
+use bytes::Bytes;
 use divan::{Bencher, counter::BytesCount};
-use hyssop_document::{catalog::Catalog, digest::Digest};
+use hyssop_document::{
+    catalog::Catalog,
+    digest::Digest,
+    parts::{Assembly, Published},
+};
 use serde_json::json;
 
 fn main() {
     divan::main();
 }
 
-fn document(workspaces: usize) -> Vec<u8> {
+fn document(workspaces: usize, backends: usize) -> Vec<u8> {
     let workspaces: Vec<_> = (0..workspaces)
         .map(|number| {
             let name = format!("workspace-{number:05}");
@@ -19,9 +24,9 @@
             json!({"name": name, "share": 1 + number % 5, "key_sha256": key})
         })
         .collect();
-    let backends: Vec<_> = (0..24)
+    let backends: Vec<_> = (0..backends)
         .map(|number| {
-            let address = format!("127.0.0.1:{}", 7000 + number);
+            let address = format!("127.0.{}.1:{}", number / 1000, 7000 + number % 1000);
             json!({"name": format!("engine-{number}"), "address": address, "zone": "south-1", "pool": "drafting"})
         })
         .collect();
@@ -44,9 +49,49 @@
 }
 
 #[divan::bench(args = [10, 1000, 8000])]
-fn load(bencher: Bencher<'_, '_>, workspaces: usize) {
-    let bytes = document(workspaces);
+fn whole(bencher: Bencher<'_, '_>, workspaces: usize) {
+    let bytes = document(workspaces, 24);
     bencher
         .counter(BytesCount::of_slice(&bytes))
         .bench_local(|| Catalog::parse(bytes.clone()).expect("the document has no fault"));
 }
+
+/// All parts of a document, which are checked for their digests, joined, checked and indexed.
+fn joined(published: &Published) -> Catalog {
+    let mut assembly = Assembly::new(published.bytes.clone()).expect("the document is an object");
+    for part in &published.parts {
+        assembly.add(part.clone()).expect("the document names the part");
+    }
+    assembly.finish().expect("the document has no fault")
+}
+
+#[divan::bench(args = [(28_000, 12_000)])]
+fn in_parts(bencher: Bencher<'_, '_>, (workspaces, backends): (usize, usize)) {
+    let bytes = document(workspaces, backends);
+    let published = Published::split(&bytes, None).expect("the document has no fault");
+    bencher.counter(BytesCount::of_slice(&bytes)).bench_local(|| joined(&published));
+}
+
+/// One part of a document that is in force is replaced.
+#[divan::bench(args = [(28_000, 12_000)])]
+fn one_part_changed(bencher: Bencher<'_, '_>, (workspaces, backends): (usize, usize)) {
+    let bytes = document(workspaces, backends);
+    let before = joined(&Published::split(&bytes, None).expect("the document has no fault"));
+    let text = String::from_utf8(bytes).expect("JSON is text");
+    let text = text.replace(
+        "\"name\":\"workspace-00007\",\"share\":3",
+        "\"name\":\"workspace-00007\",\"share\":4",
+    );
+    let after = Published::split(text.as_bytes(), None).expect("the document has no fault");
+    let is_new = |part: &&Bytes| !before.parts().iter().any(|known| known.bytes == **part);
+    let changed: Vec<Bytes> = after.parts.iter().filter(is_new).cloned().collect();
+    assert_eq!(changed.len(), 1);
+    bencher.bench_local(|| {
+        let mut assembly = Assembly::new(after.bytes.clone()).expect("the document is an object");
+        assembly.reuse(&before);
+        for part in &changed {
+            assembly.add(part.clone()).expect("the document names the part");
+        }
+        assembly.finish().expect("the document has no fault")
+    });
+}
--- a/crates/document/src/catalog.rs
+++ b/crates/document/src/catalog.rs
@@ -22,6 +22,15 @@
     pub backends: Vec<model::Backend>,
 }
 
+/// A published part of a document.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Part {
+    /// The digest of the bytes.
+    pub digest: Digest,
+    /// The bytes, as they came.
+    pub bytes: Bytes,
+}
+
 /// A checked document with its indices. Clones share one allocation.
 #[derive(Clone)]
 pub struct Catalog {
@@ -32,6 +41,7 @@
     document: model::Document,
     digest: Digest,
     bytes: Bytes,
+    parts: Vec<Part>,
     classes: Map<name::Class, usize>,
     workspaces: Map<name::Workspace, usize>,
     keys: Map<Digest, usize>,
@@ -52,12 +62,17 @@
     /// Every fault of the document is returned.
     pub fn parse(bytes: impl Into<Bytes>) -> Result<Self, Vec<Fault>> {
         let bytes = bytes.into();
-        let checked = load::parse(&bytes)?;
-        Ok(Self::new(checked, bytes))
+        let Checked { document, digest } = load::parse(&bytes)?;
+        Ok(Self::new(document, digest, bytes, Vec::new()))
     }
 
-    fn new(checked: Checked, bytes: Bytes) -> Self {
-        let Checked { document, digest } = checked;
+    /// Indexes a document that was checked.
+    pub(crate) fn new(
+        document: model::Document,
+        digest: Digest,
+        bytes: Bytes,
+        parts: Vec<Part>,
+    ) -> Self {
         let groups: Vec<_> = group::all(&document)
             .into_iter()
             .map(|(group, backends)| Members {
@@ -78,6 +93,7 @@
             document,
             digest,
             bytes,
+            parts,
         };
         Self { inner: Arc::new(inner) }
     }
@@ -102,11 +118,16 @@
         self.inner.digest
     }
 
-    /// The published bytes, as they came.
+    /// The published bytes, as they came. For a document in parts, these do not hold the parts.
     pub fn bytes(&self) -> &Bytes {
         &self.inner.bytes
     }
 
+    /// The published parts, as they came, in the order in which the document names them.
+    pub fn parts(&self) -> &[Part] {
+        &self.inner.parts
+    }
+
     /// The class of that name.
     pub fn class(&self, name: &name::Class) -> Option<&model::Class> {
         let position = *self.inner.classes.get(name)?;
--- a/crates/document/src/lib.rs
+++ b/crates/document/src/lib.rs
@@ -13,3 +13,4 @@
 pub mod name;
 pub mod number;
 pub mod order;
+pub mod parts;
--- a/crates/document/src/load/check.rs
+++ b/crates/document/src/load/check.rs
@@ -4,7 +4,11 @@
 
 use compact_str::format_compact;
 
-use super::{fault, object::List, shape::Draft};
+use super::{
+    fault,
+    object::{List, Place},
+    shape::Draft,
+};
 use crate::{
     collections::{Map, Set},
     model::{Class, Pool},
@@ -14,6 +18,9 @@
 /// The largest sum of all floors. The rest of each pool is left to the order of tiers.
 const MAX_FLOOR_SUM_PERCENT: u32 = 50;
 
+/// The largest number of parts.
+const MAX_PARTS: usize = 4096;
+
 /// Checks everything that was read.
 pub(super) fn all(draft: &Draft, faults: &mut fault::List) {
     empty(draft, faults);
@@ -23,6 +30,24 @@
     backends(draft, faults);
 }
 
+/// Checks that every part is at hand, and once only.
+pub(super) fn parts(draft: &Draft, parts: &[Option<&[u8]>], faults: &mut fault::List) {
+    let count = draft.parts.len();
+    if count > MAX_PARTS {
+        faults.add("parts", format_compact!("{count} parts, at most {MAX_PARTS} are allowed"));
+        return;
+    }
+    let mut seen = Set::default();
+    for (index, digest) in draft.parts.iter().enumerate() {
+        let path = format_compact!("parts[{index}]");
+        if !seen.insert(digest) {
+            faults.add(path, format_compact!("{digest} stands twice"));
+        } else if parts.get(index).copied().flatten().is_none() {
+            faults.add(path, format_compact!("{digest} is not at hand"));
+        }
+    }
+}
+
 /// A document without any of these serves nobody, so it is more likely cut than meant.
 fn empty(draft: &Draft, faults: &mut fault::List) {
     let lists = [
@@ -60,19 +85,20 @@
 ) {
     let mut first = Map::default();
     first.reserve(list.items.len());
-    for (index, item) in &list.items {
+    for (place, item) in &list.items {
         let value = value(item);
-        let earlier = *first.entry(value).or_insert(*index);
-        if earlier != *index {
-            let path = format_compact!("{list_name}[{index}].{field}");
-            faults.add(path, format_compact!("{value} stands at {list_name}[{earlier}] too"));
+        let earlier = *first.entry(value).or_insert(*place);
+        if earlier != *place {
+            let path = format_compact!("{}.{field}", place.path(list_name));
+            let earlier = earlier.path(list_name);
+            faults.add(path, format_compact!("{value} stands at {earlier} too"));
         }
     }
 }
 
 fn classes(classes: &List<Class>, faults: &mut fault::List) {
-    for (index, class) in &classes.items {
-        targets(*index, class, faults);
+    for (place, class) in &classes.items {
+        targets(*place, class, faults);
     }
     let floors = classes.items.iter().map(|(_, class)| u32::from(class.floor_percent.0));
     let sum: u32 = floors.sum();
@@ -85,14 +111,14 @@
     }
 }
 
-fn targets(index: usize, class: &Class, faults: &mut fault::List) {
+fn targets(place: Place, class: &Class, faults: &mut fault::List) {
     if class.first_token_ms > class.complete_ms {
         let message = format_compact!(
             "{} is above complete_ms, which is {}",
             class.first_token_ms,
             class.complete_ms
         );
-        faults.add(format_compact!("classes[{index}].first_token_ms"), message);
+        faults.add(format_compact!("{}.first_token_ms", place.path("classes")), message);
     }
     if class.complete_ms > class.max_running_ms {
         let message = format_compact!(
@@ -100,34 +126,34 @@
             class.complete_ms,
             class.max_running_ms
         );
-        faults.add(format_compact!("classes[{index}].complete_ms"), message);
+        faults.add(format_compact!("{}.complete_ms", place.path("classes")), message);
     }
 }
 
 fn pools(draft: &Draft, faults: &mut fault::List) {
     let classes = draft.classes.items.iter().map(|(_, class)| class);
     let longest = classes.max_by_key(|class| class.max_running_ms);
-    for (index, pool) in &draft.pools.items {
-        limits(*index, pool, faults);
+    for (place, pool) in &draft.pools.items {
+        limits(*place, pool, faults);
         if let Some(class) = longest {
-            latest_end(*index, pool, class, faults);
+            latest_end(*place, pool, class, faults);
         }
     }
 }
 
-fn limits(index: usize, pool: &Pool, faults: &mut fault::List) {
+fn limits(place: Place, pool: &Pool, faults: &mut fault::List) {
     if pool.cold_limit > pool.warm_limit {
         let message = format_compact!(
             "{} is above warm_limit, which is {}",
             pool.cold_limit,
             pool.warm_limit
         );
-        faults.add(format_compact!("pools[{index}].cold_limit"), message);
+        faults.add(format_compact!("{}.cold_limit", place.path("pools")), message);
     }
 }
 
 /// A permit must be counted at least as long as a request may run on it.
-fn latest_end(index: usize, pool: &Pool, class: &Class, faults: &mut fault::List) {
+fn latest_end(place: Place, pool: &Pool, class: &Class, faults: &mut fault::List) {
     if pool.latest_end_ms < class.max_running_ms {
         let message = format_compact!(
             "{} is below max_running_ms of class {}, which is {}",
@@ -135,22 +161,22 @@
             class.name,
             class.max_running_ms
         );
-        faults.add(format_compact!("pools[{index}].latest_end_ms"), message);
+        faults.add(format_compact!("{}.latest_end_ms", place.path("pools")), message);
     }
 }
 
 fn backends(draft: &Draft, faults: &mut fault::List) {
     let zones: Set<&name::Zone> = draft.zones.items.iter().map(|(_, zone)| &zone.name).collect();
     let pools: Set<&name::Pool> = draft.pools.items.iter().map(|(_, pool)| &pool.name).collect();
-    for (index, backend) in &draft.backends.items {
+    for (place, backend) in &draft.backends.items {
         // An entry that could not be read may be the one that is meant.
         if draft.zones.whole && !zones.contains(&backend.zone) {
             let message = format_compact!("there is no availability zone {}", backend.zone);
-            faults.add(format_compact!("backends[{index}].zone"), message);
+            faults.add(format_compact!("{}.zone", place.path("backends")), message);
         }
         if draft.pools.whole && !pools.contains(&backend.pool) {
             let message = format_compact!("there is no pool {}", backend.pool);
-            faults.add(format_compact!("backends[{index}].pool"), message);
+            faults.add(format_compact!("{}.pool", place.path("backends")), message);
         }
     }
 }
--- a/crates/document/src/load/fault.rs
+++ b/crates/document/src/load/fault.rs
@@ -24,13 +24,14 @@
         }
         self.kept.push(Fault { path: path.into(), message: message.into() });
     }
+}
 
-    /// Tells whether there was no fault.
-    pub(super) fn into_result(mut self) -> Result<(), Vec<Fault>> {
-        if self.dropped > 0 {
-            let message = format!("{} more faults", self.dropped).into();
-            self.kept.push(Fault { path: ROOT.into(), message });
+impl From<List> for Vec<Fault> {
+    fn from(mut list: List) -> Self {
+        if list.dropped > 0 {
+            let message = format!("{} more faults", list.dropped).into();
+            list.kept.push(Fault { path: ROOT.into(), message });
         }
-        if self.kept.is_empty() { Ok(()) } else { Err(self.kept) }
+        list.kept
     }
 }
--- a/crates/document/src/load/object.rs
+++ b/crates/document/src/load/object.rs
@@ -45,6 +45,8 @@
 pub(super) struct Object<'a, 'f> {
     /// The path of the object with a dot at its end, or nothing for the document itself.
     prefix: CompactString,
+    /// The part that the object is, if it is a part.
+    part: Option<u32>,
     fields: Vec<(CompactString, &'a RawValue)>,
     known: Vec<&'static str>,
     faults: &'f mut fault::List,
@@ -62,16 +64,33 @@
             return None;
         };
         let prefix = format_compact!("{path}.");
-        Some(Self { prefix, fields, known: Vec::new(), faults })
+        Some(Self { prefix, part: None, fields, known: Vec::new(), faults })
     }
 
     /// Starts to read the document itself.
-    pub(super) fn root(value: &'a RawValue, faults: &'f mut fault::List) -> Option<Self> {
-        let mut object = Self::open(super::ROOT.into(), value, faults)?;
+    pub(super) fn root(bytes: &'a [u8], faults: &'f mut fault::List) -> Option<Self> {
+        let mut object = Self::text_of(super::ROOT.into(), bytes, faults)?;
         object.prefix = CompactString::default();
         Some(object)
     }
 
+    /// Starts to read a part of the document.
+    pub(super) fn part(index: u32, bytes: &'a [u8], faults: &'f mut fault::List) -> Option<Self> {
+        let mut object = Self::text_of(format_compact!("parts[{index}]"), bytes, faults)?;
+        object.part = Some(index);
+        Some(object)
+    }
+
+    fn text_of(path: CompactString, bytes: &'a [u8], faults: &'f mut fault::List) -> Option<Self> {
+        match serde_json::from_slice(bytes) {
+            Ok(value) => Self::open(path, value, faults),
+            Err(error) => {
+                faults.add(path, format_compact!("no JSON: {error}"));
+                None
+            }
+        }
+    }
+
     /// The path of a field.
     fn path(&self, field: &str) -> CompactString {
         format_compact!("{}{field}", self.prefix)
@@ -203,22 +222,71 @@
         field: &'static str,
         read: impl Fn(&mut Object<'a, '_>) -> Option<T>,
     ) -> List<T> {
-        let Some(value) = self.require(field) else { return List::default() };
-        let Ok(values) = serde_json::from_str::<Vec<&'a RawValue>>(value.get()) else {
-            self.wrong(field, "a list", value);
-            return List::default();
-        };
+        match self.require(field) {
+            Some(value) => self.elements(field, value, read),
+            None => List::default(),
+        }
+    }
+
+    /// The elements of a list that is empty if the field does not stand there.
+    pub(super) fn list_or_empty<T>(
+        &mut self,
+        field: &'static str,
+        read: impl Fn(&mut Object<'a, '_>) -> Option<T>,
+    ) -> List<T> {
+        match self.find(field) {
+            Some(value) => self.elements(field, value, read),
+            None => List { items: Vec::new(), whole: true },
+        }
+    }
+
+    fn elements<T>(
+        &mut self,
+        field: &'static str,
+        value: &'a RawValue,
+        read: impl Fn(&mut Object<'a, '_>) -> Option<T>,
+    ) -> List<T> {
+        let Some(values) = self.values(field, value) else { return List::default() };
         let mut list = List { items: Vec::with_capacity(values.len()), whole: true };
         for (index, value) in values.into_iter().enumerate() {
             let path = format_compact!("{}{field}[{index}]", self.prefix);
             match element(path, value, &read, self.faults) {
-                Some(item) => list.items.push((index, item)),
+                Some(item) => list.items.push((Place { part: self.part, index }, item)),
                 None => list.whole = false,
             }
         }
         list
     }
 
+    fn values(&mut self, field: &'static str, value: &'a RawValue) -> Option<Vec<&'a RawValue>> {
+        let values = serde_json::from_str(value.get()).ok();
+        if values.is_none() {
+            self.wrong(field, "a list", value);
+        }
+        values
+    }
+
+    /// The texts of a list that is empty if the field does not stand there.
+    pub(super) fn texts_or_empty<T: FromStr<Err: fmt::Display>>(
+        &mut self,
+        field: &'static str,
+    ) -> Vec<T> {
+        let Some(value) = self.find(field) else { return Vec::new() };
+        let values = self.values(field, value).unwrap_or_default();
+        let mut texts = Vec::with_capacity(values.len());
+        for (index, value) in values.into_iter().enumerate() {
+            let text = serde_json::from_str::<CompactString>(value.get()).unwrap_or_default();
+            match text.parse() {
+                Ok(parsed) => texts.push(parsed),
+                Err(error) => {
+                    let path = format_compact!("{}{field}[{index}]", self.prefix);
+                    self.faults.add(path, format_compact!("{error}, found {}", shown(value)));
+                }
+            }
+        }
+        texts
+    }
+
     /// Reports the fields that nobody asked for.
     pub(super) fn close(self) {
         for (position, (name, _)) in self.fields.iter().enumerate() {
@@ -246,10 +314,28 @@
     item
 }
 
-/// The elements of a list that could be read, with their positions in the text.
+/// Where an element stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Place {
+    part: Option<u32>,
+    index: usize,
+}
+
+impl Place {
+    /// The path of the element in the list of that name.
+    pub(super) fn path(self, list: &str) -> CompactString {
+        let index = self.index;
+        match self.part {
+            Some(part) => format_compact!("parts[{part}].{list}[{index}]"),
+            None => format_compact!("{list}[{index}]"),
+        }
+    }
+}
+
+/// The elements of a list that could be read, with the places where they stand.
 pub(super) struct List<T> {
-    /// The elements with their positions.
-    pub(super) items: Vec<(usize, T)>,
+    /// The elements with their places.
+    pub(super) items: Vec<(Place, T)>,
     /// Whether every element could be read.
     pub(super) whole: bool,
 }
@@ -261,6 +347,12 @@
 }
 
 impl<T> List<T> {
+    /// Adds the elements of a part.
+    pub(super) fn append(&mut self, part: Self) {
+        self.items.extend(part.items);
+        self.whole &= part.whole;
+    }
+
     /// The elements, if every one could be read.
     pub(super) fn finish(self) -> Option<Vec<T>> {
         self.whole.then(|| self.items.into_iter().map(|(_, item)| item).collect())
--- a/crates/document/src/load/shape.rs
+++ b/crates/document/src/load/shape.rs
@@ -1,12 +1,11 @@
 //! Reads the fields of a document and the range of each.
 
-use serde_json::value::RawValue;
-
 use super::{
-    ROOT, fault,
+    fault,
     object::{List, Object},
 };
 use crate::{
+    digest::Digest,
     model::{
         Backend, Class, DEFAULT_GROUP_SIZE, DEFAULT_QUEUE_LIMIT, Document, Pool, Workspace, Zone,
     },
@@ -28,6 +27,8 @@
     environment: Option<name::Environment>,
     revision: Option<Revision>,
     group_size: Option<usize>,
+    /// The digests of the parts.
+    pub(super) parts: Vec<Digest>,
     /// The classes.
     pub(super) classes: List<Class>,
     /// The workspaces.
@@ -41,6 +42,12 @@
 }
 
 impl Draft {
+    /// Notes that a part could not be read, so that its lists are not whole.
+    pub(super) fn lacks_part(&mut self) {
+        self.workspaces.whole = false;
+        self.backends.whole = false;
+    }
+
     /// The document, if every part could be read.
     pub(super) fn finish(self) -> Option<Document> {
         Some(Document {
@@ -56,16 +63,9 @@
     }
 }
 
-/// Reads what can be read and reports the rest.
+/// Reads what can be read of a document without its parts, and reports the rest.
 pub(super) fn read(bytes: &[u8], faults: &mut fault::List) -> Option<Draft> {
-    let value: &RawValue = match serde_json::from_slice(bytes) {
-        Ok(value) => value,
-        Err(error) => {
-            faults.add(ROOT, format!("no JSON: {error}"));
-            return None;
-        }
-    };
-    let mut object = Object::root(value, faults)?;
+    let mut object = Object::root(bytes, faults)?;
     let draft = Draft {
         environment: object.text("environment"),
         revision: object.number("revision", 1..=MAX_REVISION).map(Revision),
@@ -77,11 +77,23 @@
         zones: object.list("zones", zone),
         pools: object.list("pools", pool),
         backends: object.list("backends", backend),
+        parts: object.texts_or_empty("parts"),
     };
     object.close();
     Some(draft)
 }
 
+/// Reads what can be read of a part into the draft, and reports the rest.
+pub(super) fn read_part(draft: &mut Draft, index: u32, bytes: &[u8], faults: &mut fault::List) {
+    let Some(mut object) = Object::part(index, bytes, faults) else {
+        draft.lacks_part();
+        return;
+    };
+    draft.workspaces.append(object.list_or_empty("workspaces", workspace));
+    draft.backends.append(object.list_or_empty("backends", backend));
+    object.close();
+}
+
 fn class(object: &mut Object<'_, '_>) -> Option<Class> {
     let tiers = u64::from(Tier::HIGHEST.0)..=u64::from(Tier::LOWEST.0);
     let name = object.text("name");
--- a/crates/document/tests/faults.rs
+++ b/crates/document/tests/faults.rs
@@ -74,7 +74,7 @@
             zones[1]: an object is needed, found "south-2"
             pools[0].kind: a pool's kind is "model" or "service", found "engine"
             backends[0].address: an IP number and a port such as 10.1.0.5:8000 is needed, found "engine-2:7002"
-            comment: the field is unknown, known are environment, revision, group_size, classes, workspaces, zones, pools, backends
+            comment: the field is unknown, known are environment, revision, group_size, classes, workspaces, zones, pools, backends, parts
         "#]],
     );
 }
@@ -113,10 +113,10 @@
     check(
         &faults(&text),
         &expect![[r#"
-        revision: the field stands 2 times
-        classes[1].tier: the field stands 2 times
-        note: the field is unknown, known are environment, revision, group_size, classes, workspaces, zones, pools, backends
-    "#]],
+            revision: the field stands 2 times
+            classes[1].tier: the field stands 2 times
+            note: the field is unknown, known are environment, revision, group_size, classes, workspaces, zones, pools, backends, parts
+        "#]],
     );
 }
 
