Keep what was read of a part for the next document

Catalogs now keep the lists of each part behind an Arc; only changed parts are read, and all checks and indices are still made over the whole.

--- a/crates/document/src/catalog.rs
+++ b/crates/document/src/catalog.rs
@@ -23,12 +23,24 @@
 }
 
 /// A published part of a document.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Clone)]
 pub struct Part {
+    pub(crate) digest: Digest,
+    pub(crate) bytes: Bytes,
+    /// What was read of the bytes, so that the next document with this part need not read them.
+    pub(crate) lists: Arc<load::Lists>,
+}
+
+impl Part {
     /// The digest of the bytes.
-    pub digest: Digest,
+    pub fn digest(&self) -> Digest {
+        self.digest
+    }
+
     /// The bytes, as they came.
-    pub bytes: Bytes,
+    pub fn bytes(&self) -> &Bytes {
+        &self.bytes
+    }
 }
 
 /// A checked document with its indices. Clones share one allocation.
--- a/crates/document/src/load.rs
+++ b/crates/document/src/load.rs
@@ -10,6 +10,7 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
+pub(crate) use self::shape::Lists;
 use crate::{digest::Digest, model::Document};
 
 /// The largest document in bytes.
@@ -44,9 +45,7 @@
 /// Every fault is returned, not only the first. Text that is no JSON has one fault. After
 /// [`MAX_FAULTS`] faults the last entry tells how many more there are.
 pub fn parse(bytes: &[u8]) -> Result<Checked, Vec<Fault>> {
-    let reading = Reading::root(bytes)?;
-    let parts = vec![None; reading.parts().len()];
-    let document = reading.finish(&parts)?;
+    let document = Reading::root(bytes)?.finish_without_parts()?;
     Ok(Checked { document, digest: Digest::of(bytes) })
 }
 
@@ -64,7 +63,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if nothing can be read. Other faults are told at the end.
+    /// Fails if nothing can be read or the list of parts is wrong. Other faults are told at the end.
     pub(crate) fn root(bytes: &[u8]) -> Result<Self, Vec<Fault>> {
         let length = bytes.len();
         if length > MAX_DOCUMENT_BYTES {
@@ -78,10 +77,11 @@
     ///
     /// # Errors
     ///
-    /// Fails if nothing can be read. Other faults are told at the end.
+    /// Fails if nothing can be read or the list of parts is wrong. Other faults are told at the end.
     pub(crate) fn unbounded(bytes: &[u8]) -> Result<Self, Vec<Fault>> {
         let mut faults = fault::List::default();
-        match shape::read(bytes, &mut faults) {
+        let draft = shape::read(bytes, &mut faults);
+        match draft.filter(|draft| check::parts(&draft.parts, &mut faults)) {
             Some(draft) => Ok(Self { draft, faults }),
             None => Err(faults.into()),
         }
@@ -92,21 +92,47 @@
         &self.draft.parts
     }
 
-    /// Reads the parts, in the order of their digests, and checks everything.
+    /// Reads the part at a position and returns its lists, to be kept with the part.
+    pub(crate) fn part(&mut self, index: u32, bytes: &[u8]) -> Option<Lists> {
+        let lists = shape::read_part(index, bytes, &mut self.faults);
+        match &lists {
+            Some(lists) => self.draft.append(index, lists),
+            None => self.draft.lacks_part(),
+        }
+        lists
+    }
+
+    /// Takes the lists of a part that was read and checked with an earlier document.
+    pub(crate) fn known_part(&mut self, index: u32, lists: &Lists) {
+        self.draft.append(index, lists);
+    }
+
+    /// Notes that the part at a position is not there, which is a fault.
+    pub(crate) fn missing_part(&mut self, index: u32) {
+        let digest = self.draft.parts[index as usize];
+        let message = format!("{digest} is not at hand");
+        self.faults.add(format!("parts[{index}]"), message);
+        self.draft.lacks_part();
+    }
+
+    /// Checks a document of which no part is at hand.
     ///
     /// # Errors
     ///
-    /// Every fault is returned. A part without bytes is a fault.
-    pub(crate) fn finish(mut self, parts: &[Option<&[u8]>]) -> Result<Document, Vec<Fault>> {
-        check::parts(&self.draft, parts, &mut self.faults);
-        for (index, part) in parts.iter().enumerate() {
-            match part {
-                Some(bytes) => {
-                    shape::read_part(&mut self.draft, index as u32, bytes, &mut self.faults);
-                }
-                None => self.draft.lacks_part(),
-            }
+    /// Every fault is returned.
+    pub(crate) fn finish_without_parts(mut self) -> Result<Document, Vec<Fault>> {
+        for index in 0..self.draft.parts.len() {
+            self.missing_part(index as u32);
         }
+        self.finish()
+    }
+
+    /// Checks everything that was read.
+    ///
+    /// # Errors
+    ///
+    /// Every fault is returned.
+    pub(crate) fn finish(mut self) -> Result<Document, Vec<Fault>> {
         check::all(&self.draft, &mut self.faults);
         let faults: Vec<_> = self.faults.into();
         if !faults.is_empty() {
--- a/crates/document/src/load/check.rs
+++ b/crates/document/src/load/check.rs
@@ -11,6 +11,7 @@
 };
 use crate::{
     collections::{Map, Set},
+    digest::Digest,
     model::{Class, Pool},
     name,
 };
@@ -30,22 +31,22 @@
     backends(draft, faults);
 }
 
-/// Checks that every part is at hand, and once only.
-pub(super) fn parts(draft: &Draft, parts: &[Option<&[u8]>], faults: &mut fault::List) {
-    let count = draft.parts.len();
+/// Checks the list of parts and tells whether the parts can be read by it.
+pub(super) fn parts(parts: &[Digest], faults: &mut fault::List) -> bool {
+    let count = parts.len();
     if count > MAX_PARTS {
         faults.add("parts", format_compact!("{count} parts, at most {MAX_PARTS} are allowed"));
-        return;
+        return false;
     }
     let mut seen = Set::default();
-    for (index, digest) in draft.parts.iter().enumerate() {
-        let path = format_compact!("parts[{index}]");
+    let mut usable = true;
+    for (index, digest) in parts.iter().enumerate() {
         if !seen.insert(digest) {
-            faults.add(path, format_compact!("{digest} stands twice"));
-        } else if parts.get(index).copied().flatten().is_none() {
-            faults.add(path, format_compact!("{digest} is not at hand"));
+            faults.add(format_compact!("parts[{index}]"), format_compact!("{digest} stands twice"));
+            usable = false;
         }
     }
+    usable
 }
 
 /// A document without any of these serves nobody, so it is more likely cut than meant.
--- a/crates/document/src/load/object.rs
+++ b/crates/document/src/load/object.rs
@@ -45,8 +45,6 @@
 pub(super) struct Object<'a, 'f> {
     /// The path of the object with a dot at its end, or nothing for the document itself.
     prefix: CompactString,
-    /// The part that the object is, if it is a part.
-    part: Option<u32>,
     fields: Vec<(CompactString, &'a RawValue)>,
     known: Vec<&'static str>,
     faults: &'f mut fault::List,
@@ -64,7 +62,7 @@
             return None;
         };
         let prefix = format_compact!("{path}.");
-        Some(Self { prefix, part: None, fields, known: Vec::new(), faults })
+        Some(Self { prefix, fields, known: Vec::new(), faults })
     }
 
     /// Starts to read the document itself.
@@ -76,9 +74,7 @@
 
     /// Starts to read a part of the document.
     pub(super) fn part(index: u32, bytes: &'a [u8], faults: &'f mut fault::List) -> Option<Self> {
-        let mut object = Self::text_of(format_compact!("parts[{index}]"), bytes, faults)?;
-        object.part = Some(index);
-        Some(object)
+        Self::text_of(format_compact!("parts[{index}]"), bytes, faults)
     }
 
     fn text_of(path: CompactString, bytes: &'a [u8], faults: &'f mut fault::List) -> Option<Self> {
@@ -251,7 +247,7 @@
         for (index, value) in values.into_iter().enumerate() {
             let path = format_compact!("{}{field}[{index}]", self.prefix);
             match element(path, value, &read, self.faults) {
-                Some(item) => list.items.push((Place { part: self.part, index }, item)),
+                Some(item) => list.items.push((Place { part: None, index }, item)),
                 None => list.whole = false,
             }
         }
@@ -322,6 +318,10 @@
 }
 
 impl Place {
+    fn in_part(self, part: u32) -> Self {
+        Self { part: Some(part), ..self }
+    }
+
     /// The path of the element in the list of that name.
     pub(super) fn path(self, list: &str) -> CompactString {
         let index = self.index;
@@ -348,9 +348,13 @@
 
 impl<T> List<T> {
     /// Adds the elements of a part.
-    pub(super) fn append(&mut self, part: Self) {
-        self.items.extend(part.items);
-        self.whole &= part.whole;
+    pub(super) fn append(&mut self, part: u32, list: &Self)
+    where
+        T: Clone,
+    {
+        let items = list.items.iter();
+        self.items.extend(items.map(|(place, item)| (place.in_part(part), item.clone())));
+        self.whole &= list.whole;
     }
 
     /// The elements, if every one could be read.
--- a/crates/document/src/load/shape.rs
+++ b/crates/document/src/load/shape.rs
@@ -22,6 +22,12 @@
 const MAX_BACKEND_LIMIT: u64 = 100_000;
 const MAX_QUEUE_LIMIT: u64 = 1_000_000;
 
+/// What could be read of a part.
+pub(crate) struct Lists {
+    workspaces: List<Workspace>,
+    backends: List<Backend>,
+}
+
 /// What could be read of a document.
 pub(super) struct Draft {
     environment: Option<name::Environment>,
@@ -42,6 +48,12 @@
 }
 
 impl Draft {
+    /// Adds the lists of a part.
+    pub(super) fn append(&mut self, part: u32, lists: &Lists) {
+        self.workspaces.append(part, &lists.workspaces);
+        self.backends.append(part, &lists.backends);
+    }
+
     /// Notes that a part could not be read, so that its lists are not whole.
     pub(super) fn lacks_part(&mut self) {
         self.workspaces.whole = false;
@@ -83,15 +95,15 @@
     Some(draft)
 }
 
-/// Reads what can be read of a part into the draft, and reports the rest.
-pub(super) fn read_part(draft: &mut Draft, index: u32, bytes: &[u8], faults: &mut fault::List) {
-    let Some(mut object) = Object::part(index, bytes, faults) else {
-        draft.lacks_part();
-        return;
+/// Reads what can be read of a part, and reports the rest.
+pub(super) fn read_part(index: u32, bytes: &[u8], faults: &mut fault::List) -> Option<Lists> {
+    let mut object = Object::part(index, bytes, faults)?;
+    let lists = Lists {
+        workspaces: object.list_or_empty("workspaces", workspace),
+        backends: object.list_or_empty("backends", backend),
     };
-    draft.workspaces.append(object.list_or_empty("workspaces", workspace));
-    draft.backends.append(object.list_or_empty("backends", backend));
     object.close();
+    Some(lists)
 }
 
 fn class(object: &mut Object<'_, '_>) -> Option<Class> {
--- a/crates/document/src/parts.rs
+++ b/crates/document/src/parts.rs
@@ -5,6 +5,8 @@
 //! own. Since a part is named by its digest, it never changes: who has read the document can read
 //! the parts later and in any order, and gets either exactly what was published or nothing.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 use serde::Serialize;
 
@@ -40,7 +42,7 @@
 pub struct Assembly {
     bytes: Bytes,
     reading: Reading,
-    parts: Vec<Option<Part>>,
+    parts: Vec<Option<Source>>,
     /// The position of each part by its digest.
     needed: Map<Digest, usize>,
     total_bytes: usize,
@@ -51,8 +53,8 @@
     ///
     /// # Errors
     ///
-    /// Fails if the document is too large or no JSON object. Other faults are told by
-    /// [`Self::finish`].
+    /// Fails if the document is too large, is no JSON object or names its parts wrongly. Other
+    /// faults are told by [`Self::finish`].
     pub fn new(bytes: impl Into<Bytes>) -> Result<Self, Vec<Fault>> {
         let bytes = bytes.into();
         let reading = Reading::root(&bytes)?;
@@ -78,26 +80,27 @@
         if bytes.len() > MAX_DOCUMENT_BYTES {
             return Err(Error::TooLarge(bytes.len()));
         }
-        self.place(Digest::of(&bytes), bytes)
+        let (digest, length) = (Digest::of(&bytes), bytes.len());
+        self.place(digest, length, Source::New(bytes))
     }
 
     /// Takes the parts that another document has already, usually the one in force.
     pub fn reuse(&mut self, catalog: &Catalog) {
         for part in catalog.parts() {
             // A part that is not needed any more is no fault.
-            self.place(part.digest, part.bytes.clone()).ok();
+            self.place(part.digest, part.bytes.len(), Source::Known(part.clone())).ok();
         }
     }
 
-    fn place(&mut self, digest: Digest, bytes: Bytes) -> Result<(), Error> {
+    fn place(&mut self, digest: Digest, length: usize, source: Source) -> Result<(), Error> {
         let needed = self.needed.get(&digest).copied();
         let place = needed.and_then(|position| self.parts.get_mut(position));
         let place = place.filter(|place| place.is_none()).ok_or(Error::Unwanted(digest))?;
-        if self.total_bytes + bytes.len() > MAX_PARTS_BYTES {
+        if self.total_bytes + length > MAX_PARTS_BYTES {
             return Err(Error::TooLargeTogether);
         }
-        self.total_bytes += bytes.len();
-        *place = Some(Part { digest, bytes });
+        self.total_bytes += length;
+        *place = Some(source);
         Ok(())
     }
 
@@ -107,14 +110,44 @@
     ///
     /// Every fault of the document and of its parts is returned. A missing part is a fault.
     pub fn finish(self) -> Result<Catalog, Vec<Fault>> {
-        let bytes = self.parts.iter().map(|part| part.as_ref().map(|part| &*part.bytes));
-        let document = self.reading.finish(&bytes.collect::<Vec<_>>())?;
+        let mut reading = self.reading;
+        let digests = reading.parts().to_vec();
+        let mut parts = Vec::with_capacity(digests.len());
+        for (index, (digest, source)) in (0..).zip(digests.into_iter().zip(self.parts)) {
+            parts.extend(read(&mut reading, index, digest, source));
+        }
+        let document = reading.finish()?;
         let digest = Digest::of(&self.bytes);
-        let parts = self.parts.into_iter().flatten().collect();
         Ok(Catalog::new(document, digest, self.bytes, parts))
     }
 }
 
+/// Where a part comes from.
+#[derive(Clone)]
+enum Source {
+    /// From outside: it has to be read.
+    New(Bytes),
+    /// From a checked document.
+    Known(Part),
+}
+
+fn read(reading: &mut Reading, index: u32, digest: Digest, source: Option<Source>) -> Option<Part> {
+    match source {
+        Some(Source::New(bytes)) => {
+            let lists = Arc::new(reading.part(index, &bytes)?);
+            Some(Part { digest, bytes, lists })
+        }
+        Some(Source::Known(part)) => {
+            reading.known_part(index, &part.lists);
+            Some(part)
+        }
+        None => {
+            reading.missing_part(index);
+            None
+        }
+    }
+}
+
 /// A document and its parts, ready to be published.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Published {
@@ -136,8 +169,7 @@
     /// Every fault of the document is returned.
     pub fn split(bytes: &[u8], count: Option<usize>) -> Result<Self, Vec<Fault>> {
         let reading = Reading::unbounded(bytes)?;
-        let missing = vec![None; reading.parts().len()];
-        let document = reading.finish(&missing)?;
+        let document = reading.finish_without_parts()?;
         let count = count.unwrap_or_else(|| default_count(bytes.len()));
         Ok(split(document, count.max(1)))
     }
