Judge deadlines by a settled share

While votes move, a scheduler holds a small share for a second or two, and a review of the queue then refused requests that the settled share serves. Deadlines are judged by the larger of the present share and the last settled one (3 s without change; the whole for a new scheduler). Requests wait 5 s instead of 2 s at a scheduler without any slot, which is longer than a hand-over.

Test: a_share_that_is_not_settled_refuses_nobody.

--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -40,6 +40,9 @@
 use grants::{Grant, Grants};
 use prefixes::Prefixes;
 
+/// The time without change after which a share counts as settled.
+const SHARE_SETTLES: Duration = Duration::from_secs(3);
+
 /// Builds a [`Scheduler`].
 #[derive(Debug)]
 pub struct Builder {
@@ -75,6 +78,8 @@
             group: self.group,
             incarnation: self.incarnation,
             share: self.share,
+            share_since: now,
+            settled_share: Share::WHOLE,
             started: now,
             quiet_until: None,
             without_slots_since: None,
@@ -114,6 +119,9 @@
     group: Group,
     incarnation: Incarnation,
     share: Share,
+    share_since: Instant,
+    /// The last share that did not change for a while. The whole one for a new scheduler.
+    settled_share: Share,
     started: Instant,
     quiet_until: Option<Instant>,
     /// The time since which no backend server has a slot for this scheduler.
@@ -166,8 +174,15 @@
     }
 
     /// Sets the part of each limit that the scheduler may use.
-    pub fn set_share(&mut self, share: Share, _now: Instant) {
+    pub fn set_share(&mut self, share: Share, now: Instant) {
+        if share == self.share {
+            return;
+        }
+        if self.is_settled(now) {
+            self.settled_share = self.share;
+        }
         self.share = share;
+        self.share_since = now;
     }
 
     /// Grants nothing before `until`.
@@ -485,4 +500,18 @@
     fn slots(&self) -> u32 {
         self.backends.iter().map(|backend| backend.slots(self.share)).sum()
     }
+
+    /// The slots by which deadlines are judged.
+    ///
+    /// While votes move, a scheduler holds a small share for a moment. Nothing is refused for that:
+    /// until the share is settled the one before counts too.
+    fn judged_slots(&self, now: Instant) -> u32 {
+        let slots = |share| self.backends.iter().map(|backend| backend.slots(share)).sum();
+        let present = slots(self.share);
+        if self.is_settled(now) { present } else { present.max(slots(self.settled_share)) }
+    }
+
+    fn is_settled(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.share_since) >= SHARE_SETTLES
+    }
 }
--- a/crates/policy/src/scheduler/admission.rs
+++ b/crates/policy/src/scheduler/admission.rs
@@ -27,7 +27,7 @@
 const NO_BACKEND_RETRY_MS: u64 = 1000;
 
 /// The time for which requests wait while the scheduler has no slot at all.
-pub(super) const WITHOUT_SLOTS: Duration = Duration::from_secs(2);
+pub(super) const WITHOUT_SLOTS: Duration = Duration::from_secs(5);
 
 /// The number of waiting requests that one poll judges again.
 const REVIEWED_PER_POLL: usize = 16;
@@ -142,7 +142,7 @@
     ///
     /// The way that is shorter counts: by the tiers with all slots, or by the class's floor.
     fn wait(&self, item: &Item, now: Instant) -> Duration {
-        let slots = self.slots();
+        let slots = self.judged_slots(now);
         if slots == 0 {
             return Duration::ZERO;
         }
--- a/crates/policy/tests/fairness.rs
+++ b/crates/policy/tests/fairness.rs
@@ -12,6 +12,7 @@
     floor::LONGEST_REST,
     permit::{End, Permit},
     scheduler::Scheduler,
+    share::Share,
 };
 
 const CLASSES: [&str; 3] = ["desk", "draft", "bulk"];
@@ -227,3 +228,27 @@
     // Four slots do 28 requests of a second in the 7 s that are left, with a margin 35.
     assert!((40..=60).contains(&refused), "{refused}");
 }
+
+/// While votes move, a new scheduler holds few slots. What its share will hold is not refused.
+#[test]
+fn a_share_that_is_not_settled_refuses_nobody() {
+    let mut now = Instant::now();
+    let mut scheduler = scheduler(&document(4, 4, 4), now);
+    for ticket in 1000..1100 {
+        scheduler.enqueue(entry(ticket, "desk", "w1"), now);
+        for (_, permit) in permits(scheduler.poll(now)) {
+            now += ms(1000);
+            scheduler.release(&release(&permit, End::Completed, 1000), now);
+        }
+    }
+    scheduler.set_share(Share { votes: 1, hosts: 4 }, now);
+    (0..40).for_each(|ticket| {
+        let mut entry = entry(ticket, "desk", "w1");
+        entry.remaining_ms = 6000;
+        scheduler.enqueue(entry, now);
+    });
+    let decisions = scheduler.poll(now);
+    assert_eq!((refusals(&decisions).len(), permits(decisions).len()), (0, 4));
+    let refused = refusals(&scheduler.poll(now + ms(3000))).len();
+    assert!(refused > 0, "the share has settled: {refused}");
+}
