--- /dev/null
+++ b/crates/policy/examples/choices/server.rs
@@ -0,0 +1,96 @@
+//! A simple model of the time that a model engine takes.
+
+/// The slowdown that each further running request adds.
+const SLOWDOWN: f64 = 0.06;
+
+/// The slowdown when the KV cache is too small for what runs.
+const SWAPPING: f64 = 3.0;
+
+/// The prefixes that fit into the cache.
+const CACHED_PREFIXES: usize = 8;
+
+/// The part of the prompt that a cached prefix leaves to do.
+const CACHED_REST: f64 = 0.4;
+
+/// A running request.
+#[derive(Debug, Clone)]
+pub(crate) struct Run {
+    pub(crate) request: usize,
+    pub(crate) prompt: f64,
+    pub(crate) output: u64,
+    /// The time of the prompt that is left, at no load.
+    prefill_ms: f64,
+    pub(crate) generated: f64,
+    pub(crate) elapsed_ms: f64,
+    pub(crate) first_token_ms: Option<f64>,
+}
+
+/// A model engine.
+#[derive(Debug, Clone)]
+pub(crate) struct Server {
+    pub(crate) inter_token_ms: f64,
+    pub(crate) prefill_ms_per_token: f64,
+    pub(crate) slow: f64,
+    pub(crate) kv_tokens: f64,
+    pub(crate) runs: Vec<Run>,
+    pub(crate) generated: f64,
+    prefixes: Vec<u64>,
+}
+
+impl Server {
+    pub(crate) fn new(inter_token_ms: f64, kv_tokens: f64) -> Self {
+        Self {
+            inter_token_ms,
+            prefill_ms_per_token: inter_token_ms / 200.0,
+            slow: 1.0,
+            kv_tokens,
+            runs: Vec::new(),
+            generated: 0.0,
+            prefixes: Vec::new(),
+        }
+    }
+
+    pub(crate) fn kv_used(&self) -> f64 {
+        let tokens: f64 = self.runs.iter().map(|run| run.prompt + run.generated).sum();
+        tokens / self.kv_tokens
+    }
+
+    pub(crate) fn start(&mut self, request: usize, prompt: f64, output: u64, prefix: u64) {
+        let cached = self.prefixes.contains(&prefix);
+        self.prefixes.retain(|known| *known != prefix);
+        self.prefixes.push(prefix);
+        if self.prefixes.len() > CACHED_PREFIXES {
+            self.prefixes.remove(0);
+        }
+        let rest = if cached { CACHED_REST } else { 1.0 };
+        self.runs.push(Run {
+            request,
+            prompt,
+            output,
+            prefill_ms: prompt * self.prefill_ms_per_token * rest,
+            generated: 0.0,
+            elapsed_ms: 0.0,
+            first_token_ms: None,
+        });
+    }
+
+    /// Moves on by `step_ms` and returns what is complete.
+    pub(crate) fn step(&mut self, step_ms: f64) -> Vec<Run> {
+        let load = 1.0 + SLOWDOWN * self.runs.len() as f64;
+        let swapping = if self.kv_used() > 1.0 { SWAPPING } else { 1.0 };
+        let progress_ms = step_ms / (load * swapping * self.slow);
+        for run in &mut self.runs {
+            run.elapsed_ms += step_ms;
+            if run.prefill_ms > 0.0 {
+                run.prefill_ms -= progress_ms;
+                continue;
+            }
+            run.first_token_ms.get_or_insert(run.elapsed_ms);
+            let tokens = progress_ms / self.inter_token_ms;
+            run.generated += tokens;
+            self.generated += tokens;
+        }
+        let done = |run: &mut Run| run.generated >= run.output as f64;
+        self.runs.extract_if(.., done).collect()
+    }
+}
