--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -36,7 +36,8 @@
 
 impl Candidate {
     fn usage(&self) -> f64 {
-        f64::from(self.running) / f64::from(self.limit.max(1))
+        let slots = f64::from(self.running) / f64::from(self.limit.max(1));
+        slots.max(f64::from(self.kv_used))
     }
 
     /// The expected time to the complete answer, in milliseconds.
