--- a/crates/policy/benches/queue.rs
+++ b/crates/policy/benches/queue.rs
@@ -33,6 +33,8 @@
         share: 1 + (random >> 40) as u32 % 4,
         deadline,
         latest_start: deadline,
+        target_start: deadline,
+        deferred: false,
         cost: 1 + (random >> 48) % 1000,
         work_ms: 1 + (random >> 48) % 1000,
         sequence: 0,
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -31,6 +31,10 @@
     pub deadline: Instant,
     /// The last time at which a start makes sense.
     pub latest_start: Instant,
+    /// The last time at which a start meets the class's target for the first token.
+    pub target_start: Instant,
+    /// Whether the target was missed while the request waited.
+    pub deferred: bool,
     /// The estimated tokens of prompt and answer, for the fair share.
     pub cost: u64,
     /// The estimated time at a backend server, in milliseconds.
@@ -48,6 +52,7 @@
     lines: Vec<line::Line>,
     by_age: BTreeMap<u64, Ticket>,
     by_start: BTreeSet<(Instant, Ticket)>,
+    by_target: BTreeSet<(Instant, Ticket)>,
     charged: usize,
     next_sequence: u64,
 }
@@ -116,9 +121,25 @@
         self.charged += line.charged();
         self.by_age.insert(item.sequence, item.ticket);
         self.by_start.insert((item.latest_start, item.ticket));
+        if !item.deferred {
+            self.by_target.insert((item.target_start, item.ticket));
+        }
         self.items.insert(item.ticket, item);
     }
 
+    /// Puts the entries that can no longer meet their targets behind the others of their class and
+    /// tier. So under overload the slots go to those that can, and not to each one just too late.
+    pub fn defer(&mut self, now: Instant) {
+        while let Some(&(start, ticket)) = self.by_target.first() {
+            if start > now {
+                return;
+            }
+            let mut item = self.remove(ticket).expect("an entry with a target waits");
+            item.deferred = true;
+            self.restore(item);
+        }
+    }
+
     /// Removes an entry that does not run.
     pub fn remove(&mut self, ticket: Ticket) -> Option<Item> {
         let item = self.items.remove(&ticket)?;
@@ -128,6 +149,7 @@
         self.charged += line.charged();
         self.by_age.remove(&item.sequence);
         self.by_start.remove(&(item.latest_start, item.ticket));
+        self.by_target.remove(&(item.target_start, item.ticket));
         Some(item)
     }
 
@@ -146,13 +168,14 @@
     /// The entry that goes next.
     ///
     /// Classes below their floor, for which `below_floor` holds, go before all others. Then the
-    /// higher tier goes first, then the earlier deadline. Inside a class the workspace that has
-    /// been served the least for its share goes first, and inside a workspace the earliest deadline.
+    /// higher tier goes first, then what can still meet its target, then the earlier deadline. Inside
+    /// a class the workspace that has been served the least for its share goes first, and inside a
+    /// workspace what can still meet its target, then the earliest deadline.
     pub fn next(&self, below_floor: impl Fn(line::Key) -> bool) -> Option<Ticket> {
         self.lines()
             .filter_map(|(key, line)| {
-                let (deadline, ticket) = line.head()?;
-                Some(((!below_floor(key), line.tier(), deadline), ticket))
+                let (place, ticket) = line.head()?;
+                Some(((!below_floor(key), line.tier(), place), ticket))
             })
             .min_by_key(|(order, _)| *order)
             .map(|(_, ticket)| ticket)
--- a/crates/policy/src/queue/lane.rs
+++ b/crates/policy/src/queue/lane.rs
@@ -1,6 +1,6 @@
 //! The waiting requests of one workspace in one class.
 
-use std::{collections::BTreeMap, time::Instant};
+use std::collections::BTreeMap;
 
 use super::{
     Item,
@@ -58,8 +58,8 @@
         self.by_age.remove(&item.sequence);
     }
 
-    pub(super) fn head(&self) -> Option<(Instant, Ticket)> {
-        self.ranked.first().map(|((deadline, _), ticket)| (deadline, ticket))
+    pub(super) fn head(&self) -> Option<(ranked::Key, Ticket)> {
+        self.ranked.first()
     }
 
     pub(super) fn newest(&self) -> Option<Ticket> {
--- a/crates/policy/src/queue/line.rs
+++ b/crates/policy/src/queue/line.rs
@@ -1,6 +1,6 @@
 //! The waiting requests of one class.
 
-use std::{collections::BTreeSet, time::Instant};
+use std::collections::BTreeSet;
 
 use hyssop_document::{collections::Map, number::Tier};
 
@@ -110,7 +110,7 @@
         self.list(workspace);
     }
 
-    pub(super) fn head(&self) -> Option<(Instant, Ticket)> {
+    pub(super) fn head(&self) -> Option<(ranked::Key, Ticket)> {
         let (_, key) = self.by_turn.first()?;
         self.lanes[key].head()
     }
--- a/crates/policy/src/queue/ranked.rs
+++ b/crates/policy/src/queue/ranked.rs
@@ -6,8 +6,8 @@
 
 use super::Item;
 
-/// The place of a request: its deadline, then its arrival.
-pub(super) type Key = (Instant, u64);
+/// The place of a request: whether it is deferred, then its deadline, then its arrival.
+pub(super) type Key = (bool, Instant, u64);
 
 /// The index of a node that does not exist.
 const NONE: u32 = u32::MAX;
@@ -101,7 +101,7 @@
     pub(super) fn remove(&mut self, item: &Item) {
         let key = key(item);
         let (left, rest) = self.split(self.root, key);
-        let (found, right) = self.split(rest, (key.0, key.1 + 1));
+        let (found, right) = self.split(rest, (key.0, key.1, key.2 + 1));
         self.root = self.merge(left, right);
         if found != NONE {
             self.free.push(found);
@@ -181,7 +181,7 @@
 
 /// The place of an item.
 pub(super) fn key(item: &Item) -> Key {
-    (item.deadline, item.sequence)
+    (item.deferred, item.deadline, item.sequence)
 }
 
 /// A number that looks random and depends on `value` alone.
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -284,6 +284,7 @@
     pub fn poll(&mut self, now: Instant) -> Vec<Decision> {
         self.expire(now);
         self.refuse_hopeless(now);
+        self.queue.defer(now);
         if self.quiet_until.is_none() {
             self.grant_all(now);
         }
--- a/crates/policy/src/scheduler/admission.rs
+++ b/crates/policy/src/scheduler/admission.rs
@@ -132,6 +132,8 @@
             share: workspace.share,
             deadline,
             latest_start: deadline.checked_sub(judged).unwrap_or(now),
+            target_start: now + estimates.target_slack(),
+            deferred: false,
             cost: entry.prompt_tokens.0 + estimates.output(Tokens(0), entry.max_output),
             work_ms: estimates.work_ms(entry, self.inter_token_ms),
             sequence: u64::MAX,
--- a/crates/policy/src/scheduler/class.rs
+++ b/crates/policy/src/scheduler/class.rs
@@ -1,6 +1,6 @@
 //! What a scheduler knows about one class.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use hyssop_document::{model, number::Tokens};
 
@@ -16,7 +16,7 @@
 
 /// The part of the answers that are shorter than the length by which a deadline is judged. It is low,
 /// so that a request is refused only if it is unlikely to be in time.
-const JUDGED_QUANTILE: f64 = 0.25;
+const JUDGED_QUANTILE: f64 = 0.5;
 
 /// What a scheduler knows about one class.
 #[derive(Debug)]
@@ -85,6 +85,13 @@
         streamed.or_else(|| self.elapsed_ms.quantile(JUDGED_QUANTILE)).unwrap_or(0)
     }
 
+    /// The longest wait after which the target for the first token is usually met.
+    pub(super) fn target_slack(&self) -> Duration {
+        let usual_ms = self.first_token_ms.settled().unwrap_or(0.0);
+        let usual = Duration::from_secs_f64(usual_ms / 1000.0);
+        self.model.first_token().saturating_sub(usual)
+    }
+
     /// Learns from a request that ended.
     pub(super) fn learn(&mut self, release: &Release) {
         if release.end != End::Completed {
--- a/crates/policy/tests/queue.rs
+++ b/crates/policy/tests/queue.rs
@@ -35,6 +35,8 @@
         share: workspace + 1,
         deadline,
         latest_start: deadline,
+        target_start: deadline,
+        deferred: false,
         cost,
         work_ms: cost * 10,
         sequence: 0,
