Start late requests only with time for a long answer

A request that has missed its target is started only if the 0.95 quantile of its class's answers is in time, not the median.

Test: queue.rs defers at random times and checks the order.

--- a/crates/policy/benches/queue.rs
+++ b/crates/policy/benches/queue.rs
@@ -34,6 +34,7 @@
         deadline,
         latest_start: deadline,
         target_start: deadline,
+        deferred_start: deadline,
         deferred: false,
         cost: 1 + (random >> 48) % 1000,
         work_ms: 1 + (random >> 48) % 1000,
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -33,6 +33,8 @@
     pub latest_start: Instant,
     /// The last time at which a start meets the class's target for the first token.
     pub target_start: Instant,
+    /// [`Item::latest_start`] once the target is missed, with more time for the answer.
+    pub deferred_start: Instant,
     /// Whether the target was missed while the request waited.
     pub deferred: bool,
     /// The estimated tokens of prompt and answer, for the fair share.
@@ -136,6 +138,7 @@
             }
             let mut item = self.remove(ticket).expect("an entry with a target waits");
             item.deferred = true;
+            item.latest_start = item.latest_start.min(item.deferred_start);
             self.restore(item);
         }
     }
--- a/crates/policy/src/scheduler/admission.rs
+++ b/crates/policy/src/scheduler/admission.rs
@@ -36,6 +36,13 @@
 /// because all that it is worked out from are averages.
 const WAIT_MARGIN: f64 = 1.25;
 
+/// The quantile of the length of answers by which a deadline is judged.
+const JUDGED_QUANTILE: f64 = 0.5;
+
+/// The same for a request that has missed its target. It is higher, so that a slot is seldom spent on
+/// an answer that comes too late.
+const DEFERRED_QUANTILE: f64 = 0.95;
+
 impl Scheduler {
     pub(super) fn admit(&mut self, entry: Entry, now: Instant) {
         let ticket = entry.ticket;
@@ -124,14 +131,18 @@
         let workspace = self.workspaces[&entry.workspace];
         let estimates = &self.classes[class.0];
         let deadline = now + Duration::from_millis(entry.remaining_ms);
-        let judged = Duration::from_millis(estimates.judged_ms(entry, self.inter_token_ms));
+        let start = |quantile| {
+            let service_ms = estimates.service_ms(entry, quantile, self.inter_token_ms);
+            deadline.checked_sub(Duration::from_millis(service_ms)).unwrap_or(now)
+        };
         Item {
             ticket: entry.ticket,
             class,
             workspace: workspace.key,
             share: workspace.share,
             deadline,
-            latest_start: deadline.checked_sub(judged).unwrap_or(now),
+            latest_start: start(JUDGED_QUANTILE),
+            deferred_start: start(DEFERRED_QUANTILE),
             target_start: now + estimates.target_slack(),
             deferred: false,
             cost: entry.prompt_tokens.0 + estimates.output(Tokens(0), entry.max_output),
--- a/crates/policy/src/scheduler/class.rs
+++ b/crates/policy/src/scheduler/class.rs
@@ -14,10 +14,6 @@
 /// The tokens of an answer before anything is known.
 const UNKNOWN_OUTPUT_TOKENS: u64 = 256;
 
-/// The part of the answers that are shorter than the length by which a deadline is judged. It is low,
-/// so that a request is refused only if it is unlikely to be in time.
-const JUDGED_QUANTILE: f64 = 0.5;
-
 /// What a scheduler knows about one class.
 #[derive(Debug)]
 pub(super) struct Class {
@@ -77,12 +73,18 @@
         streamed.or_else(|| self.elapsed_ms.expected(0)).unwrap_or(0)
     }
 
-    /// The time at a backend server by which a deadline is judged, in milliseconds, 0 while unknown.
-    pub(super) fn judged_ms(&self, entry: &Entry, inter_token_ms: Option<f64>) -> u64 {
+    /// The time at a backend server in milliseconds which the part `quantile` of the requests do not
+    /// exceed, 0 while unknown.
+    pub(super) fn service_ms(
+        &self,
+        entry: &Entry,
+        quantile: f64,
+        inter_token_ms: Option<f64>,
+    ) -> u64 {
         let most = entry.max_output.map_or(u64::MAX, |most| most.0);
-        let tokens = self.length.quantile(JUDGED_QUANTILE).map(|tokens| tokens.min(most));
+        let tokens = self.length.quantile(quantile).map(|tokens| tokens.min(most));
         let streamed = tokens.and_then(|tokens| self.streamed_ms(tokens, inter_token_ms));
-        streamed.or_else(|| self.elapsed_ms.quantile(JUDGED_QUANTILE)).unwrap_or(0)
+        streamed.or_else(|| self.elapsed_ms.quantile(quantile)).unwrap_or(0)
     }
 
     /// The longest wait after which the target for the first token is usually met.
--- a/crates/policy/tests/queue.rs
+++ b/crates/policy/tests/queue.rs
@@ -17,6 +17,7 @@
     Push { class: u8, workspace: u8, deadline: u8, cost: u8 },
     Take { below_floor: u8 },
     Remove { ticket: u8 },
+    Defer { after: u8 },
 }
 
 fn queue(bound: usize) -> Queue {
@@ -35,7 +36,8 @@
         share: workspace + 1,
         deadline,
         latest_start: deadline,
-        target_start: deadline,
+        target_start: deadline - Duration::from_millis(cost),
+        deferred_start: deadline - Duration::from_millis(1),
         deferred: false,
         cost,
         work_ms: cost * 10,
@@ -82,12 +84,20 @@
             assert_eq!(rank(&taken), best, "floors first, then tiers");
             let same =
                 |item: &&Item| item.class == taken.class && item.workspace == taken.workspace;
-            let earliest = waiting.iter().filter(same).map(|item| item.deadline).min();
-            assert_eq!(Some(taken.deadline), earliest, "the earliest deadline of a workspace");
+            let place = |item: &Item| (item.deferred, item.deadline);
+            let first = waiting.iter().filter(same).map(place).min();
+            assert_eq!(Some(place(&taken)), first, "the earliest deadline of a workspace");
         }
         Step::Remove { ticket } => {
             queue.remove(Ticket(u64::from(ticket)));
         }
+        Step::Defer { after } => {
+            let now = start + Duration::from_millis(u64::from(after));
+            let count = queue.len();
+            queue.defer(now);
+            assert_eq!(queue.len(), count);
+            assert!(queue.items().all(|item| item.deferred || item.target_start > now));
+        }
     }
 }
 
@@ -95,7 +105,7 @@
 fn fair_work_before(queue: &Queue, item: &Item) -> u64 {
     let class: Vec<_> = queue.items().filter(|other| other.class == item.class).collect();
     let own = |other: &&&Item| other.workspace == item.workspace;
-    let place = |item: &Item| (item.deadline, item.sequence);
+    let place = |item: &Item| (item.deferred, item.deadline, item.sequence);
     let before = class.iter().filter(own).filter(|other| place(other) < place(item));
     let before: u64 = before.map(|other| other.work_ms).sum();
     let others = class.iter().filter(|other| !own(other));
