Apply the high-water mark to the KV cache that will be used

The reported use lags and grows with every token of what runs. Half is taken.

The example now sends progress as daemons do.

Test: a_cache_that_will_be_full_gets_nothing_new, seen failing without the growth.

--- a/crates/policy/examples/choices/main.rs
+++ b/crates/policy/examples/choices/main.rs
@@ -287,6 +287,10 @@
             };
             let now = self.now();
             self.scheduler.report(&name::Backend::new(&format!("b{index:02}")), load, now);
+            for run in &self.servers[index].runs {
+                let tokens = Tokens(run.generated as u64);
+                self.scheduler.progress(self.permits[&run.request], tokens, now);
+            }
         }
     }
 }
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -210,22 +210,28 @@
     /// An answer that has grown longer than estimated is counted against its workspace at once.
     pub fn progress(&mut self, id: permit::Id, tokens: Tokens, now: Instant) {
         let Some(grant) = self.grants.get_mut(id) else { return };
+        let had = grant.tokens();
         let before = grant.output.replace((tokens, now));
-        if let Some((had, at)) = before.filter(|(had, _)| had.0 > 0 && *had < tokens) {
-            let elapsed_ms = now.saturating_duration_since(at).as_secs_f64() * 1000.0;
-            let inter_token_ms = elapsed_ms / (tokens.0 - had.0) as f64;
-            if let Some(&position) = self.backend_positions.get(&grant.backend) {
-                self.backends[position].speed.inter_token_ms.record(inter_token_ms);
+        let arrived = grant.tokens().saturating_sub(had);
+        let more = match grant.class {
+            Some(class) if grant.tokens() > grant.cost => {
+                let expected = self.classes[class.0].output(tokens, None);
+                (grant.prompt.0 + expected).saturating_sub(grant.cost)
             }
+            _ => 0,
+        };
+        grant.cost += more;
+        if let (Some(class), Some(workspace), 1..) = (grant.class, grant.workspace, more) {
+            self.queue.charge(class, workspace, grant.share, more as i64);
         }
-        let (Some(class), Some(workspace)) = (grant.class, grant.workspace) else { return };
-        if grant.prompt.0 + tokens.0 <= grant.cost {
-            return;
+        let Some(&position) = self.backend_positions.get(&grant.backend) else { return };
+        let backend = &mut self.backends[position];
+        backend.progress(arrived, more);
+        if let Some((before, at)) = before.filter(|(had, _)| had.0 > 0 && arrived > 0) {
+            let elapsed_ms = now.saturating_duration_since(at).as_secs_f64() * 1000.0;
+            let gaps = tokens.0.saturating_sub(before.0).max(1);
+            backend.speed.inter_token_ms.record(elapsed_ms / gaps as f64);
         }
-        let expected = grant.prompt.0 + self.classes[class.0].output(tokens, None);
-        let more = expected.saturating_sub(grant.cost);
-        grant.cost += more;
-        self.queue.charge(class, workspace, grant.share, more as i64);
     }
 
     /// Ends a permit.
@@ -387,14 +393,13 @@
             backend.model = member.clone();
             backend.in_service = !orders.zones_out.contains(&member.zone);
             backend.tracker.set_limits(pool.cold_limit, pool.warm_limit);
-            backend.running = 0;
-            backend.suspects = 0;
+            backend.clear();
             self.backend_positions.insert(member.name.clone(), self.backends.len());
             self.backends.push(backend);
         }
         for (_, grant) in self.grants.iter() {
             if let Some(&position) = self.backend_positions.get(&grant.backend) {
-                self.backends[position].adopt(grant.solo);
+                self.backends[position].adopt(grant);
             }
         }
     }
@@ -406,7 +411,6 @@
         }
         if let Some(&position) = self.backend_positions.get(&request.backend) {
             let backend = &mut self.backends[position];
-            backend.adopt(request.solo);
             backend.tracker.learn(request.backend_incarnation, request.limit);
         }
         let workspace = self.workspaces.get(&request.workspace);
@@ -426,6 +430,9 @@
             cost: request.prompt_tokens.0 + request.output_tokens.0,
             output: Some((request.output_tokens, now)),
         };
+        if let Some(&position) = self.backend_positions.get(&grant.backend) {
+            self.backends[position].adopt(&grant);
+        }
         self.grants.insert(request.id, grant);
     }
 
--- a/crates/policy/src/scheduler/backend.rs
+++ b/crates/policy/src/scheduler/backend.rs
@@ -19,6 +19,13 @@
 /// The part of the KV cache above which a backend server gets nothing new.
 const KV_HIGH_WATER_MARK: f32 = 0.9;
 
+/// The part of the growth of all answers that counts. They end at different times, so the cache never
+/// holds all of them at their full lengths.
+const KV_GROWTH_PART: f32 = 0.5;
+
+/// The largest growth that is expected.
+const LARGEST_KV_GROWTH: f32 = 2.0;
+
 /// The age above which a report of the KV cache is not used.
 const KV_REPORT_AGE: Duration = Duration::from_secs(5);
 
@@ -49,6 +56,10 @@
     report: Option<Report>,
     granted_since_report: u32,
     finished_since_report: u32,
+    /// The tokens of prompts and answers that are there, over all counted permits.
+    tokens: u64,
+    /// The tokens that are expected at the ends of the answers.
+    expected_tokens: u64,
 }
 
 impl Backend {
@@ -66,6 +77,8 @@
             report: None,
             granted_since_report: 0,
             finished_since_report: 0,
+            tokens: 0,
+            expected_tokens: 0,
         }
     }
 
@@ -93,7 +106,9 @@
             && self.kv_used(now) < KV_HIGH_WATER_MARK
     }
 
-    /// The used part of the KV cache, with the grants since the report at the average part.
+    /// The part of the KV cache that will be used.
+    ///
+    /// The answers that run go on growing, and each grant since the report adds the average part.
     pub(super) fn kv_used(&self, now: Instant) -> f32 {
         let Some(report) = self.report else { return 0.0 };
         let stale = now.saturating_duration_since(report.at) > KV_REPORT_AGE;
@@ -102,7 +117,23 @@
             return 0.0;
         }
         let each = report.load.kv_used / requests as f32;
-        report.load.kv_used + each * self.granted_since_report as f32
+        (report.load.kv_used + each * self.granted_since_report as f32) * self.growth()
+    }
+
+    /// The factor by which the tokens that are there are expected to grow.
+    fn growth(&self) -> f32 {
+        if self.tokens == 0 {
+            return 1.0;
+        }
+        let missing = self.expected_tokens.saturating_sub(self.tokens) as f32;
+        let growth = 1.0 + KV_GROWTH_PART * missing / self.tokens as f32;
+        growth.min(LARGEST_KV_GROWTH)
+    }
+
+    /// Takes note of tokens that have arrived, and of more that are expected.
+    pub(super) fn progress(&mut self, arrived: u64, expected: u64) {
+        self.tokens += arrived;
+        self.expected_tokens += expected;
     }
 
     /// Forgets requests that were broken off long enough ago.
@@ -129,22 +160,33 @@
     }
 
     /// Counts a new permit.
-    pub(super) fn grant(&mut self, solo: bool) {
-        self.running += 1;
-        self.suspects += u32::from(solo);
+    pub(super) fn grant(&mut self, grant: &Grant) {
+        self.adopt(grant);
         self.granted_since_report += 1;
     }
 
-    /// Counts a permit of another scheduler.
-    pub(super) fn adopt(&mut self, solo: bool) {
+    /// Counts a permit that is not new.
+    pub(super) fn adopt(&mut self, grant: &Grant) {
         self.running += 1;
-        self.suspects += u32::from(solo);
+        self.suspects += u32::from(grant.solo);
+        self.tokens += grant.tokens();
+        self.expected_tokens += grant.cost;
+    }
+
+    /// Forgets all counted permits.
+    pub(super) fn clear(&mut self) {
+        self.running = 0;
+        self.suspects = 0;
+        self.tokens = 0;
+        self.expected_tokens = 0;
     }
 
     /// Stops counting a permit. `end` is how its use ended, if that is known.
     pub(super) fn end(&mut self, grant: &Grant, end: Option<End>, now: Instant) {
         self.running = self.running.saturating_sub(1);
         self.suspects = self.suspects.saturating_sub(u32::from(grant.solo));
+        self.tokens = self.tokens.saturating_sub(grant.tokens());
+        self.expected_tokens = self.expected_tokens.saturating_sub(grant.cost);
         match end {
             Some(End::Completed | End::NotDispatched | End::Refused503) => self.finish(grant),
             _ => self.broken_off.push(now + BREAK_OFF_DELAY),
--- a/crates/policy/src/scheduler/grants.rs
+++ b/crates/policy/src/scheduler/grants.rs
@@ -41,6 +41,11 @@
 }
 
 impl Grant {
+    /// The tokens of prompt and answer that are there.
+    pub(super) fn tokens(&self) -> u64 {
+        self.prompt.0 + self.output.map_or(0, |(tokens, _)| tokens.0)
+    }
+
     pub(super) fn held(&self, now: Instant) -> Duration {
         now.saturating_duration_since(self.granted)
     }
--- a/crates/policy/src/scheduler/placement.rs
+++ b/crates/policy/src/scheduler/placement.rs
@@ -105,7 +105,6 @@
         let pool = self.pool.as_ref().expect("a group with backend servers has a pool");
         let latest_end_ms = pool.latest_end_ms.min(class.model.max_running_ms);
         let backend = &mut self.backends[position];
-        backend.grant(entry.solo);
         let id = permit::Id { scheduler: self.incarnation, number: self.next_number };
         self.next_number += 1;
         let permit = Permit {
@@ -129,12 +128,13 @@
             granted: now,
             latest_end: now + Duration::from_millis(latest_end_ms),
             epoch: Some(backend.tracker.epoch()),
-            loaded: 2 * backend.running >= backend.slots(self.share),
+            loaded: 2 * (backend.running + 1) >= backend.slots(self.share),
             solo: entry.solo,
             prompt: entry.prompt_tokens,
             cost: item.cost,
             output: None,
         };
+        backend.grant(&grant);
         if let Some(prefix) = entry.prefix {
             self.prefixes.insert(prefix, backend.model.name.clone());
         }
--- a/crates/policy/tests/limits.rs
+++ b/crates/policy/tests/limits.rs
@@ -6,7 +6,11 @@
 
 use bolero::TypeGenerator;
 use common::{document, entry, load, ms, permits, release, scheduler};
-use hyssop_document::{model, name, number::Tier, order};
+use hyssop_document::{
+    model, name,
+    number::{Tier, Tokens},
+    order,
+};
 use hyssop_policy::{
     budget::Budget,
     coldstart::{Cause, Completion, Tracker},
@@ -454,3 +458,27 @@
         }
     });
 }
+
+/// What runs goes on filling the KV cache, so the mark is applied to what will be used.
+#[test]
+fn a_cache_that_will_be_full_gets_nothing_new() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(&document(1, 8, 8), now);
+    let b0 = name::Backend::new("b0");
+    (0..2).for_each(|ticket| {
+        let mut entry = entry(ticket, "desk", "w1");
+        entry.max_output = Some(Tokens(200));
+        scheduler.enqueue(entry, now);
+    });
+    let granted = permits(scheduler.poll(now));
+    assert_eq!(granted.len(), 2);
+    let mut half = load(1, 2);
+    half.kv_used = 0.5;
+    scheduler.report(&b0, half, now + ms(1));
+    scheduler.enqueue(entry(2, "desk", "w1"), now + ms(1));
+    assert!(scheduler.poll(now + ms(1)).is_empty(), "200 tokens are there, 400 are to come");
+    for (_, permit) in &granted {
+        scheduler.progress(permit.id, Tokens(200), now + ms(2));
+    }
+    assert_eq!(permits(scheduler.poll(now + ms(2))).len(), 1, "all are there, and half is used");
+}
