--- a/crates/policy/src/scheduler/admission.rs
+++ b/crates/policy/src/scheduler/admission.rs
@@ -27,7 +27,7 @@
 const NO_BACKEND_RETRY_MS: u64 = 1000;
 
 /// The time for which requests wait while the scheduler has no slot at all.
-pub(super) const WITHOUT_SLOTS: Duration = Duration::from_secs(2);
+pub(super) const WITHOUT_SLOTS: Duration = Duration::from_secs(5);
 
 /// The number of waiting requests that one poll judges again.
 const REVIEWED_PER_POLL: usize = 16;
@@ -36,6 +36,13 @@
 /// because all that it is worked out from are averages.
 const WAIT_MARGIN: f64 = 1.25;
 
+/// The quantile of the length of answers by which a deadline is judged.
+const JUDGED_QUANTILE: f64 = 0.5;
+
+/// The same for a request that has missed its target. It is higher, so that a slot is seldom spent on
+/// an answer that comes too late.
+const DEFERRED_QUANTILE: f64 = 0.95;
+
 impl Scheduler {
     pub(super) fn admit(&mut self, entry: Entry, now: Instant) {
         let ticket = entry.ticket;
@@ -124,14 +131,20 @@
         let workspace = self.workspaces[&entry.workspace];
         let estimates = &self.classes[class.0];
         let deadline = now + Duration::from_millis(entry.remaining_ms);
-        let judged = Duration::from_millis(estimates.judged_ms(entry, self.inter_token_ms));
+        let start = |quantile| {
+            let service_ms = estimates.service_ms(entry, quantile, self.inter_token_ms);
+            deadline.checked_sub(Duration::from_millis(service_ms)).unwrap_or(now)
+        };
         Item {
             ticket: entry.ticket,
             class,
             workspace: workspace.key,
             share: workspace.share,
             deadline,
-            latest_start: deadline.checked_sub(judged).unwrap_or(now),
+            latest_start: start(JUDGED_QUANTILE),
+            deferred_start: start(DEFERRED_QUANTILE),
+            target_start: now + estimates.target_slack(),
+            deferred: false,
             cost: entry.prompt_tokens.0 + estimates.output(Tokens(0), entry.max_output),
             work_ms: estimates.work_ms(entry, self.inter_token_ms),
             sequence: u64::MAX,
@@ -142,7 +155,7 @@
     ///
     /// The way that is shorter counts: by the tiers with all slots, or by the class's floor.
     fn wait(&self, item: &Item, now: Instant) -> Duration {
-        let slots = self.slots();
+        let slots = self.judged_slots(now);
         if slots == 0 {
             return Duration::ZERO;
         }
