--- a/crates/backend/tests/client.rs
+++ b/crates/backend/tests/client.rs
@@ -1,5 +1,7 @@
 //! The client: what may have run, checked answers, and no repetition by itself.
 
+#![allow(clippy::unwrap_used)]
+
 mod stub;
 
 use std::time::Duration;
--- a/crates/backend/tests/stub/mod.rs
+++ b/crates/backend/tests/stub/mod.rs
@@ -1,5 +1,6 @@
 //! A backend server that answers each connection's requests with scripted bytes.
 #![allow(dead_code, unreachable_pub, missing_docs)]
+#![allow(clippy::unwrap_used, clippy::needless_pass_by_value)]
 
 use std::{
     net::SocketAddr,
--- a/crates/caller/tests/bench/engine.rs
+++ b/crates/caller/tests/bench/engine.rs
@@ -24,6 +24,8 @@
 use parking_lot::Mutex;
 use tokio::sync::{Notify, watch};
 
+use super::life::Life;
+
 /// What a backend server does with the next attempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Act {
@@ -48,6 +50,7 @@
 /// One execution of a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Execution {
+    pub at: tokio::time::Instant,
     pub backend: usize,
     pub attempt: CompactString,
     pub body: String,
@@ -166,20 +169,24 @@
 }
 
 /// The fleet as a home uses it.
-pub struct Door(pub Arc<Fleet>);
+pub struct Door {
+    pub fleet: Arc<Fleet>,
+    pub life: Life,
+}
 
 impl Backends for Door {
     fn connect(&self, target: Target) -> BoxFuture<'_, Result<Box<dyn Connection>, Failure>> {
         let index = usize::from(target.address.port() - 9000);
-        let server = &self.0.servers[index];
+        let server = &self.fleet.servers[index];
         let dead = !*server.alive.borrow();
-        if dead && self.0.restart {
+        if dead && self.fleet.restart {
             // The connection that notices the crash is refused, later ones are not.
             server.alive.send_replace(true);
         }
-        let refused = dead || self.0.refuse_connections.load(Ordering::SeqCst);
-        let link = Link { fleet: Arc::clone(&self.0), index };
+        let refused = dead || self.fleet.refuse_connections.load(Ordering::SeqCst);
+        let link = Link { fleet: Arc::clone(&self.fleet), life: self.life.clone(), index };
         Box::pin(async move {
+            link.life.up().await;
             if refused {
                 return Err(failure(FailureKind::Connect { refused: true }, Ran::NotRun));
             }
@@ -190,6 +197,7 @@
 
 struct Link {
     fleet: Arc<Fleet>,
+    life: Life,
     index: usize,
 }
 
@@ -227,6 +235,7 @@
             let body = String::from_utf8(attempt.body.to_vec()).unwrap();
             if attempt.resume_after.is_none() || !known {
                 self.fleet.executions.lock().push(Execution {
+                    at: tokio::time::Instant::now(),
                     backend: self.index,
                     attempt: attempt.id.clone(),
                     body: body.clone(),
@@ -240,15 +249,25 @@
             let act = if body.contains("poison") { poison } else { act };
             let alive = server.alive.subscribe();
             let number = attempt.resume_after.unwrap_or(0);
-            let (fleet, index) = (self.fleet, self.index);
-            Ok(Box::new(Stream { fleet, index, attempt, body, act, number, alive, ended: false })
-                as Box<dyn Answer>)
+            let (fleet, life, index) = (self.fleet, self.life, self.index);
+            Ok(Box::new(Stream {
+                fleet,
+                life,
+                index,
+                attempt,
+                body,
+                act,
+                number,
+                alive,
+                ended: false,
+            }) as Box<dyn Answer>)
         })
     }
 }
 
 struct Stream {
     fleet: Arc<Fleet>,
+    life: Life,
     index: usize,
     attempt: Attempt,
     body: String,
@@ -261,6 +280,7 @@
 impl Stream {
     async fn part(&mut self) -> Result<Option<Part>, Failure> {
         let broken = || failure(FailureKind::Broken, Ran::MayHaveRun);
+        self.life.up().await;
         if self.alive.has_changed().unwrap_or(true) {
             return Err(broken());
         }
--- a/crates/caller/tests/bench/mod.rs
+++ b/crates/caller/tests/bench/mod.rs
@@ -1,7 +1,9 @@
 //! Stand-ins at the home's traits, for tests in one process.
 #![allow(dead_code, unreachable_pub, missing_docs)]
+#![allow(clippy::unwrap_used, clippy::needless_pass_by_value)]
 
 pub mod engine;
+pub mod life;
 
 use std::{
     net::SocketAddr,
@@ -41,7 +43,10 @@
 };
 use parking_lot::Mutex;
 
-use self::engine::{Door, Fleet};
+use self::{
+    engine::{Door, Fleet},
+    life::Life,
+};
 
 /// What the stand-in for the document and the other daemons holds.
 pub struct Names {
@@ -121,6 +126,7 @@
 /// Grants permits to the backend servers of a fleet in turn.
 pub struct Grants {
     pub scheduler: Incarnation,
+    pub life: Life,
     pub fleet: Arc<Fleet>,
     pub next: AtomicU64,
     pub asked: Mutex<Vec<Ask>>,
@@ -162,6 +168,7 @@
         }
         Box::pin(async move {
             loop {
+                self.life.up().await;
                 let ended = self.fleet.solo_ended.notified();
                 if let Some(permit) = self.grant(&ask) {
                     return Verdict::Granted(permit);
@@ -220,7 +227,7 @@
 /// Relays to homes in the same process.
 #[derive(Default)]
 pub struct Wire {
-    pub homes: Mutex<Map<SocketAddr, Home>>,
+    pub homes: Mutex<Map<SocketAddr, (Home, Life)>>,
     /// Whether the reply of the other daemon is lost.
     pub lossy: std::sync::atomic::AtomicBool,
 }
@@ -236,7 +243,11 @@
         let home = self.homes.lock().get(&address).cloned();
         Box::pin(async move {
             let gone = || Error { message: "gone".into() };
-            let home = home.ok_or_else(gone)?;
+            let (home, life) = home.ok_or_else(gone)?;
+            if life.get() == life::State::Dead {
+                return Err(gone());
+            }
+            life.up().await;
             head.headers.insert("x-relayed-by", by.parse().unwrap());
             let response = home.serve(head, body).await;
             if self.lossy.load(Ordering::SeqCst) { Err(gone()) } else { Ok(response) }
@@ -257,6 +268,8 @@
 /// One home with its stand-ins.
 pub struct Bench {
     pub home: Home,
+    pub life: Life,
+    pub address: SocketAddr,
     pub names: Arc<Names>,
     pub grants: Arc<Grants>,
     pub suspects: Arc<Suspects>,
@@ -281,9 +294,11 @@
         wire: Arc<Wire>,
         settings: impl FnOnce(home::Builder) -> home::Builder,
     ) -> Self {
+        let life = Life::default();
         let names = Arc::new(Names { own: incarnation(number), peers: Mutex::default() });
         let grants = Arc::new(Grants {
             scheduler: names.own,
+            life: life.clone(),
             fleet: Arc::clone(&fleet),
             next: AtomicU64::new(0),
             asked: Mutex::default(),
@@ -294,14 +309,15 @@
         let notes = Arc::new(Notes::default());
         let limits =
             home::Limits { patience: Duration::from_millis(100), ..home::Limits::default() };
-        let door = Arc::new(Door(fleet.clone()));
+        let door = Arc::new(Door { fleet: fleet.clone(), life: life.clone() });
         let builder = Home::builder(names.clone(), grants.clone(), door)
             .quarantine(suspects.clone())
             .relay(wire.clone())
             .observer(notes.clone())
             .limits(limits);
         let home = settings(builder).build();
-        Self { home, names, grants, suspects, notes, fleet, wire }
+        let address = ([127, 0, 0, 1], number as u16).into();
+        Self { home, life, address, names, grants, suspects, notes, fleet, wire }
     }
 
     pub fn keys(limits: registry::Limits, fleet: Arc<Fleet>) -> Self {
@@ -436,3 +452,13 @@
         self.json()["reason"].as_str().unwrap_or_default().to_owned()
     }
 }
+
+/// The simulated clock of tokio.
+#[derive(Debug)]
+pub struct Simulated;
+
+impl hyssop_timer::Clock for Simulated {
+    fn now(&self) -> std::time::Instant {
+        tokio::time::Instant::now().into_std()
+    }
+}
--- a/crates/caller/tests/once.rs
+++ b/crates/caller/tests/once.rs
@@ -117,7 +117,7 @@
     let second = Bench::with(2, Arc::clone(fleet), Arc::default(), wire, |builder| builder);
     for (number, bench) in [(1, &first), (2, &second)] {
         let address = ([127, 0, 0, 1], number).into();
-        first.wire.homes.lock().insert(address, bench.home.clone());
+        first.wire.homes.lock().insert(address, (bench.home.clone(), bench.life.clone()));
         for names in [&first.names, &second.names] {
             names.peers.lock().insert(incarnation(number.into()), address);
         }
