Check histories of keys as registers that are written once

Three homes in one process under simulated time: killed, frozen, their relays lost, requests delayed for longer than keys are remembered, backend servers crashed. A suspect is acquitted of shared crashes only.

--- a/crates/backend/src/blame.rs
+++ b/crates/backend/src/blame.rs
@@ -120,7 +120,16 @@
         }
     }
 
-    /// Forgets a fingerprint: it ran alone to its end, or an operator released it.
+    /// Forgets a suspect that ran alone to its end, unless it was blamed for a crash alone.
+    ///
+    /// Returns whether it was forgotten. A request that crashes a backend server in some of its
+    /// runs only so keeps its record until that expires.
+    pub fn acquit(&mut self, fingerprint: Fingerprint) -> bool {
+        let shared = self.records.get(&fingerprint).is_some_and(|record| record.crashes <= 1);
+        shared && self.records.remove(&fingerprint).is_some()
+    }
+
+    /// Forgets a fingerprint that an operator released.
     pub fn release(&mut self, fingerprint: Fingerprint) -> Option<Record> {
         self.records.remove(&fingerprint)
     }
--- a/crates/backend/tests/blame.rs
+++ b/crates/backend/tests/blame.rs
@@ -56,3 +56,19 @@
     assert_eq!(book.list(now).len(), MAX_ENTRIES);
     assert_eq!(book.standing(culprit, now), Standing::Quarantined);
 }
+
+#[test]
+fn a_run_to_the_end_acquits_of_shared_crashes_only() {
+    let now = Instant::now();
+    let mut book = Book::new(HOUR);
+    let suspect = Fingerprint(1);
+    book.blame(suspect, false, now);
+    assert!(book.acquit(suspect));
+    assert_eq!(book.standing(suspect, now), Standing::Clear);
+    book.blame(suspect, false, now);
+    book.blame(suspect, true, now);
+    assert!(!book.acquit(suspect));
+    book.blame(suspect, true, now);
+    assert!(!book.acquit(suspect));
+    assert_eq!(book.standing(suspect, now), Standing::Quarantined);
+}
--- a/crates/caller/tests/bench/engine.rs
+++ b/crates/caller/tests/bench/engine.rs
@@ -155,6 +155,14 @@
     (1..=TOKENS).map(|number| token(&prompt(body), number)).collect()
 }
 
+/// The answer of an engine that differs from a number on.
+pub fn differing(body: &str, from: u64) -> String {
+    let tokens = 1..=TOKENS;
+    let other =
+        |number| if number >= from { "other ".into() } else { token(&prompt(body), number) };
+    tokens.map(other).collect()
+}
+
 pub fn booked(body: &str) -> String {
     format!("booked {body}")
 }
--- a/crates/caller/tests/bench/mod.rs
+++ b/crates/caller/tests/bench/mod.rs
@@ -220,7 +220,10 @@
     }
 
     fn clear(&self, fingerprint: Fingerprint) {
-        self.crashes.lock().remove(&fingerprint);
+        let mut crashes = self.crashes.lock();
+        if crashes.get(&fingerprint) == Some(&1) {
+            crashes.remove(&fingerprint);
+        }
     }
 }
 
--- a/crates/caller/tests/history.rs
+++ b/crates/caller/tests/history.rs
@@ -28,6 +28,8 @@
 const SENDS: u32 = 5;
 const FAULTS: u64 = 60;
 const SERVERS: usize = 5;
+const ACTS: [Act; 5] =
+    [Act::Break(2), Act::BreakForGood(4), Act::Overloaded, Act::Hang, Act::Differ(3)];
 
 /// What was seen of a key.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -142,19 +144,21 @@
     }
 }
 
-/// Sends a request. A caller that gives up closes its connection, or the request stays on its way.
+/// Sends a request. A caller that gives up closes its connection, or the request stays on its way
+/// for a time, which may be longer than keys are remembered.
 async fn send(
     world: &World,
     home: usize,
     call: Call,
     patience: Duration,
-    stays: bool,
+    delay: Duration,
 ) -> Option<Reply> {
     let (home, life) = {
         let homes = world.homes.lock();
         (homes[home].home.clone(), homes[home].life.clone())
     };
     let task = tokio::spawn(async move {
+        sleep(delay).await;
         life.up().await;
         let (head, body) = call.parts();
         let reply = Reply::read(home.serve(head, body).await).await;
@@ -164,12 +168,18 @@
     });
     let abort = task.abort_handle();
     let reply = timeout(patience, task).await;
-    if reply.is_err() && !stays {
+    if reply.is_err() && delay.is_zero() {
         abort.abort();
     }
     reply.ok().and_then(Result::ok)
 }
 
+/// The time that a request is on its way, mostly none.
+fn delay(random: &mut StdRng) -> Duration {
+    let most = [0, 0, 0, 50, 500, 4000].choose(random).copied().unwrap_or(0);
+    Duration::from_millis(random.random_range(0..=most))
+}
+
 /// A caller's requests, one after the other, each sent as often as its rules allow.
 async fn caller(world: Arc<World>, number: u64, mut random: StdRng) {
     for request in 0..REQUESTS {
@@ -185,6 +195,7 @@
 async fn booking(world: &World, name: &str, random: &mut StdRng) {
     let mut generation = 0;
     let mut key = None;
+    world.count("bookings");
     for _ in 0..SENDS {
         let home = random.random_range(0..HOMES as usize);
         let body = format!("{name} {generation}.");
@@ -196,7 +207,7 @@
         let call = Call::booking(&body).key(own.clone());
         let from = Instant::now();
         let patience = Duration::from_millis(random.random_range(10..400));
-        let reply = send(world, home, call, patience, random.random_bool(0.5)).await;
+        let reply = send(world, home, call, patience, delay(random)).await;
         let Some(reply) = reply else {
             world.count("timed out");
             continue;
@@ -234,8 +245,7 @@
     for _ in 0..SENDS {
         let home = random.random_range(0..HOMES as usize);
         let patience = Duration::from_millis(random.random_range(100..1500));
-        let stays = random.random_bool(0.5);
-        let reply = send(world, home, call.clone(), patience, stays).await;
+        let reply = send(world, home, call.clone(), patience, delay(random)).await;
         let Some(reply) = reply.filter(|reply| reply.outcome == "answered") else { continue };
         let streamed = call.body.contains("\"stream\":true");
         if streamed && !reply.body.ends_with("data: [DONE]\n\n") {
@@ -245,7 +255,8 @@
             }
             continue;
         }
-        if reply.text() != expected(&call.body) {
+        let text = reply.text();
+        if text != expected(&call.body) && text != bench::engine::differing(&call.body, 3) {
             world.wrong.lock().push(format!("{name}: {reply:?}"));
         }
         return world.count("drafted");
@@ -289,8 +300,7 @@
                 grants.script.lock().push(Verdict::Refused(refusal));
             }
             _ => {
-                let acts = [Act::Break(2), Act::BreakForGood(4), Act::Overloaded, Act::Hang];
-                let act = *acts.choose(&mut random).unwrap();
+                let act = *ACTS.choose(&mut random).expect("there are acts");
                 world.fleet.servers[server].acts.lock().push_back(act);
             }
         }
@@ -317,6 +327,7 @@
     for run in world.fleet.executions.lock().iter() {
         if run.body.starts_with("booking") {
             add(&run.body, run.at, run.at, Seen::Executed);
+            world.count("executed");
         }
     }
     for sent in world.sent.lock().iter() {
@@ -339,14 +350,19 @@
     // What is still on its way arrives late.
     sleep(Duration::from_secs(5)).await;
     check(&world, seed);
-    let counts = world.counts.lock().clone();
-    counts
+    world.counts.lock().clone()
+}
+
+/// The number of histories: `HISTORY_SEEDS` of the environment, or the default.
+fn seeds() -> u64 {
+    std::env::var("HISTORY_SEEDS").ok().and_then(|seeds| seeds.parse().ok()).unwrap_or(SEEDS)
 }
 
 #[test]
+#[allow(clippy::print_stdout)]
 fn no_key_runs_twice_and_no_sealed_key_runs() {
     let mut total: Map<&'static str, u64> = Map::default();
-    for seed in 0..SEEDS {
+    for seed in 0..seeds() {
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_time()
             .start_paused(true)
@@ -358,6 +374,8 @@
     }
     let mut total: Vec<_> = total.into_iter().collect();
     total.sort_unstable();
-    println!("{SEEDS} seeds: {total:?}");
-    assert!(total.iter().all(|(_, count)| *count > 0));
+    let seen: Vec<_> = total.iter().map(|(what, _)| *what).collect();
+    let all = ["answered", "bookings", "drafted", "executed", "not run", "timed out", "unknown"];
+    println!("seeds={} outcomes={total:?}", seeds());
+    assert_eq!(seen, all);
 }
