Run the home's tests under simulated time

The test of copies of a suspect slept 8 ms for a crash that came after about 4 ms, and failed once while the machine was busy: the copies began before the first crash. Under tokio's paused clock the order no longer depends on the machine.

--- a/crates/caller/tests/answers.rs
+++ b/crates/caller/tests/answers.rs
@@ -8,7 +8,7 @@
     key,
 };
 
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn a_whole_answer_is_the_engines() {
     let bench = Bench::new(Fleet::new(2));
     let call = Call::draft("whole");
@@ -19,7 +19,7 @@
     assert_eq!(reply.json()["choices"][0]["finish_reason"], "stop");
 }
 
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn an_event_stream_has_every_token_and_its_end_mark() {
     let bench = Bench::new(Fleet::new(2));
     let call = Call::draft("stream").stream();
@@ -29,14 +29,14 @@
     assert!(!reply.body.contains("usage"), "the caller did not ask for the count");
 }
 
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn a_plain_service_is_answered() {
     let bench = Bench::new(Fleet::new(1));
     let reply = bench.send(Call::booking("m7").key(key(1, "a"))).await;
     assert_eq!((reply.status, reply.body.as_str()), (200, booked("m7").as_str()));
 }
 
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn a_broken_connection_is_resumed_at_the_same_engine() {
     let bench = Bench::new(Fleet::new(2));
     bench.fleet.act(Act::Break(5));
@@ -46,7 +46,7 @@
     assert_eq!(bench.fleet.runs(), 1, "a resumed attempt is not run again");
 }
 
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn an_answer_that_cannot_be_resumed_is_run_again_and_continues() {
     for call in [Call::draft("again"), Call::draft("again").stream()] {
         let bench = Bench::new(Fleet::new(2));
@@ -60,7 +60,7 @@
     }
 }
 
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn a_different_second_answer_is_never_spliced_to_a_delivered_part() {
     let bench = Bench::new(Fleet::new(2));
     bench.fleet.servers[0].acts.lock().push_back(Act::BreakForGood(5));
@@ -74,7 +74,7 @@
     assert_eq!(error["ran"], "may_have_run");
 }
 
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn a_whole_answer_may_come_from_a_different_second_run() {
     let bench = Bench::new(Fleet::new(2));
     bench.fleet.servers[0].acts.lock().push_back(Act::BreakForGood(5));
@@ -83,7 +83,7 @@
     assert_eq!(reply.text().matches("other").count(), 10);
 }
 
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn an_engines_refusal_of_the_request_is_passed_on() {
     for call in [Call::draft("bad"), Call::draft("bad").stream()] {
         let bench = Bench::new(Fleet::new(1));
@@ -94,7 +94,7 @@
     }
 }
 
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn overload_is_retried_within_the_budget_only() {
     let bench = Bench::new(Fleet::new(2));
     bench.fleet.act(Act::Overloaded);
@@ -111,7 +111,7 @@
     assert!(granted <= 11 + 11, "{granted} permits were used by 11 requests with a budget of 10");
 }
 
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn every_permit_is_given_back_once() {
     let bench = Bench::new(Fleet::new(2));
     bench.grants.stale.store(1, std::sync::atomic::Ordering::SeqCst);
@@ -125,7 +125,7 @@
     assert_eq!(released, (0..granted).collect::<Vec<_>>());
 }
 
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn the_caller_that_leaves_is_cancelled_at_the_engine() {
     let mut fleet = Fleet::build(1);
     fleet.step = std::time::Duration::from_millis(5);
--- a/crates/caller/tests/crash.rs
+++ b/crates/caller/tests/crash.rs
@@ -23,7 +23,7 @@
         .collect()
 }
 
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn one_request_costs_at_most_three_backend_servers() {
     let fleet = Fleet::new(6);
     let daemons = daemons(&fleet, 3);
@@ -37,7 +37,7 @@
     assert_eq!(fleet.crashes.load(Ordering::SeqCst), 3);
 }
 
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn requests_caught_in_a_crash_are_answered_and_cleared() {
     let mut fleet = Fleet::build(2);
     fleet.step = Duration::from_millis(2);
@@ -56,7 +56,7 @@
     assert_eq!(suspects, 1, "only the culprit is still recorded");
 }
 
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn copies_of_a_suspect_run_one_at_a_time() {
     let mut fleet = Fleet::build(6);
     fleet.step = Duration::from_millis(1);
@@ -74,7 +74,7 @@
     assert!(fleet.crashes.load(Ordering::SeqCst) <= 3);
 }
 
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn suspects_ask_for_a_place_of_their_own() {
     let fleet = Fleet::new(6);
     let daemons = daemons(&fleet, 1);
@@ -83,7 +83,7 @@
     assert_eq!(solo, [false, true, true]);
 }
 
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn a_booking_that_crashes_its_service_is_unknown_and_not_repeated() {
     let fleet = Fleet::new(3);
     let daemons = daemons(&fleet, 2);
--- a/crates/caller/tests/once.rs
+++ b/crates/caller/tests/once.rs
@@ -20,7 +20,7 @@
     Arc::new(fleet)
 }
 
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn copies_of_a_booking_run_once_and_all_get_its_answer() {
     let bench = Bench::new(slow(2));
     let call = Call::booking("m1").key(key(1, "a"));
@@ -33,7 +33,7 @@
     assert_eq!(bench.fleet.runs(), 1);
 }
 
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn copies_of_a_draft_join_the_running_one_in_either_form() {
     let bench = Bench::new(slow(2));
     let call = Call::draft("join").stream().key(key(1, "a"));
@@ -43,7 +43,7 @@
     assert_eq!(bench.fleet.runs(), 1);
 }
 
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn a_caller_that_left_gets_the_answer_of_its_booking() {
     // The service takes longer than the home waits for a caller to come back.
     let mut fleet = Fleet::build(1);
@@ -57,7 +57,7 @@
     assert_eq!(bench.fleet.runs(), 1);
 }
 
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn a_key_with_another_body_is_refused_and_disturbs_nothing() {
     let bench = Bench::new(Fleet::new(1));
     let name = key(1, "a");
@@ -68,7 +68,7 @@
     assert_eq!(bench.fleet.runs(), 1);
 }
 
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn a_key_belongs_to_its_workspace() {
     let bench = Bench::new(Fleet::new(1));
     let name = key(1, "a");
@@ -79,7 +79,7 @@
     assert_eq!(bench.fleet.runs(), 2);
 }
 
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn old_future_and_malformed_keys_dispatch_nothing() {
     let bench = Bench::new(Fleet::new(1));
     let hour = 3_600_000;
@@ -99,7 +99,7 @@
     assert_eq!(bench.fleet.runs(), 0);
 }
 
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn a_booking_whose_home_is_gone_is_unknown_at_once() {
     let bench = Bench::new(Fleet::new(1));
     let reply = bench.send(Call::booking("m1").key(key(2, "a"))).await;
@@ -125,7 +125,7 @@
     (first, second)
 }
 
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn a_copy_through_another_daemon_reaches_the_home_of_its_key() {
     let fleet = slow(2);
     let (first, second) = pair(&fleet);
@@ -138,7 +138,7 @@
     assert_eq!(fleet.runs(), 1);
 }
 
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn a_relayed_request_is_not_relayed_again() {
     let fleet = Fleet::new(1);
     let (first, second) = pair(&fleet);
@@ -149,7 +149,7 @@
     assert_eq!((reply.outcome.as_str(), fleet.runs()), ("unknown", 0));
 }
 
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn nothing_is_sent_when_no_connection_opens_and_it_is_said_so() {
     let bench = Bench::new(Fleet::new(2));
     bench.fleet.refuse_connections.store(true, Ordering::SeqCst);
@@ -162,7 +162,7 @@
     assert_eq!(bench.fleet.runs(), 0);
 }
 
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn a_booking_that_was_sent_is_never_sent_again() {
     let cases =
         [(Act::Die(0), "unknown"), (Act::Break(0), "unknown"), (Act::Overloaded, "unknown")];
@@ -177,7 +177,7 @@
     }
 }
 
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn a_stale_permit_is_not_used() {
     let bench = Bench::new(Fleet::new(1));
     bench.grants.stale.store(3, Ordering::SeqCst);
@@ -188,7 +188,7 @@
     assert_eq!((reply.ran().as_str(), bench.fleet.runs()), ("not_run", 1));
 }
 
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn a_full_registry_refuses_and_forgets_nothing() {
     let limits = Limits { keys: 3, ..Limits::default() };
     let bench = Bench::keys(limits, Fleet::new(1));
@@ -208,7 +208,7 @@
     assert_eq!(draft.status, 200, "an idempotent request runs unregistered");
 }
 
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn a_refusal_for_want_of_room_holds_for_late_copies() {
     let clock = Arc::new(hyssop_timer::Manual::default());
     let window = Duration::from_secs(60);
@@ -227,7 +227,7 @@
     assert_eq!(bench.send(next).await.status, 200);
 }
 
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn a_refusal_before_registration_holds_for_late_copies() {
     let bench = Bench::new(Fleet::new(1));
     let name = key(1, "a");
@@ -237,7 +237,7 @@
     assert_eq!((copy.ran().as_str(), bench.fleet.runs()), ("not_run", 0));
 }
 
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn a_refusal_of_a_copy_says_nothing_about_a_key_that_has_begun() {
     let bench = Bench::new(Fleet::new(1));
     let name = key(1, "a");
@@ -247,7 +247,7 @@
     assert_eq!((reply.outcome.as_str(), reply.ran().as_str()), ("unknown", "may_have_run"));
 }
 
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn an_answer_too_large_to_keep_is_still_not_run_twice() {
     let limits = registry::Limits { answer_bytes_per_key: 4, ..Limits::default() };
     let bench = Bench::keys(limits, Fleet::new(1));
