Ask for the bearer key before a body is read

A flood of half-sent bodies without a key took the memory that all bodies share, so that a proper caller was refused as busy (seen failing in the flood test). The desk now admits a request by its head.

--- a/crates/caller/src/desk.rs
+++ b/crates/caller/src/desk.rs
@@ -8,6 +8,13 @@
 
 /// What answers the requests of a server.
 pub trait Desk: Send + Sync {
+    /// Decides by the head of a request whether its body is read at all.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the outcome of a request that nobody would answer.
+    fn admit(&self, head: &Parts) -> Result<(), Outcome>;
+
     /// Answers a request that was read whole.
     fn serve(&self, head: Parts, body: Bytes) -> BoxFuture<'_, Response<Body>>;
 
--- a/crates/caller/src/home/entry.rs
+++ b/crates/caller/src/home/entry.rs
@@ -22,7 +22,7 @@
     desk::Desk,
     directory::{Missing, Terms},
     key::Key,
-    outcome::{Kind, Outcome, Reason},
+    outcome::{Kind, Outcome, Reason, SOON},
     record::{End, Next, Reader, Record},
     registry::{Begin, Owned},
     render,
@@ -30,6 +30,14 @@
 };
 
 impl Desk for Home {
+    fn admit(&self, head: &Parts) -> Result<(), Outcome> {
+        let route = Route::find(&head.method, head.uri.path(), head.uri.query())?;
+        if route != Route::Addresses {
+            self.workspace(head)?;
+        }
+        Ok(())
+    }
+
     fn serve(&self, head: Parts, body: Bytes) -> BoxFuture<'_, Response<Body>> {
         Box::pin(async move {
             let id = self.request_id(&head);
@@ -256,5 +264,6 @@
         Missing::Class => Reason::UnknownClass,
         Missing::Pool => Reason::UnknownPool,
     };
-    Outcome::refused(reason, missing.to_string())
+    let outcome = Outcome::refused(reason, missing.to_string());
+    if missing == Missing::Document { outcome.retry_after(SOON) } else { outcome }
 }
--- a/crates/caller/src/home/run.rs
+++ b/crates/caller/src/home/run.rs
@@ -22,7 +22,7 @@
     backends::{Connection, Target},
     directory::Terms,
     observer::{self, Measure},
-    outcome::{Outcome, Ran, Reason},
+    outcome::{Outcome, Ran, Reason, SOON},
     permits::{Ask, Verdict},
     quarantine::{Fingerprint, Standing},
     record::{End, Record},
@@ -128,22 +128,26 @@
     async fn turn(&self) -> Result<Turn, Outcome> {
         let turn = self.shared.solo.turn(self.fingerprint);
         let turn = timeout(self.remaining(), turn).await;
-        turn.map_err(|_| self.outcome(Reason::Deadline, "the deadline passed", None))
+        turn.map_err(|_| self.outcome(Reason::Deadline, "the deadline passed", Some(SOON)))
     }
 
     async fn permit(&mut self, solo: bool) -> Result<Permit, Outcome> {
         loop {
             if self.tally.permits >= self.shared.limits.permits {
-                return Err(self.outcome(Reason::NoBackend, "no backend server took it", None));
+                return Err(self.outcome(
+                    Reason::NoBackend,
+                    "no backend server took it",
+                    Some(SOON),
+                ));
             }
             let remaining = self.remaining();
             if remaining.is_zero() {
-                return Err(self.outcome(Reason::Deadline, "the deadline passed", None));
+                return Err(self.outcome(Reason::Deadline, "the deadline passed", Some(SOON)));
             }
             let asked = timeout(remaining, self.shared.permits.ask(self.ask(solo, remaining)));
             let verdict = asked
                 .await
-                .map_err(|_| self.outcome(Reason::Deadline, "the deadline passed", None))?;
+                .map_err(|_| self.outcome(Reason::Deadline, "the deadline passed", Some(SOON)))?;
             match verdict {
                 Verdict::Granted(permit) => return Ok(permit),
                 Verdict::Refused(refusal) => self.refused(refusal)?,
--- a/crates/caller/src/outcome.rs
+++ b/crates/caller/src/outcome.rs
@@ -6,6 +6,9 @@
 use hyper::StatusCode;
 use serde::Serialize;
 
+/// The time to come back after where nothing tells more.
+pub const SOON: Duration = Duration::from_secs(1);
+
 /// What is known about the execution of a request.
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, derive_more::Display,
--- a/crates/caller/src/server/connection.rs
+++ b/crates/caller/src/server/connection.rs
@@ -46,6 +46,10 @@
 
 async fn answer(request: Request<Incoming>, shared: &Shared, seat: &Seat) -> Response<Body> {
     let (head, incoming) = request.into_parts();
+    // Whoever has no key takes no memory for a body.
+    if let Err(outcome) = shared.desk.admit(&head) {
+        return shared.desk.refuse(&head, outcome);
+    }
     match read::body(incoming, &shared.limits, &shared.memory).await {
         Ok(body) => {
             // From here to the end of its answer the request keeps the connection its place.
--- a/crates/caller/src/server/read.rs
+++ b/crates/caller/src/server/read.rs
@@ -11,7 +11,7 @@
 };
 
 use super::Limits;
-use crate::outcome::{Outcome, Reason};
+use crate::outcome::{Outcome, Reason, SOON};
 
 /// The unit in which memory is counted.
 const UNIT_BYTES: usize = 1024;
@@ -54,7 +54,10 @@
     /// Extends what is held to `bytes`, if there is so much.
     fn extend(&self, held: &mut Held, bytes: usize) -> Result<(), Outcome> {
         let more = bytes.div_ceil(UNIT_BYTES).saturating_sub(held.bytes.div_ceil(UNIT_BYTES));
-        let busy = || Outcome::refused(Reason::Busy, "the daemon holds too many requests");
+        let busy = || {
+            let message = "the daemon holds too many requests";
+            Outcome::refused(Reason::Busy, message).retry_after(SOON)
+        };
         let units = u32::try_from(more).map_err(|_| busy())?;
         let permit = Arc::clone(&self.units).try_acquire_many_owned(units).map_err(|_| busy())?;
         match &mut held.permit {
--- /dev/null
+++ b/crates/caller/tests/listener.rs
@@ -0,0 +1,254 @@
+//! The listener for callers: limits, floods, departure and graceful stop, over loopback.
+#![allow(clippy::unwrap_used)]
+
+mod bench;
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use bench::{
+    Bench, Call,
+    engine::{Fleet, booked, expected},
+    key,
+};
+use hyssop_caller::server::{Limits, Server};
+use rand::{Rng as _, RngExt as _, SeedableRng as _, rngs::StdRng};
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::{TcpListener, TcpStream},
+    task::JoinHandle,
+    time::{Instant, timeout},
+};
+use tokio_util::sync::CancellationToken;
+
+/// The longest wait of a test for anything.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+struct Running {
+    address: SocketAddr,
+    stop: CancellationToken,
+    task: JoinHandle<()>,
+    bench: Bench,
+}
+
+async fn start(fleet: Arc<Fleet>, limits: Limits) -> Running {
+    let bench = Bench::new(fleet);
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let stop = CancellationToken::new();
+    let desk = Arc::new(bench.home.clone());
+    let server = Server::builder(listener, desk).limits(limits).stop(stop.clone()).build();
+    let address = server.local_addr().unwrap();
+    Running { address, stop, task: tokio::spawn(server.run()), bench }
+}
+
+fn text(call: &Call) -> String {
+    let mut text = format!("POST {} HTTP/1.1\r\nhost: h\r\n", call.path);
+    for (name, value) in &call.headers {
+        text += &format!("{name}: {value}\r\n");
+    }
+    format!("{text}content-length: {}\r\n\r\n{}", call.body.len(), call.body)
+}
+
+/// Sends bytes and reads until the other side closes, or until `enough` is there.
+async fn exchange(address: SocketAddr, bytes: &[u8], enough: &str) -> String {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let _ = stream.write_all(bytes).await;
+    let mut reply = Vec::new();
+    let read = async {
+        while !String::from_utf8_lossy(&reply).contains(enough) {
+            if stream.read_buf(&mut reply).await.unwrap_or(0) == 0 {
+                break;
+            }
+        }
+    };
+    timeout(PATIENCE, read).await.expect("the server answers or closes");
+    String::from_utf8_lossy(&reply).into_owned()
+}
+
+async fn send(address: SocketAddr, call: &Call) -> String {
+    let call = call.clone().set("connection", "close");
+    exchange(address, text(&call).as_bytes(), "\u{0}never").await
+}
+
+fn small() -> Limits {
+    Limits {
+        connections: 20,
+        head_bytes: 8192,
+        header_fields: 20,
+        body_bytes: 1000,
+        all_body_bytes: 8 << 10,
+        head_time: Duration::from_millis(300),
+        body_time: Duration::from_millis(300),
+        write_stall: Duration::from_millis(300),
+    }
+}
+
+#[tokio::test]
+async fn a_whole_and_a_streamed_answer_go_over_the_wire() {
+    let server = start(Fleet::new(1), Limits::default()).await;
+    let call = Call::draft("wire");
+    let reply = send(server.address, &call).await;
+    let (head, body) = reply.split_once("\r\n\r\n").unwrap();
+    expect_test::expect![[r#"
+        HTTP/1.1 200 OK
+        content-type: application/json
+        request-outcome: answered
+        x-request-id: r1
+        connection: close
+        content-length: 209
+        date: DATE"#]]
+    .assert_eq(&undated(head));
+    let value: serde_json::Value = serde_json::from_str(body).unwrap();
+    assert_eq!(value["choices"][0]["text"], expected(&call.body));
+    let reply = send(server.address, &call.stream()).await;
+    assert!(reply.contains("content-type: text/event-stream\r\n"));
+    assert_eq!(reply.matches("id: ").count() - 1, 12, "{reply}");
+}
+
+fn undated(head: &str) -> String {
+    let line = |line: &str| if line.starts_with("date: ") { "date: DATE" } else { line }.to_owned();
+    head.lines().map(line).collect::<Vec<_>>().join("\n")
+}
+
+#[tokio::test]
+async fn oversized_and_slow_requests_are_refused_and_bury_their_keys() {
+    let server = start(Fleet::new(1), small()).await;
+    let large = Call::booking(&"x".repeat(2000)).key(key(1, "large"));
+    let reply = send(server.address, &large).await;
+    assert!(reply.starts_with("HTTP/1.1 413 "), "{reply}");
+    assert!(reply.contains("\"ran\":\"not_run\"") && reply.contains("\"reason\":\"too_large\""));
+
+    let slow = Call::booking("slow").key(key(1, "slow"));
+    let cut = text(&slow).strip_suffix("low").unwrap().to_owned();
+    let reply = exchange(server.address, cut.as_bytes(), "slow_body").await;
+    assert!(reply.starts_with("HTTP/1.1 408 "), "{reply}");
+    let copy = send(server.address, &slow).await;
+    assert!(copy.contains("\"ran\":\"not_run\""), "{copy}");
+
+    let foreign = Call::booking(&"x".repeat(2000)).key(key(7, "large"));
+    let reply = send(server.address, &foreign).await;
+    assert!(reply.contains("\"ran\":\"may_have_run\""), "only the home may say not_run: {reply}");
+
+    let many = (0..30).fold(Call::draft("x"), |call, n| call.set(&format!("x-{n}"), "1"));
+    let reply = send(server.address, &many).await;
+    assert!(reply.starts_with("HTTP/1.1 431 "), "{reply}");
+    let long = Call::draft("x").set("x-long", "y".repeat(20_000));
+    let reply = send(server.address, &long).await;
+    assert!(reply.starts_with("HTTP/1.1 431 "), "{reply}");
+    assert_eq!(server.bench.fleet.runs(), 0);
+}
+
+#[tokio::test]
+async fn bodies_share_a_bounded_memory() {
+    let server = start(Fleet::new(1), small()).await;
+    let mut held = Vec::new();
+    for number in 0..20 {
+        let call = Call::booking(&"x".repeat(900)).key(key(1, &format!("k{number}")));
+        let bytes = text(&call);
+        let mut stream = TcpStream::connect(server.address).await.unwrap();
+        stream.write_all(&bytes.as_bytes()[..bytes.len() - 10]).await.unwrap();
+        held.push(stream);
+    }
+    let mut busy = 0;
+    for mut stream in held {
+        let mut reply = String::new();
+        let read = timeout(PATIENCE, stream.read_to_string(&mut reply)).await;
+        let _ = read.expect("the server answers or closes");
+        busy += usize::from(reply.contains("\"reason\":\"busy\""));
+    }
+    assert!(busy >= 10, "{busy} of 20 were refused");
+    let reply = send(server.address, &Call::draft("after")).await;
+    assert!(reply.starts_with("HTTP/1.1 200 "), "{reply}");
+}
+
+#[tokio::test]
+async fn a_proper_caller_is_served_during_a_flood() {
+    const FLOODERS: u64 = 30;
+    const CONNECTIONS: usize = 40;
+    let server = start(Fleet::new(2), small()).await;
+    let address = server.address;
+    let flooders: Vec<_> = (0..FLOODERS)
+        .map(|seed| tokio::spawn(flood(address, StdRng::seed_from_u64(seed), CONNECTIONS)))
+        .collect();
+    let started = Instant::now();
+    let mut served = 0;
+    for number in 0..50 {
+        let call = Call::draft(&format!("proper {number}"));
+        let mut tries = 0;
+        loop {
+            let reply = send(address, &call).await;
+            if reply.contains(&expected(&call.body)) {
+                served += 1;
+                break;
+            }
+            // A connection may lose its place before its request is read.
+            tries += 1;
+            assert!(reply.is_empty() && tries < 100, "{reply}");
+        }
+    }
+    assert_eq!(served, 50);
+    for flooder in flooders {
+        flooder.await.unwrap();
+    }
+    assert!(started.elapsed() < Duration::from_secs(60));
+    assert!(!server.task.is_finished());
+}
+
+/// Opens connections that are left half open, send noise, or send the beginning of a request.
+async fn flood(address: SocketAddr, mut random: StdRng, connections: usize) {
+    let mut open = Vec::new();
+    for _ in 0..connections {
+        let Ok(mut stream) = TcpStream::connect(address).await else { continue };
+        let mut noise = vec![0; random.random_range(0..3000)];
+        random.fill_bytes(&mut noise);
+        let bytes = match random.random_range(0..4) {
+            0 => Vec::new(),
+            1 => noise,
+            2 => {
+                b"POST /v1/completions HTTP/1.1\r\nhost: h\r\ncontent-length: 900\r\n\r\n{".to_vec()
+            }
+            _ => [b"GET / HTTP/1.1\r\nx: ".to_vec(), noise].concat(),
+        };
+        let _ = stream.write_all(&bytes).await;
+        open.push(stream);
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+}
+
+#[tokio::test]
+async fn a_stop_finishes_what_runs_and_takes_nothing_new() {
+    let mut fleet = Fleet::build(1);
+    fleet.step = Duration::from_millis(30);
+    let server = start(Arc::new(fleet), Limits::default()).await;
+    let call = Call::booking("m1").key(key(1, "a"));
+    let bytes = text(&call);
+    let running =
+        tokio::spawn(async move { exchange(server.address, bytes.as_bytes(), "\u{0}never").await });
+    while server.bench.fleet.runs() == 0 {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    server.stop.cancel();
+    let reply = running.await.unwrap();
+    assert!(reply.ends_with(&booked("m1")), "{reply}");
+    timeout(PATIENCE, server.task).await.unwrap().unwrap();
+    assert!(TcpStream::connect(server.address).await.is_err());
+}
+
+#[tokio::test]
+async fn a_caller_that_takes_no_answer_is_closed() {
+    const BODY_BYTES: usize = 500_000;
+    let limits = Limits { body_bytes: BODY_BYTES, all_body_bytes: 16 << 20, ..small() };
+    let server = start(Fleet::new(1), limits).await;
+    let mut stream = TcpStream::connect(server.address).await.unwrap();
+    // Requests are sent and their answers, which are as large, not read.
+    let sending = async {
+        for number in 0..1000 {
+            let call = Call::booking(&"x".repeat(BODY_BYTES)).key(key(1, &format!("k{number}")));
+            if stream.write_all(text(&call).as_bytes()).await.is_err() {
+                return number;
+            }
+        }
+        unreachable!("the server took every answer");
+    };
+    let sent = timeout(PATIENCE, sending).await;
+    assert!(sent.is_ok_and(|sent| sent < 100), "the server closes the connection");
+}
