Keep ended keys without the parts that only a running one needs

A remembered key with an answer of 200 bytes took 1,610 bytes, most of it in the two watches of its record.

--- a/crates/caller/src/home/supervise.rs
+++ b/crates/caller/src/home/supervise.rs
@@ -9,8 +9,7 @@
 
 use super::{Shared, run::Run};
 use crate::{
-    outcome::{Outcome, Ran, Reason},
-    record::{End, Record},
+    record::{End, Record, broken_off},
     registry::Owned,
 };
 
@@ -33,9 +32,7 @@
 impl Drop for Ending {
     fn drop(&mut self) {
         if self.record.end().is_none() {
-            let outcome =
-                Outcome::failed(Ran::MayHaveRun, Reason::Internal, "the run was broken off");
-            self.record.finish(End::Other(outcome));
+            self.record.finish(End::Other(broken_off()));
         }
         if let Some(owned) = &self.owned {
             self.shared.registry.finish(owned);
--- a/crates/caller/src/record.rs
+++ b/crates/caller/src/record.rs
@@ -8,7 +8,7 @@
 use parking_lot::Mutex;
 use tokio::sync::watch;
 
-use crate::outcome::Outcome;
+use crate::outcome::{Outcome, Ran, Reason};
 
 /// The head of an answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -74,13 +74,6 @@
 }
 
 impl Record {
-    /// A record that has ended without a whole answer.
-    pub fn ended(outcome: Outcome) -> Self {
-        let record = Self::default();
-        record.finish(End::Other(outcome));
-        record
-    }
-
     /// Sets the head of the answer. A repeated run sets it again.
     pub fn set_head(&self, head: Head) {
         self.state.lock().head = Some(head);
@@ -172,6 +165,42 @@
     }
 }
 
+/// What is kept of a record that has ended, without what only a running one needs.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Kept {
+    head: Option<Head>,
+    parts: Box<[Part]>,
+    end: End,
+}
+
+impl Kept {
+    /// Keeps a record. One that has not ended is kept as broken off.
+    pub fn of(record: &Record) -> Self {
+        let state = record.state.lock();
+        let end = state.end.clone().unwrap_or_else(|| End::Other(broken_off()));
+        Self { head: state.head.clone(), parts: state.parts.clone().into(), end }
+    }
+
+    /// Keeps an outcome other than an answer.
+    pub fn outcome(outcome: Outcome) -> Self {
+        Self { head: None, parts: Box::default(), end: End::Other(outcome) }
+    }
+
+    /// A record that can be read.
+    pub fn record(&self) -> Record {
+        let record = Record::default();
+        let parts = self.parts.to_vec();
+        let end = Some(self.end.clone());
+        *record.state.lock() = State { head: self.head.clone(), parts, delivered: 0, end };
+        record
+    }
+}
+
+/// The outcome of a run that ended without saying how.
+pub fn broken_off() -> Outcome {
+    Outcome::failed(Ran::MayHaveRun, Reason::Internal, "the run was broken off")
+}
+
 /// What a reader gets next.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Next {
--- a/crates/caller/src/registry.rs
+++ b/crates/caller/src/registry.rs
@@ -17,7 +17,7 @@
 use crate::{
     key::Key,
     outcome::{Outcome, Ran, Reason},
-    record::{End, Record},
+    record::{End, Kept, Record},
 };
 
 /// The bounds of a registry.
@@ -76,14 +76,35 @@
 struct Entry {
     /// The digest of the request, absent if the key was refused before the request was known.
     digest: Option<Digest>,
-    record: Arc<Record>,
+    run: Run,
     idempotent: bool,
-    finished: bool,
     /// The bytes that count against the bound: reserved while it runs, used afterwards.
     bytes: usize,
     place: Place,
 }
 
+/// The run of a key.
+#[derive(Debug)]
+enum Run {
+    /// It goes on.
+    Live(Arc<Record>),
+    /// It has ended.
+    Ended(Box<Kept>),
+}
+
+impl Run {
+    fn record(&self) -> Arc<Record> {
+        match self {
+            Self::Live(record) => Arc::clone(record),
+            Self::Ended(kept) => Arc::new(kept.record()),
+        }
+    }
+
+    fn has_ended(&self) -> bool {
+        matches!(self, Self::Ended(_))
+    }
+}
+
 /// The place of a key in the order of issue: the time of issue and a number that is unique.
 type Place = (u64, u64);
 
@@ -132,13 +153,14 @@
             if entry.digest.is_some_and(|known| known != digest) {
                 return Begin::Refuse(reused());
             }
-            return Begin::Join(Arc::clone(&entry.record));
+            return Begin::Join(entry.run.record());
         }
         if let Err(outcome) = self.check_time(&inner, owned, wall_ms) {
             return Begin::Refuse(outcome);
         }
         let record = Arc::new(Record::default());
-        if self.insert(&mut inner, owned, Some(digest), Arc::clone(&record), idempotent) {
+        let run = Run::Live(Arc::clone(&record));
+        if self.insert(&mut inner, owned, Some(digest), run, idempotent) {
             return Begin::Run(record);
         }
         if idempotent {
@@ -161,8 +183,8 @@
         if let Err(outcome) = self.check_time(&inner, owned, wall_ms) {
             return outcome.ran == Ran::NotRun;
         }
-        let record = Arc::new(Record::ended(outcome.clone()));
-        if !self.insert(&mut inner, owned, None, record, false) {
+        let run = Run::Ended(Box::new(Kept::outcome(outcome.clone())));
+        if !self.insert(&mut inner, owned, None, run, false) {
             inner.refuse_until(owned);
         }
         true
@@ -173,25 +195,24 @@
         let mut inner = self.inner.lock();
         let inner = &mut *inner;
         let Some(entry) = inner.entries.get_mut(owned) else { return };
-        let whole = entry.record.end() == Some(End::Whole);
-        let bytes = entry.record.bytes();
-        inner.bytes -= entry.bytes;
-        entry.bytes = 0;
-        entry.finished = true;
+        let Run::Live(record) = &entry.run else { return };
+        let whole = record.end() == Some(End::Whole);
+        let bytes = record.bytes();
         let fits = bytes <= self.limits.answer_bytes_per_key;
-        if entry.idempotent && !(whole && fits) {
-            // It may run again, so there is nothing to remember.
-            inner.remove(owned);
+        let kept = if fits { Kept::of(record) } else { Kept::outcome(not_kept()) };
+        inner.bytes -= entry.bytes;
+        entry.bytes = if fits { bytes } else { 0 };
+        inner.bytes += entry.bytes;
+        entry.run = Run::Ended(Box::new(kept));
+        if !entry.idempotent {
             return;
         }
-        if entry.idempotent {
-            inner.evictable.insert(entry.place);
-        }
-        if fits {
-            entry.bytes = bytes;
-            inner.bytes += bytes;
+        let place = entry.place;
+        if whole && fits {
+            inner.evictable.insert(place);
         } else {
-            entry.record = Arc::new(Record::ended(not_kept()));
+            // It may run again, so there is nothing to remember.
+            inner.remove(owned);
         }
     }
 
@@ -228,11 +249,10 @@
         inner: &mut Inner,
         owned: &Owned,
         digest: Option<Digest>,
-        record: Arc<Record>,
+        run: Run,
         idempotent: bool,
     ) -> bool {
-        let finished = record.end().is_some();
-        let bytes = if finished { 0 } else { self.limits.answer_bytes_per_key };
+        let bytes = if run.has_ended() { 0 } else { self.limits.answer_bytes_per_key };
         while !self.has_room(inner, owned, bytes) {
             if !inner.evict_idempotent() {
                 return false;
@@ -244,7 +264,7 @@
         inner.by_issue.insert(place, Arc::clone(&owned));
         *inner.per_workspace.entry(owned.workspace.clone()).or_default() += 1;
         inner.bytes += bytes;
-        let entry = Entry { digest, record, idempotent, finished, bytes, place };
+        let entry = Entry { digest, run, idempotent, bytes, place };
         inner.entries.insert(owned, entry);
         true
     }
@@ -262,7 +282,7 @@
     fn expire(&mut self, oldest_ms: u64) {
         let old = self.by_issue.range(..(oldest_ms, 0)).map(|(_, owned)| Arc::clone(owned));
         for owned in old.collect::<Vec<_>>() {
-            if self.entries.get(&*owned).is_some_and(|entry| entry.finished) {
+            if self.entries.get(&*owned).is_some_and(|entry| entry.run.has_ended()) {
                 self.remove(&owned);
             }
         }
