--- a/crates/peer/src/core.rs
+++ b/crates/peer/src/core.rs
@@ -3,7 +3,8 @@
 use std::time::{Duration, Instant};
 
 use hyssop_document::{collections::Map, name, number::Incarnation, order};
-use hyssop_policy::share::Share;
+use hyssop_policy::{permit::Permit, share::Share};
+use serde::{Deserialize, Serialize};
 
 use crate::{
     hosts::{self, List},
@@ -35,10 +36,62 @@
     pub epoch: u32,
     /// The end of the promise.
     pub until: Instant,
-    /// The scheduler's start on the own clock, at the latest. `None` before it is known.
+    /// The time on the own clock before which the scheduler had not started, once that is known.
     pub start: Option<Instant>,
 }
 
+impl Standing {
+    /// Checks that a permit was granted by this scheduler and is to be used now.
+    ///
+    /// Its age is taken at the most that it can be.
+    ///
+    /// # Errors
+    ///
+    /// Says why the permit must not be used.
+    pub fn check(&self, permit: &Permit, now: Instant) -> Result<(), Stale> {
+        if self.scheduler.incarnation != permit.id.scheduler || now >= self.until {
+            return Err(Stale::VoteEnded);
+        }
+        let start = self.start.ok_or(Stale::VoteEnded)?;
+        let uptime_ms = now.saturating_duration_since(start).as_millis() as u64;
+        match uptime_ms.saturating_sub(permit.granted_at_ms) > permit.use_within_ms {
+            true => Err(Stale::Expired),
+            false => Ok(()),
+        }
+    }
+}
+
+/// Why a permit may not be used any more. The request did not run.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    Hash,
+    Serialize,
+    Deserialize,
+    derive_more::Display,
+    derive_more::Error,
+)]
+pub enum Stale {
+    /// The process was stopped and its view is not fresh yet.
+    #[display("the process was stopped")]
+    Paused,
+    /// The time within which the permit must be used has passed.
+    #[display("the permit has expired")]
+    Expired,
+    /// The vote for the scheduler that granted it has ended.
+    #[display("the vote has ended")]
+    VoteEnded,
+    /// The availability zone of the backend server is out of service.
+    #[display("the availability zone is out of service")]
+    ZoneOut,
+    /// The document in force does not have the backend server at this address any more.
+    #[display("the backend server was removed")]
+    Removed,
+}
+
 /// What a heartbeat changed.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Effect {
@@ -58,6 +111,9 @@
     cell: Cell,
     started: Instant,
     alive: Duration,
+    lease: Duration,
+    guard: Duration,
+    last_round: Option<Instant>,
     next: Sequence,
     leaving: bool,
     platform: bool,
@@ -111,6 +167,9 @@
             tally: Tally::new(timing),
             refresh: Refresh::default(),
             alive: timing.alive,
+            lease: timing.lease,
+            guard: timing.guard,
+            last_round: None,
         }
     }
 
@@ -172,10 +231,13 @@
     pub fn begin(&mut self, now: Instant) -> Sequence {
         let sequence = self.next;
         self.next = Sequence(sequence.0 + 1);
+        self.last_round = Some(now);
         self.tally.sent(sequence, now);
         self.electorate = self.members.electorate(now);
         let me = self.me.clone();
-        self.book.heard(&me, now);
+        if self.refreshed(now).is_some() {
+            self.book.heard(&me, now);
+        }
         self.move_votes(now);
         let votes = self.votes_for(&me, now);
         self.tally.heard(&me, sequence, Some(sequence), &votes, now);
@@ -231,7 +293,10 @@
 
     fn candidate(&self, host: &name::Host, now: Instant) -> Option<&Peer> {
         let peer = self.members.peer(host)?;
-        (self.members.is_alive(peer, now) && !peer.leaving).then_some(peer)
+        // A peer that does not answer cannot count a vote.
+        let answers =
+            peer.answered.is_some_and(|at| now.saturating_duration_since(at) <= self.lease);
+        (self.members.is_alive(peer, now) && answers && !peer.leaving).then_some(peer)
     }
 
     /// The host that decides between racing orders.
@@ -277,7 +342,8 @@
             platform: self.platform,
             document: stamps.document,
             orders: stamps.orders,
-            list: self.members.list().stamp(),
+            list: self.members.stamp(),
+            voters: if self.members.is_seasoned(now) { self.electorate.len() as u32 } else { 0 },
             notices: stamps.notices,
             votes,
         }
@@ -299,7 +365,10 @@
             return Effect::default();
         }
         let before = self.members.peer(&heartbeat.host).map(|peer| peer.identity.incarnation);
-        if !self.members.heard(heartbeat, now) {
+        let echo = heartbeat.echo.filter(|echo| echo.incarnation == self.me.incarnation);
+        let answered = echo.map(|echo| echo.sequence);
+        let sent = answered.and_then(|answered| self.tally.sent_at(answered));
+        if !self.members.heard(heartbeat, sent, now) {
             return Effect::default();
         }
         let process = heartbeat.process();
@@ -307,8 +376,6 @@
         if replaced {
             self.book.ended(&process.host, process.incarnation);
         }
-        let echo = heartbeat.echo.filter(|echo| echo.incarnation == self.me.incarnation);
-        let answered = echo.map(|echo| echo.sequence);
         self.tally.heard(&process, heartbeat.sequence, answered, &heartbeat.votes, now);
         self.book.heard(&process, now);
         if let Some(answered) = answered {
@@ -330,7 +397,14 @@
     /// Notes that the process itself was stopped for the `pauses`th time, and has woken.
     ///
     /// What it knows may be out of date, until a peer has answered a heartbeat sent after it.
+    /// After half a guard window the list of hosts may have been missed: the right to vote is earned
+    /// anew.
     pub fn woke(&mut self, pauses: u64, now: Instant) {
+        let stopped =
+            self.last_round.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        if stopped > self.guard / 2 {
+            self.members.restart_guard(now);
+        }
         let alone = self.members.list().hosts.iter().all(|entry| entry.host == self.me.host);
         let from = (!alone).then_some(self.next);
         self.refresh = Refresh { pauses, from, until: Some(now + self.alive) };
@@ -349,14 +423,25 @@
         }
     }
 
-    /// The share of a scheduler of this daemon. See [`Tally::share`].
+    /// The share of a scheduler of this daemon.
+    ///
+    /// If every host votes here, and no daemon without a vote is about, then the voters' reports
+    /// show everything that runs, and their votes need not settle. Without the newest list of
+    /// hosts, or before the view is fresh again after a pause, there is no share at all.
     pub fn share(&self, key: Key, observed: Option<Instant>, now: Instant) -> Share {
-        let share = self.tally.share(key, &self.electorate, observed, now);
-        let whole = share.votes == share.hosts && self.members.has_strangers(&self.electorate, now);
-        match whole {
-            true => self.tally.settled(key, &self.electorate, observed, now),
-            false => share,
+        let electorate = &self.electorate;
+        let Some(hosts) = self.members.voters(electorate, now) else {
+            return Share { votes: 0, hosts: electorate.len() as u32 };
+        };
+        if self.members.is_list_stale(now) || self.refreshed(now).is_none() {
+            return Share { votes: 0, hosts };
         }
+        let reports = self.tally.reports(key, electorate, now);
+        let votes = match reports == hosts && !self.members.has_strangers(electorate, now) {
+            true => hosts,
+            false => self.tally.settled(key, electorate, observed, now),
+        };
+        Share { votes, hosts }
     }
 
     /// The schedulers from which permits may be taken.
@@ -365,7 +450,7 @@
         for (key, scheduler, epoch, until) in self.book.standing(now) {
             let start = match *scheduler == self.me {
                 true => Some(self.started),
-                false => self.members.peer(&scheduler.host).and_then(Peer::start),
+                false => self.members.peer(&scheduler.host).and_then(|peer| peer.start(now)),
             };
             let scheduler = scheduler.clone();
             standings.insert(key, Standing { scheduler, epoch, until, start });
--- a/crates/peer/src/member.rs
+++ b/crates/peer/src/member.rs
@@ -24,8 +24,8 @@
     pub heard: Instant,
     /// Its newest heartbeat that was processed.
     pub sequence: Sequence,
-    /// The own heartbeat that it has processed last.
-    pub echoed: Option<Sequence>,
+    /// The sending time of the newest own heartbeat that it has answered.
+    pub answered: Option<Instant>,
     /// Whether its list of hosts has this daemon on it.
     pub lists_me: bool,
     /// Whether it is leaving.
@@ -42,8 +42,42 @@
     pub list: Stamp,
     /// The digest over its notices.
     pub notices: u64,
-    /// The earliest difference of arrival and uptime of its heartbeats.
-    start: Option<Instant>,
+    /// The number of hosts that were listed within its guard window, 0 if it does not know.
+    pub voters: u32,
+    start: Option<Start>,
+}
+
+/// A lower bound of the start of a peer's process, on the own clock.
+///
+/// An answer was sent after the own heartbeat that it answers. So the process had not started
+/// before the sending time of that heartbeat less the uptime in the answer.
+#[derive(Debug, Clone, Copy)]
+struct Start {
+    bound: Instant,
+    at: Instant,
+}
+
+impl Start {
+    /// The part of the time by which an old bound is lowered, for clocks of unequal speed.
+    const DRIFT_DIVISOR: u32 = 500;
+
+    fn new(answered: Instant, uptime_ms: u64, now: Instant) -> Option<Self> {
+        // One more, since the uptime was rounded down.
+        let uptime = Duration::from_millis(uptime_ms + 1);
+        answered.checked_sub(uptime).map(|bound| Self { bound, at: now })
+    }
+
+    /// The bound as of `now`.
+    fn aged(self, now: Instant) -> Self {
+        let drift = now.saturating_duration_since(self.at) / Self::DRIFT_DIVISOR;
+        Self { bound: self.bound.checked_sub(drift).unwrap_or(self.bound), at: now }
+    }
+
+    /// The higher of two bounds, both as of `now`.
+    fn best(old: Option<Self>, new: Option<Self>, now: Instant) -> Option<Self> {
+        let old = old.map(|old| old.aged(now));
+        old.into_iter().chain(new).max_by_key(|start| start.bound)
+    }
 }
 
 /// Everything this daemon knows about the daemons of its cell.
@@ -51,9 +85,11 @@
 pub struct Table {
     me: Process,
     alive: Duration,
+    lease: Duration,
     guard: Duration,
     started: Instant,
     list: List,
+    stamp: Stamp,
     listed_since: Option<Instant>,
     last_listed: Map<name::Host, Instant>,
     entitled: bool,
@@ -67,9 +103,11 @@
         Self {
             me,
             alive: timing.alive,
+            lease: timing.lease,
             guard: timing.guard,
             started: now,
             list: List::default(),
+            stamp: Stamp::NONE,
             listed_since: None,
             last_listed: Map::default(),
             entitled: false,
@@ -83,9 +121,15 @@
         &self.list
     }
 
+    /// The revision and the digest of the list in use.
+    pub fn stamp(&self) -> Stamp {
+        self.stamp
+    }
+
     /// Takes a list of hosts if it is newer. Returns whether it was.
     pub fn set_list(&mut self, list: List, now: Instant) -> bool {
-        if list.stamp() <= self.list.stamp() && !self.list.hosts.is_empty() {
+        let stamp = list.stamp();
+        if stamp <= self.stamp {
             return false;
         }
         for entry in self.list.hosts.iter().chain(&list.hosts) {
@@ -97,6 +141,7 @@
         };
         self.entitled &= self.listed_since.is_some();
         self.list = list;
+        self.stamp = stamp;
         true
     }
 
@@ -127,11 +172,20 @@
 
     fn confirmed_by_all(&self) -> bool {
         self.list.hosts.iter().filter(|entry| entry.host != self.me.host).all(|entry| {
-            let peer = self.peers.get(&entry.host);
-            peer.is_some_and(|peer| peer.echoed.is_some() && peer.lists_me)
+            self.peers.get(&entry.host).is_some_and(|peer| {
+                // Another list may have had this host on it before it was removed and came back.
+                let lists_me = peer.lists_me && peer.list >= self.stamp;
+                lists_me && peer.answered.is_some_and(|at| at >= self.started)
+            })
         })
     }
 
+    /// Has the right to vote earned anew, as if the process had started now.
+    pub fn restart_guard(&mut self, now: Instant) {
+        self.entitled = false;
+        self.started = now;
+    }
+
     /// Whether a datagram from `address` may come from a daemon of the cell.
     pub fn knows_address(&self, address: IpAddr) -> bool {
         self.list.hosts.iter().any(|entry| entry.peer_address.ip() == address)
@@ -139,6 +193,35 @@
             || self.peers.values().any(|peer| peer.identity.peer_address.ip() == address)
     }
 
+    /// Whether this process has run long enough to know every host that was listed lately.
+    pub fn is_seasoned(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.started) >= self.guard
+    }
+
+    /// The number of hosts among which votes count, or `None` while it is not known.
+    ///
+    /// A process that has just started does not know which hosts were listed before. It learns
+    /// their number from a peer that does. Without such a peer it waits, unless every listed host
+    /// answers and none knows more, as when the whole fleet starts.
+    pub fn voters(&self, electorate: &Electorate, now: Instant) -> Option<u32> {
+        let own = electorate.len() as u32;
+        let told = self.recent(now).map(|peer| peer.voters).max().unwrap_or(0);
+        let known = told > 0 || self.is_seasoned(now) || self.confirmed_by_all();
+        known.then_some(own.max(told))
+    }
+
+    /// Whether a peer uses a newer list of hosts.
+    pub fn is_list_stale(&self, now: Instant) -> bool {
+        let own = self.stamp;
+        self.recent(now).any(|peer| peer.list > own)
+    }
+
+    /// The peers whose votes may still count.
+    fn recent(&self, now: Instant) -> impl Iterator<Item = &Peer> {
+        let lease = self.lease;
+        self.peers.values().filter(move |peer| now.saturating_duration_since(peer.heard) <= lease)
+    }
+
     /// Adds a daemon that has introduced itself over TCP. Returns whether there was room.
     pub fn introduce(&mut self, identity: &Identity, now: Instant) -> bool {
         let known = self.peers.get(&identity.host);
@@ -153,28 +236,34 @@
     }
 
     /// Takes a heartbeat in. Returns whether it was new, so that its votes may be counted.
-    pub fn heard(&mut self, heartbeat: &Heartbeat, now: Instant) -> bool {
+    ///
+    /// `answered` is the sending time of the own heartbeat that it answers.
+    pub fn heard(
+        &mut self,
+        heartbeat: &Heartbeat,
+        answered: Option<Instant>,
+        now: Instant,
+    ) -> bool {
         if heartbeat.host == self.me.host || !self.make_room(&heartbeat.host, now) {
             return false;
         }
-        let uptime = Duration::from_millis(heartbeat.uptime_ms);
-        let mut start = now.checked_sub(uptime);
-        let mut echoed = self.echo_of_me(heartbeat.echo);
+        let mut start = answered.and_then(|at| Start::new(at, heartbeat.uptime_ms, now));
+        let mut answered = answered;
         if let Some(peer) = self.peers.get(&heartbeat.host) {
             let old = (peer.identity.incarnation, peer.sequence);
             if (heartbeat.incarnation, heartbeat.sequence) <= old {
                 return false;
             }
             if peer.identity.incarnation == heartbeat.incarnation {
-                start = start.min(peer.start).or(start);
-                echoed = echoed.max(peer.echoed);
+                start = Start::best(peer.start, start, now);
+                answered = answered.max(peer.answered);
             }
         }
         let peer = Peer {
             identity: heartbeat.identity(),
             heard: now,
             sequence: heartbeat.sequence,
-            echoed,
+            answered,
             lists_me: heartbeat.lists_recipient,
             leaving: heartbeat.leaving,
             platform: heartbeat.platform,
@@ -183,16 +272,13 @@
             orders: heartbeat.orders,
             list: heartbeat.list,
             notices: heartbeat.notices,
+            voters: heartbeat.voters,
             start,
         };
         self.peers.insert(heartbeat.host.clone(), peer);
         true
     }
 
-    fn echo_of_me(&self, echo: Option<Echo>) -> Option<Sequence> {
-        echo.filter(|echo| echo.incarnation == self.me.incarnation).map(|echo| echo.sequence)
-    }
-
     /// Makes room for one more peer, by forgetting one that is long gone and not listed.
     fn make_room(&mut self, host: &name::Host, now: Instant) -> bool {
         if self.peers.contains_key(host) || self.peers.len() < 2 * MAX_CELL_HOSTS {
@@ -277,7 +363,7 @@
             identity,
             heard: now,
             sequence: Sequence(0),
-            echoed: None,
+            answered: None,
             lists_me: false,
             leaving: false,
             platform: false,
@@ -286,6 +372,7 @@
             orders: Stamp::NONE,
             list: Stamp::NONE,
             notices: 0,
+            voters: 0,
             start: None,
         }
     }
@@ -297,8 +384,8 @@
         heard.then_some(Echo { incarnation, sequence: self.sequence })
     }
 
-    /// The start of its process on the own clock, at the latest.
-    pub fn start(&self) -> Option<Instant> {
-        self.start
+    /// The time on the own clock before which its process had not started.
+    pub fn start(&self, now: Instant) -> Option<Instant> {
+        self.start.map(|start| start.aged(now).bound)
     }
 }
--- a/crates/peer/src/node.rs
+++ b/crates/peer/src/node.rs
@@ -38,7 +38,8 @@
 };
 
 pub use builder::Builder;
-pub use permit::Stale;
+
+pub use crate::core::Stale;
 
 use crate::{
     core::{Core, Stamps},
--- a/crates/peer/src/node/permit.rs
+++ b/crates/peer/src/node/permit.rs
@@ -10,11 +10,11 @@
     decision::{Reason, Refusal},
     permit::{self, Permit, Release},
 };
-use serde::{Deserialize, Serialize};
 use tokio::{sync::watch::Receiver, time};
 
 use super::{Node, Shared};
 use crate::{
+    core::Stale,
     identity::Process,
     message::{Ask, Event, Petition, Verdict},
     rank::Key,
@@ -29,37 +29,6 @@
 /// The time after which a refused request may come back when no scheduler can be asked.
 const RETRY_AFTER_MS: u64 = 500;
 
-/// Why a permit may not be used any more. The request did not run.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    Hash,
-    Serialize,
-    Deserialize,
-    derive_more::Display,
-    derive_more::Error,
-)]
-pub enum Stale {
-    /// The process was stopped and its view is not fresh yet.
-    #[display("the process was stopped")]
-    Paused,
-    /// The time within which the permit must be used has passed.
-    #[display("the permit has expired")]
-    Expired,
-    /// The vote for the scheduler that granted it has ended.
-    #[display("the vote has ended")]
-    VoteEnded,
-    /// The availability zone of the backend server is out of service.
-    #[display("the availability zone is out of service")]
-    ZoneOut,
-    /// The document in force does not have the backend server at this address any more.
-    #[display("the backend server was removed")]
-    Removed,
-}
-
 /// Closes a request's number when the wait for its permit ends without one.
 struct Open<'a> {
     shared: &'a Shared,
@@ -205,17 +174,9 @@
         if paused {
             return Err(Stale::Paused);
         }
-        let now = self.now();
         let standings = self.standings.load();
-        let standing = standings
-            .get(&Key::group(&permit.group))
-            .filter(|s| s.scheduler.incarnation == permit.id.scheduler && now < s.until)
-            .ok_or(Stale::VoteEnded)?;
-        let start = standing.start.ok_or(Stale::VoteEnded)?;
-        let uptime_ms = now.saturating_duration_since(start).as_millis() as u64;
-        if uptime_ms.saturating_sub(permit.granted_at_ms) > permit.use_within_ms {
-            return Err(Stale::Expired);
-        }
+        let standing = standings.get(&Key::group(&permit.group)).ok_or(Stale::VoteEnded)?;
+        standing.check(permit, self.now())?;
         self.in_service(permit)
     }
 
--- a/crates/peer/src/rank.rs
+++ b/crates/peer/src/rank.rs
@@ -1,6 +1,6 @@
 //! Rendezvous hashing: which host is first for a key, the same on every daemon.
 
-use hyssop_document::{digest::Digest, group::Group, name};
+use hyssop_document::{group::Group, name};
 use serde::{Deserialize, Serialize};
 
 /// What hosts are ranked for: a group, or the coordinator of orders.
@@ -23,23 +23,24 @@
 impl Key {
     /// The key of a group.
     pub fn group(group: &Group) -> Self {
-        Self(Digest::of(group.to_string().as_bytes()).short())
+        let index = hash(group.pool.as_str().as_bytes()) ^ u64::from(group.index);
+        Self(mix(index))
     }
 
     /// The key of the host that decides between racing orders.
     pub fn coordinator() -> Self {
-        Self(Digest::of(b"coordinator of orders").short())
+        Self(hash(b"coordinator of orders"))
     }
 
     /// The key of the hosts that watch the platform.
     pub fn reader() -> Self {
-        Self(Digest::of(b"readers of the platform").short())
+        Self(hash(b"readers of the platform"))
     }
 }
 
 /// The weight of a host for a key. The highest weight is first.
 pub fn weight(key: Key, host: &name::Host) -> u64 {
-    mix(key.0 ^ mix(Digest::of(host.as_str().as_bytes()).short()))
+    mix(key.0 ^ hash(host.as_str().as_bytes()))
 }
 
 /// The first of `hosts` for `key`.
@@ -50,6 +51,12 @@
     hosts.into_iter().max_by_key(|host| (weight(key, host), *host))
 }
 
+/// A hash that is the same on every daemon (64-bit FNV-1a, with its bits spread).
+fn hash(bytes: &[u8]) -> u64 {
+    let fold = |sum: u64, byte: &u8| (sum ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3);
+    mix(bytes.iter().fold(0xcbf2_9ce4_8422_2325, fold))
+}
+
 /// Spreads the bits of a number (the finalizer of splitmix64).
 fn mix(number: u64) -> u64 {
     let number = (number ^ (number >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
--- a/crates/peer/src/vote.rs
+++ b/crates/peer/src/vote.rs
@@ -41,6 +41,3 @@
     derive_more::Display,
 )]
 pub struct Sequence(pub u64);
-
-#[cfg(test)]
-mod tests;
--- a/crates/peer/src/vote/tally.rs
+++ b/crates/peer/src/vote/tally.rs
@@ -10,7 +10,6 @@
     name,
     number::Incarnation,
 };
-use hyssop_policy::share::Share;
 
 use super::{Sequence, Vote};
 use crate::{identity::Process, rank::Key, timing::Timing};
@@ -100,7 +99,8 @@
         true
     }
 
-    fn sent_at(&self, sequence: Sequence) -> Option<Instant> {
+    /// The time at which the own heartbeat `sequence` was sent, if a vote may still count from it.
+    pub fn sent_at(&self, sequence: Sequence) -> Option<Instant> {
         let index = self.sent.binary_search_by_key(&sequence, |(sent, _)| *sent).ok()?;
         Some(self.sent[index].1)
     }
@@ -124,37 +124,25 @@
         }
     }
 
-    /// The share that the votes for `key` give now.
+    /// The number of votes for `key` that count now.
     ///
     /// A vote counts once its voter has reported and every load report was asked for, at
     /// `observed`, long enough after the vote came: what another scheduler granted before the vote
-    /// moved is then seen. If every host votes here, the voters' reports alone show everything.
-    pub fn share(
-        &self,
-        key: Key,
-        electorate: &Electorate,
-        observed: Option<Instant>,
-        now: Instant,
-    ) -> Share {
-        let hosts = electorate.len() as u32;
-        let reported = self.held(key, electorate, now).filter(|held| held.reported).count() as u32;
-        match reported == hosts {
-            true => Share { votes: hosts, hosts },
-            false => self.settled(key, electorate, observed, now),
-        }
-    }
-
-    /// The share that the settled votes for `key` give now. See [`Tally::share`].
+    /// moved is then seen.
     pub fn settled(
         &self,
         key: Key,
         electorate: &Electorate,
         observed: Option<Instant>,
         now: Instant,
-    ) -> Share {
+    ) -> u32 {
         let reported = self.held(key, electorate, now).filter(|held| held.reported);
-        let settled = reported.filter(|held| held.settled(self.settle, observed));
-        Share { votes: settled.count() as u32, hosts: electorate.len() as u32 }
+        reported.filter(|held| held.settled(self.settle, observed)).count() as u32
+    }
+
+    /// The number of votes for `key` whose voters have reported.
+    pub fn reports(&self, key: Key, electorate: &Electorate, now: Instant) -> u32 {
+        self.held(key, electorate, now).filter(|held| held.reported).count() as u32
     }
 
     /// The number of votes for `key`, whether they count yet or not.
@@ -172,7 +160,7 @@
         key: Key,
         electorate: &'a Electorate,
         now: Instant,
-    ) -> impl Iterator<Item = &'a Held> + Clone {
+    ) -> impl Iterator<Item = &'a Held> {
         self.voters
             .iter()
             .filter(|(host, _)| electorate.contains(*host))
--- a/crates/peer/src/vote/tests.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Properties of votes.
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -86,6 +86,9 @@
     pub orders: Stamp,
     /// The list of hosts in use.
     pub list: Stamp,
+    /// The number of hosts that were listed within the guard window, 0 if the sender has not run as
+    /// long.
+    pub voters: u32,
     /// A digest over the notices, by which a difference is seen.
     pub notices: u64,
     /// All votes for the recipient. One that is missing was withdrawn.
