Cut the links that a partition test means to cut

Cause: with links each daemon had a list of hosts of its own revision, and daemons pass the newest list on. So all used the list made for the last daemon, traffic went through links of other pairs, and the partition was cut in one direction only. Ruled out: a fault of votes or shares; both halves held 2 of 4 votes. Change: the stand-in publishes several values under one revision; a list of hosts has no digest, since the platform numbers its writes and a revision has one content; daemons know all peers from their settings.

--- a/crates/fakes/src/cluster.rs
+++ b/crates/fakes/src/cluster.rs
@@ -445,17 +445,21 @@
 
     /// Publishes the document under each daemon's prefix.
     async fn publish_document(&self) -> Result<()> {
-        for index in self.readers() {
-            let path = format!("kv/{}/document", self.prefix(index));
-            let (_, control) = self.shape.network.platform();
-            client::put(control, &format!("/control/{path}"), self.shape.bytes()).await?;
-        }
-        Ok(())
+        let document = String::from_utf8(self.shape.bytes())?;
+        self.publish("document", |_| document.clone()).await
+    }
+
+    /// Publishes a value under each daemon's prefix, all with one revision.
+    async fn publish(&self, key: &str, value: impl Fn(usize) -> String) -> Result<()> {
+        let values =
+            self.readers().map(|index| (format!("{}/{key}", self.prefix(index)), value(index)));
+        let values: Map<_, _> = values.collect();
+        self.platform_fault("kv", &serde_json::to_string(&values)?).await
     }
 
     /// Publishes the list of hosts, for each daemon with the addresses by which it reaches others.
     async fn publish_hosts(&self) -> Result<()> {
-        for index in self.readers() {
+        self.publish("hosts", |index| {
             let hosts = self.listed.iter().map(|&other| {
                 json!({
                     "host": shape::host(other),
@@ -464,11 +468,15 @@
                     "state": if self.leaving.contains(&other) { "leaving" } else { "live" },
                 })
             });
-            let list = json!({"hosts": hosts.collect::<Vec<_>>()});
-            let path = format!("kv/{}/hosts", self.prefix(index));
-            self.platform_fault(&path, &list.to_string()).await?;
-        }
-        Ok(())
+            json!({"hosts": hosts.collect::<Vec<_>>()}).to_string()
+        })
+        .await
+    }
+
+    /// The addresses of the other daemons, as a daemon's settings name them.
+    fn peers(&self, index: usize) -> Vec<SocketAddr> {
+        let others = (0..self.settings.daemons).filter(|&other| other != index);
+        others.map(|other| self.peer(index, other)).collect()
     }
 
     fn zone(&self, index: usize) -> name::Zone {
@@ -510,6 +518,7 @@
             "operator_address": addresses.operator,
             "platform_address": self.shape.network.platform().0,
             "platform_prefix": self.prefix(index),
+            "peers": self.peers(index),
             "operator_keys_sha256": [Digest::of(OPERATOR_KEY.as_bytes())],
             "log_level": self.settings.log_level,
             "addresses_lifetime_ms": self.settings.lifetime_ms,
--- a/crates/fakes/src/platform.rs
+++ b/crates/fakes/src/platform.rs
@@ -3,6 +3,7 @@
 //! The control listener sets values and faults:
 //!
 //! - `PUT /control/kv/KEY`: publishes the body under the key, with the next revision.
+//! - `PUT /control/kv`: publishes an object of keys and texts, all with the next revision.
 //! - `PUT /control/limit`: calls a second, as a number.
 //! - `PUT /control/outage`: `none`, `error` (500) or `hang`.
 //! - `PUT /control/stale`: a revision up to which values are served, or `none`.
@@ -147,7 +148,7 @@
 
     /// Publishes a value and returns its revision.
     pub fn publish(&self, key: &str, value: impl Into<Bytes>) -> u64 {
-        self.shared.publish(key, value.into())
+        self.shared.publish(std::iter::once((key.to_owned(), value.into())))
     }
 
     /// Sets the kind of outage.
@@ -172,12 +173,15 @@
         self.changed.send_modify(|changes| *changes += 1);
     }
 
-    fn publish(&self, key: &str, value: Bytes) -> u64 {
+    /// Publishes values under one new revision.
+    fn publish(&self, values: impl Iterator<Item = (String, Bytes)>) -> u64 {
         let mut index = 0;
         self.change(|state| {
             state.index += 1;
             index = state.index;
-            state.values.entry(key.to_owned()).or_default().push(Version { index, value });
+            for (key, value) in values {
+                state.values.entry(key).or_default().push(Version { index, value });
+            }
         });
         index
     }
@@ -306,7 +310,15 @@
             };
             let body = body.to_bytes();
             if let Some(key) = path.strip_prefix("/control/kv/") {
-                return listener::json(&self.0.publish(key, body));
+                let value = std::iter::once((key.to_owned(), body));
+                return listener::json(&self.0.publish(value));
+            }
+            if path == "/control/kv" {
+                let Ok(values) = serde_json::from_slice::<Map<String, String>>(&body) else {
+                    return listener::text(StatusCode::BAD_REQUEST, "body");
+                };
+                let values = values.into_iter().map(|(key, value)| (key, Bytes::from(value)));
+                return listener::json(&self.0.publish(values));
             }
             let text = String::from_utf8_lossy(&body);
             match path.as_str() {
--- a/crates/fakes/tests/membership.rs
+++ b/crates/fakes/tests/membership.rs
@@ -126,7 +126,7 @@
     let mut cluster = builder(3).start().await.unwrap();
     cluster.change(|document| document.pools[0].warm_limit = 7).await.unwrap();
     in_force(&cluster, 2).await;
-    cluster.platform_fault("stale", "1").await.unwrap();
+    cluster.platform_fault("stale", "2").await.unwrap();
     let outcomes = under_load(&mut cluster, &source(5, secs(6.0)), async |cluster| {
         sleep(secs(1.0)).await;
         cluster.daemons[1].kill();
--- a/crates/fakes/tests/support/mod.rs
+++ b/crates/fakes/tests/support/mod.rs
@@ -1,6 +1,6 @@
 //! What the failure tests of whole deployments share.
 
-#![allow(dead_code, reason = "each test binary uses a part")]
+#![allow(dead_code, unreachable_pub, missing_docs, reason = "each test binary uses a part")]
 
 use std::{
     collections::BTreeMap,
--- a/crates/peer/src/hosts.rs
+++ b/crates/peer/src/hosts.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use compact_str::CompactString;
-use hyssop_document::{collections::Set, digest::Digest, name, number::Revision};
+use hyssop_document::{collections::Set, name, number::Revision};
 use serde::{Deserialize, Serialize};
 
 use crate::{timing::MAX_CELL_HOSTS, wire::Stamp};
@@ -44,10 +44,12 @@
 }
 
 impl List {
-    /// The revision and the digest of the content.
+    /// The revision, without a digest.
+    ///
+    /// The platform numbers its writes, so that a revision has one content. Daemons may reach a host
+    /// at different addresses, so that their lists of one revision need not be the same bytes.
     pub fn stamp(&self) -> Stamp {
-        let bytes = serde_json::to_vec(self).expect("a list is serializable");
-        Stamp { revision: self.revision, digest: Digest::of(&bytes) }
+        Stamp { revision: self.revision, ..Stamp::NONE }
     }
 
     /// Whether a host is on the list.
