Record times in sparse buckets, and filter histograms

Histogram::record_ms puts a time into one of 32 buckets for each power of two; only buckets with times take memory, unlike a histogram of fixed size for each class and workspace. GET /v1/histograms takes class and workspace, because the answer for 28,000 workspaces would be far above what a person or a tool can use. form_urlencoded reads and writes the query.

--- a/crates/ctl/src/command/fleet.rs
+++ b/crates/ctl/src/command/fleet.rs
@@ -3,7 +3,7 @@
 use std::io::Write;
 
 use hyssop_document::{catalog::Catalog, number::Revision, order};
-use hyssop_operator::{client::Client, outcome, quarantine::Fingerprint};
+use hyssop_operator::{client::Client, histogram::Filter, outcome, quarantine::Fingerprint};
 
 use super::write_json;
 use crate::{
@@ -95,12 +95,8 @@
     }
 
     async fn histograms(&mut self, which: &arguments::Histograms) -> Result<Exit, Error> {
-        let mut report = self.client.histograms().await?;
-        report.rows.retain(|row| {
-            let class = which.class.as_ref().is_none_or(|class| row.class == *class);
-            let workspace = which.workspace.is_none() || row.workspace == which.workspace;
-            class && workspace
-        });
+        let filter = Filter { class: which.class.clone(), workspace: which.workspace.clone() };
+        let report = self.client.histograms(&filter).await?;
         if self.json {
             write_json(&report, self.out)?;
         } else {
--- a/crates/operator/src/client.rs
+++ b/crates/operator/src/client.rs
@@ -140,13 +140,13 @@
         self.get("/v1/orders").await
     }
 
-    /// The histograms of the fleet.
+    /// The histograms of the fleet that a filter lets through.
     ///
     /// # Errors
     ///
     /// Fails if no server answers properly.
-    pub async fn histograms(&self) -> Result<histogram::Report, Error> {
-        self.get("/v1/histograms").await
+    pub async fn histograms(&self, filter: &histogram::Filter) -> Result<histogram::Report, Error> {
+        self.get(&format!("/v1/histograms?{filter}")).await
     }
 
     /// The quarantined requests.
--- a/crates/operator/src/histogram.rs
+++ b/crates/operator/src/histogram.rs
@@ -1,8 +1,15 @@
 //! Histograms by class and workspace.
 
+use std::{fmt, str::FromStr};
+
+use compact_str::CompactString;
 use hyssop_document::name;
 use serde::{Deserialize, Serialize};
 
+/// The longest time that is told apart, in milliseconds.
+const MAX_TIME_MS: u64 = 24 * 60 * 60 * 1000;
+const SUB_BUCKET_BITS: u32 = 5;
+
 /// The histograms that a daemon could gather from the fleet.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
@@ -38,6 +45,79 @@
     }
 }
 
+/// Which rows of a report are wanted.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Filter {
+    /// Only rows of this class.
+    pub class: Option<name::Class>,
+    /// Only rows of this workspace.
+    pub workspace: Option<name::Workspace>,
+}
+
+/// A query that is no filter.
+#[derive(Debug, Clone, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+pub enum FilterError {
+    /// The query has a parameter that is unknown.
+    #[display("the parameter {_0:?} is unknown, known are class and workspace")]
+    Unknown(#[error(not(source))] CompactString),
+    /// A parameter has a value that is no name.
+    #[display("{parameter}: {error}")]
+    Name {
+        /// The parameter.
+        parameter: &'static str,
+        /// What is wrong with its value.
+        #[error(source)]
+        error: name::Error,
+    },
+}
+
+impl FromStr for Filter {
+    type Err = FilterError;
+
+    fn from_str(query: &str) -> Result<Self, FilterError> {
+        let mut filter = Self::default();
+        for (parameter, value) in form_urlencoded::parse(query.as_bytes()) {
+            match &*parameter {
+                "class" => filter.class = Some(parse("class", &value)?),
+                "workspace" => filter.workspace = Some(parse("workspace", &value)?),
+                other => return Err(FilterError::Unknown(other.into())),
+            }
+        }
+        Ok(filter)
+    }
+}
+
+fn parse<T: FromStr<Err = name::Error>>(
+    parameter: &'static str,
+    value: &str,
+) -> Result<T, FilterError> {
+    value.parse().map_err(|error| FilterError::Name { parameter, error })
+}
+
+impl fmt::Display for Filter {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut query = form_urlencoded::Serializer::new(String::new());
+        if let Some(class) = &self.class {
+            query.append_pair("class", class.as_str());
+        }
+        if let Some(workspace) = &self.workspace {
+            query.append_pair("workspace", workspace.as_str());
+        }
+        f.write_str(&query.finish())
+    }
+}
+
+impl Filter {
+    /// Drops the rows that are not wanted.
+    pub fn apply(&self, report: &mut Report) {
+        report.rows.retain(|row| {
+            let class = self.class.as_ref().is_none_or(|class| row.class == *class);
+            let workspace = self.workspace.is_none() || row.workspace == self.workspace;
+            class && workspace
+        });
+    }
+}
+
 /// Joins rows of the same class and workspace.
 fn merge(mut rows: Vec<Row>) -> Vec<Row> {
     rows.sort_by(|a, b| (&a.class, &a.workspace).cmp(&(&b.class, &b.workspace)));
@@ -125,12 +205,17 @@
     pub fn new(buckets: impl IntoIterator<Item = (u64, u64)>) -> Self {
         let mut histogram = Self::default();
         for (up_to_ms, count) in buckets {
-            histogram.record(up_to_ms, count);
+            histogram.add_count(up_to_ms, count);
         }
         histogram
     }
 
-    fn record(&mut self, up_to_ms: u64, count: u64) {
+    /// Records a time. The bound of its bucket is above it by at most one part in 32.
+    pub fn record_ms(&mut self, time_ms: u64) {
+        self.add_count(bound_ms(time_ms), 1);
+    }
+
+    fn add_count(&mut self, up_to_ms: u64, count: u64) {
         if count == 0 {
             return;
         }
@@ -143,7 +228,7 @@
     /// Adds the counts of another histogram.
     pub fn add(&mut self, other: &Self) {
         for bucket in &other.buckets {
-            self.record(bucket.up_to_ms, bucket.count);
+            self.add_count(bucket.up_to_ms, bucket.count);
         }
     }
 
@@ -167,3 +252,13 @@
         None
     }
 }
+
+/// The bound of the bucket that a time falls into.
+///
+/// Each power of two is divided into 32 buckets, and times up to 64 ms have buckets of their own.
+fn bound_ms(time_ms: u64) -> u64 {
+    let time_ms = time_ms.clamp(1, MAX_TIME_MS);
+    let magnitude = (time_ms - 1).checked_ilog2().unwrap_or(0);
+    let width = 1 << magnitude.saturating_sub(SUB_BUCKET_BITS);
+    time_ms.next_multiple_of(width)
+}
--- a/crates/operator/src/server/route.rs
+++ b/crates/operator/src/server/route.rs
@@ -21,6 +21,7 @@
     check,
     desk::Desk,
     error::{Error, Kind},
+    histogram::Filter,
     outcome,
 };
 
@@ -63,7 +64,7 @@
             "/v1/status" if read => Ok(json(StatusCode::OK, &self.desk.status().await)),
             "/v1/orders" if read => Ok(json(StatusCode::OK, &self.desk.orders().await)),
             "/v1/orders" if posted => self.order(request).await,
-            "/v1/histograms" if read => Ok(json(StatusCode::OK, &self.desk.histograms().await)),
+            "/v1/histograms" if read => self.histograms(request.uri().query()).await,
             "/v1/quarantine" if read => Ok(json(StatusCode::OK, &self.desk.quarantine().await)),
             "/v1/document" if read => self.document().await,
             "/v1/document/check" if posted => self.check(request).await,
@@ -132,6 +133,16 @@
         Some(outcome::UnknownTarget { target: order.target.clone(), message: message.into() })
     }
 
+    async fn histograms(&self, query: Option<&str>) -> Result<Reply, Error> {
+        let filter: Filter = query
+            .unwrap_or_default()
+            .parse()
+            .map_err(|error| Error::new(Kind::BadRequest, format!("{error}")))?;
+        let mut report = self.desk.histograms().await;
+        filter.apply(&mut report);
+        Ok(json(StatusCode::OK, &report))
+    }
+
     async fn document(&self) -> Result<Reply, Error> {
         let catalog = self.desk.document().await;
         let none = || Error::new(Kind::NotFound, "no document is in force");
--- a/crates/operator/tests/clients.rs
+++ b/crates/operator/tests/clients.rs
@@ -9,6 +9,7 @@
 use hyssop_document::{name, number::Revision, order::Target};
 use hyssop_operator::{
     client::{Client, Error},
+    histogram::Filter,
     outcome,
     quarantine::Fingerprint,
 };
@@ -26,7 +27,10 @@
     assert!(fleet.partial);
     assert_eq!(fleet.schedulers().count(), 1);
     assert_eq!(client.orders().await.unwrap().revision, Revision(4));
-    assert_eq!(client.histograms().await.unwrap().rows[0].answered, 6);
+    assert_eq!(client.histograms(&Filter::default()).await.unwrap().rows[0].answered, 6);
+    let class = Some(name::Class::new("others/draft"));
+    let none = Filter { class, workspace: Some(name::Workspace::new("builders")) };
+    assert!(client.histograms(&none).await.unwrap().rows.is_empty());
     assert_eq!(client.quarantine().await.unwrap().entries.len(), 1);
     assert!(client.release(Fingerprint(0xfeed)).await.unwrap().released);
     assert!(!client.release(Fingerprint(1)).await.unwrap().released);
--- a/crates/operator/tests/paths.rs
+++ b/crates/operator/tests/paths.rs
@@ -134,6 +134,12 @@
     check(&server, ("POST", "/v1/orders", no_name), &expect![[r#"
         HTTP/1.1 400 Bad Request
         {"error":"bad_request","message":"no order: a name contains ' ', only letters, digits, '.', '_', '-' and '/' are allowed at line 1 column 30"}"#]]).await;
+    check(&server, ("GET", "/v1/histograms?clas=desk", ""), &expect![[r#"
+        HTTP/1.1 400 Bad Request
+        {"error":"bad_request","message":"the parameter \"clas\" is unknown, known are class and workspace"}"#]]).await;
+    check(&server, ("GET", "/v1/histograms?class=a%20b", ""), &expect![[r#"
+        HTTP/1.1 400 Bad Request
+        {"error":"bad_request","message":"class: a name contains ' ', only letters, digits, '.', '_', '-' and '/' are allowed"}"#]]).await;
     let large = " ".repeat(5000);
     check(
         &server,
