Tell a forgotten attempt from a crashed engine

An engine that notices a broken connection later than the home answers 404 to the resumption, and so the request was blamed for a crash that did not happen (seen failing). A 404 is now tried again after 50 ms, and a crash is concluded only from a refused connection or from another incarnation than that of the permit.

--- a/crates/caller/src/backends.rs
+++ b/crates/caller/src/backends.rs
@@ -140,4 +140,11 @@
 pub trait Backends: Send + Sync {
     /// Opens a connection without sending anything.
     fn connect(&self, target: Target) -> BoxFuture<'_, Result<Box<dyn Connection>, Failure>>;
+
+    /// Asks a backend server for its incarnation, by which a quick restart is told from a broken
+    /// connection.
+    fn incarnation(&self, address: SocketAddr) -> BoxFuture<'_, Option<u64>> {
+        let _ = address;
+        Box::pin(async { None })
+    }
 }
--- a/crates/caller/src/home/run/exchange.rs
+++ b/crates/caller/src/home/run/exchange.rs
@@ -1,6 +1,6 @@
 //! The exchange of one attempt with a backend server, resumed where its connection broke.
 
-use std::sync::atomic::Ordering;
+use std::{sync::atomic::Ordering, time::Duration};
 
 use compact_str::format_compact;
 use hyssop_document::model::Kind;
@@ -17,6 +17,19 @@
 const NOT_FOUND: u16 = 404;
 const GONE: u16 = 410;
 
+/// The time until a forgotten or broken attempt is resumed once more.
+const RESUME_PAUSE: Duration = Duration::from_millis(50);
+
+/// What became of the backend server of a broken attempt.
+enum Reconnected {
+    /// It goes on.
+    Open(Box<dyn Connection>),
+    /// It died.
+    Died,
+    /// It cannot be reached, which may have any cause.
+    Unreachable,
+}
+
 /// How far the answer to an attempt has come.
 #[derive(Debug, Default)]
 struct Position {
@@ -40,30 +53,26 @@
         let mut resumptions = 0;
         loop {
             let attempt = self.build(position.number);
-            let resumed = resumptions > 0;
             let failure = match self.pass(held, connection, attempt, &mut position).await {
                 Ok(()) => return Ok(()),
                 Err(Fault::Failed(failure)) => failure,
                 Err(fault) => return Err(fault),
             };
-            if resumed && is_forgotten(&failure) {
-                return Err(Fault::Crashed { failure, solo });
-            }
-            if !is_broken(&failure) {
+            let forgotten = resumptions > 0 && is_forgotten(&failure);
+            if !(is_broken(&failure) || forgotten) {
                 return Err(Fault::Failed(failure));
             }
-            // A host on which nothing listens any more tells a crash from a broken connection.
-            let target = Target { address: held.permit.address, fresh: true };
-            let connected = self.shared.backends.connect(target).await;
-            connection = match connected {
-                Ok(connection) => connection,
-                Err(Failure { kind: FailureKind::Connect { refused: true }, .. }) => {
-                    return Err(Fault::Crashed { failure, solo });
-                }
-                Err(_) => return Err(Fault::Failed(failure)),
+            if resumptions > 0 {
+                // An engine may notice later than this home that the connection broke.
+                tokio::time::sleep(RESUME_PAUSE).await;
+            }
+            connection = match self.reconnect(held).await {
+                Reconnected::Open(connection) => connection,
+                Reconnected::Died => return Err(Fault::Crashed { failure, solo }),
+                Reconnected::Unreachable => return Err(Fault::Failed(broken(failure))),
             };
             if resumptions >= self.shared.limits.resumptions || !self.may_resume(&position) {
-                return Err(Fault::Failed(failure));
+                return Err(Fault::Failed(broken(failure)));
             }
             resumptions += 1;
             position.number.get_or_insert(0);
@@ -72,6 +81,28 @@
         }
     }
 
+    /// Connects again to the backend server of a broken attempt.
+    ///
+    /// A host on which nothing listens any more, or another incarnation than that of the permit,
+    /// tells a crash from a broken connection.
+    async fn reconnect(&self, held: &Held) -> Reconnected {
+        let address = held.permit.address;
+        let target = Target { address, fresh: true };
+        let connection = match self.shared.backends.connect(target).await {
+            Ok(connection) => connection,
+            Err(Failure { kind: FailureKind::Connect { refused: true }, .. }) => {
+                return Reconnected::Died;
+            }
+            Err(_) => return Reconnected::Unreachable,
+        };
+        let before = held.permit.backend_incarnation;
+        let now = self.shared.backends.incarnation(address).await;
+        if before != 0 && now.is_some_and(|now| now != before) {
+            return Reconnected::Died;
+        }
+        Reconnected::Open(connection)
+    }
+
     /// Only an engine resumes an answer, and only an idempotent request is put at the risk that it
     /// takes the resumption for a new request.
     fn may_resume(&self, position: &Position) -> bool {
@@ -187,7 +218,12 @@
     matches!(failure.kind, FailureKind::Broken)
 }
 
-/// Whether the engine does not know the attempt that is resumed, since it has started anew.
+/// An attempt that the engine has forgotten is broken like any other.
+fn broken(failure: Failure) -> Failure {
+    Failure { kind: FailureKind::Broken, ran: Ran::MayHaveRun, ..failure }
+}
+
+/// Whether the engine does not know the attempt that is resumed.
 fn is_forgotten(failure: &Failure) -> bool {
     matches!(failure.kind, FailureKind::Status { code: NOT_FOUND | GONE, .. })
 }
--- a/crates/caller/tests/bench/engine.rs
+++ b/crates/caller/tests/bench/engine.rs
@@ -33,6 +33,9 @@
     Answer,
     /// Breaks the connection after so many tokens, and resumes.
     Break(u64),
+    /// Breaks the connection after so many tokens, and does not know the attempt when it is
+    /// resumed.
+    Forget(u64),
     /// Breaks the connection after so many tokens, and does not accept a resumption.
     BreakForGood(u64),
     /// Dies after so many tokens.
@@ -61,6 +64,7 @@
     pub alive: watch::Sender<bool>,
     pub acts: Mutex<VecDeque<Act>>,
     pub known: Mutex<Map<CompactString, ()>>,
+    pub incarnation: AtomicU64,
 }
 
 /// The fleet.
@@ -72,6 +76,8 @@
     pub refuse_connections: AtomicBool,
     /// Whether a dead server comes back by itself when it is chosen.
     pub restart: bool,
+    /// Whether a dead server is back before anybody connects to it.
+    pub quick: bool,
     /// The places of the suspects that run, by permit.
     pub solo: Mutex<Map<Id, usize>>,
     pub solo_ended: Notify,
@@ -87,6 +93,7 @@
             alive: watch::Sender::new(true),
             acts: Mutex::default(),
             known: Mutex::default(),
+            incarnation: AtomicU64::new(1),
         };
         Self {
             servers: (0..servers).map(|_| Arc::new(server())).collect(),
@@ -95,6 +102,7 @@
             crashes: AtomicU64::new(0),
             refuse_connections: AtomicBool::new(false),
             restart: true,
+            quick: false,
             solo: Mutex::default(),
             solo_ended: Notify::new(),
         }
@@ -123,6 +131,11 @@
         Some((name(index), address))
     }
 
+    pub fn incarnation(&self, address: SocketAddr) -> u64 {
+        let server = &self.servers[usize::from(address.port() - 9000)];
+        server.incarnation.load(Ordering::SeqCst)
+    }
+
     /// Notes that a suspect runs where it was sent.
     pub fn take_solo(&self, id: Id, address: SocketAddr) {
         self.solo.lock().insert(id, usize::from(address.port() - 9000));
@@ -138,6 +151,7 @@
         if self.servers[index].alive.send_replace(false) {
             self.crashes.fetch_add(1, Ordering::SeqCst);
             self.servers[index].known.lock().clear();
+            self.servers[index].incarnation.fetch_add(1, Ordering::SeqCst);
         }
     }
 }
@@ -191,7 +205,8 @@
             // The connection that notices the crash is refused, later ones are not.
             server.alive.send_replace(true);
         }
-        let refused = dead || self.fleet.refuse_connections.load(Ordering::SeqCst);
+        let refused =
+            dead && !self.fleet.quick || self.fleet.refuse_connections.load(Ordering::SeqCst);
         let link = Link { fleet: Arc::clone(&self.fleet), life: self.life.clone(), index };
         Box::pin(async move {
             link.life.up().await;
@@ -201,6 +216,11 @@
             Ok(Box::new(link) as Box<dyn Connection>)
         })
     }
+
+    fn incarnation(&self, address: SocketAddr) -> BoxFuture<'_, Option<u64>> {
+        let incarnation = self.fleet.incarnation(address);
+        Box::pin(async move { Some(incarnation) })
+    }
 }
 
 struct Link {
@@ -306,6 +326,10 @@
                 server.known.lock().remove(&self.attempt.id);
                 return Err(failure(FailureKind::Silent, Ran::MayHaveRun));
             }
+            Act::Forget(at) if self.number == at => {
+                self.fleet.servers[self.index].known.lock().remove(&self.attempt.id);
+                return Err(broken());
+            }
             Act::Die(at) if self.number == at => {
                 self.fleet.kill(self.index);
                 return Err(broken());
--- a/crates/caller/tests/bench/mod.rs
+++ b/crates/caller/tests/bench/mod.rs
@@ -151,7 +151,7 @@
             group: Group { pool: ask.pool.clone(), index: 0 },
             backend,
             address,
-            backend_incarnation: 1,
+            backend_incarnation: self.fleet.incarnation(address),
             limit: 8,
             granted_at_ms: 0,
             use_within_ms: 500,
--- a/crates/caller/tests/crash.rs
+++ b/crates/caller/tests/crash.rs
@@ -9,7 +9,7 @@
 
 use bench::{
     Bench, Call,
-    engine::{Fleet, expected},
+    engine::{Act, Fleet, expected},
 };
 
 /// Daemons that share the records of suspects, as notices make them do.
@@ -95,3 +95,24 @@
     }
     assert_eq!(fleet.crashes.load(Ordering::SeqCst), 3);
 }
+
+#[tokio::test(start_paused = true)]
+async fn an_engine_that_forgot_an_attempt_did_not_crash() {
+    let fleet = Fleet::new(2);
+    let daemons = daemons(&fleet, 1);
+    fleet.act(Act::Forget(4));
+    let call = Call::draft("forgotten");
+    assert_eq!(daemons[0].send(call.clone()).await.text(), expected(&call.body));
+    assert!(daemons[0].grants.asked.lock().iter().all(|ask| !ask.solo));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_quick_restart_is_a_crash() {
+    let mut fleet = Fleet::build(6);
+    fleet.quick = true;
+    let fleet = Arc::new(fleet);
+    let daemons = daemons(&fleet, 1);
+    let reply = daemons[0].send(Call::draft("poison")).await;
+    assert_eq!(reply.reason(), "quarantined");
+    assert_eq!(fleet.crashes.load(Ordering::SeqCst), 3);
+}
