Recognize a crashing request in another form, and test with processes

A request that crashed engines was taken for another one when it was sent again as an event stream: two fingerprints, six engines (seen in the process test and in a fixed case). The fingerprint now leaves out the fields that only say how the answer is delivered, and the order of fields. With it 12 copies through 3 daemons cost at most 3 of 8 engines, and 60 drafts beside them are answered. Adds histories of processes: homes killed and frozen past the callers' patience; parts late, crossed, twice, truncated and cut while engines crash.

--- a/crates/caller/src/home/run.rs
+++ b/crates/caller/src/home/run.rs
@@ -69,7 +69,7 @@
         let target = terms.class.complete();
         let wait = request.head.wait.map_or(target, |wait| wait.min(target));
         let workspace = terms.workspace.as_str();
-        let fingerprint = Fingerprint::of(workspace, &request.path(), &request.body);
+        let fingerprint = Fingerprint::of(workspace, &request.path(), &request.essence());
         Self {
             deadline: order.arrived + wait,
             fingerprint,
--- a/crates/caller/src/quarantine.rs
+++ b/crates/caller/src/quarantine.rs
@@ -2,7 +2,7 @@
 
 use hyssop_document::digest::Digest;
 
-/// The fingerprint of a request: its workspace, path and body.
+/// The fingerprint of a request: its workspace, its path and the essence of its body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, derive_more::Display)]
 #[display("{_0:016x}")]
 pub struct Fingerprint(pub u64);
--- a/crates/caller/src/request.rs
+++ b/crates/caller/src/request.rs
@@ -1,6 +1,6 @@
 //! Requests of callers, parsed from their heads and bodies.
 
-use std::time::Duration;
+use std::{borrow::Cow, collections::BTreeMap, time::Duration};
 
 use bytes::Bytes;
 use compact_str::CompactString;
@@ -11,7 +11,7 @@
 };
 use hyssop_document::{digest::Digest, model::Kind, name, number::Tokens};
 use serde::Deserialize;
-use serde_json::value::RawValue;
+use serde_json::{Value, value::RawValue};
 
 use crate::{
     key::Key,
@@ -331,6 +331,20 @@
         self.prompt.as_ref().is_some_and(|prompt| prompt.stream)
     }
 
+    /// What an engine or a plain service gets to work on: the body without what only says how the
+    /// answer shall be delivered, in one form.
+    pub fn essence(&self) -> Cow<'_, [u8]> {
+        /// The fields that have no influence on the work of an engine.
+        const DELIVERY: [&str; 5] = ["stream", "stream_options", "priority", "user", "metadata"];
+        if self.prompt.is_none() {
+            return Cow::Borrowed(&self.body);
+        }
+        let parsed: Result<BTreeMap<CompactString, Value>, _> = serde_json::from_slice(&self.body);
+        let Ok(mut fields) = parsed else { return Cow::Borrowed(&self.body) };
+        fields.retain(|name, _| !DELIVERY.contains(&name.as_str()));
+        Cow::Owned(serde_json::to_vec(&fields).expect("a JSON object is serializable"))
+    }
+
     /// The digest that tells two requests with the same key apart.
     pub fn digest(&self) -> Digest {
         let mut bytes = Vec::with_capacity(self.body.len() + 64);
--- a/crates/caller/tests/crash.rs
+++ b/crates/caller/tests/crash.rs
@@ -116,3 +116,18 @@
     assert_eq!(reply.reason(), "quarantined");
     assert_eq!(fleet.crashes.load(Ordering::SeqCst), 3);
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_request_stays_the_same_in_another_form() {
+    let fleet = Fleet::new(6);
+    let daemons = daemons(&fleet, 1);
+    let reordered = Call {
+        body: r#"{"prompt":"poison","user":"u2","stream":true, "model":"model","max_tokens":12}"#
+            .to_owned(),
+        ..Call::draft("poison")
+    };
+    for call in [Call::draft("poison"), Call::draft("poison").stream(), reordered] {
+        assert_eq!(daemons[0].send(call).await.reason(), "quarantined");
+    }
+    assert_eq!(fleet.crashes.load(Ordering::SeqCst), 3);
+}
--- /dev/null
+++ b/crates/fakes/tests/once_crash.rs
@@ -0,0 +1,116 @@
+//! Requests that crash the engines that run them, sent again and again through all daemons.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by a panic")]
+
+use std::{sync::Arc, time::Duration};
+
+use futures::future::join_all;
+use hyper::Method;
+use hyssop_document::name;
+use hyssop_fakes::{
+    cluster::{Builder, Cluster},
+    history::{self, History, Outcome},
+    load::{Answer, Ask, Caller, Request, Retry},
+    shape::{self, Shape},
+};
+use serde_json::Value;
+
+const DAEMONS: usize = 3;
+const ENGINES: usize = 8;
+const DEADLINE_MS: u64 = 10_000;
+/// The most engines that one request may cost.
+const MAX_CRASHES: u64 = 3;
+const ROUNDS: usize = 4;
+const INNOCENT: u64 = 60;
+
+fn shape() -> Shape {
+    Shape::new("crash", 2)
+        .class(shape::class("draft", 3, 5_000, DEADLINE_MS))
+        .pool(shape::model("drafting", 8), ENGINES)
+        .workspace("north", 1)
+}
+
+fn draft(number: u64, prompt: String) -> Request {
+    Request {
+        number,
+        class: name::Class::new("draft"),
+        workspace: name::Workspace::new("north"),
+        pool: name::Pool::new("drafting"),
+        idempotent: true,
+        deadline_ms: DEADLINE_MS,
+        ask: Ask::Completion { prompt, max_tokens: None, stream: number.is_multiple_of(2) },
+    }
+}
+
+/// Sends a request with a new key through one daemon.
+async fn send(
+    cluster: &Cluster,
+    history: &Arc<History>,
+    daemon: usize,
+    request: &Request,
+) -> Answer {
+    let mut seeds = cluster.callers();
+    seeds.rotate_left(daemon);
+    let workspace = name::Workspace::new("north");
+    Caller::new(workspace, seeds, history.clone(), Retry::NONE).ask(request).await
+}
+
+async fn poisonings(cluster: &Cluster) -> u64 {
+    cluster.records().await.unwrap().iter().map(|record| record.poisonings).sum()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_poisonous_request_costs_few_engines_and_the_innocent_are_answered() {
+    let builder = Builder::new(env!("CARGO_BIN_EXE_node"), shape());
+    let cluster = builder.daemons(DAEMONS).own_processes().start().await.unwrap();
+    let history = Arc::new(History::default());
+    let poison = |number| draft(number, "a poison prompt length=20".to_owned());
+
+    let innocent = (1..=INNOCENT).map(|number| {
+        let request = draft(number, format!("innocent draft {number} length=40"));
+        let (cluster, history) = (&cluster, &history);
+        async move {
+            tokio::time::sleep(Duration::from_millis(number * 20)).await;
+            send(cluster, history, number as usize % DAEMONS, &request).await
+        }
+    });
+    let resent = async {
+        let mut answers = Vec::new();
+        for round in 0..ROUNDS {
+            for daemon in 0..DAEMONS {
+                let number = 1000 + (round * DAEMONS + daemon) as u64;
+                answers.push(send(&cluster, &history, daemon, &poison(number)).await);
+            }
+        }
+        answers
+    };
+    let (innocent, resent) = tokio::join!(join_all(innocent), resent);
+
+    let logs = || cluster.logs(40);
+    for answer in &innocent {
+        assert_eq!(answer.outcome, Outcome::Answered, "{answer:?}\n{}", logs());
+    }
+    for answer in &resent {
+        assert_eq!(answer.outcome, Outcome::Failed, "{answer:?}\n{}", logs());
+        assert!(answer.reason.starts_with("quarantined ran"), "{answer:?}\n{}", logs());
+    }
+    let crashes = poisonings(&cluster).await;
+    assert!((1..=MAX_CRASHES).contains(&crashes), "{crashes} engines\n{}", logs());
+    let events: Vec<_> = history.events();
+    let violations = history::check(&events, &cluster.records().await.unwrap());
+    assert!(violations.is_empty(), "{violations:#?}");
+
+    // Operators see it on each daemon, and release it on one for all.
+    let (status, report) =
+        cluster.operate(1, Method::GET, "/v1/quarantine", &Value::Null).await.unwrap();
+    let entries = report["entries"].as_array().unwrap();
+    assert_eq!((status, entries.len()), (200, 1), "{report}");
+    let fingerprint = entries[0]["fingerprint"].as_str().unwrap();
+    let path = format!("/v1/quarantine/{fingerprint}");
+    let (status, _) = cluster.operate(2, Method::DELETE, &path, &Value::Null).await.unwrap();
+    assert_eq!(status, 200);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let before = poisonings(&cluster).await;
+    send(&cluster, &history, 0, &poison(2000)).await;
+    assert!(poisonings(&cluster).await > before, "a released request runs again");
+}
--- /dev/null
+++ b/crates/fakes/tests/once_homes.rs
@@ -0,0 +1,129 @@
+//! Histories of processes: callers that resend through other daemons while these are killed and
+//! frozen, and streams that come late, crossed, twice, truncated and cut.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by a panic")]
+
+use std::{sync::Arc, time::Duration};
+
+use hyssop_document::{model::Class, name};
+use hyssop_fakes::{
+    cluster::{Builder, Cluster},
+    history::{self, Event, History, Outcome},
+    load::{self, Mix, Retry, Source},
+    shape::{self, Shape},
+};
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
+
+const DAEMONS: usize = 4;
+const TIME: Duration = Duration::from_secs(7);
+const SETTLE: Duration = Duration::from_secs(3);
+const ENGINES: usize = 3;
+const SERVICES: usize = 2;
+const DEADLINE_MS: u64 = 4_000;
+const RETRY: Retry = Retry { tries: 5, patience: Duration::from_millis(700), after_refusal: true };
+
+fn shape() -> Shape {
+    let booking = Class { idempotent: false, ..shape::class("booking", 1, 1_000, DEADLINE_MS) };
+    Shape::new("once", 2)
+        .class(booking)
+        .class(shape::class("draft", 3, 2_000, DEADLINE_MS))
+        .pool(shape::model("drafting", 8), ENGINES)
+        .pool(shape::service("orders", 16), SERVICES)
+        .workspace("north", 1)
+        .workspace("south", 1)
+}
+
+fn mix(class: &str, pool: &str, call: bool, per_s: f64) -> Mix {
+    Mix {
+        class: name::Class::new(class),
+        pool: name::Pool::new(pool),
+        call,
+        idempotent: !call,
+        per_s,
+        burst: None,
+        tokens: (5, 30),
+        words: 10,
+        deadline_ms: DEADLINE_MS,
+    }
+}
+
+async fn start() -> Cluster {
+    let builder = Builder::new(env!("CARGO_BIN_EXE_node"), shape());
+    builder.daemons(DAEMONS).own_processes().start().await.unwrap()
+}
+
+/// Sends the load of a seed. Callers know all daemons.
+fn send(cluster: &Cluster, seed: u64) -> (Arc<History>, tokio::task::JoinHandle<()>) {
+    let history = Arc::new(History::default());
+    let mixes = [mix("booking", "orders", true, 60.0), mix("draft", "drafting", false, 15.0)];
+    let workspaces = [(name::Workspace::new("north"), 2), (name::Workspace::new("south"), 1)];
+    let source = Source::draw(seed, TIME, &mixes, &workspaces);
+    let (seeds, shared) = (cluster.callers(), history.clone());
+    let task = tokio::spawn(async move { load::run(&source, &seeds, &shared, RETRY).await });
+    (history, task)
+}
+
+/// Checks the history, and prints the outcomes by class.
+#[allow(clippy::print_stdout)]
+async fn check(cluster: &Cluster, history: &History, seed: u64, what: &str) {
+    tokio::time::sleep(SETTLE).await;
+    let events = history.events();
+    let records = cluster.records().await.unwrap();
+    let violations = history::check(&events, &records);
+    let mut counts = std::collections::BTreeMap::new();
+    let ends = events.iter().filter_map(|event| match event {
+        Event::Ended(ended) => Some(ended.outcome.to_string()),
+        Event::Sent(_) => None,
+    });
+    ends.for_each(|end| *counts.entry(end).or_insert(0) += 1);
+    let executions: usize = records.iter().map(|record| record.executions.len()).sum();
+    println!("what={what} seed={seed} tries={counts:?} executions={executions}");
+    assert!(violations.is_empty(), "{violations:#?}\n{}", cluster.logs(15));
+    assert!(counts.get(&Outcome::Answered.to_string()).is_some_and(|count| *count > 100));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn homes_are_killed_and_frozen() {
+    const SEED: u64 = 11;
+    let mut cluster = start().await;
+    let mut random = SmallRng::seed_from_u64(SEED);
+    let (history, sending) = send(&cluster, SEED);
+    for _ in 0..5 {
+        tokio::time::sleep(Duration::from_millis(random.random_range(200..600))).await;
+        let victim = random.random_range(0..DAEMONS);
+        if random.random_bool(0.5) {
+            cluster.daemons[victim].kill();
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            cluster.daemons[victim].restart().unwrap();
+        } else {
+            cluster.daemons[victim].freeze().unwrap();
+            // Longer than callers wait, so that it wakes to requests that were sent elsewhere.
+            tokio::time::sleep(Duration::from_millis(900)).await;
+            cluster.daemons[victim].thaw().unwrap();
+        }
+    }
+    sending.await.unwrap();
+    check(&cluster, &history, SEED, "killed and frozen homes").await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_come_late_crossed_twice_and_truncated_while_engines_crash() {
+    const SEED: u64 = 12;
+    let cluster = start().await;
+    let mut random = SmallRng::seed_from_u64(SEED);
+    let engine =
+        r#"{"delay":0.02,"delay_ms":300,"cross":0.05,"duplicate":0.05,"truncate":0.01,"cut":0.02}"#;
+    let service = r#"{"delay":0.1,"delay_ms":900,"crash":0.005,"cross":0.02}"#;
+    for index in 0..ENGINES + SERVICES {
+        let faults = if index < ENGINES { engine } else { service };
+        cluster.backend(index, "faults", faults).await.unwrap();
+    }
+    let (history, sending) = send(&cluster, SEED);
+    for _ in 0..5 {
+        tokio::time::sleep(Duration::from_millis(random.random_range(600..1400))).await;
+        let engine = random.random_range(0..ENGINES);
+        cluster.backend(engine, "crash", "").await.unwrap();
+    }
+    sending.await.unwrap();
+    check(&cluster, &history, SEED, "faulty answers and crashed engines").await;
+}
