Stagger the runs of suspects and look at their standing once more

A suspect's run is now put off by a random part of 300 ms (at most an eighth of the time left), and the standing is read again when the permit has come. Ruled out: counting shared crashes towards the quarantine, which would hit an innocent request that runs on many engines.

--- a/crates/caller/src/home/run.rs
+++ b/crates/caller/src/home/run.rs
@@ -29,6 +29,9 @@
     request::Request,
 };
 
+/// The longest time by which the run of a suspect is put off.
+const MAX_STAGGER: Duration = Duration::from_millis(300);
+
 /// What a run is about.
 #[derive(Debug, Clone)]
 pub(super) struct Order {
@@ -128,6 +131,10 @@
     async fn turn(&self) -> Result<Turn, Outcome> {
         let turn = self.shared.solo.turn(self.fingerprint);
         let turn = timeout(self.remaining(), turn).await;
+        // Daemons that got copies at the same time try them one after the other this way, and the
+        // later ones hear of what became of the first.
+        let stagger = MAX_STAGGER.min(self.remaining() / 8).mul_f64(rand::random());
+        tokio::time::sleep(stagger).await;
         turn.map_err(|_| self.outcome(Reason::Deadline, "the deadline passed", Some(SOON)))
     }
 
@@ -202,6 +209,9 @@
                 return self.not_connected(&held, &failure);
             }
         };
+        if let Some(step) = self.reconsider(turn.is_some()) {
+            return step;
+        }
         // From here to the first byte there is no other wait.
         if self.shared.permits.confirm(&held.permit).is_err() {
             log::info!("permit stale request={} permit={}", self.id(), held.permit.id);
@@ -212,6 +222,15 @@
         self.conclude(held, turn.is_some(), outcome)
     }
 
+    /// What follows if the request got another standing while it waited for its permit.
+    fn reconsider(&self, solo: bool) -> Option<Step> {
+        match self.standing() {
+            Err(outcome) => Some(Step::Done(End::Other(outcome))),
+            Ok(Standing::Suspect) if !solo => Some(Step::Again),
+            Ok(_) => None,
+        }
+    }
+
     fn target(&self, permit: &Permit) -> Target {
         Target { address: permit.address, fresh: !self.order.terms.class.idempotent }
     }
