--- /dev/null
+++ b/crates/peer/tests/node/failure.rs
@@ -0,0 +1,73 @@
+//! Ends of daemons: killed, leaving, cut off.
+
+use std::sync::Arc;
+
+use hyssop_document::name;
+use hyssop_peer::{Node, Verdict};
+
+use crate::support::{ask, cluster, until};
+
+/// The host that holds a whole or partial share of the group, once one does.
+async fn scheduler(nodes: &[Arc<Node>], votes: u32) -> name::Host {
+    let found = std::cell::RefCell::new(None);
+    until("a scheduler", async || {
+        let fleet = nodes[0].status().await;
+        let mut reached = fleet.reached.iter();
+        let holder = reached.find(|s| s.groups.iter().any(|group| group.share.votes >= votes));
+        *found.borrow_mut() = holder.map(|status| status.identity.host.clone());
+        found.borrow().is_some()
+    })
+    .await;
+    found.into_inner().expect("it was found")
+}
+
+fn take(nodes: &mut Vec<Arc<Node>>, host: &name::Host) -> Arc<Node> {
+    let position = nodes.iter().position(|node| node.identity().host == *host);
+    nodes.remove(position.expect("the host is one of the nodes"))
+}
+
+async fn granted(node: &Node) -> bool {
+    let verdict = node.permit(ask(5000)).await;
+    match &verdict {
+        Verdict::Granted(permit) => node.confirm(permit).is_ok(),
+        _ => panic!("{verdict:?}"),
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_next_scheduler_takes_over_when_one_is_killed() {
+    let mut nodes = cluster(3).await;
+    let host = scheduler(&nodes, 3).await;
+    drop(take(&mut nodes, &host));
+    for node in &nodes {
+        assert!(granted(node).await, "the permit can be used");
+    }
+    assert_ne!(scheduler(&nodes, 2).await, host);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_leaving_daemon_hands_its_groups_over() {
+    let mut nodes = cluster(3).await;
+    let host = scheduler(&nodes, 3).await;
+    let leaving = take(&mut nodes, &host);
+    assert!(granted(&leaving).await, "the permit can be used");
+    leaving.leave();
+    until("handed over", async || leaving.handed_over()).await;
+    until("all see it leave", async || {
+        nodes.iter().all(|node| {
+            node.view().alive.iter().any(|peer| peer.identity.host == host && peer.leaving)
+        })
+    })
+    .await;
+    for node in nodes.iter().chain([&leaving]) {
+        assert!(granted(node).await, "the permit can be used");
+    }
+    // The new scheduler counts what the leaving daemon still runs.
+    assert_ne!(scheduler(&nodes, 3).await, host);
+    until("all counted", async || {
+        let fleet = nodes[0].status().await;
+        let groups = fleet.reached.iter().flat_map(|status| &status.groups);
+        groups.map(|group| group.running).max() == Some(4)
+    })
+    .await;
+}
--- a/crates/peer/tests/node/main.rs
+++ b/crates/peer/tests/node/main.rs
@@ -1,4 +1,5 @@
 //! Nodes in one process, on loopback.
 
 mod cluster;
+mod failure;
 mod support;
