Blame quick restarts, acquit lone runs, and confirm releases

Cause: a request that crashes an engine which restarts before its home reconnects was not blamed; a suspect that ran once to its end alone lost every crash it was blamed for; the answer to a release named peers that had not confirmed it. Change: the home compares the incarnation after a broken attempt; a lone run acquits as the book says; a release waits for the peers and names those not reached.

--- a/crates/daemon/src/adapt/backends.rs
+++ b/crates/daemon/src/adapt/backends.rs
@@ -1,5 +1,7 @@
 //! Attempts, from a request's home to backend servers.
 
+use std::{net::SocketAddr, time::Duration};
+
 use compact_str::CompactString;
 use futures::future::BoxFuture;
 use hyssop_backend::{
@@ -15,6 +17,9 @@
     outcome::Ran,
 };
 
+/// The time within which a backend server must tell its incarnation.
+const INCARNATION_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Opens connections to backend servers.
 #[derive(Debug)]
 pub(crate) struct Backends {
@@ -29,6 +34,13 @@
             Ok(Box::new(Open(connection)) as Box<dyn Connection>)
         })
     }
+
+    fn incarnation(&self, address: SocketAddr) -> BoxFuture<'_, Option<u64>> {
+        Box::pin(async move {
+            let load = self.client.load(address, INCARNATION_TIMEOUT).await.ok()?;
+            Some(load.incarnation)
+        })
+    }
 }
 
 /// An open connection.
--- a/crates/daemon/src/adapt/desk.rs
+++ b/crates/daemon/src/adapt/desk.rs
@@ -133,13 +133,7 @@
     }
 
     fn release(&self, fingerprint: shown::Fingerprint) -> BoxFuture<'_, shown::Release> {
-        Box::pin(async move {
-            let released = self.quarantine.release(fingerprint);
-            let view = self.node.view();
-            let peers = view.alive.iter().map(|peer| peer.identity.host.clone());
-            let in_force = std::iter::once(self.me()).chain(peers).collect();
-            shown::Release { fingerprint, released, in_force, not_reached: Vec::new() }
-        })
+        Box::pin(self.quarantine.release(fingerprint))
     }
 
     fn document(&self) -> BoxFuture<'_, Option<Catalog>> {
--- a/crates/daemon/src/adapt/quarantine.rs
+++ b/crates/daemon/src/adapt/quarantine.rs
@@ -51,11 +51,14 @@
         shown::Report { entries: entries.collect() }
     }
 
-    /// Forgets a fingerprint on every daemon. Returns whether it was known.
-    pub(crate) fn release(&self, fingerprint: shown::Fingerprint) -> bool {
+    /// Forgets a fingerprint on every daemon that can be reached.
+    pub(crate) async fn release(&self, fingerprint: shown::Fingerprint) -> shown::Release {
         let known = self.book.lock().release(blame::Fingerprint(fingerprint.0)).is_some();
-        let noticed = self.node.withdraw_notice(&notice_name(fingerprint.0));
-        known || noticed
+        let withdrawn = self.node.confirm_withdrawal(&notice_name(fingerprint.0)).await;
+        let released = known || withdrawn.is_some();
+        let nowhere_else = || (vec![self.node.identity().host.clone()], Vec::new());
+        let (in_force, not_reached) = withdrawn.unwrap_or_else(nowhere_else);
+        shown::Release { fingerprint, released, in_force, not_reached }
     }
 
     /// Brings one record up to date with the notices, and returns how it stands.
@@ -120,6 +123,9 @@
     }
 
     fn clear(&self, fingerprint: Fingerprint) {
-        self.release(shown::Fingerprint(fingerprint.0));
+        let acquitted = self.book.lock().acquit(blame::Fingerprint(fingerprint.0));
+        if acquitted {
+            self.node.withdraw_notice(&notice_name(fingerprint.0));
+        }
     }
 }
--- a/crates/peer/src/node.rs
+++ b/crates/peer/src/node.rs
@@ -221,6 +221,27 @@
         found
     }
 
+    /// Takes a notice back and waits for the peers to confirm it.
+    ///
+    /// Returns `None` if there was none, else the hosts that have confirmed and those that have not.
+    pub async fn confirm_withdrawal(
+        &self,
+        name: &notice::Name,
+    ) -> Option<(Vec<name::Host>, Vec<name::Host>)> {
+        let notice = self.shared.board.lock().withdraw(name, self.shared.timer.now())?;
+        self.shared.beat.notify_one();
+        let call = |link: link::Link| {
+            let notices = vec![notice.clone()];
+            async move { link.client.offer_notices(tarpc::context::current(), notices).await }
+        };
+        let (confirmed, not_reached) = self.shared.call_all(call).await;
+        let peers = confirmed.into_iter().map(|(host, ())| host);
+        let mut in_force: Vec<_> =
+            std::iter::once(self.shared.identity.host.clone()).chain(peers).collect();
+        in_force.sort();
+        Some((in_force, not_reached))
+    }
+
     /// A notice, also one that was taken back, with the time that it has left.
     pub fn notice(&self, name: &notice::Name) -> Option<Notice> {
         self.shared.board.lock().get(name, self.shared.timer.now())
