Let a new scheduler start with the limits that homes remember

After a hand-over only what was running told a new scheduler how far a backend server had been warmed up; idle ones started cold. Scheduler::learn takes what homes remember of their last permits. The latest knowledge counts, only after a report of the same incarnation that does not say cold, and only until the scheduler has seen something itself. Running requests of other schedulers go the same way.

Test: a_new_scheduler_starts_with_the_latest_known_limit.

--- a/crates/policy/src/coldstart.rs
+++ b/crates/policy/src/coldstart.rs
@@ -1,5 +1,7 @@
 //! The limit of a backend server, lowered in cold start and grown again by completions.
 
+use std::time::Instant;
+
 use serde::{Deserialize, Serialize};
 
 /// The reason why a backend server counts as cold.
@@ -38,6 +40,17 @@
     pub loaded: bool,
 }
 
+/// The limit that an earlier scheduler had reached.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Hint {
+    /// The incarnation of the backend server.
+    pub incarnation: u64,
+    /// The limit.
+    pub limit: u32,
+    /// The time at which it held.
+    pub at: Instant,
+}
+
 /// The limit of one backend server.
 ///
 /// The limit never grows by time. After as many on-time completions under load as the limit is high,
@@ -52,6 +65,9 @@
     incarnation: Option<u64>,
     reported_cold: bool,
     cause: Cause,
+    hint: Option<Hint>,
+    /// Whether this tracker itself has seen what the backend server bears.
+    tried: bool,
 }
 
 impl Tracker {
@@ -67,6 +83,8 @@
             incarnation: None,
             reported_cold: false,
             cause: Cause::FirstSeen,
+            hint: None,
+            tried: false,
         }
     }
 
@@ -115,6 +133,7 @@
         if cold && !was_cold {
             return Some(self.turn_cold(Cause::Reported));
         }
+        self.take_hint();
         None
     }
 
@@ -133,6 +152,7 @@
     pub fn refuse(&mut self, epoch: Epoch) {
         if epoch == self.epoch {
             self.credit = 0;
+            self.tried = true;
             self.limit = (self.limit * 3 / 4).max(self.cold_limit);
         }
     }
@@ -152,22 +172,28 @@
         self.credit += 1;
         if self.credit >= self.limit {
             self.credit = 0;
+            self.tried = true;
             self.limit = (self.limit + self.limit.div_ceil(2)).min(self.warm_limit);
         }
     }
 
-    /// Takes over the limit that an earlier scheduler had reached at the given incarnation of the
-    /// backend server.
+    /// Takes over the limit that an earlier scheduler had reached. The latest one counts.
     ///
-    /// It counts only in the first cold start, before this scheduler has seen anything else.
-    pub fn learn(&mut self, incarnation: u64, limit: u32) {
-        let same = self.incarnation.is_none_or(|known| known == incarnation);
-        let first = self.cause == Cause::FirstSeen && self.epoch == Epoch::default();
-        if !same || !first || self.reported_cold || incarnation == 0 {
-            return;
+    /// It counts only after a report of the same incarnation that does not say cold, and only until
+    /// the backend server turns cold or this tracker has changed the limit by what it saw itself.
+    pub fn learn(&mut self, hint: Hint) {
+        if self.hint.is_none_or(|known| known.at < hint.at) {
+            self.hint = Some(hint);
+        }
+        self.take_hint();
+    }
+
+    fn take_hint(&mut self) {
+        let first = self.cause == Cause::FirstSeen && !self.tried && !self.reported_cold;
+        let hint = self.hint.filter(|hint| first && self.incarnation == Some(hint.incarnation));
+        if let Some(hint) = hint {
+            self.limit = hint.limit.clamp(self.cold_limit, self.warm_limit);
         }
-        self.incarnation = Some(incarnation);
-        self.limit = limit.clamp(self.limit, self.warm_limit);
     }
 
     fn turn_cold(&mut self, cause: Cause) -> Cause {
--- a/crates/policy/src/permit.rs
+++ b/crates/policy/src/permit.rs
@@ -127,3 +127,16 @@
     /// The tokens that arrived.
     pub output_tokens: Tokens,
 }
+
+/// What a home remembers of the last permit for a backend server, for a new scheduler.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Known {
+    /// The backend server.
+    pub backend: name::Backend,
+    /// [`Permit::backend_incarnation`] of the permit.
+    pub backend_incarnation: u64,
+    /// [`Permit::limit`] of the permit.
+    pub limit: u32,
+    /// The time since the grant, in milliseconds.
+    pub age_ms: u64,
+}
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -17,11 +17,12 @@
 use crate::{
     budget::Budget,
     choice::{self, Choice},
+    coldstart::Hint,
     decision::Decision,
     entry::{Entry, Ticket},
     estimate,
     load::Load,
-    permit::{self, End, Release, Running},
+    permit::{self, End, Known, Release, Running},
     queue::{Queue, lane, line},
     share::Share,
     status::{self, Status},
@@ -267,6 +268,18 @@
         }
     }
 
+    /// Takes over the limits that earlier schedulers had reached, so that a hand-over does not make
+    /// the group cold.
+    pub fn learn(&mut self, known: &[Known], now: Instant) {
+        for one in known {
+            if let Some(&position) = self.backend_positions.get(&one.backend) {
+                let at = now.checked_sub(Duration::from_millis(one.age_ms)).unwrap_or(self.started);
+                let hint = Hint { incarnation: one.backend_incarnation, limit: one.limit, at };
+                self.backends[position].tracker.learn(hint);
+            }
+        }
+    }
+
     /// Drops everything of a daemon whose process has ended.
     pub fn drop_home(&mut self, host: &name::Host, incarnation: Incarnation, now: Instant) {
         let of_home = |entry: &Entry| entry.home == *host && entry.home_incarnation == incarnation;
@@ -409,10 +422,7 @@
         if let Some(key) = class {
             self.classes[key.0].running += 1;
         }
-        if let Some(&position) = self.backend_positions.get(&request.backend) {
-            let backend = &mut self.backends[position];
-            backend.tracker.learn(request.backend_incarnation, request.limit);
-        }
+        self.learn(&[self.known(request, class)], now);
         let workspace = self.workspaces.get(&request.workspace);
         let grant = Grant {
             backend: request.backend.clone(),
@@ -436,6 +446,23 @@
         self.grants.insert(request.id, grant);
     }
 
+    /// What a running request tells about its backend server.
+    fn known(&self, request: &Running, class: Option<line::Key>) -> Known {
+        let longest_ms = class.map_or(u64::MAX, |key| self.latest_end_ms(key));
+        Known {
+            backend: request.backend.clone(),
+            backend_incarnation: request.backend_incarnation,
+            limit: request.limit,
+            age_ms: longest_ms.saturating_sub(request.remaining_ms),
+        }
+    }
+
+    /// The time after its grant at which a permit of a class is no longer counted.
+    fn latest_end_ms(&self, class: line::Key) -> u64 {
+        let longest_ms = self.classes[class.0].model.max_running_ms;
+        self.pool.as_ref().map_or(longest_ms, |pool| pool.latest_end_ms.min(longest_ms))
+    }
+
     fn expire(&mut self, now: Instant) {
         if self.quiet_until.is_some_and(|until| until <= now) {
             self.quiet_until = None;
--- a/crates/policy/src/scheduler/placement.rs
+++ b/crates/policy/src/scheduler/placement.rs
@@ -102,8 +102,7 @@
         let class = &mut self.classes[item.class.0];
         class.running += 1;
         class.granted += 1;
-        let pool = self.pool.as_ref().expect("a group with backend servers has a pool");
-        let latest_end_ms = pool.latest_end_ms.min(class.model.max_running_ms);
+        let latest_end_ms = self.latest_end_ms(item.class);
         let backend = &mut self.backends[position];
         let id = permit::Id { scheduler: self.incarnation, number: self.next_number };
         self.next_number += 1;
--- a/crates/policy/tests/limits.rs
+++ b/crates/policy/tests/limits.rs
@@ -14,7 +14,8 @@
 use hyssop_policy::{
     budget::Budget,
     coldstart::{Cause, Completion, Tracker},
-    permit::{End, Permit},
+    load::Load,
+    permit::{End, Known, Permit},
     scheduler::Scheduler,
     share::Share,
     straggler::Verdict,
@@ -482,3 +483,32 @@
     }
     assert_eq!(permits(scheduler.poll(now + ms(2))).len(), 1, "all are there, and half is used");
 }
+
+#[test]
+fn a_new_scheduler_starts_with_the_latest_known_limit() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(&document(2, 1, 8), now);
+    let known = |backend, backend_incarnation, limit, age_ms| Known {
+        backend: name::Backend::new(backend),
+        backend_incarnation,
+        limit,
+        age_ms,
+    };
+    let limits = |scheduler: &Scheduler| {
+        let status = scheduler.status(now);
+        status.backends.iter().map(|backend| backend.limit).collect::<Vec<_>>()
+    };
+    let b0 = name::Backend::new("b0");
+    scheduler.learn(&[known("b0", 5, 8, 300), known("b1", 5, 8, 0)], now);
+    assert_eq!(limits(&scheduler), [1, 1], "no report yet");
+    scheduler.report(&b0, load(5, 0), now);
+    scheduler.report(&name::Backend::new("b1"), load(6, 0), now);
+    assert_eq!(limits(&scheduler), [8, 1], "b1 has started again since");
+    scheduler.learn(&[known("b0", 5, 3, 100), known("b0", 5, 7, 200)], now);
+    assert_eq!(limits(&scheduler), [3, 1], "the latest counts");
+    let cold = Load { cold: true, ..load(5, 0) };
+    scheduler.report(&b0, cold, now);
+    scheduler.report(&b0, load(5, 0), now);
+    scheduler.learn(&[known("b0", 5, 8, 0)], now);
+    assert_eq!(limits(&scheduler), [1, 1], "it has turned cold since");
+}
