Let a server warm up by its own times, not by what requests waited

Release::late covers the wait in the queue. Under overload all answers are late, so no completion counted and a cold group stayed at its cold limit for the whole burst: in the test 20 rounds of late answers left the limit at 2. A completion is now on time if the time from dispatch meets the class's targets; the test reaches 8, and slow answers still do not count.

Test: a_server_warms_up_under_overload_though_answers_are_late, seen failing (left 2, right 8).

--- a/crates/policy/benches/queue.rs
+++ b/crates/policy/benches/queue.rs
@@ -32,6 +32,7 @@
         workspace: lane::Key(((random >> 24) % WORKSPACES) as u32),
         share: 1 + (random >> 40) as u32 % 4,
         deadline,
+        arrived: start,
         latest_start: deadline,
         target_start: deadline,
         deferred_start: deadline,
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -27,6 +27,8 @@
     pub workspace: lane::Key,
     /// The weight of the workspace.
     pub share: u32,
+    /// The time of the arrival.
+    pub arrived: Instant,
     /// The time at which the whole answer is due.
     pub deadline: Instant,
     /// The last time at which a start makes sense.
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -242,12 +242,14 @@
         if release.end == End::Completed {
             self.budget.succeed();
         }
+        let mut on_time = !release.late;
         if let Some(key) = grant.class {
-            self.classes[key.0].learn(release);
+            on_time = self.classes[key.0].is_on_time(release);
+            self.classes[key.0].learn(&grant, release);
         }
         let group_ms = self.first_token_ms;
         if let Some(&position) = self.backend_positions.get(&grant.backend) {
-            self.backends[position].learn(&grant, release, group_ms);
+            self.backends[position].learn(&grant, release, on_time, group_ms);
         }
         self.compare_speeds();
     }
@@ -435,6 +437,7 @@
             latest_end: now + Duration::from_millis(request.remaining_ms),
             epoch: None,
             loaded: false,
+            waited: None,
             solo: request.solo,
             prompt: request.prompt_tokens,
             cost: request.prompt_tokens.0 + request.output_tokens.0,
--- a/crates/policy/src/scheduler/admission.rs
+++ b/crates/policy/src/scheduler/admission.rs
@@ -140,6 +140,7 @@
             class,
             workspace: workspace.key,
             share: workspace.share,
+            arrived: now,
             deadline,
             latest_start: start(JUDGED_QUANTILE),
             deferred_start: start(DEFERRED_QUANTILE),
--- a/crates/policy/src/scheduler/backend.rs
+++ b/crates/policy/src/scheduler/backend.rs
@@ -194,7 +194,15 @@
     }
 
     /// Learns from the end of a request.
-    pub(super) fn learn(&mut self, grant: &Grant, release: &Release, group_ms: Option<f64>) {
+    ///
+    /// `on_time` tells whether it met the targets of its class without what it waited before.
+    pub(super) fn learn(
+        &mut self,
+        grant: &Grant,
+        release: &Release,
+        on_time: bool,
+        group_ms: Option<f64>,
+    ) {
         let Some(epoch) = grant.epoch else { return };
         let cause = match release.end {
             End::BackendFailed => self.tracker.fail(epoch),
@@ -203,8 +211,7 @@
                 None
             }
             End::Completed => {
-                let completion = Completion { epoch, on_time: !release.late, loaded: grant.loaded };
-                self.tracker.complete(completion);
+                self.tracker.complete(Completion { epoch, on_time, loaded: grant.loaded });
                 self.learn_speed(release, group_ms)
             }
             End::Cancelled | End::NotDispatched | End::TimedOut => None,
--- a/crates/policy/src/scheduler/class.rs
+++ b/crates/policy/src/scheduler/class.rs
@@ -11,6 +11,8 @@
     permit::{End, Release},
 };
 
+use super::grants::Grant;
+
 /// The tokens of an answer before anything is known.
 const UNKNOWN_OUTPUT_TOKENS: u64 = 256;
 
@@ -94,8 +96,14 @@
         self.model.first_token().saturating_sub(usual)
     }
 
+    /// Whether a backend server met the targets, without what the request waited before.
+    pub(super) fn is_on_time(&self, release: &Release) -> bool {
+        let first_token_ms = release.first_token_ms.unwrap_or(release.elapsed_ms);
+        first_token_ms <= self.model.first_token_ms && release.elapsed_ms <= self.model.complete_ms
+    }
+
     /// Learns from a request that ended.
-    pub(super) fn learn(&mut self, release: &Release) {
+    pub(super) fn learn(&mut self, _grant: &Grant, release: &Release) {
         if release.end != End::Completed {
             return;
         }
--- a/crates/policy/tests/limits.rs
+++ b/crates/policy/tests/limits.rs
@@ -15,7 +15,7 @@
     budget::Budget,
     coldstart::{Cause, Completion, Tracker},
     load::Load,
-    permit::{End, Known, Permit},
+    permit::{End, Known, Permit, Release},
     scheduler::Scheduler,
     share::Share,
     straggler::Verdict,
@@ -512,3 +512,31 @@
     scheduler.learn(&[known("b0", 5, 8, 0)], now);
     assert_eq!(limits(&scheduler), [1, 1], "it has turned cold since");
 }
+
+/// What a request has waited in the queue tells nothing about the backend server.
+#[test]
+fn a_server_warms_up_under_overload_though_answers_are_late() {
+    let mut now = Instant::now();
+    let mut scheduler = scheduler(&document(1, 2, 8), now);
+    for ticket in 0..100 {
+        scheduler.enqueue(entry(ticket, "desk", "w1"), now);
+    }
+    for _ in 0..20 {
+        now += ms(1000);
+        for (_, permit) in permits(scheduler.poll(now)) {
+            let late = Release { late: true, ..release(&permit, End::Completed, 100) };
+            scheduler.release(&late, now);
+        }
+    }
+    assert_eq!(scheduler.status(now).backends[0].limit, 8);
+    let mut slow = scheduler;
+    slow.report(&name::Backend::new("b0"), load(1, 0), now);
+    slow.report(&name::Backend::new("b0"), load(2, 0), now);
+    for ticket in 200..220 {
+        slow.enqueue(entry(ticket, "desk", "w1"), now);
+        for (_, permit) in permits(slow.poll(now)) {
+            slow.release(&release(&permit, End::Completed, 11_000), now);
+        }
+    }
+    assert_eq!(slow.status(now).backends[0].limit, 2, "slow answers show that it is still cold");
+}
--- a/crates/policy/tests/queue.rs
+++ b/crates/policy/tests/queue.rs
@@ -35,6 +35,7 @@
         workspace: lane::Key(workspace),
         share: workspace + 1,
         deadline,
+        arrived: deadline,
         latest_start: deadline,
         target_start: deadline - Duration::from_millis(cost),
         deferred_start: deadline - Duration::from_millis(1),
