Keep a learned margin for the delays after a grant

Under overload each request is granted just before its target for the first token can no longer be met, and then the way from the scheduler over the home to the backend server takes longer than what was left. Of the requests that waited for more than half of their slack, about 5 in 100 may now be late; the part of the target that is left over moves until that holds.

--- a/crates/policy/src/scheduler/class.rs
+++ b/crates/policy/src/scheduler/class.rs
@@ -16,6 +16,15 @@
 /// The tokens of an answer before anything is known.
 const UNKNOWN_OUTPUT_TOKENS: u64 = 256;
 
+/// The part of the requests granted in time that may miss their target nevertheless.
+const LATE_PART: f64 = 0.05;
+
+/// The part of the target by which the margin for delays changes at most with a request.
+const MARGIN_STEP: f64 = 0.05;
+
+/// The largest part of the target that is left over for delays.
+const LARGEST_MARGIN: f64 = 0.5;
+
 /// What a scheduler knows about one class.
 #[derive(Debug)]
 pub(super) struct Class {
@@ -29,6 +38,8 @@
     length: Histogram,
     elapsed_ms: Histogram,
     first_token_ms: Average,
+    /// The part of the target for the first token that is left over for delays after the grant.
+    margin: f64,
 }
 
 impl Class {
@@ -43,6 +54,7 @@
             length: Histogram::default(),
             elapsed_ms: Histogram::default(),
             first_token_ms: Average::default(),
+            margin: 0.0,
         }
     }
 
@@ -93,7 +105,8 @@
     pub(super) fn target_slack(&self) -> Duration {
         let usual_ms = self.first_token_ms.settled().unwrap_or(0.0);
         let usual = Duration::from_secs_f64(usual_ms / 1000.0);
-        self.model.first_token().saturating_sub(usual)
+        let target = self.model.first_token();
+        target.saturating_sub(usual).saturating_sub(target.mul_f64(self.margin))
     }
 
     /// Whether a backend server met the targets, without what the request waited before.
@@ -103,10 +116,11 @@
     }
 
     /// Learns from a request that ended.
-    pub(super) fn learn(&mut self, _grant: &Grant, release: &Release) {
+    pub(super) fn learn(&mut self, grant: &Grant, release: &Release) {
         if release.end != End::Completed {
             return;
         }
+        self.learn_margin(grant, release);
         self.elapsed_ms.record(release.elapsed_ms);
         if let Some(first) = release.first_token_ms {
             self.length.record(release.output_tokens.0);
@@ -114,6 +128,17 @@
         }
     }
 
+    /// Adjusts the margin so that of the requests that waited for long but were granted in time, about
+    /// [`LATE_PART`] are late.
+    fn learn_margin(&mut self, grant: &Grant, release: &Release) {
+        let Some(waited) = grant.waited else { return };
+        if waited < self.target_slack() / 2 {
+            return;
+        }
+        let step = if release.late { 1.0 - LATE_PART } else { -LATE_PART };
+        self.margin = (self.margin + MARGIN_STEP * step).clamp(0.0, LARGEST_MARGIN);
+    }
+
     fn streamed_ms(&self, tokens: u64, inter_token_ms: Option<f64>) -> Option<u64> {
         let first = self.first_token_ms.settled()?;
         let inter = inter_token_ms?;
