Bound the answer with histograms

The answer for 1,000 workspaces in 4 classes had 17 MB and would grow to half a gigabyte at 28,000 workspaces. A filter by workspace still finds every row.

--- a/crates/operator/src/histogram.rs
+++ b/crates/operator/src/histogram.rs
@@ -45,6 +45,23 @@
     }
 }
 
+/// Keeps the rows with the most requests and adds the others up, class by class.
+///
+/// The sums are in rows without a workspace, which come on top of `max`.
+pub fn limit(mut rows: Vec<Row>, max: usize) -> Vec<Row> {
+    if rows.len() <= max {
+        return rows;
+    }
+    rows.sort_by(|a, b| {
+        let names = (&a.class, &a.workspace).cmp(&(&b.class, &b.workspace));
+        b.requests().cmp(&a.requests()).then(names)
+    });
+    for row in rows.iter_mut().skip(max) {
+        row.workspace = None;
+    }
+    merge(rows)
+}
+
 /// Which rows of a report are wanted.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Filter {
@@ -138,7 +155,7 @@
 pub struct Row {
     /// The class.
     pub class: name::Class,
-    /// The workspace; none stands for all workspaces that have no row of their own.
+    /// The workspace; none stands for all requests that are not counted in a row of their own.
     pub workspace: Option<name::Workspace>,
     /// The number of requests that were answered whole.
     pub answered: u64,
@@ -172,6 +189,11 @@
         }
     }
 
+    /// The number of requests.
+    pub fn requests(&self) -> u64 {
+        self.answered + self.refused + self.unknown + self.failed
+    }
+
     /// Adds the requests of another row.
     pub fn add(&mut self, other: &Self) {
         self.answered += other.answered;
--- a/crates/operator/src/server/route.rs
+++ b/crates/operator/src/server/route.rs
@@ -21,11 +21,12 @@
     check,
     desk::Desk,
     error::{Error, Kind},
-    histogram::Filter,
+    histogram::{self, Filter},
     outcome,
 };
 
 const MAX_ORDER_BYTES: usize = 4 << 10;
+const MAX_HISTOGRAM_ROWS: usize = 200;
 
 #[derive(Serialize)]
 struct Live {
@@ -140,6 +141,7 @@
             .map_err(|error| Error::new(Kind::BadRequest, format!("{error}")))?;
         let mut report = self.desk.histograms().await;
         filter.apply(&mut report);
+        report.rows = histogram::limit(report.rows, MAX_HISTOGRAM_ROWS);
         Ok(json(StatusCode::OK, &report))
     }
 
--- a/crates/operator/tests/histograms.rs
+++ b/crates/operator/tests/histograms.rs
@@ -2,7 +2,7 @@
 
 use expect_test::expect;
 use hyssop_document::name;
-use hyssop_operator::histogram::{Histogram, Report, Row};
+use hyssop_operator::histogram::{Histogram, Report, Row, limit};
 
 fn recorded(times_ms: impl IntoIterator<Item = u64>) -> Histogram {
     let mut histogram = Histogram::default();
@@ -70,3 +70,38 @@
     "#]]
     .assert_eq(&lines.concat());
 }
+
+#[test]
+fn the_rows_with_the_fewest_requests_are_added_up() {
+    let row = |class: &str, workspace: u64, answered: u64, refused: u64| {
+        let workspace = name::Workspace::new(&format!("w{workspace}"));
+        let mut row = Row::new(name::Class::new(class), Some(workspace));
+        row.answered = answered;
+        row.refused = refused;
+        row
+    };
+    let rows = vec![
+        row("desk", 1, 5, 0),
+        row("desk", 2, 1, 9),
+        row("desk", 3, 2, 0),
+        row("desk", 4, 1, 0),
+        row("draft", 1, 4, 0),
+        row("draft", 2, 3, 0),
+    ];
+    let lines = |rows: Vec<Row>| -> String {
+        let line = |row: &Row| {
+            let workspace = row.workspace.as_ref().map_or("others", name::Workspace::as_str);
+            format!("{} {workspace} {}\n", row.class, row.requests())
+        };
+        rows.iter().map(line).collect()
+    };
+    expect![[r#"
+        desk others 3
+        desk w1 5
+        desk w2 10
+        draft others 3
+        draft w1 4
+    "#]]
+    .assert_eq(&lines(limit(rows.clone(), 3)));
+    assert_eq!(lines(limit(rows.clone(), 6)), lines(rows));
+}
