--- a/crates/operator/src/histogram.rs
+++ b/crates/operator/src/histogram.rs
@@ -249,9 +249,18 @@
 
     /// Adds the counts of another histogram.
     pub fn add(&mut self, other: &Self) {
+        let mut merged = Vec::with_capacity(self.buckets.len().max(other.buckets.len()));
+        let mut mine = self.buckets.iter().copied().peekable();
         for bucket in &other.buckets {
-            self.add_count(bucket.up_to_ms, bucket.count);
+            while let Some(lower) = mine.next_if(|mine| mine.up_to_ms < bucket.up_to_ms) {
+                merged.push(lower);
+            }
+            let equal = mine.next_if(|mine| mine.up_to_ms == bucket.up_to_ms);
+            let count = bucket.count + equal.map_or(0, |equal| equal.count);
+            merged.push(Bucket { up_to_ms: bucket.up_to_ms, count });
         }
+        merged.extend(mine);
+        self.buckets = merged;
     }
 
     /// The number of times that were recorded.
