--- a/crates/fakes/src/node.rs
+++ b/crates/fakes/src/node.rs
@@ -95,7 +95,7 @@
     let program = |name: &str, args: Vec<OsString>| std::iter::once(name.into()).chain(args);
     match flags.command {
         Command::Daemon { args } => hyssop_daemon::main(program("hyssopcourse", args)),
-        Command::Ctl { args } => not_built(program("hyssopctl", args)),
+        Command::Ctl { args } => hyssop_ctl::main(program("hyssopctl", args)),
         stand_in => match run(stand_in) {
             Ok(()) => ExitCode::SUCCESS,
             Err(error) => {
@@ -168,9 +168,3 @@
         }
     })
 }
-
-/// Stands for a program that this binary does not carry yet.
-fn not_built(mut args: impl Iterator<Item = OsString>) -> ExitCode {
-    log::error!("{:?} is not built in", args.next());
-    ExitCode::FAILURE
-}
