Keep histograms as sparse rows and tell what was rejected

Each class and workspace had two histograms of fixed size, and a new series copied the whole map. The daemon now keeps the rows of the operators' API, whose buckets exist only for times that occurred; hdrhistogram is gone. At most 20,000 series are kept, further workspaces are counted by class. The filter travels with the question to the other daemons, which answer at most 1,000 rows each.

The status tells for each host whether the platform is reached, which value was rejected with its first faults, and which came with the revision in force and another content. The conversions of the status moved to a file of their own.

--- a/crates/ctl/src/view/status.rs
+++ b/crates/ctl/src/view/status.rs
@@ -6,7 +6,7 @@
 };
 
 use hyssop_document::{catalog::Catalog, group::Group, name};
-use hyssop_operator::status::{Fleet, Host, Published, Queue, Scheduler, State};
+use hyssop_operator::status::{Fleet, Host, Published, Queue, Rejected, Scheduler, State};
 
 use super::{duration, list, order, partial, yes_no};
 use crate::table::{Align, Table};
@@ -34,6 +34,7 @@
 fn write_notes(fleet: &Fleet, catalog: Option<&Catalog>, out: &mut dyn Write) -> io::Result<()> {
     write_revisions("document", fleet, |host| host.document, out)?;
     write_revisions("orders", fleet, |host| Some(host.orders), out)?;
+    write_rejected(fleet, out)?;
     let mut schedulers: BTreeMap<&Group, Vec<&name::Host>> = BTreeMap::new();
     let known = catalog.map(Catalog::groups).unwrap_or_default();
     schedulers.extend(known.iter().map(|members| (&members.group, Vec::new())));
@@ -50,6 +51,29 @@
     Ok(())
 }
 
+/// Tells what was not adopted, and which hosts do not reach the platform.
+fn write_rejected(fleet: &Fleet, out: &mut dyn Write) -> io::Result<()> {
+    for host in &fleet.hosts {
+        let parts = [("rejected", &host.rejected), ("conflict", &host.conflict)];
+        for (what, rejected) in parts {
+            let Some(rejected) = rejected else { continue };
+            let Rejected { value, source, fault_count, faults } = rejected;
+            writeln!(
+                out,
+                "note: {what} on {}: {value} from {source}: {fault_count} faults",
+                host.host
+            )?;
+            faults.iter().try_for_each(|fault| writeln!(out, "    {fault}"))?;
+        }
+    }
+    let cut_off = fleet.hosts.iter().filter(|host| !host.platform).map(|host| &host.host);
+    let cut_off: Vec<_> = cut_off.collect();
+    if cut_off.is_empty() {
+        return Ok(());
+    }
+    writeln!(out, "note: the platform is not reached by {}", list(cut_off))
+}
+
 /// Tells which hosts have which revision, if they differ.
 fn write_revisions(
     what: &str,
--- a/crates/daemon/src/adapt.rs
+++ b/crates/daemon/src/adapt.rs
@@ -8,3 +8,4 @@
 pub(crate) mod permits;
 pub(crate) mod platform;
 pub(crate) mod quarantine;
+pub(crate) mod status;
--- a/crates/daemon/src/adapt/desk.rs
+++ b/crates/daemon/src/adapt/desk.rs
@@ -1,6 +1,6 @@
 //! What operators ask, answered from the node and the records of this daemon.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::sync::Arc;
 
 use bytes::Bytes;
 use compact_str::CompactString;
@@ -8,20 +8,24 @@
 use hyssop_document::{
     catalog::Catalog,
     name,
-    number::Revision,
     order::{Order, State, Target},
 };
 use hyssop_operator::{
-    desk::Desk as Border, histogram, outcome, quarantine as shown, readiness::Readiness, status,
+    desk::Desk as Border,
+    histogram::{self, Filter},
+    outcome, quarantine as shown,
+    readiness::Readiness,
+    status,
 };
-use hyssop_peer::{Node, order::Outcome, status as peer, wire::Stamp};
-use hyssop_policy::status as policy;
+use hyssop_peer::{Node, order::Outcome};
 
-use super::quarantine::Quarantine;
-use crate::histogram::{Book, Series};
+use super::{quarantine::Quarantine, status as status_of};
+use crate::histogram::Book;
 
-/// The topic under which daemons ask each other for their histograms.
-const HISTOGRAMS_TOPIC: &str = "histograms";
+/// The topic under which daemons ask each other for their histograms; a filter follows.
+const HISTOGRAMS_TOPIC: &str = "histograms?";
+/// The rows that a daemon sends to another, without those of further workspaces.
+const MAX_ROWS: usize = 1000;
 
 /// Answers operators.
 #[derive(Debug)]
@@ -33,7 +37,7 @@
 impl Desk {
     async fn fleet(&self) -> status::Fleet {
         let fleet = self.node.status().await;
-        let hosts = fleet.reached.iter().map(host).collect();
+        let hosts = fleet.reached.iter().map(status_of::host).collect();
         let orders = State::clone(&self.node.current().orders);
         status::Fleet::join(self.me(), orders, hosts, fleet.not_reached)
     }
@@ -76,8 +80,8 @@
         Some(outcome::UnknownTarget { target: target.clone(), message })
     }
 
-    async fn gather_histograms(&self) -> histogram::Report {
-        let replies = self.node.inquire(HISTOGRAMS_TOPIC).await;
+    async fn gather_histograms(&self, filter: Filter) -> histogram::Report {
+        let replies = self.node.inquire(&format!("{HISTOGRAMS_TOPIC}{filter}")).await;
         let mut not_reached = replies.not_reached;
         let mut parts = Vec::with_capacity(replies.answers.len());
         for (host, bytes) in replies.answers {
@@ -124,8 +128,8 @@
         Box::pin(self.carry_out(order))
     }
 
-    fn histograms(&self) -> BoxFuture<'_, histogram::Report> {
-        Box::pin(self.gather_histograms())
+    fn histograms(&self, filter: Filter) -> BoxFuture<'_, histogram::Report> {
+        Box::pin(self.gather_histograms(filter))
     }
 
     fn quarantine(&self) -> BoxFuture<'_, shown::Report> {
@@ -154,102 +158,21 @@
     pub(crate) histograms: Arc<Book>,
 }
 
+impl Inquiry {
+    fn rows(&self, filter: &Filter) -> Vec<histogram::Row> {
+        let mut rows = self.histograms.rows();
+        rows.retain(|row| filter.wants(row));
+        histogram::limit(rows, MAX_ROWS)
+    }
+}
+
 impl hyssop_peer::Inquiry for Inquiry {
     fn answer(&self, topic: &str) -> BoxFuture<'static, Bytes> {
-        let rows = match topic {
-            HISTOGRAMS_TOPIC => rows(&self.histograms),
-            _ => Vec::new(),
-        };
+        let filter = topic.strip_prefix(HISTOGRAMS_TOPIC).and_then(|text| text.parse().ok());
+        let rows = filter.map(|filter: Filter| self.rows(&filter)).unwrap_or_default();
         Box::pin(async move {
             let bytes = serde_json::to_vec(&rows).expect("histograms are serializable");
             Bytes::from(bytes)
         })
     }
 }
-
-fn rows(histograms: &Book) -> Vec<histogram::Row> {
-    let series = histograms.snapshot().into_iter();
-    series.map(|(name, series)| row(name.class, name.workspace, &series)).collect()
-}
-
-fn row(class: name::Class, workspace: name::Workspace, series: &Series) -> histogram::Row {
-    histogram::Row {
-        class,
-        workspace: Some(workspace),
-        answered: series.answered,
-        on_target: series.attained,
-        refused: series.refused,
-        unknown: series.unknown,
-        failed: series.failed,
-        first_token: buckets(&series.first_token_ms),
-        complete: buckets(&series.complete_ms),
-    }
-}
-
-fn buckets(times_ms: &hdrhistogram::Histogram<u64>) -> histogram::Histogram {
-    let recorded = times_ms.iter_recorded();
-    histogram::Histogram::new(
-        recorded.map(|bucket| (bucket.value_iterated_to(), bucket.count_at_value())),
-    )
-}
-
-fn host(status: &peer::Status) -> status::Host {
-    let Stamp { revision, digest } = status.document;
-    let document = status::Published { revision, digest };
-    let orders =
-        status::Published { revision: status.orders.revision, digest: status.orders.digest() };
-    status::Host {
-        host: status.identity.host.clone(),
-        zone: status.identity.zone.clone(),
-        incarnation: status.identity.incarnation,
-        caller_address: status.identity.caller_address,
-        uptime_ms: status.uptime_ms,
-        ready: status.ready,
-        leaving: status.leaving,
-        document: (revision > Revision(0)).then_some(document),
-        orders,
-        running: status.running,
-        schedulers: status.groups.iter().map(scheduler).collect(),
-    }
-}
-
-fn scheduler(status: &policy::Status) -> status::Scheduler {
-    let queues: BTreeMap<_, _> =
-        status.classes.iter().map(|class| (class.name.clone(), class.waiting)).collect();
-    status::Scheduler {
-        group: status.group.clone(),
-        votes: status.share.votes,
-        listed: status.share.hosts,
-        queues: queues
-            .into_iter()
-            .filter(|(_, waiting)| *waiting > 0)
-            .map(|(class, waiting)| status::Queue { class, waiting })
-            .collect(),
-        backends: status.backends.iter().map(|one| backend(one, status.share)).collect(),
-    }
-}
-
-fn backend(status: &policy::Backend, share: hyssop_policy::share::Share) -> status::Backend {
-    status::Backend {
-        backend: status.name.clone(),
-        zone: status.zone.clone(),
-        state: state(status),
-        limit: status.limit,
-        share: share.limit(status.limit),
-        running: status.running,
-        reported: Some(status.reported),
-    }
-}
-
-fn state(status: &policy::Backend) -> status::State {
-    if !status.in_service {
-        return status::State::Out;
-    }
-    if status.cold.is_some() {
-        return status::State::Cold;
-    }
-    if status.straggler {
-        return status::State::Slow;
-    }
-    status::State::Warm
-}
--- a/crates/daemon/src/histogram.rs
+++ b/crates/daemon/src/histogram.rs
@@ -1,18 +1,15 @@
 //! Histograms of times and counts of outcomes, for each class and workspace.
 //!
-//! The number of series is bounded: only names of the document in force can be recorded.
+//! The number of series is bounded. Requests of further workspaces are counted together by class.
 
 use std::{sync::Arc, time::Duration};
 
-use arc_swap::ArcSwap;
-use hdrhistogram::Histogram;
 use hyssop_document::{collections::Map, name};
+use hyssop_operator::histogram::Row;
 use parking_lot::Mutex;
 
-/// The longest time that a histogram tells apart, in milliseconds.
-const MAX_MS: u64 = 3_600_000;
-/// The significant decimal digits of a recorded time.
-const SIGNIFICANT_DIGITS: u8 = 2;
+/// The largest number of series, without those for further workspaces.
+const MAX_SERIES: usize = 20_000;
 
 /// How a request ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, derive_more::Display)]
@@ -45,116 +42,60 @@
 }
 
 /// Identifies a series.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct Name {
-    /// The class.
-    pub class: name::Class,
-    /// The workspace.
-    pub workspace: name::Workspace,
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Name {
+    class: name::Class,
+    /// None once there are too many series.
+    workspace: Option<name::Workspace>,
 }
 
-/// The record of one class and workspace.
-#[derive(Debug, Clone)]
-pub struct Series {
-    /// The times to the first token, in milliseconds.
-    pub first_token_ms: Histogram<u64>,
-    /// The times to the complete answer, in milliseconds.
-    pub complete_ms: Histogram<u64>,
-    /// The requests that were answered.
-    pub answered: u64,
-    /// The requests that were answered within the targets of their class.
-    pub attained: u64,
-    /// The requests that were refused.
-    pub refused: u64,
-    /// The requests that may have run.
-    pub unknown: u64,
-    /// The requests that ran and failed.
-    pub failed: u64,
-}
-
-impl Default for Series {
-    fn default() -> Self {
-        let histogram = Histogram::new_with_bounds(1, MAX_MS, SIGNIFICANT_DIGITS);
-        let histogram = histogram.expect("the bounds are constants that fit each other");
-        Self {
-            first_token_ms: histogram.clone(),
-            complete_ms: histogram,
-            answered: 0,
-            attained: 0,
-            refused: 0,
-            unknown: 0,
-            failed: 0,
-        }
-    }
-}
-
-impl Series {
-    fn record(&mut self, sample: &Sample) {
-        match sample.end {
-            End::Answered => self.answered += 1,
-            End::Refused => self.refused += 1,
-            End::Unknown => self.unknown += 1,
-            End::Failed => self.failed += 1,
-        }
-        self.attained += u64::from(sample.attained);
-        // Only answers have times: a refusal at once would make the histogram look better.
-        if sample.end == End::Answered {
-            self.complete_ms.saturating_record(millis(sample.complete));
-            if let Some(first_token) = sample.first_token {
-                self.first_token_ms.saturating_record(millis(first_token));
-            }
-        }
-    }
-}
-
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(MAX_MS).clamp(1, MAX_MS)
-}
-
-/// All series. Recording takes a lock of one series for a few instructions.
+/// All series. A lock is held for a few instructions, and never while rows are copied.
 #[derive(Debug, Default)]
 pub struct Book {
-    series: ArcSwap<Map<Name, Arc<Mutex<Series>>>>,
-    insert: Mutex<()>,
+    series: Mutex<Map<Name, Arc<Mutex<Row>>>>,
 }
 
 impl Book {
     /// Records the end of a request.
-    ///
-    /// The caller passes only names of the document in force, which bounds the number of series.
     pub fn record(&self, class: &name::Class, workspace: &name::Workspace, sample: &Sample) {
-        let name = Name { class: class.clone(), workspace: workspace.clone() };
-        let series = self.series.load().get(&name).cloned();
-        let series = series.unwrap_or_else(|| self.insert(name));
-        series.lock().record(sample);
+        add(&mut self.series(class, workspace).lock(), sample);
     }
 
-    /// Drops the series whose names `keep` refuses.
-    pub fn retain(&self, keep: impl Fn(&Name) -> bool) {
-        let _guard = self.insert.lock();
-        let mut kept = Map::clone(&self.series.load());
-        kept.retain(|name, _| keep(name));
-        self.series.store(Arc::new(kept));
+    /// A copy of all series, in no order.
+    pub fn rows(&self) -> Vec<Row> {
+        let series: Vec<_> = self.series.lock().values().map(Arc::clone).collect();
+        series.iter().map(|row| row.lock().clone()).collect()
     }
 
-    /// A copy of all series, in the order of their names.
-    pub fn snapshot(&self) -> Vec<(Name, Series)> {
-        let series = self.series.load();
-        let mut rows: Vec<_> =
-            series.iter().map(|(name, series)| (name.clone(), series.lock().clone())).collect();
-        rows.sort_by(|a, b| a.0.cmp(&b.0));
-        rows
+    fn series(&self, class: &name::Class, workspace: &name::Workspace) -> Arc<Mutex<Row>> {
+        let mut name = Name { class: class.clone(), workspace: Some(workspace.clone()) };
+        let mut series = self.series.lock();
+        if series.len() >= MAX_SERIES && !series.contains_key(&name) {
+            name.workspace = None;
+        }
+        let row = || Row::new(name.class.clone(), name.workspace.clone());
+        let found = series.entry(name.clone()).or_insert_with(|| Arc::new(Mutex::new(row())));
+        Arc::clone(found)
     }
+}
 
-    fn insert(&self, name: Name) -> Arc<Mutex<Series>> {
-        let _guard = self.insert.lock();
-        if let Some(series) = self.series.load().get(&name) {
-            return Arc::clone(series);
+fn add(row: &mut Row, sample: &Sample) {
+    match sample.end {
+        End::Answered => row.answered += 1,
+        End::Refused => row.refused += 1,
+        End::Unknown => row.unknown += 1,
+        End::Failed => row.failed += 1,
+    }
+    row.on_target += u64::from(sample.attained);
+    // Only answers have times: a refusal at once would make the histogram look better.
+    if sample.end == End::Answered {
+        row.complete.record_ms(millis(sample.complete));
+        if let Some(first_token) = sample.first_token {
+            row.first_token.record_ms(millis(first_token));
         }
-        let mut next = Map::clone(&self.series.load());
-        let series = Arc::new(Mutex::new(Series::default()));
-        next.insert(name, Arc::clone(&series));
-        self.series.store(Arc::new(next));
-        series
     }
 }
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/operator/benches/answers.rs
+++ b/crates/operator/benches/answers.rs
@@ -66,6 +66,9 @@
         leaving: false,
         document: Some(published),
         orders: published,
+        platform: true,
+        rejected: None,
+        conflict: None,
         running: 12,
         schedulers: (0..groups).filter(|index| index % hosts == number).map(scheduler).collect(),
     }
--- a/crates/operator/src/desk.rs
+++ b/crates/operator/src/desk.rs
@@ -7,7 +7,8 @@
 };
 
 use crate::{
-    histogram, outcome,
+    histogram::{self, Filter},
+    outcome,
     quarantine::{Fingerprint, Release, Report},
     readiness::Readiness,
     status::Fleet,
@@ -24,8 +25,8 @@
     /// Carries out an order and passes it on to the other hosts.
     fn order(&self, order: Order) -> BoxFuture<'_, outcome::Order>;
 
-    /// The histograms by class and workspace, as far as this daemon reaches the fleet.
-    fn histograms(&self) -> BoxFuture<'_, histogram::Report>;
+    /// The histograms that a filter wants, as far as this daemon reaches the fleet.
+    fn histograms(&self, filter: Filter) -> BoxFuture<'_, histogram::Report>;
 
     /// The requests that are refused because they crashed backend servers.
     fn quarantine(&self) -> BoxFuture<'_, Report>;
--- a/crates/operator/src/histogram.rs
+++ b/crates/operator/src/histogram.rs
@@ -125,13 +125,11 @@
 }
 
 impl Filter {
-    /// Drops the rows that are not wanted.
-    pub fn apply(&self, report: &mut Report) {
-        report.rows.retain(|row| {
-            let class = self.class.as_ref().is_none_or(|class| row.class == *class);
-            let workspace = self.workspace.is_none() || row.workspace == self.workspace;
-            class && workspace
-        });
+    /// Whether a row is wanted.
+    pub fn wants(&self, row: &Row) -> bool {
+        let class = self.class.as_ref().is_none_or(|class| row.class == *class);
+        let workspace = self.workspace.is_none() || row.workspace == self.workspace;
+        class && workspace
     }
 }
 
--- a/crates/operator/src/server/route.rs
+++ b/crates/operator/src/server/route.rs
@@ -139,8 +139,7 @@
             .unwrap_or_default()
             .parse()
             .map_err(|error| Error::new(Kind::BadRequest, format!("{error}")))?;
-        let mut report = self.desk.histograms().await;
-        filter.apply(&mut report);
+        let mut report = self.desk.histograms(filter).await;
         report.rows = histogram::limit(report.rows, MAX_HISTOGRAM_ROWS);
         Ok(json(StatusCode::OK, &report))
     }
--- a/crates/operator/src/status.rs
+++ b/crates/operator/src/status.rs
@@ -2,9 +2,11 @@
 
 use std::net::SocketAddr;
 
+use compact_str::CompactString;
 use hyssop_document::{
     digest::Digest,
     group::Group,
+    load::Fault,
     name,
     number::{Incarnation, Revision},
     order,
@@ -70,12 +72,31 @@
     pub document: Option<Published>,
     /// The service orders in force.
     pub orders: Published,
+    /// Whether its last read of the platform worked.
+    pub platform: bool,
+    /// The last value that was not adopted because of its faults. A good one clears it.
+    pub rejected: Option<Rejected>,
+    /// The last value that came with the revision in force and another content.
+    pub conflict: Option<Rejected>,
     /// The number of requests of callers that are in progress here.
     pub running: u64,
     /// The groups that it schedules.
     pub schedulers: Vec<Scheduler>,
 }
 
+/// A value that was not adopted.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Rejected {
+    /// What it was: `document` or `orders`.
+    pub value: CompactString,
+    /// Where it came from.
+    pub source: CompactString,
+    /// The number of its faults.
+    pub fault_count: u64,
+    /// The first faults.
+    pub faults: Vec<Fault>,
+}
+
 /// Which published value is in force.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Published {
--- a/crates/operator/tests/common/mod.rs
+++ b/crates/operator/tests/common/mod.rs
@@ -21,7 +21,7 @@
 use hyssop_operator::{
     client::Client,
     desk::Desk,
-    histogram::{self, Histogram},
+    histogram::{self, Filter, Histogram},
     outcome::{self, Confirmation, Conflict},
     quarantine::{Entry, Fingerprint, Release, Report},
     readiness::Readiness,
@@ -93,6 +93,9 @@
             leaving: false,
             document: Some(Published { revision: Revision(7), digest: Digest::of(b"7") }),
             orders: Published { revision: Revision(4), digest: state().digest() },
+            platform: true,
+            rejected: None,
+            conflict: None,
             running: 2,
             schedulers: vec![scheduler],
         };
@@ -119,12 +122,13 @@
         .boxed()
     }
 
-    fn histograms(&self) -> BoxFuture<'_, histogram::Report> {
+    fn histograms(&self, filter: Filter) -> BoxFuture<'_, histogram::Report> {
         let mut row = histogram::Row::new(name::Class::new("desk"), None);
         row.answered = 3;
         row.on_target = 2;
         row.first_token = Histogram::new([(100, 2), (900, 1)]);
-        let parts = vec![(host("h1"), vec![row.clone()]), (host("h3"), vec![row])];
+        let rows: Vec<_> = Some(row).into_iter().filter(|row| filter.wants(row)).collect();
+        let parts = vec![(host("h1"), rows.clone()), (host("h3"), rows)];
         let report = histogram::Report::join(host("h1"), parts, vec![host("h2")]);
         futures::future::ready(report).boxed()
     }
--- a/crates/operator/tests/paths.rs
+++ b/crates/operator/tests/paths.rs
@@ -15,7 +15,7 @@
     let server = Running::plain().await;
     check(&server, ("GET", "/v1/status", ""), &expect![[r#"
         HTTP/1.1 200 OK
-        {"answered_by":"h1","partial":true,"not_reached":["h2"],"orders":{"revision":4,"zones_out":["south-2"],"hosts_out":[]},"hosts":[{"host":"h1","zone":"south-1","incarnation":"0019000000000001","caller_address":"127.0.0.1:8001","uptime_ms":61000,"ready":true,"leaving":false,"document":{"revision":7,"digest":"7902699be42c8a8e46fbbb4501726517e86b22c56a189f7625a6da49081b2451"},"orders":{"revision":4,"digest":"dab94b0393ab3572c6c935aea83c30dd4ea0411877d0cda5131c4626422cb8e9"},"running":2,"schedulers":[{"group":{"pool":"drafting","index":0},"votes":2,"listed":3,"queues":[{"class":"desk","waiting":5}],"backends":[{"backend":"engine-1","zone":"south-1","state":"cold","limit":1,"share":1,"running":0,"reported":null}]}]}]}"#]]).await;
+        {"answered_by":"h1","partial":true,"not_reached":["h2"],"orders":{"revision":4,"zones_out":["south-2"],"hosts_out":[]},"hosts":[{"host":"h1","zone":"south-1","incarnation":"0019000000000001","caller_address":"127.0.0.1:8001","uptime_ms":61000,"ready":true,"leaving":false,"document":{"revision":7,"digest":"7902699be42c8a8e46fbbb4501726517e86b22c56a189f7625a6da49081b2451"},"orders":{"revision":4,"digest":"dab94b0393ab3572c6c935aea83c30dd4ea0411877d0cda5131c4626422cb8e9"},"platform":true,"rejected":null,"conflict":null,"running":2,"schedulers":[{"group":{"pool":"drafting","index":0},"votes":2,"listed":3,"queues":[{"class":"desk","waiting":5}],"backends":[{"backend":"engine-1","zone":"south-1","state":"cold","limit":1,"share":1,"running":0,"reported":null}]}]}]}"#]]).await;
     check(
         &server,
         ("GET", "/v1/orders", ""),
