Show only schedulers with votes, and test the command further

While votes settle, status named two schedulers with 0 votes each for one group and counted its backend servers twice. Schedulers without votes grant nothing and are now left out; a group without one is noted.

--- a/crates/ctl/src/view/status.rs
+++ b/crates/ctl/src/view/status.rs
@@ -43,7 +43,7 @@
     }
     for (group, hosts) in schedulers {
         match hosts.len() {
-            0 => writeln!(out, "note: no scheduler of group {group} was reached")?,
+            0 => writeln!(out, "note: no scheduler with votes was reached for group {group}")?,
             1 => {}
             _ => writeln!(out, "note: group {group} has several schedulers: {}", list(hosts))?,
         }
--- a/crates/fakes/tests/operators.rs
+++ b/crates/fakes/tests/operators.rs
@@ -6,18 +6,22 @@
 mod support;
 
 use std::{
+    net::SocketAddr,
     process::Command,
     time::{Duration, Instant},
 };
 
-use hyssop_document::{load, name};
+use expect_test::expect;
+use hyssop_document::{load, name, number::Tier};
 use hyssop_fakes::{
+    client,
     cluster::Cluster,
     history::{Event, Outcome},
     shape::{self, OPERATOR_KEY},
 };
 use hyssop_operator::histogram::Report;
-use support::{builder, seat, source, under_load};
+use serde_json::Value;
+use support::{builder, scheduler, seat, source, under_load};
 
 /// The promised bound for orders and for the view of the fleet.
 const BOUND: Duration = Duration::from_secs(10);
@@ -169,3 +173,155 @@
     let counted: u64 = report.rows.iter().map(|row| row.answered).sum();
     assert_eq!(counted, ended.count() as u64);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_out_of_service_gets_no_callers_and_schedules_nothing() {
+    let _seat = seat().await;
+    let cluster = builder(3).start().await.unwrap();
+    until(&cluster, &[0], &["status", "--all"], "bookings-1").await;
+    let victim = scheduler(&cluster, "desk").await;
+    let host = shape::host(victim);
+    let out = run(&cluster, &[0], &["host", "out", host.as_str()]).await;
+    assert_eq!(out.code, 0, "{}", out.printed);
+    let end = Instant::now() + BOUND;
+    loop {
+        let moved = scheduler(&cluster, "desk").await != victim;
+        let mut dropped = true;
+        for caller in cluster.callers() {
+            dropped &= !addresses(caller).await.contains(&host);
+        }
+        if moved && dropped {
+            break;
+        }
+        assert!(Instant::now() < end, "moved={moved} dropped={dropped}\n{}", cluster.logs(20));
+        tokio::time::sleep(POLL).await;
+    }
+    let back = run(&cluster, &[0], &["host", "in", host.as_str()]).await;
+    assert_eq!(back.code, 0, "{}", back.printed);
+    while !addresses(cluster.callers()[0]).await.contains(&host) {
+        assert!(Instant::now() < end + BOUND, "{}", cluster.logs(20));
+        tokio::time::sleep(POLL).await;
+    }
+}
+
+/// The hosts that a daemon tells callers to use.
+async fn addresses(caller: SocketAddr) -> Vec<name::Host> {
+    let bytes = client::get(caller, "/v1/addresses").await.unwrap();
+    let answer: Value = serde_json::from_slice(&bytes).unwrap();
+    let entries = answer["addresses"].as_array().unwrap().iter();
+    entries.map(|entry| entry["host"].as_str().unwrap().parse().unwrap()).collect()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_host_is_named() {
+    let _seat = seat().await;
+    let mut cluster = builder(3).start().await.unwrap();
+    until(&cluster, &[0], &["status"], "\nh2 ").await;
+    cluster.daemons[1].freeze().unwrap();
+    let arguments = ["status", "--timeout", "2"];
+    let status = until(&cluster, &[1, 2], &arguments, "partial: not reached: h2").await;
+    assert_eq!(status.code, 0, "{}", status.printed);
+    cluster.daemons[1].thaw().unwrap();
+    until(&cluster, &[1], &["status"], "answered by h2\norders").await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_faulty_document_is_told_and_not_adopted() {
+    let _seat = seat().await;
+    let mut cluster = builder(3).start().await.unwrap();
+    let good = cluster.shape().document.clone();
+    cluster.change(|document| document.classes[0].tier = Tier(9)).await.unwrap();
+    let fault = "    classes[0].tier: a whole number from 1 to 8 is needed, found 9\n";
+    let status = until(&cluster, &[2], &["status"], fault).await;
+    assert!(status.printed.contains(": document from platform: 1 faults"), "{}", status.printed);
+    let document = run(&cluster, &[2], &["document"]).await;
+    assert_eq!(load::parse(document.printed.as_bytes()).unwrap().document, good);
+
+    cluster.change(|document| document.classes[0].tier = Tier(1)).await.unwrap();
+    let end = Instant::now() + BOUND;
+    while run(&cluster, &[2], &["status"]).await.printed.contains("note: rejected") {
+        assert!(Instant::now() < end, "{}", cluster.logs(20));
+        tokio::time::sleep(POLL).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_tables_of_a_fleet() {
+    let _seat = seat().await;
+    let cluster = builder(3).start().await.unwrap();
+    let refused = Command::new(env!("CARGO_BIN_EXE_node"))
+        .args(["ctl", "status", "--server"])
+        .arg(cluster.shape().network.daemon(0).operator.to_string())
+        .env("HYSSOP_OPERATOR_KEY", "wrong")
+        .output()
+        .unwrap();
+    assert_eq!(refused.status.code(), Some(1));
+    let quarantine = run(&cluster, &[0], &["quarantine"]).await;
+    assert_eq!((quarantine.printed.as_str(), quarantine.code), ("no quarantined requests\n", 0));
+    let release = run(&cluster, &[0], &["quarantine", "release", "00000000000000aa"]).await;
+    assert_eq!(release.code, 1, "{}", release.printed);
+    let end = Instant::now() + BOUND;
+    let status = loop {
+        let status = masked(&run(&cluster, &[0], &["status", "--all"]).await.printed);
+        // Both groups have all votes.
+        if status.matches(" 3/3 ").count() == 2 {
+            break status;
+        }
+        assert!(Instant::now() < end, "{status}\n{}", cluster.logs(20));
+        tokio::time::sleep(POLL).await;
+    };
+    expect![[r#"
+        answered by h1
+        orders revision 0
+        out of service: zones: none; hosts: none
+
+        HOST ZONE ADDRESS READY LEAVING DOCUMENT ORDERS RUNNING UPTIME INCARNATION
+        h1 z1 ADDRESS yes no 1 (DIGEST) 0 (DIGEST) 0 UPTIME INCARNATION
+        h2 z2 ADDRESS yes no 1 (DIGEST) 0 (DIGEST) 0 UPTIME INCARNATION
+        h3 z3 ADDRESS yes no 1 (DIGEST) 0 (DIGEST) 0 UPTIME INCARNATION
+
+        GROUP SCHEDULER VOTES BACKENDS RUNNING WAITING
+        desk#0 h1 3/3 4 0 none
+        bookings#0 h3 3/3 2 0 none
+
+        backend servers: 4 cold, 2 warm
+        BACKEND GROUP ZONE STATE RUNNING LIMIT SHARE REPORTED
+        desk-0 desk#0 z1 cold 0 2 2 0
+        desk-1 desk#0 z2 cold 0 2 2 0
+        desk-2 desk#0 z3 cold 0 2 2 0
+        desk-3 desk#0 z1 cold 0 2 2 0
+        bookings-0 bookings#0 z1 warm 0 16 16 0
+        bookings-1 bookings#0 z2 warm 0 16 16 0
+    "#]]
+    .assert_eq(&status);
+}
+
+/// The words of each line, with those that differ from run to run replaced.
+fn masked(text: &str) -> String {
+    let mut masked = String::new();
+    for line in text.lines() {
+        let words: Vec<_> = line.split_whitespace().map(mask).collect();
+        masked.push_str(&words.join(" "));
+        masked.push('\n');
+    }
+    masked
+}
+
+fn mask(word: &str) -> String {
+    let hexadecimal = |text: &str| text.bytes().all(|byte| byte.is_ascii_hexdigit());
+    let inner = word.trim_matches(['(', ')']);
+    if word.parse::<SocketAddr>().is_ok() {
+        return "ADDRESS".to_owned();
+    }
+    if word.len() == 16 && hexadecimal(word) {
+        return "INCARNATION".to_owned();
+    }
+    if inner.len() == 8 && hexadecimal(inner) {
+        return "(DIGEST)".to_owned();
+    }
+    let seconds = word.trim_end_matches("ms").trim_end_matches('s');
+    if seconds != word && seconds.parse::<u64>().is_ok() {
+        return "UPTIME".to_owned();
+    }
+    word.to_owned()
+}
--- a/crates/operator/src/status.rs
+++ b/crates/operator/src/status.rs
@@ -42,12 +42,14 @@
         Self { answered_by, partial, not_reached, orders, hosts }
     }
 
-    /// The groups with the hosts that schedule them.
+    /// The groups with the hosts that schedule them. A scheduler without votes grants nothing and
+    /// is left out.
     ///
     /// A group has more than one while the hosts are cut off from each other.
     pub fn schedulers(&self) -> impl Iterator<Item = (&name::Host, &Scheduler)> {
         let hosts = self.hosts.iter();
-        hosts.flat_map(|host| host.schedulers.iter().map(move |group| (&host.host, group)))
+        let all = hosts.flat_map(|host| host.schedulers.iter().map(move |one| (&host.host, one)));
+        all.filter(|(_, scheduler)| scheduler.votes > 0)
     }
 }
 
