--- a/crates/fakes/tests/operators.rs
+++ b/crates/fakes/tests/operators.rs
@@ -215,7 +215,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_frozen_host_is_named() {
     let _seat = seat().await;
-    let mut cluster = builder(3).start().await.unwrap();
+    let cluster = builder(3).start().await.unwrap();
     until(&cluster, &[0], &["status"], "\nh2 ").await;
     cluster.daemons[1].freeze().unwrap();
     let arguments = ["status", "--timeout", "2"];
