Start stand-in engines cold and compare the product with the best baseline

Engines in process tests started warm, so that a check for cold engines that fell over could find nothing. The measurement gives a line that sets the product beside the best baseline, and the tokens of the worst 10 s of each class. history::describe tells all that is known of a request.

--- a/crates/fakes/examples/measure/main.rs
+++ b/crates/fakes/examples/measure/main.rs
@@ -95,7 +95,9 @@
         flags.variant = Variant::value_variants().to_vec();
     }
     let mut reports = Vec::new();
+    let mut comparisons = Vec::new();
     for &deployment in &flags.shape {
+        let first = reports.len();
         for &variant in &flags.variant {
             let plan =
                 scenario::plan(deployment, flags.scenario, Duration::from_secs(flags.seconds));
@@ -107,10 +109,22 @@
             }
             reports.push(report);
         }
+        comparisons.push(first..reports.len());
     }
     let mut out: Box<dyn Write> =
         if flags.json { Box::new(io::stderr()) } else { Box::new(io::stdout()) };
     report::table(&mut out, &reports)?;
+    for range in comparisons {
+        let variants = || flags.variant.iter().zip(&reports[range.clone()]);
+        let product = variants().find(|(variant, _)| **variant == Variant::Product);
+        let baselines = variants().filter(|(variant, _)| **variant != Variant::Product);
+        let baselines: Vec<_> = baselines.map(|(_, report)| report).collect();
+        if let Some((_, product)) = product
+            && !baselines.is_empty()
+        {
+            report::compare(&mut out, product, &baselines)?;
+        }
+    }
     Ok(())
 }
 
--- a/crates/fakes/examples/measure/report.rs
+++ b/crates/fakes/examples/measure/report.rs
@@ -37,8 +37,9 @@
     goodput_tokens_per_s: f64,
     generated_tokens: u64,
     wasted_tokens: u64,
-    /// The answers in that 10 s of the run in which there were fewest.
-    least_answered_in_10s: usize,
+    /// The answered tokens in that 10 s of the run in which there were fewest, in percent of what
+    /// the engines can generate.
+    least_percent_in_10s: f64,
 }
 
 /// The figures of a run.
@@ -121,7 +122,7 @@
         goodput_tokens_per_s: 0.0,
         generated_tokens: 0,
         wasted_tokens: 0,
-        least_answered_in_10s: 0,
+        least_percent_in_10s: 0.0,
     };
     for class in &plan.shape.document.classes {
         let own: Vec<_> =
@@ -165,7 +166,7 @@
     row.goodput_tokens_per_s = tokens as f64 / seconds;
     row.generated_tokens = work.generated;
     row.wasted_tokens = work.wasted;
-    row.least_answered_in_10s = least_in_window(plan, fates);
+    row.least_percent_in_10s = least_in_window(plan, fates);
 }
 
 fn attains(plan: &Plan, fate: &Fate<'_>) -> bool {
@@ -182,20 +183,20 @@
     sorted.get(position).copied().unwrap_or(0)
 }
 
-/// The answers in the window of 10 s, a second apart, that has the fewest.
-fn least_in_window(plan: &Plan, fates: &[&Fate<'_>]) -> usize {
+/// The tokens answered in the window of 10 s that has the fewest, in percent of the capacity.
+fn least_in_window(plan: &Plan, fates: &[&Fate<'_>]) -> f64 {
     const WINDOW_S: u64 = 10;
-    let Some(begin) = fates.iter().map(|fate| fate.first.at_ms).min() else { return 0 };
+    let Some(begin) = fates.iter().map(|fate| fate.first.at_ms).min() else { return 0.0 };
     let seconds = (plan.time - plan.warm_up).as_secs();
-    let ends = fates.iter().filter(|fate| fate.end.outcome == Outcome::Answered);
-    let ends: Vec<_> = ends.map(|fate| fate.end.at_ms).collect();
-    let starts = 0..=seconds.saturating_sub(WINDOW_S);
+    let ends = || fates.iter().map(|fate| fate.end).filter(|end| end.outcome == Outcome::Answered);
     let answered = |start: u64| {
         let from = begin + start * 1_000;
         let to = from + WINDOW_S * 1_000;
-        ends.iter().filter(|&&at| at >= from && at < to).count()
+        let inside = ends().filter(|end| end.at_ms >= from && end.at_ms < to);
+        inside.map(|end| end.tokens.0).sum::<u64>()
     };
-    starts.map(answered).min().unwrap_or(0)
+    let least = (0..=seconds.saturating_sub(WINDOW_S)).map(answered).min().unwrap_or(0);
+    100.0 * least as f64 / (shapes::capacity_tokens_per_s() * WINDOW_S as f64)
 }
 
 /// Counts of requests by how they ended so far.
@@ -230,10 +231,11 @@
 /// Writes a table for people.
 pub(crate) fn table(out: &mut dyn Write, reports: &[Report]) -> io::Result<()> {
     let capacity = shapes::capacity_tokens_per_s();
-    writeln!(out, "engines' capacity: {capacity:.0} tokens/s")?;
+    writeln!(out, "The engines generate {capacity:.0} tokens/s when all their slots are taken.")?;
+    writeln!(out, "least: tokens answered in the worst 10 s, in percent of that.")?;
     writeln!(
         out,
-        "{:10} {:11} {:18} {:13} {:>4} {:>6} {:>8} {:>9} {:>8} {:>8} {:>7} {:>7} {:>9} {:>8}",
+        "{:10} {:11} {:18} {:13} {:>4} {:>6} {:>8} {:>9} {:>8} {:>8} {:>7} {:>7} {:>9} {:>8} {:>8}",
         "shape",
         "scenario",
         "variant",
@@ -248,6 +250,7 @@
         "p99 ms",
         "goodput/s",
         "wasted",
+        "least",
     )?;
     for report in reports {
         for row in &report.rows {
@@ -266,10 +269,9 @@
 }
 
 fn write_row(out: &mut dyn Write, row: &Row) -> io::Result<()> {
-    let share = |part: f64, all: f64| if all > 0.0 { 100.0 * part / all } else { 0.0 };
     writeln!(
         out,
-        "{:10} {:11} {:18} {:13} {:>4} {:>6} {:>8} {:>8.1}% {:>8} {:>8} {:>7} {:>7} {:>9.0} {:>7.1}%",
+        "{:10} {:11} {:18} {:13} {:>4} {:>6} {:>8} {:>8.1}% {:>8} {:>8} {:>7} {:>7} {:>9.0} {:>7.1}% {:>7.1}%",
         row.shape,
         row.scenario,
         row.variant,
@@ -284,5 +286,57 @@
         row.p99_ms,
         row.goodput_tokens_per_s,
         share(row.wasted_tokens as f64, row.generated_tokens as f64),
+        row.least_percent_in_10s,
+    )
+}
+
+fn share(part: f64, all: f64) -> f64 {
+    if all > 0.0 { 100.0 * part / all } else { 0.0 }
+}
+
+/// What the targets are about, of one variant.
+struct Score {
+    top_tier: f64,
+    goodput: f64,
+    wasted: f64,
+}
+
+impl Score {
+    fn new(report: &Report) -> Self {
+        let top = report.rows.iter().filter(|row| row.tier == 1);
+        let (sent, attained) =
+            top.fold((0, 0), |(sent, attained), row| (sent + row.sent, attained + row.attained));
+        let all = report.rows.iter().find(|row| row.class == "all");
+        let all = all.expect("each report has a row of sums");
+        Self {
+            top_tier: share(attained as f64, sent as f64),
+            goodput: all.goodput_tokens_per_s,
+            wasted: share(all.wasted_tokens as f64, all.generated_tokens as f64),
+        }
+    }
+}
+
+/// Writes the product's figures beside the best of the baselines'.
+pub(crate) fn compare(
+    out: &mut dyn Write,
+    product: &Report,
+    baselines: &[&Report],
+) -> io::Result<()> {
+    let scores: Vec<_> = baselines.iter().map(|report| Score::new(report)).collect();
+    let best = |value: fn(&Score) -> f64| scores.iter().map(value).fold(0.0, f64::max);
+    let least_wasted = scores.iter().map(|score| score.wasted).fold(f64::INFINITY, f64::min);
+    let own = Score::new(product);
+    let row = &product.rows[0];
+    writeln!(
+        out,
+        "{} {}: top tier attained {:.1}% (best baseline {:.1}%), goodput {:.0} tokens/s ({:.0}), \
+         wasted {:.1}% ({least_wasted:.1}%)",
+        row.shape,
+        row.scenario,
+        own.top_tier,
+        best(|score| score.top_tier),
+        own.goodput,
+        best(|score| score.goodput),
+        own.wasted,
     )
 }
--- a/crates/fakes/examples/measure/shapes.rs
+++ b/crates/fakes/examples/measure/shapes.rs
@@ -33,6 +33,7 @@
         prefill_per_token_us: 20,
         max_batch: BATCH,
         kv_tokens: 16_384,
+        cold_start: false,
         cold_limit: 2,
         warm_after: 4,
         restart_ms: 1_000,
--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -87,7 +87,7 @@
             max_batch: 8,
             max_waiting: 64,
             kv_tokens: 8_192,
-            cold_start: false,
+            cold_start: true,
             cold_limit: 2,
             cold_slowdown: 1.5,
             warm_after: 4,
--- a/crates/fakes/src/history.rs
+++ b/crates/fakes/src/history.rs
@@ -177,6 +177,43 @@
     },
 }
 
+impl Violation {
+    /// The number of the request.
+    pub fn request(&self) -> u64 {
+        match self {
+            Self::Ends { request, .. }
+            | Self::WrongAnswer { request, .. }
+            | Self::RanAfterAll { request, .. }
+            | Self::Repeated { request, .. }
+            | Self::NeverRan { request } => *request,
+        }
+    }
+}
+
+/// Everything that is known of one request, in the order of time, one line each.
+pub fn describe(events: &[Event], records: &[Record], request: u64) -> String {
+    let mut lines: Vec<(u64, String)> = Vec::new();
+    for story in stories(events, records).iter().filter(|story| story.request == request) {
+        for (sent, ends) in &story.tries {
+            let key = sent.key.as_deref().unwrap_or("none");
+            lines.push((sent.at_ms, format!("try {} to {} key={key}", sent.attempt, sent.to)));
+            for end in ends {
+                let line = format!("end of try {}: {} {}", end.attempt, end.outcome, end.reason);
+                lines.push((end.at_ms, line));
+            }
+        }
+        for execution in &story.executions {
+            let Execution { backend, request_id, end, tokens, .. } = execution;
+            lines.push((execution.arrived_ms, format!("{backend} got attempt {request_id}")));
+            let ended_ms = execution.ended_ms.unwrap_or(u64::MAX);
+            lines.push((ended_ms, format!("{backend} ended it: {end:?} tokens={tokens}")));
+        }
+    }
+    lines.sort();
+    let begin = lines.first().map_or(0, |(at, _)| *at);
+    lines.iter().map(|(at, line)| format!("  {:>6} ms {line}\n", at - begin)).collect()
+}
+
 /// One request with its tries and executions.
 #[derive(Debug)]
 struct Story<'a> {
--- a/crates/fakes/tests/baseline.rs
+++ b/crates/fakes/tests/baseline.rs
@@ -9,6 +9,7 @@
 use hyssop_fakes::{
     baseline::Strategy,
     cluster::{Builder, Cluster},
+    engine,
     history::{self, History, Outcome},
     load::{self, Mix, Retry, Source},
     shape::{self, Shape},
@@ -38,8 +39,10 @@
 
 async fn start() -> Cluster {
     let node = env!("CARGO_BIN_EXE_node");
-    let builder = Builder::new(node, shape()).daemons(2).baseline(Strategy::LeastConnections);
-    builder.start().await.unwrap()
+    // A baseline does not know cold starts.
+    let warm = engine::Settings { cold_start: false, ..engine::Settings::default() };
+    let builder = Builder::new(node, shape()).daemons(2).engine(warm);
+    builder.baseline(Strategy::LeastConnections).start().await.unwrap()
 }
 
 #[tokio::test(flavor = "multi_thread")]
