--- a/crates/caller/src/home/run.rs
+++ b/crates/caller/src/home/run.rs
@@ -8,8 +8,8 @@
     time::{Duration, Instant},
 };
 
-use compact_str::CompactString;
-use hyssop_document::{name, number::Tokens};
+use compact_str::{CompactString, format_compact};
+use hyssop_document::{digest::Digest, name, number::Tokens};
 use hyssop_policy::{
     decision,
     permit::{self, Permit},
@@ -119,6 +119,13 @@
         Ok((Held::new(Arc::clone(&self.shared), permit), turn))
     }
 
+    /// A number from 0 to 1 that is another one on each daemon and at each try.
+    fn place(&self) -> f64 {
+        let own = self.shared.directory.incarnation();
+        let text = format_compact!("{} {own} {}", self.fingerprint, self.tally.permits);
+        Digest::of(text.as_bytes()).short() as f64 / u64::MAX as f64
+    }
+
     fn standing(&self) -> Result<Standing, Outcome> {
         let standing = self.shared.quarantine.standing(self.fingerprint);
         if standing == Standing::Quarantined {
@@ -133,7 +140,7 @@
         let turn = timeout(self.remaining(), turn).await;
         // Daemons that got copies at the same time try them one after the other this way, and the
         // later ones hear of what became of the first.
-        let stagger = MAX_STAGGER.min(self.remaining() / 8).mul_f64(rand::random());
+        let stagger = MAX_STAGGER.min(self.remaining() / 8).mul_f64(self.place());
         tokio::time::sleep(stagger).await;
         turn.map_err(|_| self.outcome(Reason::Deadline, "the deadline passed", Some(SOON)))
     }
--- a/crates/fakes/tests/once_homes.rs
+++ b/crates/fakes/tests/once_homes.rs
@@ -3,7 +3,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a test fails by a panic")]
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use hyssop_document::{model::Class, name};
 use hyssop_fakes::{
@@ -64,13 +64,13 @@
 }
 
 /// Checks the history, and prints the outcomes by class.
-#[allow(clippy::print_stdout)]
+#[allow(clippy::print_stdout, reason = "figures for the notes")]
 async fn check(cluster: &Cluster, history: &History, seed: u64, what: &str) {
     tokio::time::sleep(SETTLE).await;
     let events = history.events();
     let records = cluster.records().await.unwrap();
     let violations = history::check(&events, &records);
-    let mut counts = std::collections::BTreeMap::new();
+    let mut counts = BTreeMap::new();
     let ends = events.iter().filter_map(|event| match event {
         Event::Ended(ended) => Some(ended.outcome.to_string()),
         Event::Sent(_) => None,
@@ -78,10 +78,87 @@
     ends.for_each(|end| *counts.entry(end).or_insert(0) += 1);
     let executions: usize = records.iter().map(|record| record.executions.len()).sum();
     println!("what={what} seed={seed} tries={counts:?} executions={executions}");
+    println!("what={what} bookings={:?}", bookings(&events));
     assert!(violations.is_empty(), "{violations:#?}\n{}", cluster.logs(15));
     assert!(counts.get(&Outcome::Answered.to_string()).is_some_and(|count| *count > 100));
 }
 
+/// The last outcome of each booking.
+fn bookings(events: &[Event]) -> BTreeMap<String, u64> {
+    let ends = events.iter().filter_map(|event| match event {
+        Event::Ended(ended) => Some(ended),
+        Event::Sent(_) => None,
+    });
+    let is_booking = |request: u64| {
+        events.iter().any(|event| {
+            matches!(event, Event::Sent(sent) if sent.request == request && !sent.idempotent)
+        })
+    };
+    let last: BTreeMap<_, _> = ends.map(|ended| (ended.request, ended.outcome)).collect();
+    let mut counts = BTreeMap::new();
+    for (_, outcome) in last.into_iter().filter(|(request, _)| is_booking(*request)) {
+        *counts.entry(outcome.to_string()).or_insert(0) += 1;
+    }
+    counts
+}
+
+/// One kind of fault, again and again while the load runs.
+async fn strike(cluster: &mut Cluster, kind: &str, random: &mut SmallRng) {
+    let daemon = random.random_range(0..DAEMONS);
+    match kind {
+        "home killed" => {
+            cluster.daemons[daemon].kill();
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            cluster.daemons[daemon].restart().unwrap();
+        }
+        "home frozen" => {
+            cluster.daemons[daemon].freeze().unwrap();
+            tokio::time::sleep(Duration::from_millis(900)).await;
+            cluster.daemons[daemon].thaw().unwrap();
+        }
+        "engine crashed" => {
+            cluster.backend(random.random_range(0..ENGINES), "crash", "").await.unwrap();
+        }
+        "service crashed" => {
+            let service = ENGINES + random.random_range(0..SERVICES);
+            cluster.backend(service, "crash", "").await.unwrap();
+        }
+        _ => {}
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "takes a minute and only prints figures by kind of fault"]
+async fn figures_by_kind_of_fault() {
+    const SEED: u64 = 13;
+    let faults = [
+        ("crossed and twice", r#"{"cross":0.1,"duplicate":0.1}"#, r#"{"cross":0.1}"#),
+        ("late", r#"{"delay":0.05,"delay_ms":300}"#, r#"{"delay":0.2,"delay_ms":900}"#),
+        ("cut and truncated", r#"{"cut":0.05,"truncate":0.05}"#, "{}"),
+        ("crashed after executing", "{}", r#"{"crash":0.02}"#),
+        ("none", "{}", "{}"),
+        ("home killed", "{}", "{}"),
+        ("home frozen", "{}", "{}"),
+        ("engine crashed", "{}", "{}"),
+        ("service crashed", "{}", "{}"),
+    ];
+    for (kind, engine, service) in faults {
+        let mut cluster = start().await;
+        for index in 0..ENGINES + SERVICES {
+            let faults = if index < ENGINES { engine } else { service };
+            cluster.backend(index, "faults", faults).await.unwrap();
+        }
+        let mut random = SmallRng::seed_from_u64(SEED);
+        let (history, sending) = send(&cluster, SEED);
+        for _ in 0..5 {
+            tokio::time::sleep(Duration::from_millis(random.random_range(300..700))).await;
+            strike(&mut cluster, kind, &mut random).await;
+        }
+        sending.await.unwrap();
+        check(&cluster, &history, SEED, kind).await;
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn homes_are_killed_and_frozen() {
     const SEED: u64 = 11;
