--- a/crates/caller/src/home/run/exchange.rs
+++ b/crates/caller/src/home/run/exchange.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::atomic::Ordering, time::Duration};
 
-use compact_str::format_compact;
+use compact_str::{CompactString, format_compact};
 use hyssop_document::model::Kind;
 
 use super::{Fault, Held, Run};
@@ -17,6 +17,8 @@
 const NOT_FOUND: u16 = 404;
 const GONE: u16 = 410;
 
+/// The shortest silence after which an engine counts as hung.
+const MIN_SILENCE: Duration = Duration::from_secs(2);
 /// The time until a forgotten or broken attempt is resumed once more.
 const RESUME_PAUSE: Duration = Duration::from_millis(50);
 
@@ -113,20 +115,37 @@
     fn build(&self, resume_after: Option<u64>) -> Attempt {
         let request = &self.order.request;
         let terms = &self.order.terms;
-        let silence = match terms.pool.kind {
-            Kind::Model => self.shared.limits.silence,
-            // A plain service sends nothing before its answer is there.
-            Kind::Service => terms.class.max_running(),
-        };
         Attempt {
             id: format_compact!("{}-{}", self.order.number, self.tally.attempts),
             kind: terms.pool.kind,
             path: request.path(),
-            content_type: request.head.content_type.clone(),
+            content_type: self.content_type(),
             body: request.body.clone(),
             tier: terms.class.tier,
             resume_after,
-            silence,
+            silence: self.silence(),
+        }
+    }
+
+    fn content_type(&self) -> Option<CompactString> {
+        match self.order.terms.pool.kind {
+            Kind::Model => Some(CompactString::const_new("application/json")),
+            Kind::Service => self.order.request.head.content_type.clone(),
+        }
+    }
+
+    /// The longest silence of the backend server.
+    ///
+    /// An idempotent request leaves a hung engine while there is time for another one.
+    fn silence(&self) -> Duration {
+        let class = &self.order.terms.class;
+        match self.order.terms.pool.kind {
+            // A plain service sends nothing before its answer is there.
+            Kind::Service => class.max_running(),
+            Kind::Model if class.idempotent => {
+                self.shared.limits.silence.min((self.remaining() / 2).max(MIN_SILENCE))
+            }
+            Kind::Model => self.shared.limits.silence,
         }
     }
 
--- a/crates/caller/tests/answers.rs
+++ b/crates/caller/tests/answers.rs
@@ -141,3 +141,15 @@
     let released = bench.grants.released.lock()[0];
     assert_eq!(released.end, hyssop_policy::permit::End::Cancelled);
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_hung_engine_is_left_in_time_for_another() {
+    let clock = std::sync::Arc::new(bench::Simulated);
+    let bench = Bench::with(1, Fleet::new(2), Default::default(), Default::default(), |builder| {
+        builder.clock(clock)
+    });
+    bench.fleet.servers[0].acts.lock().push_back(Act::Hang);
+    let call = Call::draft("hung");
+    assert_eq!(bench.send(call.clone()).await.text(), expected(&call.body));
+    assert!(bench.notes.0.lock()[0].elapsed < std::time::Duration::from_secs(20));
+}
--- a/crates/caller/tests/bench/engine.rs
+++ b/crates/caller/tests/bench/engine.rs
@@ -335,8 +335,11 @@
                 return Err(broken());
             }
             Act::Hang => {
-                let _ = self.alive.changed().await;
-                return Err(broken());
+                let silence = tokio::time::sleep(self.attempt.silence);
+                tokio::select! {
+                    _ = self.alive.changed() => return Err(broken()),
+                    () = silence => return Err(failure(FailureKind::Silent, Ran::MayHaveRun)),
+                }
             }
             _ => {}
         }
--- a/crates/caller/tests/outcome.rs
+++ b/crates/caller/tests/outcome.rs
@@ -140,3 +140,18 @@
     let response = hyssop_caller::desk::Desk::serve(home, head, bytes::Bytes::new()).await;
     expect_test::expect![[r#"{"lifetime_ms":10000,"addresses":[{"address":"127.0.0.1:1","host":"h1","zone":"z1","incarnation":"18bcfe5680100001"}]}"#]].assert_eq(&Reply::read(response).await.body);
 }
+
+#[test]
+fn the_callers_page_explains_every_reason() {
+    let page = include_str!("../../../docs/CALLERS.md");
+    let source = include_str!("../src/outcome.rs");
+    let reasons = source.split("pub enum Reason {").nth(1).unwrap().split("\n}\n").next().unwrap();
+    let names = reasons
+        .lines()
+        .filter_map(|line| line.trim().strip_prefix("#[display(\"")?.strip_suffix("\")]"));
+    let names: Vec<_> = names.collect();
+    assert!(names.len() > 25, "{names:?}");
+    for name in names {
+        assert!(page.contains(&format!("`{name}`")), "{name} is missing");
+    }
+}
