--- a/crates/caller/src/home/limits.rs
+++ b/crates/caller/src/home/limits.rs
@@ -24,7 +24,7 @@
             permits: 12,
             resumptions: 3,
             silence: Duration::from_secs(60),
-            patience: Duration::from_secs(10),
+            patience: Duration::from_secs(5),
         }
     }
 }
--- a/crates/caller/src/render.rs
+++ b/crates/caller/src/render.rs
@@ -8,7 +8,8 @@
     header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue, RETRY_AFTER},
 };
 use hyssop_document::digest::Digest;
-use serde_json::{Map, Value, json};
+use serde::Deserialize;
+use serde_json::{Map, Value, json, value::RawValue};
 
 use crate::{
     body::{self, Body},
@@ -22,16 +23,30 @@
 const EVENT_STREAM: HeaderValue = HeaderValue::from_static("text/event-stream");
 const JSON: HeaderValue = HeaderValue::from_static("application/json");
 
+/// The fields of a chunk that are replaced or compared, as they stand in its text.
+#[derive(Deserialize)]
+struct Chunk<'a> {
+    #[serde(borrow)]
+    id: &'a RawValue,
+    #[serde(borrow, default)]
+    choices: Option<&'a RawValue>,
+    #[serde(borrow, default)]
+    usage: Option<&'a RawValue>,
+}
+
 /// Makes a part for callers out of an engine's chunk.
 ///
-/// The attempt's id is replaced by that of the request, which stays the same over all attempts.
+/// The attempt's id is replaced by that of the request, which stays the same over all attempts. The
+/// rest of the chunk is left as it is.
 pub fn part(id: &str, chunk: &Bytes, is_usage: bool) -> Option<Part> {
-    let mut object: Map<String, Value> = serde_json::from_slice(chunk).ok()?;
-    object.insert("id".to_owned(), json!(format!("cmpl-{id}")));
-    let compared = if is_usage { object.get("usage") } else { object.get("choices") };
-    let compared = serde_json::to_vec(&compared).ok()?;
-    let data = serde_json::to_vec(&object).ok()?.into();
-    Some(Part { data, digest: Digest::of(&compared).short(), is_usage })
+    let parsed: Chunk<'_> = serde_json::from_slice(chunk).ok()?;
+    let compared = if is_usage { parsed.usage } else { parsed.choices };
+    let compared = compared.map_or("", RawValue::get);
+    let start = parsed.id.get().as_ptr() as usize - chunk.as_ptr() as usize;
+    let end = start + parsed.id.get().len();
+    let new = format!("\"cmpl-{id}\"");
+    let data = [&chunk[..start], new.as_bytes(), &chunk[end..]].concat().into();
+    Some(Part { data, digest: Digest::of(compared.as_bytes()).short(), is_usage })
 }
 
 /// Makes a part out of a piece of a plain service's answer.
