--- a/crates/caller/src/home/builder.rs
+++ b/crates/caller/src/home/builder.rs
@@ -23,7 +23,7 @@
     permits: Arc<dyn Permits>,
     backends: Arc<dyn Backends>,
     quarantine: Arc<dyn Quarantine>,
-    retries: Arc<dyn Retries>,
+    retries: Option<Arc<dyn Retries>>,
     relay: Arc<dyn Relay>,
     observer: Arc<dyn Observer>,
     clock: Arc<dyn Clock>,
@@ -42,7 +42,7 @@
             permits,
             backends,
             quarantine: Arc::new(Open),
-            retries: Arc::new(Share::default()),
+            retries: None,
             relay: Arc::new(Http::default()),
             observer: Arc::new(Blind),
             clock: Arc::new(hyssop_timer::System),
@@ -59,7 +59,7 @@
 
     /// Sets the budget for retries. A share of the successes of each pool is the default.
     pub fn retries(mut self, retries: Arc<dyn Retries>) -> Self {
-        self.retries = retries;
+        self.retries = Some(retries);
         self
     }
 
@@ -96,12 +96,13 @@
     /// The home.
     pub fn build(self) -> Home {
         let registry = Registry::new(self.keys, self.clock.now());
+        let share = || Arc::new(Share::new(Arc::clone(&self.clock))) as Arc<dyn Retries>;
         let shared = Shared {
             directory: self.directory,
             permits: self.permits,
             backends: self.backends,
             quarantine: self.quarantine,
-            retries: self.retries,
+            retries: self.retries.unwrap_or_else(share),
             relay: self.relay,
             observer: self.observer,
             clock: self.clock,
--- a/crates/caller/src/home/run.rs
+++ b/crates/caller/src/home/run.rs
@@ -179,6 +179,10 @@
             self.exclude.clear();
             return Ok(());
         }
+        if refusal.reason == decision::Reason::QueueFull {
+            let terms = &self.order.terms;
+            self.shared.retries.shed(&terms.pool.name, terms.class.tier);
+        }
         let (reason, message) = match refusal.reason {
             decision::Reason::Deadline => (Reason::Deadline, "the deadline cannot be met"),
             decision::Reason::QueueFull => (Reason::QueueFull, "the queue is full"),
--- a/crates/caller/src/home/run/fault.rs
+++ b/crates/caller/src/home/run/fault.rs
@@ -150,7 +150,7 @@
         if !allowed {
             return Step::Done(self.end(reason, message, None));
         }
-        if budget && !self.shared.retries.take(&terms.pool.name) {
+        if budget && !self.shared.retries.take(&terms.pool.name, terms.class.tier) {
             return Step::Done(self.end(Reason::RetryBudget, message, None));
         }
         self.exclude.push(held.permit.backend.clone());
--- a/crates/caller/src/retries.rs
+++ b/crates/caller/src/retries.rs
@@ -1,6 +1,10 @@
 //! The budget for retries of idempotent requests.
 
-use hyssop_document::{collections::Map, name};
+use std::sync::Arc;
+
+use hyssop_document::{collections::Map, name, number::Tier};
+use hyssop_policy::budget::Budget;
+use hyssop_timer::Clock;
 use parking_lot::Mutex;
 
 /// Decides whether a request may be tried again.
@@ -8,35 +12,42 @@
     /// Notes a success.
     fn success(&self, pool: &name::Pool);
 
+    /// Notes that a request was refused because of a full queue.
+    fn shed(&self, pool: &name::Pool, tier: Tier);
+
     /// Takes one retry out of the budget, if there is one.
-    fn take(&self, pool: &name::Pool) -> bool;
+    fn take(&self, pool: &name::Pool, tier: Tier) -> bool;
 }
 
-/// The retries earned by one success.
-const EARNED_PER_SUCCESS: f64 = 0.1;
-/// The largest number of retries in hand.
-const MAX_IN_HAND: f64 = 10.0;
-
-/// A budget that is a share of the successes of each pool.
-#[derive(Debug, Default)]
+/// A budget for each pool that is a share of its successes, and that pays for no retry into a pool
+/// that is shedding.
+#[derive(Debug)]
 pub struct Share {
-    in_hand: Mutex<Map<name::Pool, f64>>,
+    clock: Arc<dyn Clock>,
+    budgets: Mutex<Map<name::Pool, Budget>>,
+}
+
+impl Share {
+    /// Full budgets.
+    pub fn new(clock: Arc<dyn Clock>) -> Self {
+        Self { clock, budgets: Mutex::default() }
+    }
+
+    fn with<T>(&self, pool: &name::Pool, change: impl FnOnce(&mut Budget) -> T) -> T {
+        change(self.budgets.lock().entry(pool.clone()).or_default())
+    }
 }
 
 impl Retries for Share {
     fn success(&self, pool: &name::Pool) {
-        let mut in_hand = self.in_hand.lock();
-        let left = in_hand.entry(pool.clone()).or_insert(MAX_IN_HAND);
-        *left = (*left + EARNED_PER_SUCCESS).min(MAX_IN_HAND);
+        self.with(pool, Budget::succeed);
+    }
+
+    fn shed(&self, pool: &name::Pool, tier: Tier) {
+        self.with(pool, |budget| budget.shed(tier, self.clock.now()));
     }
 
-    fn take(&self, pool: &name::Pool) -> bool {
-        let mut in_hand = self.in_hand.lock();
-        let left = in_hand.entry(pool.clone()).or_insert(MAX_IN_HAND);
-        let enough = *left >= 1.0;
-        if enough {
-            *left -= 1.0;
-        }
-        enough
+    fn take(&self, pool: &name::Pool, tier: Tier) -> bool {
+        self.with(pool, |budget| budget.retry(tier, self.clock.now()))
     }
 }
