--- a/crates/peer/src/current.rs
+++ b/crates/peer/src/current.rs
@@ -51,6 +51,14 @@
     pub fn document_stamp(&self) -> Stamp {
         self.document.as_ref().map_or(Stamp::NONE, |document| document.stamp)
     }
+
+    /// The fault of a document that is not for the environment of the document in force.
+    fn other_environment(&self, offered: &Catalog) -> Option<Fault> {
+        let own = &self.document.as_ref()?.catalog.document().environment;
+        let other = &offered.document().environment;
+        let message = format!("the document is for {other}, the one in force is for {own}");
+        (own != other).then(|| Fault { path: "environment".into(), message: message.into() })
+    }
 }
 
 /// What became of an offered value.
@@ -126,6 +134,9 @@
         };
         let stamp = Stamp { revision: catalog.revision(), digest: catalog.digest() };
         let current = self.load();
+        if let Some(fault) = current.other_environment(&catalog) {
+            return self.reject(vec![fault], source);
+        }
         let outcome = self.compare("document", stamp, current.document_stamp(), &source);
         if outcome == Outcome::Adopted {
             log::info!("document adopted revision={} source={source}", stamp.revision);
@@ -139,6 +150,9 @@
 
     /// Offers a state of service orders. The same caution applies.
     pub fn offer_orders(&self, state: order::State, source: &Source) -> Outcome {
+        if state == order::State::default() {
+            return Outcome::Known;
+        }
         let stamp = Stamp { revision: state.revision, digest: state.digest() };
         let current = self.load();
         let outcome = self.compare("orders", stamp, current.orders_stamp, source);
--- a/crates/peer/tests/node/main.rs
+++ b/crates/peer/tests/node/main.rs
@@ -3,3 +3,4 @@
 mod cluster;
 mod failure;
 mod support;
+mod values;
