Count votes at once after a proven end of the other hosts; settle for use and report lag

A scheduler whose voters have all reported, and whose other hosts' processes have ended, only needs a load report that was asked for after the vote. The time to settle was shorter than the time within which a permit may be used plus the lag of load reports; it is their sum now.

--- a/crates/peer/src/core.rs
+++ b/crates/peer/src/core.rs
@@ -113,6 +113,7 @@
     alive: Duration,
     lease: Duration,
     guard: Duration,
+    settle: Duration,
     last_round: Option<Instant>,
     next: Sequence,
     leaving: bool,
@@ -169,6 +170,7 @@
             alive: timing.alive,
             lease: timing.lease,
             guard: timing.guard,
+            settle: timing.settle,
             last_round: None,
         }
     }
@@ -426,8 +428,10 @@
     /// The share of a scheduler of this daemon.
     ///
     /// If every host votes here, and no daemon without a vote is about, then the voters' reports
-    /// show everything that runs, and their votes need not settle. Without the newest list of
-    /// hosts, or before the view is fresh again after a pause, there is no share at all.
+    /// show everything that runs, and their votes count at once. If the processes of all others
+    /// have ended, a load report that was asked for after the vote shows what they left behind.
+    /// Otherwise the votes must settle. Without the newest list of hosts, or before the view is
+    /// fresh again after a pause, there is no share at all.
     pub fn share(&self, key: Key, observed: Option<Instant>, now: Instant) -> Share {
         let electorate = &self.electorate;
         let Some(hosts) = self.members.voters(electorate, now) else {
@@ -436,10 +440,15 @@
         if self.members.is_list_stale(now) || self.refreshed(now).is_none() {
             return Share { votes: 0, hosts };
         }
+        let strangers = self.members.has_strangers(electorate, now);
         let reports = self.tally.reports(key, electorate, now);
-        let votes = match reports == hosts && !self.members.has_strangers(electorate, now) {
-            true => hosts,
-            false => self.tally.settled(key, electorate, observed, now),
+        let ended = self.members.ended_among(electorate);
+        let votes = if reports == hosts && !strangers {
+            hosts
+        } else if reports + ended == hosts && !strangers {
+            self.tally.settled(key, electorate, observed, Duration::ZERO, now)
+        } else {
+            self.tally.settled(key, electorate, observed, self.settle, now)
         };
         Share { votes, hosts }
     }
--- a/crates/peer/src/member.rs
+++ b/crates/peer/src/member.rs
@@ -351,6 +351,12 @@
         &self.seeds
     }
 
+    /// The number of hosts of the electorate whose last known process has ended.
+    pub fn ended_among(&self, electorate: &Electorate) -> u32 {
+        let ended = |host| self.peers.get(host).is_some_and(|peer| peer.ended);
+        electorate.iter().filter(|host| ended(*host)).count() as u32
+    }
+
     /// Whether daemons outside the electorate were heard of lately.
     pub fn has_strangers(&self, electorate: &Electorate, now: Instant) -> bool {
         self.alive(now).any(|peer| !electorate.contains(&peer.identity.host))
--- a/crates/peer/src/timing.rs
+++ b/crates/peer/src/timing.rs
@@ -2,11 +2,16 @@
 
 use std::time::Duration;
 
+use hyssop_policy::permit::USE_WITHIN;
+
 /// The largest number of hosts in a cell. Lists beyond it are rejected.
 pub const MAX_CELL_HOSTS: usize = 64;
 /// The largest number of groups of a cell.
 pub const MAX_CELL_GROUPS: usize = 256;
 
+/// The time after which a backend server's load report shows a request that was sent to it.
+const REPORT_LAG: Duration = Duration::from_millis(250);
+
 /// The intervals that safety and speed of hand-over depend on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Timing {
@@ -38,7 +43,7 @@
             lease: Duration::from_millis(1500),
             drift: Duration::from_millis(15),
             guard: Duration::from_secs(10),
-            settle: Duration::from_millis(500),
+            settle: USE_WITHIN + REPORT_LAG,
             load: Duration::from_millis(250),
             load_timeout: Duration::from_millis(500),
             batch: Duration::from_millis(5),
--- a/crates/peer/src/vote/tally.rs
+++ b/crates/peer/src/vote/tally.rs
@@ -127,17 +127,18 @@
     /// The number of votes for `key` that count now.
     ///
     /// A vote counts once its voter has reported and every load report was asked for, at
-    /// `observed`, long enough after the vote came: what another scheduler granted before the vote
-    /// moved is then seen.
+    /// `observed`, at least `settle` after the vote came: what another scheduler granted before the
+    /// vote moved is then seen.
     pub fn settled(
         &self,
         key: Key,
         electorate: &Electorate,
         observed: Option<Instant>,
+        settle: Duration,
         now: Instant,
     ) -> u32 {
         let reported = self.held(key, electorate, now).filter(|held| held.reported);
-        reported.filter(|held| held.settled(self.settle, observed)).count() as u32
+        reported.filter(|held| held.settled(settle, observed)).count() as u32
     }
 
     /// The number of votes for `key` whose voters have reported.
