Tell zone, addresses and stamps only until the recipient has answered them

The digest of the list of hosts and that of the notices were worked out again for every datagram, and expired notices left the digests of two daemons different until the next notice.

Change: `News` is sent until a heartbeat that had it is answered. Without news only the standing schedulers are published, not the whole view. The board of notices keeps its digest and drops expired notices by itself.

--- a/crates/peer/src/core.rs
+++ b/crates/peer/src/core.rs
@@ -9,11 +9,11 @@
 use crate::{
     hosts::{self, List},
     identity::{Identity, Process},
-    member::{Peer, Table},
+    member::{Answer, Peer, Table},
     rank::{self, Key},
     timing::Timing,
     vote::{Book, Electorate, Sequence, Tally, Vote},
-    wire::{self, Cell, Echo, Heartbeat, Stamp},
+    wire::{self, Cell, Heartbeat, News, Stamp},
 };
 
 /// The stamps of the values that a daemon has in force.
@@ -115,6 +115,8 @@
     guard: Duration,
     settle: Duration,
     last_round: Option<Instant>,
+    /// What this daemon tells, and the first heartbeat that told it.
+    news: Option<(Sequence, Box<News>)>,
     next: Sequence,
     leaving: bool,
     platform: bool,
@@ -172,6 +174,7 @@
             guard: timing.guard,
             settle: timing.settle,
             last_round: None,
+            news: None,
         }
     }
 
@@ -316,6 +319,26 @@
         }
     }
 
+    /// Notes what this daemon tells from heartbeat `sequence` on.
+    fn note_news(&mut self, sequence: Sequence, stamps: &Stamps, now: Instant) {
+        let seasoned = self.members.is_seasoned(now);
+        let news = News {
+            zone: self.identity.zone.clone(),
+            caller_address: self.identity.caller_address,
+            peer_address: self.identity.peer_address,
+            leaving: self.leaving,
+            platform: self.platform,
+            document: stamps.document,
+            orders: stamps.orders,
+            list: self.members.stamp(),
+            voters: if seasoned { self.electorate.len() as u32 } else { 0 },
+            notices: stamps.notices,
+        };
+        if self.news.as_ref().is_none_or(|(_, told)| **told != news) {
+            self.news = Some((sequence, Box::new(news)));
+        }
+    }
+
     /// The heartbeat `sequence` for a recipient, of which nothing may be known yet.
     pub fn heartbeat(
         &mut self,
@@ -324,29 +347,21 @@
         stamps: &Stamps,
         now: Instant,
     ) -> Heartbeat {
-        let peer = to.and_then(|process| self.members.peer(&process.host));
-        let echo: Option<Echo> = peer.and_then(Peer::echo);
+        self.note_news(sequence, stamps, now);
         let votes = to.map(|process| self.votes_for(process, now)).unwrap_or_default();
-        let identity = &self.identity;
+        let peer = to.and_then(|process| self.members.peer(&process.host));
+        let echoed = peer.and_then(|peer| peer.echoed);
+        let news = self.news.as_ref().filter(|(since, _)| echoed.is_none_or(|e| e < *since));
         Heartbeat {
             version: wire::VERSION,
             cell: self.cell,
-            host: identity.host.clone(),
-            zone: identity.zone.clone(),
-            incarnation: identity.incarnation,
-            caller_address: identity.caller_address,
-            peer_address: identity.peer_address,
+            host: self.identity.host.clone(),
+            incarnation: self.identity.incarnation,
             sequence,
             uptime_ms: self.uptime_ms(now),
-            echo,
+            echo: peer.and_then(Peer::echo),
             lists_recipient: to.is_some_and(|to| self.members.list().contains(&to.host)),
-            leaving: self.leaving,
-            platform: self.platform,
-            document: stamps.document,
-            orders: stamps.orders,
-            list: self.members.stamp(),
-            voters: if self.members.is_seasoned(now) { self.electorate.len() as u32 } else { 0 },
-            notices: stamps.notices,
+            news: news.map(|(_, news)| news.clone()),
             votes,
         }
     }
@@ -369,8 +384,11 @@
         let before = self.members.peer(&heartbeat.host).map(|peer| peer.identity.incarnation);
         let echo = heartbeat.echo.filter(|echo| echo.incarnation == self.me.incarnation);
         let answered = echo.map(|echo| echo.sequence);
-        let sent = answered.and_then(|answered| self.tally.sent_at(answered));
-        if !self.members.heard(heartbeat, sent, now) {
+        let answer = answered.and_then(|sequence| {
+            let sent = self.tally.sent_at(sequence)?;
+            Some(Answer { sequence, sent })
+        });
+        if !self.members.heard(heartbeat, answer, now) {
             return Effect::default();
         }
         let process = heartbeat.process();
--- a/crates/peer/src/member.rs
+++ b/crates/peer/src/member.rs
@@ -12,7 +12,7 @@
     identity::{Identity, Process},
     timing::{MAX_CELL_HOSTS, Timing},
     vote::{Electorate, Sequence},
-    wire::{Echo, Heartbeat, Stamp},
+    wire::{Echo, Heartbeat, News, Stamp},
 };
 
 /// What is known about another daemon.
@@ -24,6 +24,8 @@
     pub heard: Instant,
     /// Its newest heartbeat that was processed.
     pub sequence: Sequence,
+    /// The newest own heartbeat that it has answered.
+    pub echoed: Option<Sequence>,
     /// The sending time of the newest own heartbeat that it has answered.
     pub answered: Option<Instant>,
     /// Whether its list of hosts has this daemon on it.
@@ -47,6 +49,15 @@
     start: Option<Start>,
 }
 
+/// An own heartbeat that a peer has answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Answer {
+    /// Its number.
+    pub sequence: Sequence,
+    /// The time at which it was sent.
+    pub sent: Instant,
+}
+
 /// A lower bound of the start of a peer's process, on the own clock.
 ///
 /// An answer was sent after the own heartbeat that it answers. So the process had not started
@@ -237,44 +248,33 @@
 
     /// Takes a heartbeat in. Returns whether it was new, so that its votes may be counted.
     ///
-    /// `answered` is the sending time of the own heartbeat that it answers.
-    pub fn heard(
-        &mut self,
-        heartbeat: &Heartbeat,
-        answered: Option<Instant>,
-        now: Instant,
-    ) -> bool {
+    /// A process of which nothing is known yet must tell its news.
+    pub fn heard(&mut self, heartbeat: &Heartbeat, answer: Option<Answer>, now: Instant) -> bool {
         if heartbeat.host == self.me.host || !self.make_room(&heartbeat.host, now) {
             return false;
         }
-        let mut start = answered.and_then(|at| Start::new(at, heartbeat.uptime_ms, now));
-        let mut answered = answered;
-        if let Some(peer) = self.peers.get(&heartbeat.host) {
-            let old = (peer.identity.incarnation, peer.sequence);
-            if (heartbeat.incarnation, heartbeat.sequence) <= old {
-                return false;
-            }
-            if peer.identity.incarnation == heartbeat.incarnation {
-                start = Start::best(peer.start, start, now);
-                answered = answered.max(peer.answered);
-            }
+        let incarnation = heartbeat.incarnation;
+        let known = self.peers.get(&heartbeat.host);
+        let stale = known.is_some_and(|peer| {
+            (incarnation, heartbeat.sequence) <= (peer.identity.incarnation, peer.sequence)
+        });
+        if stale {
+            return false;
         }
-        let peer = Peer {
-            identity: heartbeat.identity(),
-            heard: now,
-            sequence: heartbeat.sequence,
-            answered,
-            lists_me: heartbeat.lists_recipient,
-            leaving: heartbeat.leaving,
-            platform: heartbeat.platform,
-            ended: false,
-            document: heartbeat.document,
-            orders: heartbeat.orders,
-            list: heartbeat.list,
-            notices: heartbeat.notices,
-            voters: heartbeat.voters,
-            start,
+        let known = known.filter(|p| p.identity.incarnation == incarnation && p.is_heard());
+        let mut peer = match (known, &heartbeat.news) {
+            (Some(known), None) => known.clone(),
+            (known, Some(news)) => Peer::told(heartbeat, news, known, now),
+            (None, None) => return false,
         };
+        let start = answer.and_then(|answer| Start::new(answer.sent, heartbeat.uptime_ms, now));
+        peer.start = Start::best(peer.start, start, now);
+        peer.echoed = peer.echoed.max(answer.map(|answer| answer.sequence));
+        peer.answered = peer.answered.max(answer.map(|answer| answer.sent));
+        peer.heard = now;
+        peer.sequence = heartbeat.sequence;
+        peer.lists_me = heartbeat.lists_recipient;
+        peer.ended = false;
         self.peers.insert(heartbeat.host.clone(), peer);
         true
     }
@@ -307,9 +307,7 @@
 
     /// Whether the peer was heard of lately.
     pub fn is_alive(&self, peer: &Peer, now: Instant) -> bool {
-        !peer.ended
-            && peer.sequence > Sequence(0)
-            && now.saturating_duration_since(peer.heard) <= self.alive
+        !peer.ended && peer.is_heard() && now.saturating_duration_since(peer.heard) <= self.alive
     }
 
     /// All peers known.
@@ -364,11 +362,39 @@
 }
 
 impl Peer {
+    fn is_heard(&self) -> bool {
+        self.sequence > Sequence(0)
+    }
+
+    /// A peer by what it tells. What was measured of its process before is kept.
+    fn told(heartbeat: &Heartbeat, news: &News, known: Option<&Self>, now: Instant) -> Self {
+        let identity = Identity {
+            host: heartbeat.host.clone(),
+            zone: news.zone.clone(),
+            incarnation: heartbeat.incarnation,
+            caller_address: news.caller_address,
+            peer_address: news.peer_address,
+        };
+        let blank = Self::introduced(identity.clone(), now);
+        Self {
+            identity,
+            leaving: news.leaving,
+            platform: news.platform,
+            document: news.document,
+            orders: news.orders,
+            list: news.list,
+            notices: news.notices,
+            voters: news.voters,
+            ..known.cloned().unwrap_or(blank)
+        }
+    }
+
     fn introduced(identity: Identity, now: Instant) -> Self {
         Self {
             identity,
             heard: now,
             sequence: Sequence(0),
+            echoed: None,
             answered: None,
             lists_me: false,
             leaving: false,
@@ -385,9 +411,8 @@
 
     /// What to answer to its heartbeats.
     pub fn echo(&self) -> Option<Echo> {
-        let heard = self.sequence > Sequence(0);
         let incarnation = self.identity.incarnation;
-        heard.then_some(Echo { incarnation, sequence: self.sequence })
+        self.is_heard().then_some(Echo { incarnation, sequence: self.sequence })
     }
 
     /// The time on the own clock before which its process had not started.
--- a/crates/peer/src/node.rs
+++ b/crates/peer/src/node.rs
@@ -42,7 +42,7 @@
 pub use crate::core::Stale;
 
 use crate::{
-    core::{Core, Stamps},
+    core::{Core, Stamps, Standing},
     current::{Current, Outcome, Source, Store},
     group::{Command, Handle, Loads},
     held,
@@ -253,31 +253,35 @@
         Stamps {
             document: current.document_stamp(),
             orders: current.orders_stamp,
-            notices: self.board.lock().digest(),
+            notices: self.board.lock().digest(self.now()),
         }
     }
 
     /// Publishes the view and the standing schedulers for readers.
     fn publish(&self) {
-        let now = self.now();
         let mut core = self.core.lock();
-        let view = View::of(&mut core, now);
-        let standings = core.standings(now);
+        let view = View::of(&mut core, self.now());
+        // Stored under the lock of the core, so that an older view never replaces a newer one.
+        self.view.store(Arc::new(view));
+        drop(core);
+        self.publish_standings();
+    }
+
+    /// Publishes the standing schedulers for readers.
+    fn publish_standings(&self) {
+        let now = self.now();
+        let core = self.core.lock();
+        let standings = Arc::new(core.standings(now));
         if let Some(pauses) = core.refreshed(now) {
             self.refreshed_pauses.store(pauses, Ordering::Release);
         }
-        let old = self.standings.swap(Arc::new(standings));
-        let standings = self.standings.load();
-        // Stored under the lock of the core, so that an older view never replaces a newer one.
-        self.view.store(Arc::new(view));
+        let old = self.standings.swap(Arc::clone(&standings));
         drop(core);
-        let same = old.len() == standings.len()
-            && old.iter().all(|(key, old)| {
-                standings
-                    .get(key)
-                    .is_some_and(|new| new.scheduler == old.scheduler && new.epoch == old.epoch)
-            });
-        if !same {
+        let same = |(key, old): (&Key, &Standing)| {
+            let new = standings.get(key);
+            new.is_some_and(|new| new.scheduler == old.scheduler && new.epoch == old.epoch)
+        };
+        if old.len() != standings.len() || !old.iter().all(same) {
             self.moves.send_modify(|count| *count += 1);
         }
     }
--- a/crates/peer/src/node/beat.rs
+++ b/crates/peer/src/node/beat.rs
@@ -5,7 +5,7 @@
 use super::Shared;
 use crate::{
     identity::Process,
-    wire::{self, Heartbeat, MAX_DATAGRAM_BYTES},
+    wire::{self, Heartbeat, MAX_DATAGRAM_BYTES, News},
 };
 
 /// The shortest time between two rounds of heartbeats.
@@ -96,16 +96,26 @@
     if effect.replaced {
         log::info!("daemon replaced host={} incarnation={}", heartbeat.host, heartbeat.incarnation);
     }
-    shared.publish();
+    match &heartbeat.news {
+        Some(news) => {
+            shared.publish();
+            compare(shared, news);
+        }
+        None => shared.publish_standings(),
+    }
     if effect.moved {
         shared.beat.notify_one();
     }
+}
+
+/// Has values fetched that a peer has and this daemon lacks.
+fn compare(shared: &Shared, news: &News) {
     let stamps = shared.stamps();
-    let list = shared.view.load().list.stamp();
-    let differs = heartbeat.document > stamps.document
-        || heartbeat.orders > stamps.orders
-        || heartbeat.list > list
-        || heartbeat.notices != stamps.notices;
+    let list = shared.core.lock().members.stamp();
+    let differs = news.document > stamps.document
+        || news.orders > stamps.orders
+        || news.list > list
+        || news.notices != stamps.notices;
     if differs {
         shared.spread.notify_one();
     }
--- a/crates/peer/src/node/spread.rs
+++ b/crates/peer/src/node/spread.rs
@@ -149,7 +149,7 @@
 }
 
 async fn list(shared: &Arc<Shared>) {
-    let own = shared.view.load().list.stamp();
+    let own = shared.core.lock().members.stamp();
     let Some((host, _)) = ahead(shared, own, |peer| peer.list) else { return };
     let call = async |link: Link| link.client.list(tarpc::context::current()).await.ok();
     if let Some(list) = fetch(shared, &host, call).await {
@@ -159,7 +159,7 @@
 }
 
 async fn notices(shared: &Arc<Shared>) {
-    let own = shared.board.lock().digest();
+    let own = shared.board.lock().digest(shared.now());
     let different: Vec<_> = {
         let core = shared.core.lock();
         let alive = core.members.alive(shared.now());
--- a/crates/peer/src/notice.rs
+++ b/crates/peer/src/notice.rs
@@ -46,6 +46,9 @@
 #[derive(Debug, Default)]
 pub struct Board {
     kept: Map<Name, Kept>,
+    digest: u64,
+    /// The time at which the first notice is forgotten.
+    next_end: Option<Instant>,
 }
 
 impl Board {
@@ -85,7 +88,7 @@
 
     /// Takes a notice of a peer in. Returns whether it was news.
     pub fn take(&mut self, notice: Notice, now: Instant) -> bool {
-        self.kept.retain(|_, kept| now < kept.until);
+        self.expire(now);
         let rank = |notice: &Notice| (notice.version, !notice.holds);
         let known = self.kept.get(&notice.name);
         let full = known.is_none() && self.kept.len() >= MAX_NOTICES;
@@ -94,6 +97,7 @@
         }
         let until = now + Duration::from_millis(notice.expires_ms);
         self.kept.insert(notice.name.clone(), Kept { notice, until });
+        self.summarize();
         true
     }
 
@@ -115,8 +119,21 @@
     }
 
     /// A digest over names and versions: different boards differ in it.
-    pub fn digest(&self) -> u64 {
-        self.kept.values().fold(0, |sum, kept| sum ^ kept.digest())
+    pub fn digest(&mut self, now: Instant) -> u64 {
+        self.expire(now);
+        self.digest
+    }
+
+    fn expire(&mut self, now: Instant) {
+        if self.next_end.is_some_and(|end| end <= now) {
+            self.kept.retain(|_, kept| now < kept.until);
+            self.summarize();
+        }
+    }
+
+    fn summarize(&mut self) {
+        self.digest = self.kept.values().fold(0, |sum, kept| sum ^ kept.digest());
+        self.next_end = self.kept.values().map(|kept| kept.until).min();
     }
 }
 
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 
 use crate::{
-    identity::{Identity, Process},
+    identity::Process,
     timing::MAX_CELL_GROUPS,
     vote::{Sequence, Vote},
 };
@@ -50,32 +50,15 @@
     pub sequence: Sequence,
 }
 
-/// One heartbeat, made for one recipient.
+/// What a daemon tells until the recipient has answered a heartbeat that had it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Heartbeat {
-    /// The version of the protocol.
-    pub version: u8,
-    /// The cell.
-    pub cell: Cell,
-    /// The sender's host.
-    pub host: name::Host,
+pub struct News {
     /// The sender's availability zone.
     pub zone: name::Zone,
-    /// The sender's run.
-    #[serde(with = "compact::incarnation")]
-    pub incarnation: Incarnation,
     /// The address on which the sender serves callers.
     pub caller_address: SocketAddr,
     /// The address on which the sender serves peers.
     pub peer_address: SocketAddr,
-    /// The number of this heartbeat.
-    pub sequence: Sequence,
-    /// The sender's uptime before it sent the heartbeat, in milliseconds.
-    pub uptime_ms: u64,
-    /// What the sender has processed of the recipient.
-    pub echo: Option<Echo>,
-    /// Whether the sender's list of hosts has the recipient on it.
-    pub lists_recipient: bool,
     /// Whether the sender is leaving.
     pub leaving: bool,
     /// Whether the sender reached the platform lately.
@@ -91,6 +74,30 @@
     pub voters: u32,
     /// A digest over the notices, by which a difference is seen.
     pub notices: u64,
+}
+
+/// One heartbeat, made for one recipient.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// The version of the protocol.
+    pub version: u8,
+    /// The cell.
+    pub cell: Cell,
+    /// The sender's host.
+    pub host: name::Host,
+    /// The sender's run.
+    #[serde(with = "compact::incarnation")]
+    pub incarnation: Incarnation,
+    /// The number of this heartbeat.
+    pub sequence: Sequence,
+    /// The sender's uptime before it sent the heartbeat, in milliseconds.
+    pub uptime_ms: u64,
+    /// What the sender has processed of the recipient.
+    pub echo: Option<Echo>,
+    /// Whether the sender's list of hosts has the recipient on it.
+    pub lists_recipient: bool,
+    /// What has changed since the recipient last answered. `None`: nothing.
+    pub news: Option<Box<News>>,
     /// All votes for the recipient. One that is missing was withdrawn.
     pub votes: Vec<Vote>,
 }
@@ -100,17 +107,6 @@
     pub fn process(&self) -> Process {
         Process { host: self.host.clone(), incarnation: self.incarnation }
     }
-
-    /// The sender with its addresses.
-    pub fn identity(&self) -> Identity {
-        Identity {
-            host: self.host.clone(),
-            zone: self.zone.clone(),
-            incarnation: self.incarnation,
-            caller_address: self.caller_address,
-            peer_address: self.peer_address,
-        }
-    }
 }
 
 /// Why a datagram was dropped.
--- a/crates/peer/tests/votes.rs
+++ b/crates/peer/tests/votes.rs
@@ -326,7 +326,8 @@
             }
             match message {
                 Message::Heartbeat(heartbeat) => {
-                    let stale = heartbeat.list > host.core.members.stamp();
+                    let list = heartbeat.news.as_ref().map(|news| news.list);
+                    let stale = list.is_some_and(|list| list > host.core.members.stamp());
                     host.core.heard(&heartbeat, now);
                     if stale {
                         self.send_list(to);
