--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -1,23 +1,38 @@
 //! The postcard codec of the TCP connections between daemons.
 
-use std::{io, pin::Pin};
+use std::{io, pin::Pin, sync::Arc};
 
 use bytes::{Bytes, BytesMut};
 use serde::{Deserialize, Serialize};
 use tokio_util::codec::length_delimited;
 
+use crate::traffic::Meter;
+
+/// The bytes of a message's length.
+const LENGTH_BYTES: usize = 4;
 /// The largest message on a TCP connection.
 pub const MAX_MESSAGE_BYTES: usize = 4 << 20;
 
-/// Writes and reads messages with postcard.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct Postcard;
+/// Writes and reads messages with postcard, and counts them.
+#[derive(Debug, Clone, Default)]
+pub struct Postcard {
+    meter: Arc<Meter>,
+}
+
+impl Postcard {
+    /// A codec that counts with `meter`.
+    pub fn new(meter: Arc<Meter>) -> Self {
+        Self { meter }
+    }
+}
 
 impl<T: Serialize> tokio_serde::Serializer<T> for Postcard {
     type Error = io::Error;
 
     fn serialize(self: Pin<&mut Self>, item: &T) -> Result<Bytes, io::Error> {
-        postcard::to_allocvec(item).map(Bytes::from).map_err(io::Error::other)
+        let bytes = postcard::to_allocvec(item).map_err(io::Error::other)?;
+        self.meter.message_sent(bytes.len() + LENGTH_BYTES);
+        Ok(Bytes::from(bytes))
     }
 }
 
@@ -25,6 +40,7 @@
     type Error = io::Error;
 
     fn deserialize(self: Pin<&mut Self>, source: &BytesMut) -> Result<T, io::Error> {
+        self.meter.message_received(source.len() + LENGTH_BYTES);
         postcard::from_bytes(source)
             .map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))
     }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod rpc;
 pub mod status;
 pub mod timing;
+pub mod traffic;
 pub mod view;
 pub mod vote;
 pub mod wire;
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -11,6 +11,7 @@
     codec::{self, Postcard},
     identity::{Identity, Process},
     rpc::PeerClient,
+    traffic::Meter,
 };
 
 /// The longest wait for a connection and its first answer.
@@ -63,6 +64,7 @@
 #[derive(Debug)]
 pub struct Pool {
     me: Identity,
+    meter: Arc<Meter>,
     links: Arc<Mutex<Map<name::Host, Entry>>>,
     closed: mpsc::UnboundedSender<Closed>,
 }
@@ -76,8 +78,8 @@
 
 impl Pool {
     /// A pool without connections. The ends of connections are told through `closed`.
-    pub fn new(me: Identity, closed: mpsc::UnboundedSender<Closed>) -> Self {
-        Self { me, links: Arc::default(), closed }
+    pub fn new(me: Identity, meter: Arc<Meter>, closed: mpsc::UnboundedSender<Closed>) -> Self {
+        Self { me, meter, links: Arc::default(), closed }
     }
 
     /// The open connection to a host, if there is one at this address.
@@ -111,7 +113,8 @@
     async fn attempt(&self, address: SocketAddr) -> Result<Link, Error> {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
-        let transport = serde_transport::new(codec::framing().new_framed(stream), Postcard);
+        let codec = Postcard::new(Arc::clone(&self.meter));
+        let transport = serde_transport::new(codec::framing().new_framed(stream), codec);
         let mut config = client::Config::default();
         config.max_in_flight_requests = MAX_CALLS;
         config.pending_request_buffer = MAX_CALLS;
--- a/crates/peer/src/node.rs
+++ b/crates/peer/src/node.rs
@@ -55,6 +55,7 @@
     rank::Key,
     status::{self, Fleet, Status},
     timing::Timing,
+    traffic::{Meter, Traffic},
     view::{Standings, View},
 };
 
@@ -80,6 +81,7 @@
     groups: Mutex<Map<Group, Handle>>,
     slots: AtomicU64,
     pool: link::Pool,
+    meter: Arc<Meter>,
     pub(crate) loads: Arc<dyn Loads>,
     inquiry: Arc<dyn Inquiry>,
     socket: UdpSocket,
@@ -190,6 +192,21 @@
         keys.all(|key| core.tally.votes(key, core.electorate(), now) == 0)
     }
 
+    /// What was exchanged with peers since the start.
+    pub fn traffic(&self) -> Traffic {
+        self.shared.meter.read()
+    }
+
+    /// The live daemon with an incarnation, which may be this one.
+    pub fn peer(&self, incarnation: Incarnation) -> Option<Identity> {
+        if incarnation == self.shared.identity.incarnation {
+            return Some(self.shared.identity.clone());
+        }
+        let view = self.view();
+        let mut alive = view.alive.iter().map(|peer| &peer.identity);
+        alive.find(|identity| identity.incarnation == incarnation).cloned()
+    }
+
     /// The state of this daemon.
     pub async fn own_status(&self) -> Status {
         self.shared.status().await
@@ -454,6 +471,7 @@
             schedulers: schedulers.collect(),
             groups: groups.into_iter().flatten().collect(),
             running: self.held.lock().len() as u64,
+            traffic: self.meter.read(),
         }
     }
 
--- a/crates/peer/src/node/beat.rs
+++ b/crates/peer/src/node/beat.rs
@@ -56,7 +56,11 @@
     for (address, heartbeat) in heartbeats {
         match wire::encode(&heartbeat) {
             // A datagram that is lost here is made up for by the next one.
-            Ok(bytes) => drop(shared.socket.try_send_to(&bytes, address)),
+            Ok(bytes) => {
+                if let Ok(sent) = shared.socket.try_send_to(&bytes, address) {
+                    shared.meter.datagram_sent(sent);
+                }
+            }
             Err(error) => log::error!("heartbeat not sent to={address} error={error}"),
         }
     }
@@ -77,14 +81,17 @@
 }
 
 fn take(shared: &Shared, bytes: &[u8], from: SocketAddr) {
+    shared.meter.datagram_received(bytes.len());
     let now = shared.now();
     if !shared.core.lock().members.knows_address(from.ip()) {
+        shared.meter.datagram_dropped();
         log::debug!("datagram dropped from={from} reason=unknown_address");
         return;
     }
     let heartbeat = match wire::decode(bytes) {
         Ok(heartbeat) => heartbeat,
         Err(error) => {
+            shared.meter.datagram_dropped();
             log::debug!("datagram dropped from={from} reason={error:?}");
             return;
         }
--- a/crates/peer/src/node/builder.rs
+++ b/crates/peer/src/node/builder.rs
@@ -27,6 +27,7 @@
     inquiry::{Inquiry, Silent},
     link, member,
     timing::Timing,
+    traffic::Meter,
     view::{Standings, View},
     wire::Cell,
 };
@@ -105,6 +106,7 @@
         let mut core = Core::new(identity.clone(), self.cell, members, &self.timing, now);
         let view = View::of(&mut core, now);
         let (closed, ends) = mpsc::unbounded_channel();
+        let meter = Arc::new(Meter::default());
         let shared = Arc::new(Shared {
             started: now,
             timing: self.timing,
@@ -118,7 +120,8 @@
             standings: ArcSwap::from_pointee(Standings::default()),
             groups: Mutex::default(),
             slots: AtomicU64::new(0),
-            pool: link::Pool::new(identity.clone(), closed),
+            pool: link::Pool::new(identity.clone(), Arc::clone(&meter), closed),
+            meter,
             loads: self.loads,
             inquiry: self.inquiry,
             socket,
--- a/crates/peer/src/node/serve.rs
+++ b/crates/peer/src/node/serve.rs
@@ -51,7 +51,8 @@
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("connection option not set error={error}");
     }
-    let transport = serde_transport::new(codec::framing().new_framed(stream), Postcard);
+    let codec = Postcard::new(Arc::clone(&shared.meter));
+    let transport = serde_transport::new(codec::framing().new_framed(stream), codec);
     let config = Config { pending_response_buffer: MAX_PENDING_ANSWERS };
     let channel = BaseChannel::new(config, transport);
     let mut calls = std::pin::pin!(channel.execute(Server { shared }.serve()));
--- a/crates/peer/src/status.rs
+++ b/crates/peer/src/status.rs
@@ -5,7 +5,7 @@
 use hyssop_policy::status::Status as Scheduler;
 use serde::{Deserialize, Serialize};
 
-use crate::{current::Rejection, identity::Identity, wire::Stamp};
+use crate::{current::Rejection, identity::Identity, traffic::Traffic, wire::Stamp};
 
 /// The state of one daemon.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -46,6 +46,8 @@
     pub groups: Vec<Scheduler>,
     /// The permits that it has in use.
     pub running: u64,
+    /// What it exchanged with its peers since its start.
+    pub traffic: Traffic,
 }
 
 /// The scheduler that a daemon takes permits of a group from.
