--- a/crates/caller/src/home/run.rs
+++ b/crates/caller/src/home/run.rs
@@ -22,13 +22,16 @@
     backends::{Connection, Target},
     directory::Terms,
     observer::{self, Measure},
-    outcome::{Outcome, Ran, Reason},
+    outcome::{Outcome, Ran, Reason, SOON},
     permits::{Ask, Verdict},
     quarantine::{Fingerprint, Standing},
     record::{End, Record},
     request::Request,
 };
 
+/// The longest time by which the run of a suspect is put off.
+const MAX_STAGGER: Duration = Duration::from_millis(300);
+
 /// What a run is about.
 #[derive(Debug, Clone)]
 pub(super) struct Order {
@@ -69,7 +72,7 @@
         let target = terms.class.complete();
         let wait = request.head.wait.map_or(target, |wait| wait.min(target));
         let workspace = terms.workspace.as_str();
-        let fingerprint = Fingerprint::of(workspace, &request.path(), &request.body);
+        let fingerprint = Fingerprint::of(workspace, &request.path(), &request.essence());
         Self {
             deadline: order.arrived + wait,
             fingerprint,
@@ -128,22 +131,30 @@
     async fn turn(&self) -> Result<Turn, Outcome> {
         let turn = self.shared.solo.turn(self.fingerprint);
         let turn = timeout(self.remaining(), turn).await;
-        turn.map_err(|_| self.outcome(Reason::Deadline, "the deadline passed", None))
+        // Daemons that got copies at the same time try them one after the other this way, and the
+        // later ones hear of what became of the first.
+        let stagger = MAX_STAGGER.min(self.remaining() / 8).mul_f64(rand::random());
+        tokio::time::sleep(stagger).await;
+        turn.map_err(|_| self.outcome(Reason::Deadline, "the deadline passed", Some(SOON)))
     }
 
     async fn permit(&mut self, solo: bool) -> Result<Permit, Outcome> {
         loop {
             if self.tally.permits >= self.shared.limits.permits {
-                return Err(self.outcome(Reason::NoBackend, "no backend server took it", None));
+                return Err(self.outcome(
+                    Reason::NoBackend,
+                    "no backend server took it",
+                    Some(SOON),
+                ));
             }
             let remaining = self.remaining();
             if remaining.is_zero() {
-                return Err(self.outcome(Reason::Deadline, "the deadline passed", None));
+                return Err(self.outcome(Reason::Deadline, "the deadline passed", Some(SOON)));
             }
             let asked = timeout(remaining, self.shared.permits.ask(self.ask(solo, remaining)));
             let verdict = asked
                 .await
-                .map_err(|_| self.outcome(Reason::Deadline, "the deadline passed", None))?;
+                .map_err(|_| self.outcome(Reason::Deadline, "the deadline passed", Some(SOON)))?;
             match verdict {
                 Verdict::Granted(permit) => return Ok(permit),
                 Verdict::Refused(refusal) => self.refused(refusal)?,
@@ -198,6 +209,9 @@
                 return self.not_connected(&held, &failure);
             }
         };
+        if let Some(step) = self.reconsider(turn.is_some()) {
+            return step;
+        }
         // From here to the first byte there is no other wait.
         if self.shared.permits.confirm(&held.permit).is_err() {
             log::info!("permit stale request={} permit={}", self.id(), held.permit.id);
@@ -208,6 +222,15 @@
         self.conclude(held, turn.is_some(), outcome)
     }
 
+    /// What follows if the request got another standing while it waited for its permit.
+    fn reconsider(&self, solo: bool) -> Option<Step> {
+        match self.standing() {
+            Err(outcome) => Some(Step::Done(End::Other(outcome))),
+            Ok(Standing::Suspect) if !solo => Some(Step::Again),
+            Ok(_) => None,
+        }
+    }
+
     fn target(&self, permit: &Permit) -> Target {
         Target { address: permit.address, fresh: !self.order.terms.class.idempotent }
     }
--- a/crates/caller/tests/bench/engine.rs
+++ b/crates/caller/tests/bench/engine.rs
@@ -24,6 +24,8 @@
 use parking_lot::Mutex;
 use tokio::sync::{Notify, watch};
 
+use super::life::Life;
+
 /// What a backend server does with the next attempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Act {
@@ -31,6 +33,9 @@
     Answer,
     /// Breaks the connection after so many tokens, and resumes.
     Break(u64),
+    /// Breaks the connection after so many tokens, and does not know the attempt when it is
+    /// resumed.
+    Forget(u64),
     /// Breaks the connection after so many tokens, and does not accept a resumption.
     BreakForGood(u64),
     /// Dies after so many tokens.
@@ -48,6 +53,7 @@
 /// One execution of a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Execution {
+    pub at: tokio::time::Instant,
     pub backend: usize,
     pub attempt: CompactString,
     pub body: String,
@@ -58,6 +64,7 @@
     pub alive: watch::Sender<bool>,
     pub acts: Mutex<VecDeque<Act>>,
     pub known: Mutex<Map<CompactString, ()>>,
+    pub incarnation: AtomicU64,
 }
 
 /// The fleet.
@@ -69,6 +76,8 @@
     pub refuse_connections: AtomicBool,
     /// Whether a dead server comes back by itself when it is chosen.
     pub restart: bool,
+    /// Whether a dead server is back before anybody connects to it.
+    pub quick: bool,
     /// The places of the suspects that run, by permit.
     pub solo: Mutex<Map<Id, usize>>,
     pub solo_ended: Notify,
@@ -84,6 +93,7 @@
             alive: watch::Sender::new(true),
             acts: Mutex::default(),
             known: Mutex::default(),
+            incarnation: AtomicU64::new(1),
         };
         Self {
             servers: (0..servers).map(|_| Arc::new(server())).collect(),
@@ -92,6 +102,7 @@
             crashes: AtomicU64::new(0),
             refuse_connections: AtomicBool::new(false),
             restart: true,
+            quick: false,
             solo: Mutex::default(),
             solo_ended: Notify::new(),
         }
@@ -120,6 +131,11 @@
         Some((name(index), address))
     }
 
+    pub fn incarnation(&self, address: SocketAddr) -> u64 {
+        let server = &self.servers[usize::from(address.port() - 9000)];
+        server.incarnation.load(Ordering::SeqCst)
+    }
+
     /// Notes that a suspect runs where it was sent.
     pub fn take_solo(&self, id: Id, address: SocketAddr) {
         self.solo.lock().insert(id, usize::from(address.port() - 9000));
@@ -135,6 +151,7 @@
         if self.servers[index].alive.send_replace(false) {
             self.crashes.fetch_add(1, Ordering::SeqCst);
             self.servers[index].known.lock().clear();
+            self.servers[index].incarnation.fetch_add(1, Ordering::SeqCst);
         }
     }
 }
@@ -152,6 +169,14 @@
     (1..=TOKENS).map(|number| token(&prompt(body), number)).collect()
 }
 
+/// The answer of an engine that differs from a number on.
+pub fn differing(body: &str, from: u64) -> String {
+    let tokens = 1..=TOKENS;
+    let other =
+        |number| if number >= from { "other ".into() } else { token(&prompt(body), number) };
+    tokens.map(other).collect()
+}
+
 pub fn booked(body: &str) -> String {
     format!("booked {body}")
 }
@@ -166,30 +191,41 @@
 }
 
 /// The fleet as a home uses it.
-pub struct Door(pub Arc<Fleet>);
+pub struct Door {
+    pub fleet: Arc<Fleet>,
+    pub life: Life,
+}
 
 impl Backends for Door {
     fn connect(&self, target: Target) -> BoxFuture<'_, Result<Box<dyn Connection>, Failure>> {
         let index = usize::from(target.address.port() - 9000);
-        let server = &self.0.servers[index];
+        let server = &self.fleet.servers[index];
         let dead = !*server.alive.borrow();
-        if dead && self.0.restart {
+        if dead && self.fleet.restart {
             // The connection that notices the crash is refused, later ones are not.
             server.alive.send_replace(true);
         }
-        let refused = dead || self.0.refuse_connections.load(Ordering::SeqCst);
-        let link = Link { fleet: Arc::clone(&self.0), index };
+        let refused =
+            dead && !self.fleet.quick || self.fleet.refuse_connections.load(Ordering::SeqCst);
+        let link = Link { fleet: Arc::clone(&self.fleet), life: self.life.clone(), index };
         Box::pin(async move {
+            link.life.up().await;
             if refused {
                 return Err(failure(FailureKind::Connect { refused: true }, Ran::NotRun));
             }
             Ok(Box::new(link) as Box<dyn Connection>)
         })
     }
+
+    fn incarnation(&self, address: SocketAddr) -> BoxFuture<'_, Option<u64>> {
+        let incarnation = self.fleet.incarnation(address);
+        Box::pin(async move { Some(incarnation) })
+    }
 }
 
 struct Link {
     fleet: Arc<Fleet>,
+    life: Life,
     index: usize,
 }
 
@@ -227,6 +263,7 @@
             let body = String::from_utf8(attempt.body.to_vec()).unwrap();
             if attempt.resume_after.is_none() || !known {
                 self.fleet.executions.lock().push(Execution {
+                    at: tokio::time::Instant::now(),
                     backend: self.index,
                     attempt: attempt.id.clone(),
                     body: body.clone(),
@@ -240,15 +277,25 @@
             let act = if body.contains("poison") { poison } else { act };
             let alive = server.alive.subscribe();
             let number = attempt.resume_after.unwrap_or(0);
-            let (fleet, index) = (self.fleet, self.index);
-            Ok(Box::new(Stream { fleet, index, attempt, body, act, number, alive, ended: false })
-                as Box<dyn Answer>)
+            let (fleet, life, index) = (self.fleet, self.life, self.index);
+            Ok(Box::new(Stream {
+                fleet,
+                life,
+                index,
+                attempt,
+                body,
+                act,
+                number,
+                alive,
+                ended: false,
+            }) as Box<dyn Answer>)
         })
     }
 }
 
 struct Stream {
     fleet: Arc<Fleet>,
+    life: Life,
     index: usize,
     attempt: Attempt,
     body: String,
@@ -261,6 +308,7 @@
 impl Stream {
     async fn part(&mut self) -> Result<Option<Part>, Failure> {
         let broken = || failure(FailureKind::Broken, Ran::MayHaveRun);
+        self.life.up().await;
         if self.alive.has_changed().unwrap_or(true) {
             return Err(broken());
         }
@@ -278,6 +326,10 @@
                 server.known.lock().remove(&self.attempt.id);
                 return Err(failure(FailureKind::Silent, Ran::MayHaveRun));
             }
+            Act::Forget(at) if self.number == at => {
+                self.fleet.servers[self.index].known.lock().remove(&self.attempt.id);
+                return Err(broken());
+            }
             Act::Die(at) if self.number == at => {
                 self.fleet.kill(self.index);
                 return Err(broken());
--- a/crates/policy/src/scheduler/class.rs
+++ b/crates/policy/src/scheduler/class.rs
@@ -1,6 +1,6 @@
 //! What a scheduler knows about one class.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use hyssop_document::{model, number::Tokens};
 
@@ -14,10 +14,6 @@
 /// The tokens of an answer before anything is known.
 const UNKNOWN_OUTPUT_TOKENS: u64 = 256;
 
-/// The part of the answers that are shorter than the length by which a deadline is judged. It is low,
-/// so that a request is refused only if it is unlikely to be in time.
-const JUDGED_QUANTILE: f64 = 0.25;
-
 /// What a scheduler knows about one class.
 #[derive(Debug)]
 pub(super) struct Class {
@@ -77,12 +73,25 @@
         streamed.or_else(|| self.elapsed_ms.expected(0)).unwrap_or(0)
     }
 
-    /// The time at a backend server by which a deadline is judged, in milliseconds, 0 while unknown.
-    pub(super) fn judged_ms(&self, entry: &Entry, inter_token_ms: Option<f64>) -> u64 {
+    /// The time at a backend server in milliseconds which the part `quantile` of the requests do not
+    /// exceed, 0 while unknown.
+    pub(super) fn service_ms(
+        &self,
+        entry: &Entry,
+        quantile: f64,
+        inter_token_ms: Option<f64>,
+    ) -> u64 {
         let most = entry.max_output.map_or(u64::MAX, |most| most.0);
-        let tokens = self.length.quantile(JUDGED_QUANTILE).map(|tokens| tokens.min(most));
+        let tokens = self.length.quantile(quantile).map(|tokens| tokens.min(most));
         let streamed = tokens.and_then(|tokens| self.streamed_ms(tokens, inter_token_ms));
-        streamed.or_else(|| self.elapsed_ms.quantile(JUDGED_QUANTILE)).unwrap_or(0)
+        streamed.or_else(|| self.elapsed_ms.quantile(quantile)).unwrap_or(0)
+    }
+
+    /// The longest wait after which the target for the first token is usually met.
+    pub(super) fn target_slack(&self) -> Duration {
+        let usual_ms = self.first_token_ms.settled().unwrap_or(0.0);
+        let usual = Duration::from_secs_f64(usual_ms / 1000.0);
+        self.model.first_token().saturating_sub(usual)
     }
 
     /// Learns from a request that ended.
