Report in full only with a new vote, and soon where something was lost

Cause: each home reported every running request with all its fields each second; with 100 requests running that alone is about 10 KB/s. And a report that overtook the heartbeat with the vote was taken, but the vote then did not count until the next report a second later.

Change: a report names the permits in use by two numbers; the full form goes with a new vote. Groups are reported each 5 s, and three times half a second apart where an answer, a release or a cancellation may have been lost. The scheduler answers whether the vote was there and whether it counts every permit; if not, the home sends the full report again after 20 ms.

--- a/crates/peer/src/group.rs
+++ b/crates/peer/src/group.rs
@@ -28,7 +28,7 @@
 
 use crate::{
     identity::Process,
-    message::{Batch, Event, Petition, Report, Verdict},
+    message::{Batch, Event, Petition, Receipt, Report, Verdict},
     node::Shared,
     rank::Key,
 };
@@ -56,7 +56,7 @@
     /// Take in what happened to permits.
     Events(Batch),
     /// Take in what a home holds.
-    Report(Box<Report>),
+    Report { report: Box<Report>, reply: oneshot::Sender<Receipt> },
     /// Forget a home whose process has ended.
     Ended(Process),
     /// Decide anew, for votes have changed.
@@ -98,6 +98,13 @@
         verdict
     }
 
+    /// Tells what a home holds.
+    pub(crate) async fn report(&self, report: Report) -> Option<Receipt> {
+        let (reply, receipt) = oneshot::channel();
+        self.send(Command::Report { report: Box::new(report), reply });
+        receipt.await.ok()
+    }
+
     /// The state of the scheduler.
     pub(crate) async fn status(&self) -> Option<Status> {
         let (reply, status) = oneshot::channel();
@@ -242,7 +249,10 @@
             Command::Ask { petition, reply } => self.enqueue(&petition, reply),
             Command::Cancel { home, number } => self.cancel(&home, number),
             Command::Events(batch) => batch.events.into_iter().for_each(|event| self.event(event)),
-            Command::Report(report) => self.report(&report),
+            Command::Report { report, reply } => {
+                // The home sends the report again if it does not hear of it.
+                let _ = reply.send(self.report(&report));
+            }
             Command::Ended(process) => self.ended(&process),
             Command::Wake => {}
             Command::Status(reply) => {
@@ -288,15 +298,20 @@
     }
 
     /// Compares what a home holds with what is counted for it, and counts its vote.
-    fn report(&mut self, report: &Report) {
+    fn report(&mut self, report: &Report) -> Receipt {
         let now = self.now();
         self.adopt(report, now);
         self.reconcile(report, now);
-        self.shared.core.lock().tally.reported(&report.home, report.vote);
+        let mut held = report.held.iter().map(|one| permit::Id::from(*one));
+        let complete = held.all(|id| self.counted.contains_key(&id));
+        let tally = &mut self.shared.core.lock().tally;
+        let voted = complete && tally.reported(&report.home, report.vote);
+        Receipt { meant: true, complete, voted }
     }
 
     fn adopt(&mut self, report: &Report, now: Instant) {
-        let unknown = report.running.iter().filter(|one| !self.counted.contains_key(&one.id));
+        let running = report.running.iter().flatten();
+        let unknown = running.filter(|one| !self.counted.contains_key(&one.id));
         let mut unknown: Vec<_> = unknown.cloned().collect();
         for one in &mut unknown {
             let counted = Counted { home: report.home.clone(), number: 0, missed: false };
@@ -312,7 +327,7 @@
 
     /// Ends what the home neither holds nor waits for: its answer or its release was lost.
     fn reconcile(&mut self, report: &Report, now: Instant) {
-        let running: Set<_> = report.running.iter().map(|one| one.id).collect();
+        let running: Set<_> = report.held.iter().map(|one| permit::Id::from(*one)).collect();
         let mut lost = Vec::new();
         for (id, counted) in self.counted.iter_mut().filter(|(_, c)| c.home == report.home) {
             let missing = counted.number <= report.last_number
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -12,7 +12,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-use crate::{identity::Process, vote::Vote};
+use crate::{identity::Process, vote::Vote, wire::compact};
 
 /// A request that needs a permit.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -121,5 +121,40 @@
     /// The requests that still wait for a permit, by number.
     pub waiting: Vec<u64>,
     /// The permits in use.
-    pub running: Vec<Running>,
+    pub held: Vec<Reference>,
+    /// The permits in use with all that a new scheduler must know. `None`: as reported before.
+    pub running: Option<Vec<Running>>,
+}
+
+/// A permit's identity in a compact form.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Reference {
+    /// The incarnation of the scheduler that granted the permit.
+    #[serde(with = "compact::incarnation")]
+    pub scheduler: Incarnation,
+    /// The number of the permit.
+    pub number: u64,
+}
+
+impl From<permit::Id> for Reference {
+    fn from(id: permit::Id) -> Self {
+        Self { scheduler: id.scheduler, number: id.number }
+    }
+}
+
+impl From<Reference> for permit::Id {
+    fn from(reference: Reference) -> Self {
+        Self { scheduler: reference.scheduler, number: reference.number }
+    }
+}
+
+/// What a scheduler made of a [`Report`].
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Receipt {
+    /// Whether the scheduler meant is this process.
+    pub meant: bool,
+    /// Whether every permit in use is counted now.
+    pub complete: bool,
+    /// Whether the vote that the report belongs to has arrived, and stands as reported.
+    pub voted: bool,
 }
--- a/crates/peer/src/node.rs
+++ b/crates/peer/src/node.rs
@@ -76,6 +76,8 @@
     board: Mutex<Board>,
     held: Mutex<held::Table>,
     outbox: Mutex<Map<Group, Batch>>,
+    /// The groups of which something may be lost, with the number of reports to send for it.
+    doubts: Mutex<Map<Group, u32>>,
     view: ArcSwap<View>,
     standings: ArcSwap<Standings>,
     groups: Mutex<Map<Group, Handle>>,
--- a/crates/peer/src/node/builder.rs
+++ b/crates/peer/src/node/builder.rs
@@ -116,6 +116,7 @@
             board: Mutex::default(),
             held: Mutex::new(held::Table::new(me)),
             outbox: Mutex::default(),
+            doubts: Mutex::default(),
             view: ArcSwap::from_pointee(view),
             standings: ArcSwap::from_pointee(Standings::default()),
             groups: Mutex::default(),
--- a/crates/peer/src/node/permit.rs
+++ b/crates/peer/src/node/permit.rs
@@ -29,16 +29,21 @@
 /// The time after which a refused request may come back when no scheduler can be asked.
 const RETRY_AFTER_MS: u64 = 500;
 
-/// Closes a request's number when the wait for its permit ends without one.
+/// Closes a request's number when the wait for its permit ends.
 struct Open<'a> {
     shared: &'a Shared,
     group: &'a Group,
     number: u64,
+    /// Whether the scheduler has answered. If not, a grant may be on its way.
+    answered: bool,
 }
 
 impl Drop for Open<'_> {
     fn drop(&mut self) {
         self.shared.held.lock().close(self.group, self.number);
+        if !self.answered {
+            self.shared.doubt(self.group);
+        }
     }
 }
 
@@ -49,8 +54,9 @@
     pub async fn permit(&self, ask: Ask) -> Verdict {
         let shared = &self.shared;
         let number = shared.held.lock().open(&ask.group);
-        let open = Open { shared, group: &ask.group, number };
+        let mut open = Open { shared, group: &ask.group, number, answered: false };
         let verdict = shared.wait_for_verdict(&ask, number).await;
+        open.answered = true;
         if let Verdict::Granted(permit) = &verdict {
             shared.held.lock().hold(number, permit, &ask, shared.now());
         }
@@ -112,9 +118,12 @@
             tokio::select! {
                 verdict = self.ask(&scheduler, petition, remaining) => match verdict {
                     Some(verdict) => return verdict,
-                    None => time::sleep(ASK_AGAIN).await,
+                    None => {
+                        self.doubt(&ask.group);
+                        time::sleep(ASK_AGAIN).await;
+                    }
                 },
-                () = self.scheduler_moved(key, &scheduler, &mut moves) => {}
+                () = self.scheduler_moved(key, &scheduler, &mut moves) => self.doubt(&ask.group),
             }
         }
     }
--- a/crates/peer/src/node/report.rs
+++ b/crates/peer/src/node/report.rs
@@ -16,15 +16,19 @@
     core::Standing,
     group::Command,
     identity::Process,
-    message::{Batch, Event, Report},
+    message::{Batch, Event, Receipt, Report},
     rank::Key,
     vote::Vote,
 };
 
-/// The time between two reports of a vote that has not moved.
-const REPORT_INTERVAL: Duration = Duration::from_millis(1000);
+/// The time between two looks at what is to be reported.
+const ROUND_INTERVAL: Duration = Duration::from_millis(500);
+/// The number of looks after which every group is reported.
+const ROUNDS_A_REPORT: u64 = 10;
+/// The number of reports after something was lost. The second one that lacks a permit ends it.
+const REPORTS_A_DOUBT: u32 = 3;
 /// The time after which a report that failed is sent again.
-const RETRY_INTERVAL: Duration = Duration::from_millis(50);
+const RETRY_INTERVAL: Duration = Duration::from_millis(20);
 /// The longest wait for the answer to a report or a batch.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
 
@@ -68,64 +72,93 @@
         return;
     }
     let shared = Arc::clone(shared);
+    let group = batch.group.clone();
     tokio::spawn(async move {
         let call = async {
             let link = shared.link(&process.host).await.ok()?;
             link.client.events(tarpc::context::current(), batch).await.ok()
         };
-        // A batch that is lost is made up for by the next report.
+        // A batch that is lost is made up for by reports.
         if !matches!(time::timeout(CALL_TIMEOUT, call).await, Ok(Some(()))) {
             log::debug!("events not delivered scheduler={process}");
+            shared.doubt(&group);
         }
     });
 }
 
-/// Reports what the node holds with each new vote, and at intervals.
+/// Reports what the node holds: with each new vote, when something was lost, and at intervals.
 pub(super) async fn report(shared: Arc<Shared>) {
     let mut moves = shared.moves.subscribe();
-    let mut done: Map<Group, (Process, u32)> = Map::default();
-    let mut full = false;
+    let mut told: Map<Group, Told> = Map::default();
+    let mut round = 0;
+    let mut all = false;
     loop {
-        let reports = due(&shared, &done, full);
-        full = false;
-        let sent = future::join_all(reports.into_iter().map(|due| send(&shared, due))).await;
+        let dues = due(&shared, &told, std::mem::take(&mut all));
+        let sent = future::join_all(dues.into_iter().map(|due| send(&shared, due))).await;
         let failed = sent.iter().any(Option::is_none);
-        done.extend(sent.into_iter().flatten());
-        let wait = if failed { RETRY_INTERVAL } else { REPORT_INTERVAL };
+        told.extend(sent.into_iter().flatten());
+        let wait = if failed { RETRY_INTERVAL } else { ROUND_INTERVAL };
         match time::timeout(wait, moves.changed()).await {
             Ok(Ok(())) => {}
             Ok(Err(_)) => return,
-            Err(_) => full = !failed,
+            Err(_) if failed => {}
+            Err(_) => {
+                round += 1;
+                all = round % ROUNDS_A_REPORT == 0;
+            }
         }
     }
 }
 
+/// The vote for which a scheduler has taken a report.
+#[derive(Debug, PartialEq, Eq)]
+struct Told {
+    scheduler: Process,
+    epoch: u32,
+    voted: bool,
+}
+
 struct Due {
     group: Group,
     standing: Standing,
+    /// Whether the scheduler knows nothing of this home's permits yet.
+    full: bool,
 }
 
-/// The groups to report now: those whose vote moved, or all of them.
-fn due(shared: &Shared, done: &Map<Group, (Process, u32)>, full: bool) -> Vec<Due> {
+/// The groups to report now: those whose vote moved, those that lost something, or all of them.
+fn due(shared: &Shared, told: &Map<Group, Told>, all: bool) -> Vec<Due> {
     let current = shared.store.load();
     let Some(document) = &current.document else { return Vec::new() };
     let standings = shared.standings.load();
+    let votes = shared.view.load().votes;
+    let mut doubts = shared.doubts.lock();
     let groups = group::all(document.catalog.document()).into_iter();
     groups
         .filter_map(|(group, _)| {
             let standing = standings.get(&Key::group(&group))?.clone();
-            let told = done.get(&group);
-            let told = told.is_some_and(|(process, epoch)| {
-                *process == standing.scheduler && *epoch == standing.epoch
+            let known = told.get(&group).is_some_and(|told| {
+                let same = told.scheduler == standing.scheduler && told.epoch == standing.epoch;
+                same && (told.voted || !votes)
             });
-            (full || !told).then_some(Due { group, standing })
+            let doubt = take_doubt(&mut doubts, &group);
+            (all || doubt || !known).then_some(Due { group, standing, full: !known })
         })
         .collect()
 }
 
+/// Whether a group is to be reported because something was lost, once less from now on.
+fn take_doubt(doubts: &mut Map<Group, u32>, group: &Group) -> bool {
+    let Some(left) = doubts.get_mut(group) else { return false };
+    *left -= 1;
+    if *left == 0 {
+        doubts.remove(group);
+    }
+    true
+}
+
 /// Sends a report. Returns for which vote it was taken in.
-async fn send(shared: &Arc<Shared>, due: Due) -> Option<(Group, (Process, u32))> {
-    let Due { group, standing } = due;
+async fn send(shared: &Arc<Shared>, due: Due) -> Option<(Group, Told)> {
+    let Due { group, standing, full } = due;
     let Standing { scheduler, epoch, .. } = standing;
     let vote = Vote { key: Key::group(&group), epoch };
     let snapshot = {
@@ -140,22 +173,29 @@
         vote,
         last_number: snapshot.last_number,
         waiting: snapshot.waiting,
-        running: snapshot.running,
+        held: snapshot.running.iter().map(|one| one.id.into()).collect(),
+        running: full.then_some(snapshot.running),
     };
-    let taken = match scheduler == shared.me() {
-        true => {
-            shared.group(&group).send(Command::Report(Box::new(report)));
-            true
-        }
-        false => call(shared, &scheduler.host, report).await,
+    let receipt = match scheduler == shared.me() {
+        true => shared.group(&group).report(report).await?,
+        false => call(shared, &scheduler.host, report).await?,
     };
-    taken.then_some((group, (scheduler, epoch)))
+    let expected = receipt.voted || !shared.view.load().votes;
+    let taken = receipt.meant && receipt.complete && expected;
+    taken.then_some((group, Told { scheduler, epoch, voted: receipt.voted }))
 }
 
-async fn call(shared: &Shared, host: &name::Host, report: Report) -> bool {
+async fn call(shared: &Shared, host: &name::Host, report: Report) -> Option<Receipt> {
     let call = async {
         let link = shared.link(host).await.ok()?;
         link.client.report(tarpc::context::current(), report).await.ok()
     };
-    time::timeout(CALL_TIMEOUT, call).await.ok().flatten().unwrap_or(false)
+    time::timeout(CALL_TIMEOUT, call).await.ok().flatten()
+}
+
+impl Shared {
+    /// Has a group reported soon, since an answer, a release or a cancellation may be lost.
+    pub(super) fn doubt(&self, group: &Group) {
+        self.doubts.lock().insert(group.clone(), REPORTS_A_DOUBT);
+    }
 }
--- a/crates/peer/src/node/serve.rs
+++ b/crates/peer/src/node/serve.rs
@@ -20,7 +20,7 @@
     group::Command,
     hosts::List,
     identity::Identity,
-    message::{Batch, Petition, Report, Verdict},
+    message::{Batch, Petition, Receipt, Report, Verdict},
     notice::Notice,
     order::Outcome,
     rpc::Peer,
@@ -93,12 +93,12 @@
         self.shared.group(&batch.group).send(Command::Events(batch));
     }
 
-    async fn report(self, _: Context, report: Report) -> bool {
-        let meant = report.scheduler == self.shared.identity.incarnation;
-        if meant {
-            self.shared.group(&report.group).send(Command::Report(Box::new(report)));
+    async fn report(self, _: Context, report: Report) -> Receipt {
+        if report.scheduler != self.shared.identity.incarnation {
+            return Receipt::default();
         }
-        meant
+        let group = self.shared.group(&report.group);
+        group.report(report).await.unwrap_or_default()
     }
 
     async fn document(self, _: Context) -> Option<Bytes> {
--- a/crates/peer/src/rpc.rs
+++ b/crates/peer/src/rpc.rs
@@ -10,7 +10,7 @@
 use crate::{
     hosts::List,
     identity::Identity,
-    message::{Batch, Petition, Report, Verdict},
+    message::{Batch, Petition, Receipt, Report, Verdict},
     notice::Notice,
     order::Outcome,
     status::Status,
@@ -26,8 +26,8 @@
     async fn ask(petition: Petition) -> Option<Verdict>;
     /// Tells what happened to permits in use.
     async fn events(batch: Batch) -> ();
-    /// Tells what the caller holds. Returns whether the scheduler meant is this process.
-    async fn report(report: Report) -> bool;
+    /// Tells what the caller holds.
+    async fn report(report: Report) -> Receipt;
     /// The document in force.
     async fn document() -> Option<Bytes>;
     /// The service orders in force.
--- a/crates/peer/src/vote/tally.rs
+++ b/crates/peer/src/vote/tally.rs
@@ -105,16 +105,14 @@
         Some(self.sent[index].1)
     }
 
-    /// Notes that the voter has reported everything that it runs of the group.
-    pub fn reported(&mut self, voter: &Process, vote: Vote) {
-        let Some(entry) = self.voters.get_mut(&voter.host) else { return };
-        let held = entry.votes.get_mut(&vote.key);
-        if entry.incarnation == voter.incarnation
-            && let Some(held) = held
-            && held.epoch == vote.epoch
-        {
-            held.reported = true;
-        }
+    /// Notes that the voter has reported everything that it runs of the group. Returns whether the
+    /// vote that the report belongs to is there.
+    pub fn reported(&mut self, voter: &Process, vote: Vote) -> bool {
+        let entry = self.voters.get_mut(&voter.host);
+        let entry = entry.filter(|entry| entry.incarnation == voter.incarnation);
+        let held = entry.and_then(|entry| entry.votes.get_mut(&vote.key));
+        let held = held.filter(|held| held.epoch == vote.epoch);
+        held.map(|held| held.reported = true).is_some()
     }
 
     /// Drops the votes of a host whose processes before `incarnation` have ended.
--- a/crates/peer/tests/node/failure.rs
+++ b/crates/peer/tests/node/failure.rs
@@ -5,7 +5,7 @@
 use hyssop_document::name;
 use hyssop_peer::{Node, Verdict};
 
-use crate::support::{ask, cluster, until};
+use crate::support::{ask, cluster, completed, until};
 
 /// The host that holds a whole or partial share of the group, once one does.
 async fn scheduler(nodes: &[Arc<Node>], votes: u32) -> name::Host {
@@ -71,3 +71,24 @@
     })
     .await;
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_dropped_wait_leaves_nothing_counted() {
+    let nodes = cluster(3).await;
+    scheduler(&nodes, 3).await;
+    // Waits are dropped at all stages: before, while and after the permit is granted.
+    for number in 0..300u64 {
+        let node = &nodes[number as usize % 3];
+        let wait = std::time::Duration::from_micros(number * 7 % 900);
+        let verdict = tokio::time::timeout(wait, node.permit(ask(5000))).await;
+        if let Ok(Verdict::Granted(permit)) = verdict {
+            node.release(completed(permit.id));
+        }
+    }
+    until("nothing is counted", async || {
+        let fleet = nodes[0].status().await;
+        let mut groups = fleet.reached.iter().flat_map(|status| &status.groups);
+        groups.all(|group| group.running == 0 && group.waiting == 0)
+    })
+    .await;
+}
