--- a/crates/peer/src/core.rs
+++ b/crates/peer/src/core.rs
@@ -9,11 +9,11 @@
 use crate::{
     hosts::{self, List},
     identity::{Identity, Process},
-    member::{Peer, Table},
+    member::{Answer, Peer, Table},
     rank::{self, Key},
     timing::Timing,
     vote::{Book, Electorate, Sequence, Tally, Vote},
-    wire::{self, Cell, Echo, Heartbeat, Stamp},
+    wire::{self, Cell, Heartbeat, News, Stamp},
 };
 
 /// The stamps of the values that a daemon has in force.
@@ -113,7 +113,10 @@
     alive: Duration,
     lease: Duration,
     guard: Duration,
+    settle: Duration,
     last_round: Option<Instant>,
+    /// What this daemon tells, and the first heartbeat that told it.
+    news: Option<(Sequence, Box<News>)>,
     next: Sequence,
     leaving: bool,
     platform: bool,
@@ -169,7 +172,9 @@
             alive: timing.alive,
             lease: timing.lease,
             guard: timing.guard,
+            settle: timing.settle,
             last_round: None,
+            news: None,
         }
     }
 
@@ -314,6 +319,26 @@
         }
     }
 
+    /// Notes what this daemon tells from heartbeat `sequence` on.
+    fn note_news(&mut self, sequence: Sequence, stamps: &Stamps, now: Instant) {
+        let seasoned = self.members.is_seasoned(now);
+        let news = News {
+            zone: self.identity.zone.clone(),
+            caller_address: self.identity.caller_address,
+            peer_address: self.identity.peer_address,
+            leaving: self.leaving,
+            platform: self.platform,
+            document: stamps.document,
+            orders: stamps.orders,
+            list: self.members.stamp(),
+            voters: if seasoned { self.electorate.len() as u32 } else { 0 },
+            notices: stamps.notices,
+        };
+        if self.news.as_ref().is_none_or(|(_, told)| **told != news) {
+            self.news = Some((sequence, Box::new(news)));
+        }
+    }
+
     /// The heartbeat `sequence` for a recipient, of which nothing may be known yet.
     pub fn heartbeat(
         &mut self,
@@ -322,29 +347,21 @@
         stamps: &Stamps,
         now: Instant,
     ) -> Heartbeat {
-        let peer = to.and_then(|process| self.members.peer(&process.host));
-        let echo: Option<Echo> = peer.and_then(Peer::echo);
+        self.note_news(sequence, stamps, now);
         let votes = to.map(|process| self.votes_for(process, now)).unwrap_or_default();
-        let identity = &self.identity;
+        let peer = to.and_then(|process| self.members.peer(&process.host));
+        let echoed = peer.and_then(|peer| peer.echoed);
+        let news = self.news.as_ref().filter(|(since, _)| echoed.is_none_or(|e| e < *since));
         Heartbeat {
             version: wire::VERSION,
             cell: self.cell,
-            host: identity.host.clone(),
-            zone: identity.zone.clone(),
-            incarnation: identity.incarnation,
-            caller_address: identity.caller_address,
-            peer_address: identity.peer_address,
+            host: self.identity.host.clone(),
+            incarnation: self.identity.incarnation,
             sequence,
             uptime_ms: self.uptime_ms(now),
-            echo,
+            echo: peer.and_then(Peer::echo),
             lists_recipient: to.is_some_and(|to| self.members.list().contains(&to.host)),
-            leaving: self.leaving,
-            platform: self.platform,
-            document: stamps.document,
-            orders: stamps.orders,
-            list: self.members.stamp(),
-            voters: if self.members.is_seasoned(now) { self.electorate.len() as u32 } else { 0 },
-            notices: stamps.notices,
+            news: news.map(|(_, news)| news.clone()),
             votes,
         }
     }
@@ -367,8 +384,11 @@
         let before = self.members.peer(&heartbeat.host).map(|peer| peer.identity.incarnation);
         let echo = heartbeat.echo.filter(|echo| echo.incarnation == self.me.incarnation);
         let answered = echo.map(|echo| echo.sequence);
-        let sent = answered.and_then(|answered| self.tally.sent_at(answered));
-        if !self.members.heard(heartbeat, sent, now) {
+        let answer = answered.and_then(|sequence| {
+            let sent = self.tally.sent_at(sequence)?;
+            Some(Answer { sequence, sent })
+        });
+        if !self.members.heard(heartbeat, answer, now) {
             return Effect::default();
         }
         let process = heartbeat.process();
@@ -426,8 +446,10 @@
     /// The share of a scheduler of this daemon.
     ///
     /// If every host votes here, and no daemon without a vote is about, then the voters' reports
-    /// show everything that runs, and their votes need not settle. Without the newest list of
-    /// hosts, or before the view is fresh again after a pause, there is no share at all.
+    /// show everything that runs, and their votes count at once. If the processes of all others
+    /// have ended, a load report that was asked for after the vote shows what they left behind.
+    /// Otherwise the votes must settle. Without the newest list of hosts, or before the view is
+    /// fresh again after a pause, there is no share at all.
     pub fn share(&self, key: Key, observed: Option<Instant>, now: Instant) -> Share {
         let electorate = &self.electorate;
         let Some(hosts) = self.members.voters(electorate, now) else {
@@ -436,10 +458,15 @@
         if self.members.is_list_stale(now) || self.refreshed(now).is_none() {
             return Share { votes: 0, hosts };
         }
+        let strangers = self.members.has_strangers(electorate, now);
         let reports = self.tally.reports(key, electorate, now);
-        let votes = match reports == hosts && !self.members.has_strangers(electorate, now) {
-            true => hosts,
-            false => self.tally.settled(key, electorate, observed, now),
+        let ended = self.members.ended_among(electorate);
+        let votes = if reports == hosts && !strangers {
+            hosts
+        } else if reports + ended == hosts && !strangers {
+            self.tally.settled(key, electorate, observed, Duration::ZERO, now)
+        } else {
+            self.tally.settled(key, electorate, observed, self.settle, now)
         };
         Share { votes, hosts }
     }
--- a/crates/peer/src/vote/tally.rs
+++ b/crates/peer/src/vote/tally.rs
@@ -105,16 +105,14 @@
         Some(self.sent[index].1)
     }
 
-    /// Notes that the voter has reported everything that it runs of the group.
-    pub fn reported(&mut self, voter: &Process, vote: Vote) {
-        let Some(entry) = self.voters.get_mut(&voter.host) else { return };
-        let held = entry.votes.get_mut(&vote.key);
-        if entry.incarnation == voter.incarnation
-            && let Some(held) = held
-            && held.epoch == vote.epoch
-        {
-            held.reported = true;
-        }
+    /// Notes that the voter has reported everything that it runs of the group. Returns whether the
+    /// vote that the report belongs to is there.
+    pub fn reported(&mut self, voter: &Process, vote: Vote) -> bool {
+        let entry = self.voters.get_mut(&voter.host);
+        let entry = entry.filter(|entry| entry.incarnation == voter.incarnation);
+        let held = entry.and_then(|entry| entry.votes.get_mut(&vote.key));
+        let held = held.filter(|held| held.epoch == vote.epoch);
+        held.map(|held| held.reported = true).is_some()
     }
 
     /// Drops the votes of a host whose processes before `incarnation` have ended.
@@ -127,17 +125,18 @@
     /// The number of votes for `key` that count now.
     ///
     /// A vote counts once its voter has reported and every load report was asked for, at
-    /// `observed`, long enough after the vote came: what another scheduler granted before the vote
-    /// moved is then seen.
+    /// `observed`, at least `settle` after the vote came: what another scheduler granted before the
+    /// vote moved is then seen.
     pub fn settled(
         &self,
         key: Key,
         electorate: &Electorate,
         observed: Option<Instant>,
+        settle: Duration,
         now: Instant,
     ) -> u32 {
         let reported = self.held(key, electorate, now).filter(|held| held.reported);
-        reported.filter(|held| held.settled(self.settle, observed)).count() as u32
+        reported.filter(|held| held.settled(settle, observed)).count() as u32
     }
 
     /// The number of votes for `key` whose voters have reported.
