Count a failure on an adopted permit

A new scheduler ignored failed connections of requests that it had taken over, so a backend server that died right after a hand-over kept its learned limit. Adopted permits now belong to the cold start at the adoption; their completions still do not raise the limit.

Test: a_failure_of_an_adopted_request_makes_a_server_cold, seen failing (not cold).

--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -425,6 +425,8 @@
             self.classes[key.0].running += 1;
         }
         self.learn(&[self.known(request, class)], now);
+        let position = self.backend_positions.get(&request.backend);
+        let epoch = position.map(|&position| self.backends[position].tracker.epoch());
         let workspace = self.workspaces.get(&request.workspace);
         let grant = Grant {
             backend: request.backend.clone(),
@@ -435,7 +437,7 @@
             home_incarnation: request.home_incarnation,
             granted: now,
             latest_end: now + Duration::from_millis(request.remaining_ms),
-            epoch: None,
+            epoch,
             loaded: false,
             waited: None,
             solo: request.solo,
--- a/crates/policy/src/scheduler/grants.rs
+++ b/crates/policy/src/scheduler/grants.rs
@@ -28,7 +28,7 @@
     pub(super) home_incarnation: Incarnation,
     pub(super) granted: Instant,
     pub(super) latest_end: Instant,
-    /// The cold start in which it was granted. `None` for permits of another scheduler.
+    /// The cold start in which it was granted or adopted, if its backend server is known.
     pub(super) epoch: Option<Epoch>,
     /// Whether at least half of the backend server's limit was in use.
     pub(super) loaded: bool,
--- a/crates/policy/tests/limits.rs
+++ b/crates/policy/tests/limits.rs
@@ -8,14 +8,14 @@
 use common::{document, entry, load, ms, permits, release, scheduler};
 use hyssop_document::{
     model, name,
-    number::{Tier, Tokens},
+    number::{Incarnation, Tier, Tokens},
     order,
 };
 use hyssop_policy::{
     budget::Budget,
     coldstart::{Cause, Completion, Tracker},
     load::Load,
-    permit::{End, Known, Permit, Release},
+    permit::{End, Id, Known, Permit, Release, Running},
     scheduler::Scheduler,
     share::Share,
     straggler::Verdict,
@@ -540,3 +540,40 @@
     }
     assert_eq!(slow.status(now).backends[0].limit, 2, "slow answers show that it is still cold");
 }
+
+/// A failure on a permit of an earlier scheduler tells as much as one on an own permit.
+#[test]
+fn a_failure_of_an_adopted_request_makes_a_server_cold() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(&document(1, 1, 4), now);
+    let b0 = name::Backend::new("b0");
+    scheduler.report(&b0, load(5, 1), now);
+    let id = Id { scheduler: Incarnation(6), number: 1 };
+    let running = Running {
+        id,
+        backend: b0,
+        backend_incarnation: 5,
+        limit: 4,
+        solo: false,
+        class: name::Class::new("desk"),
+        workspace: name::Workspace::new("w1"),
+        home: name::Host::new("h2"),
+        home_incarnation: Incarnation(2),
+        remaining_ms: 10_000,
+        prompt_tokens: Tokens(1),
+        output_tokens: Tokens(1),
+    };
+    scheduler.adopt(&[running], now);
+    assert_eq!(scheduler.status(now).backends[0].limit, 4);
+    let release = Release {
+        id,
+        end: End::BackendFailed,
+        first_token_ms: None,
+        elapsed_ms: 10,
+        output_tokens: Tokens(1),
+        late: true,
+    };
+    scheduler.release(&release, now);
+    assert_eq!(scheduler.status(now).backends[0].cold, Some(Cause::Connection));
+    assert_eq!(scheduler.status(now).backends[0].limit, 1);
+}
