--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -7,7 +7,7 @@
 
 use hyssop_document::{
     collections::Map,
-    group::{self, Group},
+    group::Group,
     model, name,
     number::{Incarnation, Tokens},
     order,
@@ -20,21 +20,22 @@
     coldstart::Hint,
     decision::Decision,
     entry::{Entry, Ticket},
-    estimate,
     load::Load,
     permit::{self, End, Known, Release, Running},
     queue::{Queue, lane, line},
     share::Share,
     status::{self, Status},
-    straggler,
 };
 
 mod admission;
+mod adoption;
 mod backend;
 mod class;
+mod configuration;
 mod grants;
 mod placement;
 mod prefixes;
+mod speeds;
 
 use backend::Backend;
 use class::Class;
@@ -357,116 +358,6 @@
         }
     }
 
-    fn configure_workspaces(&mut self, document: &model::Document) {
-        for workspace in self.workspaces.values_mut() {
-            workspace.declared = false;
-        }
-        for model in &document.workspaces {
-            let key = lane::Key(self.workspaces.len() as u32);
-            let workspace = self.workspaces.entry(model.name.clone()).or_insert(Workspace {
-                key,
-                share: 1,
-                declared: true,
-            });
-            workspace.share = model.share;
-            workspace.declared = true;
-        }
-    }
-
-    fn configure_classes(&mut self, document: &model::Document) {
-        for class in &mut self.classes {
-            class.declared = false;
-        }
-        for model in &document.classes {
-            if let Some(&key) = self.class_keys.get(&model.name) {
-                self.queue.set_tier(key, model.tier);
-                self.classes[key.0].configure(model.clone());
-                continue;
-            }
-            let key = self.queue.add_class(model.tier);
-            self.class_keys.insert(model.name.clone(), key);
-            self.classes.push(Class::new(model.clone()));
-        }
-    }
-
-    fn configure_backends(&mut self, document: &model::Document, orders: &order::State) {
-        let mut known: Map<_, _> =
-            self.backends.drain(..).map(|b| (b.model.name.clone(), b)).collect();
-        self.backend_positions.clear();
-        let Some(pool) = &self.pool else { return };
-        let members = group::split(document, &self.group.pool)
-            .into_iter()
-            .find(|(group, _)| *group == self.group)
-            .map(|(_, members)| members)
-            .unwrap_or_default();
-        for member in members {
-            let mut backend =
-                known.remove(&member.name).unwrap_or_else(|| Backend::new(member.clone(), pool));
-            if backend.model.address != member.address {
-                backend = Backend::new(member.clone(), pool);
-            }
-            backend.model = member.clone();
-            backend.in_service = !orders.zones_out.contains(&member.zone);
-            backend.tracker.set_limits(pool.cold_limit, pool.warm_limit);
-            backend.clear();
-            self.backend_positions.insert(member.name.clone(), self.backends.len());
-            self.backends.push(backend);
-        }
-        for (_, grant) in self.grants.iter() {
-            if let Some(&position) = self.backend_positions.get(&grant.backend) {
-                self.backends[position].adopt(grant);
-            }
-        }
-    }
-
-    fn adopt_one(&mut self, request: &Running, now: Instant) {
-        let class = self.class_keys.get(&request.class).copied();
-        if let Some(key) = class {
-            self.classes[key.0].running += 1;
-        }
-        self.learn(&[self.known(request, class)], now);
-        let position = self.backend_positions.get(&request.backend);
-        let epoch = position.map(|&position| self.backends[position].tracker.epoch());
-        let workspace = self.workspaces.get(&request.workspace);
-        let grant = Grant {
-            backend: request.backend.clone(),
-            class,
-            workspace: workspace.map(|workspace| workspace.key),
-            share: workspace.map_or(1, |workspace| workspace.share),
-            home: request.home.clone(),
-            home_incarnation: request.home_incarnation,
-            granted: now,
-            latest_end: now + Duration::from_millis(request.remaining_ms),
-            epoch,
-            loaded: false,
-            solo: request.solo,
-            prompt: request.prompt_tokens,
-            cost: request.prompt_tokens.0 + request.output_tokens.0,
-            output: Some((request.output_tokens, now)),
-        };
-        if let Some(&position) = self.backend_positions.get(&grant.backend) {
-            self.backends[position].adopt(&grant);
-        }
-        self.grants.insert(request.id, grant);
-    }
-
-    /// What a running request tells about its backend server.
-    fn known(&self, request: &Running, class: Option<line::Key>) -> Known {
-        let longest_ms = class.map_or(u64::MAX, |key| self.latest_end_ms(key));
-        Known {
-            backend: request.backend.clone(),
-            backend_incarnation: request.backend_incarnation,
-            limit: request.limit,
-            age_ms: longest_ms.saturating_sub(request.remaining_ms),
-        }
-    }
-
-    /// The time after its grant at which a permit of a class is no longer counted.
-    fn latest_end_ms(&self, class: line::Key) -> u64 {
-        let longest_ms = self.classes[class.0].model.max_running_ms;
-        self.pool.as_ref().map_or(longest_ms, |pool| pool.latest_end_ms.min(longest_ms))
-    }
-
     fn expire(&mut self, now: Instant) {
         if self.quiet_until.is_some_and(|until| until <= now) {
             self.quiet_until = None;
@@ -509,32 +400,6 @@
         self.queue.charge(class, workspace, grant.share, used as i64 - grant.cost as i64);
     }
 
-    /// Compares the speeds of all backend servers and finds stragglers.
-    fn compare_speeds(&mut self) {
-        let inter: Vec<_> =
-            self.backends.iter().filter_map(|b| b.speed.inter_token_ms.settled()).collect();
-        let first: Vec<_> =
-            self.backends.iter().filter_map(|b| b.speed.first_token_ms.settled()).collect();
-        self.inter_token_ms = estimate::median(inter.iter().copied());
-        self.first_token_ms = estimate::median(first.iter().copied());
-        let by_tokens = inter.len() >= straggler::LEAST_MEASURED;
-        let by_first = first.len() >= straggler::LEAST_MEASURED;
-        for backend in &mut self.backends {
-            let was = backend.verdict.is_straggler();
-            if by_tokens {
-                let own = backend.speed.inter_token_ms.settled();
-                backend.verdict.update(own, self.inter_token_ms);
-            } else {
-                let median = self.first_token_ms.filter(|_| by_first);
-                backend.verdict.update(backend.speed.first_token_ms.settled(), median);
-            }
-            if was != backend.verdict.is_straggler() {
-                let (name, limit) = (&backend.model.name, backend.limit());
-                log::info!("straggler backend={name} slow={} limit={limit}", !was);
-            }
-        }
-    }
-
     /// The slots that this scheduler may use at the present limits.
     fn slots(&self) -> u32 {
         self.backends.iter().map(|backend| backend.slots(self.share)).sum()
