Measure what control costs a daemon

Change: an example that starts 3 to 16 daemons and reads processor time, memory, bytes and calls with and without load; operators see a daemon's traffic in the status.

--- a/crates/daemon/src/adapt/status.rs
+++ b/crates/daemon/src/adapt/status.rs
@@ -30,6 +30,7 @@
         rejected: status.rejection.as_ref().map(rejected),
         conflict: status.conflict.as_ref().map(rejected),
         running: status.running,
+        traffic: traffic(&status.traffic),
         schedulers: status.groups.iter().map(scheduler).collect(),
     }
 }
@@ -83,3 +84,13 @@
     }
     status::State::Warm
 }
+
+fn traffic(traffic: &hyssop_peer::traffic::Traffic) -> status::Traffic {
+    status::Traffic {
+        datagrams_sent: traffic.datagrams_sent,
+        datagrams_dropped: traffic.datagrams_dropped,
+        udp_sent_bytes: traffic.udp_sent_bytes,
+        messages_sent: traffic.messages_sent,
+        tcp_sent_bytes: traffic.tcp_sent_bytes,
+    }
+}
--- /dev/null
+++ b/crates/fakes/examples/capacity.rs
@@ -0,0 +1,219 @@
+//! Measures what control costs a daemon, by the number of daemons and by the load.
+//!
+//! Each daemon is a process of its own. Processor time and memory are read from the operating
+//! system, bytes and calls from the daemons' status and the stand-in of the platform.
+
+use std::{
+    io::{self, Write},
+    process::ExitCode,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use anyhow::{Context, Result};
+use clap::Parser;
+use hyper::Method;
+use hyssop_document::name;
+use hyssop_fakes::{
+    client,
+    cluster::{Builder, Cluster},
+    engine,
+    history::History,
+    load::{Mix, Retry, Source, run},
+    shape::{self, Shape},
+};
+use serde_json::Value;
+
+/// The first argument by which the program starts itself as a stand-in or a daemon.
+const NODE: &str = "--attached";
+/// The time for the fleet to settle before anything is measured.
+const SETTLE: Duration = Duration::from_secs(3);
+/// The seed of the load.
+const SEED: u64 = 1;
+/// The clock ticks of a second in the operating system's accounts.
+const TICKS_PER_S: f64 = 100.0;
+
+#[derive(Debug, Parser)]
+#[command(about = "Measures what control costs a daemon")]
+struct Flags {
+    /// The numbers of daemons.
+    #[arg(long, value_delimiter = ',', default_values_t = [3, 6, 9, 16])]
+    daemons: Vec<usize>,
+    /// The requests a second over all daemons.
+    #[arg(long, value_delimiter = ',', default_values_t = [0.0, 50.0, 200.0])]
+    rates: Vec<f64>,
+    /// The time of each measurement in seconds.
+    #[arg(long, default_value_t = 10.0)]
+    seconds: f64,
+    /// The number of workspaces in the document.
+    #[arg(long, default_value_t = 10)]
+    workspaces: usize,
+    /// The number of engines.
+    #[arg(long, default_value_t = 20)]
+    engines: usize,
+}
+
+fn main() -> ExitCode {
+    // This program starts copies of itself as daemons and stand-ins.
+    let started_as_node = std::env::args().nth(1).is_some_and(|first| first == NODE);
+    if started_as_node {
+        return hyssop_fakes::node::main(std::env::args_os());
+    }
+    match measure(&Flags::parse()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            let _written = writeln!(io::stderr(), "capacity: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+#[tokio::main]
+async fn measure(flags: &Flags) -> Result<()> {
+    let mut out = io::stdout();
+    writeln!(
+        out,
+        "daemons requests/s  cpu %  rss MB  udp B/s  tcp B/s  datagrams/s  messages/s  platform calls/s"
+    )?;
+    for &daemons in &flags.daemons {
+        for &rate in &flags.rates {
+            let row = one(flags, daemons, rate).await?;
+            writeln!(out, "{daemons:7} {rate:10.0} {row}")?;
+        }
+    }
+    Ok(())
+}
+
+/// What one daemon costs, as the mean over all.
+struct Row {
+    cpu_percent: f64,
+    rss_mb: f64,
+    udp: f64,
+    tcp: f64,
+    datagrams: f64,
+    messages: f64,
+    platform_calls: f64,
+}
+
+impl std::fmt::Display for Row {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let Self { cpu_percent, rss_mb, udp, tcp, datagrams, messages, platform_calls } = self;
+        write!(
+            f,
+            "{cpu_percent:6.2} {rss_mb:7.1} {udp:8.0} {tcp:8.0} {datagrams:12.1} {messages:11.1} \
+             {platform_calls:17.2}"
+        )
+    }
+}
+
+async fn one(flags: &Flags, daemons: usize, rate: f64) -> Result<Row> {
+    let shape = (0..flags.workspaces)
+        .fold(deployment(flags.engines), |shape, index| shape.workspace(&format!("w{index}"), 1));
+    let program = std::env::current_exe()?;
+    let engine = engine::Settings { cold_start: false, ..engine::Settings::default() };
+    let builder = Builder::new(program, shape).daemons(daemons);
+    let cluster = builder.engine(engine).start().await?;
+    tokio::time::sleep(SETTLE).await;
+    let before = Counts::read(&cluster).await?;
+    let time = Duration::from_secs_f64(flags.seconds);
+    load(&cluster, rate, time).await;
+    let after = Counts::read(&cluster).await?;
+    Ok(after.since(&before, daemons as f64))
+}
+
+fn deployment(engines: usize) -> Shape {
+    Shape::new("capacity", 3)
+        .class(shape::class("question", 2, 2_000, 8_000))
+        .pool(shape::model("desk", 8), engines)
+}
+
+async fn load(cluster: &Cluster, rate: f64, time: Duration) {
+    let end = Instant::now() + time;
+    if rate > 0.0 {
+        let mix = Mix {
+            class: name::Class::new("question"),
+            pool: name::Pool::new("desk"),
+            call: false,
+            idempotent: true,
+            per_s: rate,
+            burst: None,
+            tokens: (4, 8),
+            words: 20,
+            deadline_ms: 8_000,
+        };
+        let workspaces = [(name::Workspace::new("w0"), 1)];
+        let source = Source::draw(SEED, time, &[mix], &workspaces);
+        run(&source, &cluster.callers(), &Arc::new(History::default()), Retry::NONE).await;
+    }
+    tokio::time::sleep_until(end.into()).await;
+}
+
+/// Counters at one moment, summed over all daemons.
+struct Counts {
+    at: Instant,
+    ticks: f64,
+    rss_mb: f64,
+    udp: f64,
+    tcp: f64,
+    datagrams: f64,
+    messages: f64,
+    platform_calls: f64,
+}
+
+impl Counts {
+    async fn read(cluster: &Cluster) -> Result<Self> {
+        let (_, status) = cluster.operate(0, Method::GET, "/v1/status", &Value::Null).await?;
+        let hosts = status["hosts"].as_array().context("a status has hosts")?;
+        let sum = |field: &str| -> f64 {
+            hosts.iter().filter_map(|host| host["traffic"][field].as_f64()).sum()
+        };
+        let mut counts = Self {
+            at: Instant::now(),
+            ticks: 0.0,
+            rss_mb: 0.0,
+            udp: sum("udp_sent_bytes"),
+            tcp: sum("tcp_sent_bytes"),
+            datagrams: sum("datagrams_sent"),
+            messages: sum("messages_sent"),
+            platform_calls: platform_calls(cluster).await?,
+        };
+        for daemon in &cluster.daemons {
+            let (ticks, rss_mb) = accounts(daemon.id())?;
+            counts.ticks += ticks;
+            counts.rss_mb += rss_mb;
+        }
+        Ok(counts)
+    }
+
+    fn since(&self, before: &Self, daemons: f64) -> Row {
+        let time_s = self.at.duration_since(before.at).as_secs_f64();
+        let rate = |after: f64, before: f64| (after - before) / time_s / daemons;
+        Row {
+            cpu_percent: 100.0 * rate(self.ticks, before.ticks) / TICKS_PER_S,
+            rss_mb: self.rss_mb / daemons,
+            udp: rate(self.udp, before.udp),
+            tcp: rate(self.tcp, before.tcp),
+            datagrams: rate(self.datagrams, before.datagrams),
+            messages: rate(self.messages, before.messages),
+            platform_calls: rate(self.platform_calls, before.platform_calls) * daemons,
+        }
+    }
+}
+
+async fn platform_calls(cluster: &Cluster) -> Result<f64> {
+    let (_, control) = cluster.shape().network.platform();
+    let calls: Value = serde_json::from_slice(&client::get(control, "/control/calls").await?)?;
+    calls["total"].as_f64().context("a total is counted")
+}
+
+/// The clock ticks that a process has used, and its resident memory in megabytes.
+fn accounts(process: u32) -> Result<(f64, f64)> {
+    let stat = std::fs::read_to_string(format!("/proc/{process}/stat"))?;
+    let (_, fields) = stat.rsplit_once(')').context("the accounts name the program")?;
+    let fields: Vec<_> = fields.split_whitespace().collect();
+    let field = |position: usize| -> Result<f64> {
+        Ok(fields.get(position).context("the accounts are complete")?.parse()?)
+    };
+    const PAGE_MB: f64 = 4096.0 / 1e6;
+    Ok((field(11)? + field(12)?, field(21)? * PAGE_MB))
+}
--- a/crates/operator/benches/answers.rs
+++ b/crates/operator/benches/answers.rs
@@ -69,6 +69,7 @@
         platform: true,
         rejected: None,
         conflict: None,
+        traffic: Default::default(),
         running: 12,
         schedulers: (0..groups).filter(|index| index % hosts == number).map(scheduler).collect(),
     }
--- a/crates/operator/src/status.rs
+++ b/crates/operator/src/status.rs
@@ -82,10 +82,28 @@
     pub conflict: Option<Rejected>,
     /// The number of requests of callers that are in progress here.
     pub running: u64,
+    /// What it has exchanged with the other daemons since its start.
+    #[serde(default)]
+    pub traffic: Traffic,
     /// The groups that it schedules.
     pub schedulers: Vec<Scheduler>,
 }
 
+/// What a daemon has exchanged with the others, without the headers of UDP and TCP.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Traffic {
+    /// The heartbeats sent.
+    pub datagrams_sent: u64,
+    /// The datagrams received that were dropped.
+    pub datagrams_dropped: u64,
+    /// The bytes sent over UDP.
+    pub udp_sent_bytes: u64,
+    /// The messages sent over TCP.
+    pub messages_sent: u64,
+    /// The bytes sent over TCP.
+    pub tcp_sent_bytes: u64,
+}
+
 /// A value that was not adopted.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Rejected {
--- a/crates/operator/tests/common/mod.rs
+++ b/crates/operator/tests/common/mod.rs
@@ -96,6 +96,7 @@
             platform: true,
             rejected: None,
             conflict: None,
+            traffic: Default::default(),
             running: 2,
             schedulers: vec![scheduler],
         };
