--- a/crates/daemon/src/adapt/status.rs
+++ b/crates/daemon/src/adapt/status.rs
@@ -11,7 +11,7 @@
 const MAX_FAULTS: usize = 3;
 
 /// What a daemon says about itself.
-pub(super) fn host(status: &peer::Status) -> status::Host {
+pub(crate) fn host(status: &peer::Status) -> status::Host {
     let Stamp { revision, digest } = status.document;
     let document = status::Published { revision, digest };
     let orders =
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,6 +1,7 @@
 //! The daemon: settings, assembly of all parts, the path of a request.
 
 mod adapt;
+mod gauges;
 pub mod histogram;
 pub mod logging;
 pub mod metrics;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -75,9 +75,16 @@
         }
     }
 
-    /// Sends a value as it is now.
-    pub fn gauge(&self, gauge: &str, value: u64) {
-        let _sent = self.client.gauge(gauge, value);
+    /// Sends a value as it is now, with tags.
+    pub fn gauge(&self, gauge: &str, value: u64, tags: &[(&str, &str)]) {
+        let metric = self.client.gauge_with_tags(gauge, value);
+        let tagged = tags.iter().fold(metric, |metric, (name, tag)| metric.with_tag(name, tag));
+        let _sent = tagged.try_send();
+    }
+
+    /// Sends what waits for a datagram to become full.
+    pub fn flush(&self) {
+        let _sent = self.client.flush();
     }
 
     fn time(&self, metric: &str, class: &name::Class, millis: u128) {
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -31,6 +31,7 @@
         platform::Platform,
         quarantine::Quarantine,
     },
+    gauges::Gauges,
     histogram::Book,
     metrics::Metrics,
     settings::Settings,
@@ -75,6 +76,7 @@
     caller: CallerServer,
     operator: OperatorServer,
     platform: Arc<Platform>,
+    gauges: Gauges,
     stop_callers: CancellationToken,
 }
 
@@ -92,7 +94,10 @@
         let histograms = Arc::new(Book::default());
         let node = start_node(&settings, &timer, &client, &histograms).await?;
         let quarantine = Arc::new(Quarantine::new(Arc::clone(&node)));
-        let home = home(&settings, &node, client, &histograms, &quarantine);
+        let metrics = Arc::new(Metrics::new(settings.metrics_address, &settings.host));
+        let observer = Observer { histograms, metrics: Arc::clone(&metrics) };
+        let home = home(&settings, &node, client, observer, &quarantine);
+        let gauges = Gauges::new(Arc::clone(&node), metrics, &timer);
         let desk = Desk { node: Arc::clone(&node), quarantine };
         let operator = OperatorServer::builder(operator, Arc::new(desk))
             .keys(settings.operator_keys_sha256.clone())
@@ -102,7 +107,7 @@
             .stop(stop_callers.clone())
             .build();
         let platform = Arc::new(Platform { node: Arc::clone(&node) });
-        Ok(Self { settings, node, home, caller, operator, platform, stop_callers })
+        Ok(Self { settings, node, home, caller, operator, platform, gauges, stop_callers })
     }
 
     /// Serves until `stop` is cancelled, then stops gracefully.
@@ -110,6 +115,7 @@
         let tasks = TaskTracker::new();
         let stop_others = CancellationToken::new();
         self.follow_platform(&tasks, &stop_others);
+        tasks.spawn(self.gauges.run(stop_others.clone()));
         let callers = tokio::spawn(self.caller.run());
         tasks.spawn(self.operator.run(stop_others.clone()));
         log::info!(
@@ -195,15 +201,14 @@
     settings: &Settings,
     node: &Arc<Node>,
     client: Client,
-    histograms: &Arc<Book>,
+    observer: Observer,
     quarantine: &Arc<Quarantine>,
 ) -> Home {
     let lifetime = settings.addresses_lifetime;
     let directory = Arc::new(Directory { node: Arc::clone(node), lifetime });
     let permits = Arc::new(Permits { node: Arc::clone(node) });
     let backends = Arc::new(Backends { client });
-    let metrics = Arc::new(Metrics::new(settings.metrics_address, &settings.host));
-    let observer = Arc::new(Observer { histograms: Arc::clone(histograms), metrics });
+    let observer = Arc::new(observer);
     let quarantine = Arc::clone(quarantine);
     Home::builder(directory, permits, backends).observer(observer).quarantine(quarantine).build()
 }
--- a/crates/operator/src/status.rs
+++ b/crates/operator/src/status.rs
@@ -173,3 +173,8 @@
     #[display("out")]
     Out,
 }
+
+impl State {
+    /// All states.
+    pub const ALL: [Self; 5] = [Self::Cold, Self::Warm, Self::Slow, Self::Quarantined, Self::Out];
+}
