--- a/crates/peer/src/node.rs
+++ b/crates/peer/src/node.rs
@@ -42,7 +42,7 @@
 pub use crate::core::Stale;
 
 use crate::{
-    core::{Core, Stamps},
+    core::{Core, Stamps, Standing},
     current::{Current, Outcome, Source, Store},
     group::{Command, Handle, Loads},
     held,
@@ -55,6 +55,7 @@
     rank::Key,
     status::{self, Fleet, Status},
     timing::Timing,
+    traffic::{Meter, Traffic},
     view::{Standings, View},
 };
 
@@ -75,11 +76,14 @@
     board: Mutex<Board>,
     held: Mutex<held::Table>,
     outbox: Mutex<Map<Group, Batch>>,
+    /// The groups of which something may be lost, with the number of reports to send for it.
+    doubts: Mutex<Map<Group, u32>>,
     view: ArcSwap<View>,
     standings: ArcSwap<Standings>,
     groups: Mutex<Map<Group, Handle>>,
     slots: AtomicU64,
     pool: link::Pool,
+    meter: Arc<Meter>,
     pub(crate) loads: Arc<dyn Loads>,
     inquiry: Arc<dyn Inquiry>,
     socket: UdpSocket,
@@ -190,6 +194,21 @@
         keys.all(|key| core.tally.votes(key, core.electorate(), now) == 0)
     }
 
+    /// What was exchanged with peers since the start.
+    pub fn traffic(&self) -> Traffic {
+        self.shared.meter.read()
+    }
+
+    /// The live daemon with an incarnation, which may be this one.
+    pub fn peer(&self, incarnation: Incarnation) -> Option<Identity> {
+        if incarnation == self.shared.identity.incarnation {
+            return Some(self.shared.identity.clone());
+        }
+        let view = self.view();
+        let mut alive = view.alive.iter().map(|peer| &peer.identity);
+        alive.find(|identity| identity.incarnation == incarnation).cloned()
+    }
+
     /// The state of this daemon.
     pub async fn own_status(&self) -> Status {
         self.shared.status().await
@@ -274,31 +293,35 @@
         Stamps {
             document: current.document_stamp(),
             orders: current.orders_stamp,
-            notices: self.board.lock().digest(),
+            notices: self.board.lock().digest(self.now()),
         }
     }
 
     /// Publishes the view and the standing schedulers for readers.
     fn publish(&self) {
-        let now = self.now();
         let mut core = self.core.lock();
-        let view = View::of(&mut core, now);
-        let standings = core.standings(now);
+        let view = View::of(&mut core, self.now());
+        // Stored under the lock of the core, so that an older view never replaces a newer one.
+        self.view.store(Arc::new(view));
+        drop(core);
+        self.publish_standings();
+    }
+
+    /// Publishes the standing schedulers for readers.
+    fn publish_standings(&self) {
+        let now = self.now();
+        let core = self.core.lock();
+        let standings = Arc::new(core.standings(now));
         if let Some(pauses) = core.refreshed(now) {
             self.refreshed_pauses.store(pauses, Ordering::Release);
         }
-        let old = self.standings.swap(Arc::new(standings));
-        let standings = self.standings.load();
-        // Stored under the lock of the core, so that an older view never replaces a newer one.
-        self.view.store(Arc::new(view));
+        let old = self.standings.swap(Arc::clone(&standings));
         drop(core);
-        let same = old.len() == standings.len()
-            && old.iter().all(|(key, old)| {
-                standings
-                    .get(key)
-                    .is_some_and(|new| new.scheduler == old.scheduler && new.epoch == old.epoch)
-            });
-        if !same {
+        let same = |(key, old): (&Key, &Standing)| {
+            let new = standings.get(key);
+            new.is_some_and(|new| new.scheduler == old.scheduler && new.epoch == old.epoch)
+        };
+        if old.len() != standings.len() || !old.iter().all(same) {
             self.moves.send_modify(|count| *count += 1);
         }
     }
@@ -471,6 +494,7 @@
             schedulers: schedulers.collect(),
             groups: groups.into_iter().flatten().collect(),
             running: self.held.lock().len() as u64,
+            traffic: self.meter.read(),
         }
     }
 
--- a/crates/peer/src/node/serve.rs
+++ b/crates/peer/src/node/serve.rs
@@ -20,7 +20,7 @@
     group::Command,
     hosts::List,
     identity::Identity,
-    message::{Batch, Petition, Report, Verdict},
+    message::{Batch, Petition, Receipt, Report, Verdict},
     notice::Notice,
     order::Outcome,
     rpc::Peer,
@@ -51,7 +51,8 @@
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("connection option not set error={error}");
     }
-    let transport = serde_transport::new(codec::framing().new_framed(stream), Postcard);
+    let codec = Postcard::new(Arc::clone(&shared.meter));
+    let transport = serde_transport::new(codec::framing().new_framed(stream), codec);
     let config = Config { pending_response_buffer: MAX_PENDING_ANSWERS };
     let channel = BaseChannel::new(config, transport);
     let mut calls = std::pin::pin!(channel.execute(Server { shared }.serve()));
@@ -92,12 +93,12 @@
         self.shared.group(&batch.group).send(Command::Events(batch));
     }
 
-    async fn report(self, _: Context, report: Report) -> bool {
-        let meant = report.scheduler == self.shared.identity.incarnation;
-        if meant {
-            self.shared.group(&report.group).send(Command::Report(Box::new(report)));
+    async fn report(self, _: Context, report: Report) -> Receipt {
+        if report.scheduler != self.shared.identity.incarnation {
+            return Receipt::default();
         }
-        meant
+        let group = self.shared.group(&report.group);
+        group.report(report).await.unwrap_or_default()
     }
 
     async fn document(self, _: Context) -> Option<Bytes> {
--- a/crates/policy/src/scheduler/placement.rs
+++ b/crates/policy/src/scheduler/placement.rs
@@ -102,8 +102,7 @@
         let class = &mut self.classes[item.class.0];
         class.running += 1;
         class.granted += 1;
-        let pool = self.pool.as_ref().expect("a group with backend servers has a pool");
-        let latest_end_ms = pool.latest_end_ms.min(class.model.max_running_ms);
+        let latest_end_ms = self.latest_end_ms(item.class);
         let backend = &mut self.backends[position];
         let id = permit::Id { scheduler: self.incarnation, number: self.next_number };
         self.next_number += 1;
@@ -129,6 +128,7 @@
             latest_end: now + Duration::from_millis(latest_end_ms),
             epoch: Some(backend.tracker.epoch()),
             loaded: 2 * (backend.running + 1) >= backend.slots(self.share),
+            waited: (!item.deferred).then(|| now.saturating_duration_since(item.arrived)),
             solo: entry.solo,
             prompt: entry.prompt_tokens,
             cost: item.cost,
