Split the client and the reader of the document, join checks that stood twice

The client's errors and its exchange over HTTP, and the lists with their places, have files of their own. Three checks of one field against another became one, and numbers of 16 hexadecimal digits are read in one place. No behaviour changes; the tests are the same.

--- a/crates/document/src/load.rs
+++ b/crates/document/src/load.rs
@@ -4,6 +4,7 @@
 
 mod check;
 mod fault;
+mod list;
 mod object;
 mod shape;
 
--- a/crates/document/src/load/check.rs
+++ b/crates/document/src/load/check.rs
@@ -6,7 +6,7 @@
 
 use super::{
     fault,
-    object::{List, Place},
+    list::{List, Place},
     shape::Draft,
 };
 use crate::{
@@ -113,21 +113,19 @@
 }
 
 fn targets(place: Place, class: &Class, faults: &mut fault::List) {
-    if class.first_token_ms > class.complete_ms {
-        let message = format_compact!(
-            "{} is above complete_ms, which is {}",
-            class.first_token_ms,
-            class.complete_ms
-        );
-        faults.add(format_compact!("{}.first_token_ms", place.path("classes")), message);
-    }
-    if class.complete_ms > class.max_running_ms {
-        let message = format_compact!(
-            "{} is above max_running_ms, which is {}",
-            class.complete_ms,
-            class.max_running_ms
-        );
-        faults.add(format_compact!("{}.complete_ms", place.path("classes")), message);
+    let (first_token_ms, complete_ms) = (class.first_token_ms, class.complete_ms);
+    let path = place.path("classes");
+    at_most(&path, ("first_token_ms", first_token_ms), ("complete_ms", complete_ms), faults);
+    let max_running = ("max_running_ms", class.max_running_ms);
+    at_most(&path, ("complete_ms", complete_ms), max_running, faults);
+}
+
+/// Checks that one field of an object is not above another.
+fn at_most(path: &str, field: (&str, u64), bound: (&str, u64), faults: &mut fault::List) {
+    let ((field, value), (bound_field, bound)) = (field, bound);
+    if value > bound {
+        let message = format_compact!("{value} is above {bound_field}, which is {bound}");
+        faults.add(format_compact!("{path}.{field}"), message);
     }
 }
 
@@ -135,26 +133,17 @@
     let classes = draft.classes.items.iter().map(|(_, class)| class);
     let longest = classes.max_by_key(|class| class.max_running_ms);
     for (place, pool) in &draft.pools.items {
-        limits(*place, pool, faults);
+        let limits = [pool.cold_limit, pool.warm_limit].map(u64::from);
+        let path = place.path("pools");
+        at_most(&path, ("cold_limit", limits[0]), ("warm_limit", limits[1]), faults);
         if let Some(class) = longest {
-            latest_end(*place, pool, class, faults);
+            latest_end(&path, pool, class, faults);
         }
     }
 }
 
-fn limits(place: Place, pool: &Pool, faults: &mut fault::List) {
-    if pool.cold_limit > pool.warm_limit {
-        let message = format_compact!(
-            "{} is above warm_limit, which is {}",
-            pool.cold_limit,
-            pool.warm_limit
-        );
-        faults.add(format_compact!("{}.cold_limit", place.path("pools")), message);
-    }
-}
-
 /// A permit must be counted at least as long as a request may run on it.
-fn latest_end(place: Place, pool: &Pool, class: &Class, faults: &mut fault::List) {
+fn latest_end(path: &str, pool: &Pool, class: &Class, faults: &mut fault::List) {
     if pool.latest_end_ms < class.max_running_ms {
         let message = format_compact!(
             "{} is below max_running_ms of class {}, which is {}",
@@ -162,7 +151,7 @@
             class.name,
             class.max_running_ms
         );
-        faults.add(format_compact!("{}.latest_end_ms", place.path("pools")), message);
+        faults.add(format_compact!("{path}.latest_end_ms"), message);
     }
 }
 
--- a/crates/document/src/load/object.rs
+++ b/crates/document/src/load/object.rs
@@ -9,7 +9,10 @@
 };
 use serde_json::value::RawValue;
 
-use super::fault;
+use super::{
+    fault,
+    list::{List, Place},
+};
 
 /// The number of characters of a wrong value that are shown.
 const MAX_SHOWN_CHARS: usize = 40;
@@ -232,7 +235,7 @@
     ) -> List<T> {
         match self.find(field) {
             Some(value) => self.elements(field, value, read),
-            None => List { items: Vec::new(), whole: true },
+            None => List::empty(),
         }
     }
 
@@ -243,11 +246,11 @@
         read: impl Fn(&mut Object<'a, '_>) -> Option<T>,
     ) -> List<T> {
         let Some(values) = self.values(field, value) else { return List::default() };
-        let mut list = List { items: Vec::with_capacity(values.len()), whole: true };
+        let mut list = List::empty();
         for (index, value) in values.into_iter().enumerate() {
             let path = format_compact!("{}{field}[{index}]", self.prefix);
             match element(path, value, &read, self.faults) {
-                Some(item) => list.items.push((Place { part: None, index }, item)),
+                Some(item) => list.items.push((Place::new(index), item)),
                 None => list.whole = false,
             }
         }
@@ -310,59 +313,6 @@
     item
 }
 
-/// Where an element stands.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) struct Place {
-    part: Option<u32>,
-    index: usize,
-}
-
-impl Place {
-    fn in_part(self, part: u32) -> Self {
-        Self { part: Some(part), ..self }
-    }
-
-    /// The path of the element in the list of that name.
-    pub(super) fn path(self, list: &str) -> CompactString {
-        let index = self.index;
-        match self.part {
-            Some(part) => format_compact!("parts[{part}].{list}[{index}]"),
-            None => format_compact!("{list}[{index}]"),
-        }
-    }
-}
-
-/// The elements of a list that could be read, with the places where they stand.
-pub(super) struct List<T> {
-    /// The elements with their places.
-    pub(super) items: Vec<(Place, T)>,
-    /// Whether every element could be read.
-    pub(super) whole: bool,
-}
-
-impl<T> Default for List<T> {
-    fn default() -> Self {
-        Self { items: Vec::new(), whole: false }
-    }
-}
-
-impl<T> List<T> {
-    /// Adds the elements of a part.
-    pub(super) fn append(&mut self, part: u32, list: &Self)
-    where
-        T: Clone,
-    {
-        let items = list.items.iter();
-        self.items.extend(items.map(|(place, item)| (place.in_part(part), item.clone())));
-        self.whole &= list.whole;
-    }
-
-    /// The elements, if every one could be read.
-    pub(super) fn finish(self) -> Option<Vec<T>> {
-        self.whole.then(|| self.items.into_iter().map(|(_, item)| item).collect())
-    }
-}
-
 /// A value as it stands in the document, cut if it is long.
 fn shown(value: &RawValue) -> CompactString {
     shortened(value.get())
--- a/crates/document/src/load/shape.rs
+++ b/crates/document/src/load/shape.rs
@@ -1,9 +1,6 @@
 //! Reads the fields of a document and the range of each.
 
-use super::{
-    fault,
-    object::{List, Object},
-};
+use super::{fault, list::List, object::Object};
 use crate::{
     digest::Digest,
     model::{
--- a/crates/document/src/number.rs
+++ b/crates/document/src/number.rs
@@ -115,6 +115,12 @@
     }
 }
 
+/// Reads a number of exactly 16 hexadecimal digits.
+pub fn from_hex(text: &str) -> Option<u64> {
+    let digits = text.len() == 16 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+    digits.then(|| u64::from_str_radix(text, 16).ok()).flatten()
+}
+
 /// A text that is no incarnation.
 #[derive(Debug, Clone, PartialEq, Eq, derive_more::Display, derive_more::Error)]
 #[display("an incarnation has 16 hexadecimal digits")]
@@ -124,9 +130,7 @@
     type Err = IncarnationError;
 
     fn from_str(text: &str) -> Result<Self, IncarnationError> {
-        let hex = text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit());
-        let number = u64::from_str_radix(text, 16).map_err(|_| IncarnationError)?;
-        hex.then_some(Self(number)).ok_or(IncarnationError)
+        from_hex(text).map(Self).ok_or(IncarnationError)
     }
 }
 
--- a/crates/operator/src/client.rs
+++ b/crates/operator/src/client.rs
@@ -1,79 +1,31 @@
 //! The client of the administration API.
 
-use std::{fmt, net::SocketAddr, sync::Arc, time::Duration};
+mod error;
+mod exchange;
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use compact_str::{CompactString, format_compact};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::{
     Method, Request, StatusCode,
-    client::conn::http1,
     header::{AUTHORIZATION, CONTENT_TYPE, HOST, HeaderValue},
 };
-use hyper_util::rt::TokioIo;
 use hyssop_document::{number::Revision, order};
 use serde::de::DeserializeOwned;
-use tokio::net::TcpStream;
 
+pub use self::error::{Error, Failures};
+use self::exchange::{Answer, Failed, call};
 use crate::{
-    check, error, histogram, outcome,
+    check,
+    error::Kind,
+    histogram, outcome,
     quarantine::{self, Fingerprint},
     readiness::Readiness,
     status::Fleet,
 };
 
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(10);
-const MAX_ANSWER_BYTES: usize = 64 << 20;
-
-/// Why there is no answer.
-#[derive(Debug, Clone, PartialEq, Eq, derive_more::Display, derive_more::Error)]
-pub enum Error {
-    /// No server could be reached, and nothing was carried out.
-    #[display("no server answered: {_0}")]
-    Unreachable(#[error(not(source))] Failures),
-    /// The order was sent, but the answer did not come. It may have been carried out.
-    #[display("{server} got the order but did not answer, so it may be in force: {message}")]
-    Unknown {
-        /// The server.
-        server: SocketAddr,
-        /// What happened.
-        message: CompactString,
-    },
-    /// A server refused the request.
-    #[display("{server} refused: {error}")]
-    Refused {
-        /// The server.
-        server: SocketAddr,
-        /// The reason.
-        #[error(not(source))]
-        error: error::Error,
-    },
-    /// A server answered something that is no answer of the API.
-    #[display("{server} gave no proper answer: {message}")]
-    Malformed {
-        /// The server.
-        server: SocketAddr,
-        /// What was wrong.
-        message: CompactString,
-    },
-    /// The key cannot be sent in a header.
-    #[display("the key has a character that no header may have")]
-    Key,
-}
-
-/// What went wrong at each server that was tried.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Failures(pub Vec<(SocketAddr, CompactString)>);
-
-impl fmt::Display for Failures {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for (position, (server, message)) in self.0.iter().enumerate() {
-            let separator = if position == 0 { "" } else { "; " };
-            write!(f, "{separator}{server}: {message}")?;
-        }
-        Ok(())
-    }
-}
 
 /// Asks one of several servers: the first one that answers.
 #[derive(Clone)]
@@ -83,21 +35,6 @@
     timeout: Duration,
 }
 
-/// How far a call came that failed.
-enum Failed {
-    /// Nothing of the request was sent.
-    BeforeSending(CompactString),
-    /// The request was sent.
-    AfterSending(CompactString),
-}
-
-/// An answer of a server.
-struct Answer {
-    server: SocketAddr,
-    status: StatusCode,
-    body: Bytes,
-}
-
 impl Client {
     /// A client of these servers, which presents no key.
     pub fn new(servers: impl Into<Arc<[SocketAddr]>>) -> Self {
@@ -211,7 +148,7 @@
             StatusCode::GATEWAY_TIMEOUT,
         ];
         match answer.value(&expected) {
-            Err(Error::Refused { server, error }) if error.error == error::Kind::AnswerTimeout => {
+            Err(Error::Refused { server, error }) if error.error == Kind::AnswerTimeout => {
                 Err(Error::Unknown { server, message: error.message })
             }
             outcome => outcome,
@@ -237,7 +174,8 @@
     async fn ask(&self, method: &Method, path: &str, body: &Bytes) -> Result<Answer, Error> {
         let mut failures = Vec::new();
         for &server in self.servers.iter() {
-            match self.call(server, method, path, body).await {
+            let request = self.request(server, method, path, body);
+            match call(server, request, self.timeout).await {
                 Ok(answer) => return Ok(answer),
                 Err(Failed::BeforeSending(message) | Failed::AfterSending(message)) => {
                     failures.push((server, message));
@@ -251,7 +189,8 @@
     async fn change(&self, method: &Method, path: &str, body: &Bytes) -> Result<Answer, Error> {
         let mut failures = Vec::new();
         for &server in self.servers.iter() {
-            match self.call(server, method, path, body).await {
+            let request = self.request(server, method, path, body);
+            match call(server, request, self.timeout).await {
                 Ok(answer) => return Ok(answer),
                 Err(Failed::BeforeSending(message)) => failures.push((server, message)),
                 Err(Failed::AfterSending(message)) => {
@@ -261,27 +200,6 @@
         }
         Err(Error::Unreachable(Failures(failures)))
     }
-
-    async fn call(
-        &self,
-        server: SocketAddr,
-        method: &Method,
-        path: &str,
-        body: &Bytes,
-    ) -> Result<Answer, Failed> {
-        let late = || format_compact!("no answer in {} ms", self.timeout.as_millis());
-        let connect = tokio::time::timeout(self.timeout, TcpStream::connect(server)).await;
-        let stream = connect
-            .map_err(|_| Failed::BeforeSending(late()))?
-            .map_err(|error| Failed::BeforeSending(format_compact!("{error}")))?;
-        let request = self.request(server, method, path, body);
-        let exchange = tokio::time::timeout(self.timeout, exchange(stream, request)).await;
-        let (status, body) = exchange
-            .map_err(|_| Failed::AfterSending(late()))?
-            .map_err(|error| Failed::AfterSending(format_compact!("{error}")))?;
-        Ok(Answer { server, status, body })
-    }
-
     fn request(
         &self,
         server: SocketAddr,
@@ -302,64 +220,3 @@
         request
     }
 }
-
-type ExchangeError = Box<dyn std::error::Error + Send + Sync>;
-
-async fn exchange(
-    stream: TcpStream,
-    request: Request<Full<Bytes>>,
-) -> Result<(StatusCode, Bytes), ExchangeError> {
-    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-    let answer = async {
-        let response = sender.send_request(request).await?;
-        let status = response.status();
-        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect().await?;
-        Ok((status, body.to_bytes()))
-    };
-    // The connection only makes progress while it is polled beside the exchange.
-    let mut answer = std::pin::pin!(answer);
-    tokio::select! {
-        answer = answer.as_mut() => answer,
-        ended = connection => {
-            ended?;
-            answer.await
-        }
-    }
-}
-
-impl Answer {
-    /// The value of an answer with one of the expected status codes.
-    fn value<T: DeserializeOwned>(&self, expected: &[StatusCode]) -> Result<T, Error> {
-        match serde_json::from_slice(&self.body) {
-            Ok(value) if expected.contains(&self.status) => Ok(value),
-            parsed => {
-                self.refused()?;
-                let reason = match parsed {
-                    Ok(_) => CompactString::default(),
-                    Err(error) => format_compact!(": {error}"),
-                };
-                Err(self.malformed(format_compact!("status {}{reason}", self.status)))
-            }
-        }
-    }
-
-    fn expect(&self, expected: &[StatusCode]) -> Result<(), Error> {
-        if expected.contains(&self.status) {
-            return Ok(());
-        }
-        self.refused()?;
-        Err(self.malformed(format_compact!("status {}", self.status)))
-    }
-
-    /// Fails if the answer carries an error of the API.
-    fn refused(&self) -> Result<(), Error> {
-        match serde_json::from_slice(&self.body) {
-            Ok(error) => Err(Error::Refused { server: self.server, error }),
-            Err(_) => Ok(()),
-        }
-    }
-
-    fn malformed(&self, message: CompactString) -> Error {
-        Error::Malformed { server: self.server, message }
-    }
-}
--- a/crates/operator/src/quarantine.rs
+++ b/crates/operator/src/quarantine.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, str::FromStr};
 
-use hyssop_document::name;
+use hyssop_document::{name, number};
 use serde::{Deserialize, Serialize};
 
 /// The fingerprint of a request. The text form has 16 hexadecimal digits.
@@ -25,11 +25,7 @@
     type Err = FingerprintError;
 
     fn from_str(text: &str) -> Result<Self, FingerprintError> {
-        let hex = text.len() == 16 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
-        if !hex {
-            return Err(FingerprintError);
-        }
-        u64::from_str_radix(text, 16).map(Self).map_err(|_| FingerprintError)
+        number::from_hex(text).map(Self).ok_or(FingerprintError)
     }
 }
 
