--- a/crates/ctl/src/arguments.rs
+++ b/crates/ctl/src/arguments.rs
@@ -72,6 +72,9 @@
         /// The new document.
         #[arg(value_name = "NEW")]
         new: PathBuf,
+        /// Directory with the parts that the documents name, each in a file named by its digest.
+        #[arg(long, value_name = "DIRECTORY")]
+        parts: Option<PathBuf>,
     },
     /// Show the status of the fleet.
     Status {
--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -20,7 +20,9 @@
     match command {
         Command::Check { files, parts } => documents::check(&files, parts.as_deref(), json, out),
         Command::Split { file, into, count } => documents::split(&file, &into, count, out),
-        Command::Diff { old, new } => documents::diff(&old, &new, json, out),
+        Command::Diff { old, new, parts } => {
+            documents::diff([&old, &new], parts.as_deref(), json, out)
+        }
         Command::Completions { shell } => {
             let mut script = Vec::new();
             clap_complete::generate(shell, &mut Arguments::command(), "hyssopctl", &mut script);
--- a/crates/ctl/src/command/documents.rs
+++ b/crates/ctl/src/command/documents.rs
@@ -50,9 +50,14 @@
     Ok(if valid { Exit::Success } else { Exit::Refused })
 }
 
-/// Tells what changes from one file to another.
-pub(super) fn diff(old: &Path, new: &Path, json: bool, out: &mut dyn Write) -> Result<Exit, Error> {
-    let difference = Difference::between(&valid(old)?, &valid(new)?);
+/// Tells what changes from the first file to the second.
+pub(super) fn diff(
+    [old, new]: [&Path; 2],
+    parts: Option<&Path>,
+    json: bool,
+    out: &mut dyn Write,
+) -> Result<Exit, Error> {
+    let difference = Difference::between(&valid(old, parts)?, &valid(new, parts)?);
     if json {
         write_json(&difference, out)?;
     } else {
@@ -107,6 +112,6 @@
     Ok(assembly.finish())
 }
 
-fn valid(path: &Path) -> Result<Catalog, Error> {
-    read(path, None)?.map_err(|faults| Error::Document { path: path.to_owned(), faults })
+fn valid(path: &Path, parts: Option<&Path>) -> Result<Catalog, Error> {
+    read(path, parts)?.map_err(|faults| Error::Document { path: path.to_owned(), faults })
 }
--- a/crates/ctl/src/view/check.rs
+++ b/crates/ctl/src/view/check.rs
@@ -5,9 +5,9 @@
     path::Path,
 };
 
-use hyssop_document::{catalog::Catalog, load::Fault};
+use hyssop_document::{advice, catalog::Catalog, load::Fault};
 
-/// Writes one line for a document without faults, else one line for each fault.
+/// Writes one line and the advice for a document without faults, else one line for each fault.
 pub(crate) fn write(
     file: &Path,
     result: &Result<Catalog, Vec<Fault>>,
@@ -15,7 +15,11 @@
 ) -> io::Result<()> {
     let file = file.display();
     match result {
-        Ok(catalog) => writeln!(out, "{file}: no faults: {}", summary(catalog)),
+        Ok(catalog) => {
+            writeln!(out, "{file}: no faults: {}", summary(catalog))?;
+            let notes = advice::notes(catalog);
+            notes.iter().try_for_each(|note| writeln!(out, "{file}: note: {note}"))
+        }
         Err(faults) => faults.iter().try_for_each(|fault| writeln!(out, "{file}: {fault}")),
     }
 }
--- a/crates/ctl/tests/files.rs
+++ b/crates/ctl/tests/files.rs
@@ -27,10 +27,14 @@
     write(&directory, "faulty.json", &faulty);
     expect![[r#"
         good.json: no faults: environment trial, revision 7, 1 classes, 1 workspaces, 2 zones, 1 pools, 1 backend servers in 1 groups
+        good.json: note: pools[0]: all backend servers of pool drafting are in zone south-1, so without it there are none
+        good.json: note: pools[0].cold_limit: with 1, a backend server in cold start gets no work while hosts are cut into even halves
         exit 0
     "#]].assert_eq(&run(&directory, &["check", "good.json"]));
     expect![[r#"
         good.json: no faults: environment trial, revision 7, 1 classes, 1 workspaces, 2 zones, 1 pools, 1 backend servers in 1 groups
+        good.json: note: pools[0]: all backend servers of pool drafting are in zone south-1, so without it there are none
+        good.json: note: pools[0].cold_limit: with 1, a backend server in cold start gets no work while hosts are cut into even halves
         faulty.json: classes[0].tier: a whole number from 1 to 8 is needed, found 9
         faulty.json: workspaces[0].share: the field is missing
         faulty.json: workspaces[0].part: the field is unknown, known are name, share, key_sha256
@@ -62,7 +66,8 @@
                 "path": "workspaces[0].part",
                 "message": "the field is unknown, known are name, share, key_sha256"
               }
-            ]
+            ],
+            "notes": []
           }
         ]
         exit 1
@@ -124,8 +129,18 @@
     let check = ["check", "published/document", "--parts", "published/parts"];
     expect![[r#"
         published/document: no faults: environment trial, revision 7, 1 classes, 1 workspaces, 2 zones, 1 pools, 1 backend servers in 1 groups
+        published/document: note: pools[0]: all backend servers of pool drafting are in zone south-1, so without it there are none
+        published/document: note: pools[0].cold_limit: with 1, a backend server in cold start gets no work while hosts are cut into even halves
         exit 0
     "#]].assert_eq(&run(&directory, &check));
+    let diff = ["diff", "whole.json", "published/document", "--parts", "published/parts"];
+    expect![[r#"
+        document trial: revision 7 -> 7
+            warning: only a higher revision is adopted
+        no other differences
+        exit 0
+    "#]]
+    .assert_eq(&run(&directory, &diff));
     let part = fs::read_dir(directory.path().join("published/parts")).unwrap().next().unwrap();
     let part = part.unwrap();
     fs::write(part.path(), "{}").unwrap();
--- a/crates/document/src/lib.rs
+++ b/crates/document/src/lib.rs
@@ -3,6 +3,7 @@
 //! Everything here is plain data without I/O. [`load::parse`] turns bytes into a checked
 //! [`model::Document`] or into the whole list of faults; [`catalog::Catalog`] indexes the result.
 
+pub mod advice;
 pub mod catalog;
 pub mod collections;
 pub mod difference;
--- a/crates/operator/src/check.rs
+++ b/crates/operator/src/check.rs
@@ -1,6 +1,13 @@
 //! The result of a check of a document.
 
-use hyssop_document::{catalog::Catalog, digest::Digest, load::Fault, name, number::Revision};
+use hyssop_document::{
+    advice::{self, Note},
+    catalog::Catalog,
+    digest::Digest,
+    load::Fault,
+    name,
+    number::Revision,
+};
 use serde::{Deserialize, Serialize};
 
 /// Whether a document would be adopted, and why not.
@@ -16,6 +23,8 @@
     pub digest: Option<Digest>,
     /// Every fault.
     pub faults: Vec<Fault>,
+    /// What deserves a thought, if the document is valid.
+    pub notes: Vec<Note>,
 }
 
 impl Report {
@@ -28,10 +37,16 @@
                 revision: Some(catalog.revision()),
                 digest: Some(catalog.digest()),
                 faults: Vec::new(),
+                notes: advice::notes(&catalog),
+            },
+            Err(faults) => Self {
+                valid: false,
+                environment: None,
+                revision: None,
+                digest: None,
+                faults,
+                notes: Vec::new(),
             },
-            Err(faults) => {
-                Self { valid: false, environment: None, revision: None, digest: None, faults }
-            }
         }
     }
 }
--- a/crates/operator/tests/paths.rs
+++ b/crates/operator/tests/paths.rs
@@ -60,10 +60,10 @@
     let server = Running::plain().await;
     check(&server, ("POST", "/v1/document/check", DOCUMENT), &expect![[r#"
         HTTP/1.1 200 OK
-        {"valid":true,"environment":"trial","revision":7,"digest":"25129d165a0f33b3fa9e5688312d74454e66695c4873c0fca3e8f4545dfd141c","faults":[]}"#]]).await;
+        {"valid":true,"environment":"trial","revision":7,"digest":"25129d165a0f33b3fa9e5688312d74454e66695c4873c0fca3e8f4545dfd141c","faults":[],"notes":[{"path":"pools[0]","message":"all backend servers of pool drafting are in zone south-1, so without it there are none"},{"path":"pools[0].cold_limit","message":"with 1, a backend server in cold start gets no work while hosts are cut into even halves"}]}"#]]).await;
     check(&server, ("POST", "/v1/document/check", "{\"revision\": 0}"), &expect![[r#"
         HTTP/1.1 200 OK
-        {"valid":false,"environment":null,"revision":null,"digest":null,"faults":[{"path":"environment","message":"the field is missing"},{"path":"revision","message":"a whole number from 1 to 9007199254740991 is needed, found 0"},{"path":"classes","message":"the field is missing"},{"path":"workspaces","message":"the field is missing"},{"path":"zones","message":"the field is missing"},{"path":"pools","message":"the field is missing"},{"path":"backends","message":"the field is missing"}]}"#]]).await;
+        {"valid":false,"environment":null,"revision":null,"digest":null,"faults":[{"path":"environment","message":"the field is missing"},{"path":"revision","message":"a whole number from 1 to 9007199254740991 is needed, found 0"},{"path":"classes","message":"the field is missing"},{"path":"workspaces","message":"the field is missing"},{"path":"zones","message":"the field is missing"},{"path":"pools","message":"the field is missing"},{"path":"backends","message":"the field is missing"}],"notes":[]}"#]]).await;
 }
 
 #[tokio::test]
