--- a/crates/fakes/examples/measure/report.rs
+++ b/crates/fakes/examples/measure/report.rs
@@ -130,6 +130,8 @@
         let work = works.get(&class.name).copied().unwrap_or_default();
         let mut row = Row { class: class.name.to_string(), tier: class.tier.0, ..base.clone() };
         fill(&mut row, plan, &own, work);
+        let whole_run = fates.iter().filter(|fate| fate.first.class == class.name);
+        row.least_percent_in_10s = least_in_window(plan, counted_ms, whole_run);
         rows.push(row);
     }
     let mut all = base;
@@ -138,6 +140,7 @@
         wasted: sum.wasted + work.wasted,
     });
     fill(&mut all, plan, &counted, sum);
+    all.least_percent_in_10s = least_in_window(plan, counted_ms, fates.iter());
     rows.push(all);
     let violations = history::check(events, records);
     Report {
@@ -166,7 +169,6 @@
     row.goodput_tokens_per_s = tokens as f64 / seconds;
     row.generated_tokens = work.generated;
     row.wasted_tokens = work.wasted;
-    row.least_percent_in_10s = least_in_window(plan, fates);
 }
 
 fn attains(plan: &Plan, fate: &Fate<'_>) -> bool {
@@ -184,15 +186,19 @@
 }
 
 /// The tokens answered in the window of 10 s that has the fewest, in percent of the capacity.
-fn least_in_window(plan: &Plan, fates: &[&Fate<'_>]) -> f64 {
+fn least_in_window<'a>(
+    plan: &Plan,
+    begin_ms: u64,
+    fates: impl Iterator<Item = &'a Fate<'a>>,
+) -> f64 {
     const WINDOW_S: u64 = 10;
-    let Some(begin) = fates.iter().map(|fate| fate.first.at_ms).min() else { return 0.0 };
     let seconds = (plan.time - plan.warm_up).as_secs();
-    let ends = || fates.iter().map(|fate| fate.end).filter(|end| end.outcome == Outcome::Answered);
+    let ends = fates.map(|fate| fate.end).filter(|end| end.outcome == Outcome::Answered);
+    let ends: Vec<_> = ends.collect();
     let answered = |start: u64| {
-        let from = begin + start * 1_000;
+        let from = begin_ms + start * 1_000;
         let to = from + WINDOW_S * 1_000;
-        let inside = ends().filter(|end| end.at_ms >= from && end.at_ms < to);
+        let inside = ends.iter().filter(|end| end.at_ms >= from && end.at_ms < to);
         inside.map(|end| end.tokens.0).sum::<u64>()
     };
     let least = (0..=seconds.saturating_sub(WINDOW_S)).map(answered).min().unwrap_or(0);
--- a/crates/fakes/src/cluster.rs
+++ b/crates/fakes/src/cluster.rs
@@ -13,7 +13,6 @@
 use http_body_util::{BodyExt, Full};
 use hyper::{Method, Request, header::AUTHORIZATION};
 use hyssop_document::{collections::Map, digest::Digest, model, name, order};
-use hyssop_operator::status::{Fleet, Scheduler};
 use serde_json::{Value, json};
 use tempfile::TempDir;
 
@@ -374,38 +373,6 @@
         Ok(())
     }
 
-    /// The status of the fleet as one daemon gathers it.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the exchange fails.
-    pub async fn status(&self, index: usize) -> Result<Fleet> {
-        let (status, answer) = self.operate(index, Method::GET, "/v1/status", &Value::Null).await?;
-        serde_json::from_value(answer.clone()).with_context(|| format!("{status}: {answer}"))
-    }
-
-    /// The daemon that schedules a group with a strict majority of votes, as `asked` sees it.
-    ///
-    /// # Errors
-    ///
-    /// Fails if there is none within [`READY_LIMIT`].
-    pub async fn scheduler(&self, asked: usize, group: &str) -> Result<usize> {
-        let end = Instant::now() + READY_LIMIT;
-        while Instant::now() < end {
-            let fleet = self.status(asked).await?;
-            let majority = |scheduler: &Scheduler| 2 * scheduler.votes > scheduler.listed;
-            let found = fleet
-                .schedulers()
-                .find(|(_, scheduler)| scheduler.group.to_string() == group && majority(scheduler));
-            if let Some((host, _)) = found {
-                let index = (0..self.settings.daemons).find(|&index| shape::host(index) == *host);
-                return index.with_context(|| format!("unknown host {host}"));
-            }
-            tokio::time::sleep(POLL).await;
-        }
-        bail!("no scheduler of {group} has a majority")
-    }
-
     /// Cuts or heals all links between daemons of `left` and all others.
     pub fn cut(&self, left: &[usize], cut: bool) {
         for (from, to, link) in &self.links {
--- a/crates/fakes/src/load/caller.rs
+++ b/crates/fakes/src/load/caller.rs
@@ -115,7 +115,8 @@
                 Outcome::Unknown => {
                     key = None;
                     renewals += 1;
-                    tokio::time::sleep(PAUSE).await;
+                    let pause = last.retry_after_ms.map(Duration::from_millis);
+                    tokio::time::sleep(pause.unwrap_or(PAUSE)).await;
                 }
                 Outcome::Lost => {
                     *self.known.lock() = None;
