--- a/crates/operator/src/histogram.rs
+++ b/crates/operator/src/histogram.rs
@@ -45,6 +45,23 @@
     }
 }
 
+/// Keeps the rows with the most requests and adds the others up, class by class.
+///
+/// The sums are in rows without a workspace, which come on top of `max`.
+pub fn limit(mut rows: Vec<Row>, max: usize) -> Vec<Row> {
+    if rows.len() <= max {
+        return rows;
+    }
+    rows.sort_by(|a, b| {
+        let names = (&a.class, &a.workspace).cmp(&(&b.class, &b.workspace));
+        b.requests().cmp(&a.requests()).then(names)
+    });
+    for row in rows.iter_mut().skip(max) {
+        row.workspace = None;
+    }
+    merge(rows)
+}
+
 /// Which rows of a report are wanted.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Filter {
@@ -108,13 +125,11 @@
 }
 
 impl Filter {
-    /// Drops the rows that are not wanted.
-    pub fn apply(&self, report: &mut Report) {
-        report.rows.retain(|row| {
-            let class = self.class.as_ref().is_none_or(|class| row.class == *class);
-            let workspace = self.workspace.is_none() || row.workspace == self.workspace;
-            class && workspace
-        });
+    /// Whether a row is wanted.
+    pub fn wants(&self, row: &Row) -> bool {
+        let class = self.class.as_ref().is_none_or(|class| row.class == *class);
+        let workspace = self.workspace.is_none() || row.workspace == self.workspace;
+        class && workspace
     }
 }
 
@@ -138,7 +153,7 @@
 pub struct Row {
     /// The class.
     pub class: name::Class,
-    /// The workspace; none stands for all workspaces that have no row of their own.
+    /// The workspace; none stands for all requests that are not counted in a row of their own.
     pub workspace: Option<name::Workspace>,
     /// The number of requests that were answered whole.
     pub answered: u64,
@@ -172,6 +187,11 @@
         }
     }
 
+    /// The number of requests.
+    pub fn requests(&self) -> u64 {
+        self.answered + self.refused + self.unknown + self.failed
+    }
+
     /// Adds the requests of another row.
     pub fn add(&mut self, other: &Self) {
         self.answered += other.answered;
@@ -227,9 +247,18 @@
 
     /// Adds the counts of another histogram.
     pub fn add(&mut self, other: &Self) {
+        let mut merged = Vec::with_capacity(self.buckets.len().max(other.buckets.len()));
+        let mut mine = self.buckets.iter().copied().peekable();
         for bucket in &other.buckets {
-            self.add_count(bucket.up_to_ms, bucket.count);
+            while let Some(lower) = mine.next_if(|mine| mine.up_to_ms < bucket.up_to_ms) {
+                merged.push(lower);
+            }
+            let equal = mine.next_if(|mine| mine.up_to_ms == bucket.up_to_ms);
+            let count = bucket.count + equal.map_or(0, |equal| equal.count);
+            merged.push(Bucket { up_to_ms: bucket.up_to_ms, count });
         }
+        merged.extend(mine);
+        self.buckets = merged;
     }
 
     /// The number of times that were recorded.
