--- a/crates/fakes/src/load/caller.rs
+++ b/crates/fakes/src/load/caller.rs
@@ -8,7 +8,7 @@
 
 use anyhow::{Context, Result, ensure};
 use bytes::Bytes;
-use compact_str::CompactString;
+use compact_str::{CompactString, format_compact};
 use http_body_util::Full;
 use hyper::header::{AUTHORIZATION, CONTENT_TYPE};
 use hyssop_document::{
@@ -29,6 +29,7 @@
 /// The time that a caller waits beyond its deadline before it gives up a connection.
 const GRACE: Duration = Duration::from_millis(500);
 const ADDRESSES_LIMIT: Duration = Duration::from_secs(2);
+const REFUSED_PAUSE: Duration = Duration::from_millis(100);
 const PAUSE: Duration = Duration::from_millis(50);
 
 /// How a caller goes on after a try that brought no answer.
@@ -60,6 +61,13 @@
     addresses: Vec<Address>,
 }
 
+/// Another try.
+#[derive(Debug, Clone, Copy)]
+struct Again {
+    new_key: bool,
+    pause: Duration,
+}
+
 /// A caller with its answer of which addresses to use.
 #[derive(Debug)]
 pub struct Caller {
@@ -92,37 +100,15 @@
             // Each try goes through another daemon; the key stays that of the first.
             let list = &addresses.addresses;
             let chosen = list[attempt as usize % list.len()];
-            let renewed = || {
-                compact_str::format_compact!(
-                    "{}.{}.{}",
-                    chosen.incarnation,
-                    unix_ms(),
-                    request.key_part(renewals)
-                )
-            };
-            let key_now = key.get_or_insert_with(renewed).clone();
-            last = self.attempt(request, attempt, chosen.address, key_now, end).await;
-            match last.outcome {
-                Outcome::Answered | Outcome::Failed => break,
-                Outcome::Refused if !self.retry.after_refusal => break,
-                Outcome::Refused => {
-                    key = None;
-                    renewals += 1;
-                    tokio::time::sleep(Duration::from_millis(last.retry_after_ms.unwrap_or(100)))
-                        .await;
-                }
-                Outcome::Unknown if !request.idempotent => break,
-                Outcome::Unknown => {
-                    key = None;
-                    renewals += 1;
-                    let pause = last.retry_after_ms.map(Duration::from_millis);
-                    tokio::time::sleep(pause.unwrap_or(PAUSE)).await;
-                }
-                Outcome::Lost => {
-                    *self.known.lock() = None;
-                    tokio::time::sleep(PAUSE).await;
-                }
+            let new = || new_key(request, chosen.incarnation, renewals);
+            let current = key.get_or_insert_with(new).clone();
+            last = self.attempt(request, attempt, chosen.address, current, end).await;
+            let Some(again) = self.again(request, &last) else { break };
+            if again.new_key {
+                key = None;
+                renewals += 1;
             }
+            tokio::time::sleep(again.pause).await;
             if Instant::now() >= end {
                 break;
             }
@@ -130,6 +116,26 @@
         last
     }
 
+    /// How to go on after an answer, if at all.
+    fn again(&self, request: &Request, answer: &Answer) -> Option<Again> {
+        let retry_after = answer.retry_after_ms.map(Duration::from_millis);
+        match answer.outcome {
+            Outcome::Answered | Outcome::Failed => None,
+            Outcome::Refused => self
+                .retry
+                .after_refusal
+                .then(|| Again { new_key: true, pause: retry_after.unwrap_or(REFUSED_PAUSE) }),
+            // It may have run, so only what may run twice is sent under a new key.
+            Outcome::Unknown => request
+                .idempotent
+                .then(|| Again { new_key: true, pause: retry_after.unwrap_or(PAUSE) }),
+            Outcome::Lost => {
+                *self.known.lock() = None;
+                Some(Again { new_key: false, pause: PAUSE })
+            }
+        }
+    }
+
     async fn attempt(
         &self,
         request: &Request,
@@ -205,6 +211,10 @@
     }
 }
 
+fn new_key(request: &Request, home: Incarnation, renewals: u32) -> CompactString {
+    format_compact!("{home}.{}.{}", unix_ms(), request.key_part(renewals))
+}
+
 async fn fetch(daemon: SocketAddr) -> Result<Addresses> {
     let call = client::get(daemon, "/v1/addresses");
     let bytes = tokio::time::timeout(ADDRESSES_LIMIT, call).await.context("timeout")??;
@@ -221,7 +231,7 @@
         _ => answer.text.split_whitespace().count() as u64,
     };
     let reason = if answered && !whole {
-        compact_str::format_compact!("expected {:?}, came {:?}", request.expected(), answer.text)
+        format_compact!("expected {:?}, came {:?}", request.expected(), answer.text)
     } else {
         answer.reason.clone()
     };
