Tell tokens lost in an engine's own crash from other waste

In the crash scenario an engine crashes each second and takes with it what it had generated; no router can save that without a copy of the KV cache. The measure now gives both figures.

--- a/crates/fakes/examples/measure/report.rs
+++ b/crates/fakes/examples/measure/report.rs
@@ -37,6 +37,8 @@
     goodput_tokens_per_s: f64,
     generated_tokens: u64,
     wasted_tokens: u64,
+    /// The part of the wasted tokens that engines lost in their own crashes.
+    crashed_tokens: u64,
     /// The answered tokens in that 10 s of the run in which there were fewest, in percent of what
     /// the engines can generate.
     least_percent_in_10s: f64,
@@ -122,6 +124,7 @@
         goodput_tokens_per_s: 0.0,
         generated_tokens: 0,
         wasted_tokens: 0,
+        crashed_tokens: 0,
         least_percent_in_10s: 0.0,
     };
     for class in &plan.shape.document.classes {
@@ -138,6 +141,7 @@
     let sum = works.values().fold(Work::default(), |sum, work| Work {
         generated: sum.generated + work.generated,
         wasted: sum.wasted + work.wasted,
+        crashed: sum.crashed + work.crashed,
     });
     fill(&mut all, plan, &counted, sum);
     all.least_percent_in_10s = least_in_window(plan, counted_ms, fates.iter());
@@ -169,6 +173,7 @@
     row.goodput_tokens_per_s = tokens as f64 / seconds;
     row.generated_tokens = work.generated;
     row.wasted_tokens = work.wasted;
+    row.crashed_tokens = work.crashed;
 }
 
 fn attains(plan: &Plan, fate: &Fate<'_>) -> bool {
@@ -305,6 +310,7 @@
     top_tier: f64,
     goodput: f64,
     wasted: f64,
+    crashed: f64,
 }
 
 impl Score {
@@ -318,6 +324,7 @@
             top_tier: share(attained as f64, sent as f64),
             goodput: all.goodput_tokens_per_s,
             wasted: share(all.wasted_tokens as f64, all.generated_tokens as f64),
+            crashed: share(all.crashed_tokens as f64, all.generated_tokens as f64),
         }
     }
 }
@@ -331,12 +338,14 @@
     let scores: Vec<_> = baselines.iter().map(|report| Score::new(report)).collect();
     let best = |value: fn(&Score) -> f64| scores.iter().map(value).fold(0.0, f64::max);
     let least_wasted = scores.iter().map(|score| score.wasted).fold(f64::INFINITY, f64::min);
+    let besides = scores.iter().map(|score| score.wasted - score.crashed);
+    let least_besides = besides.fold(f64::INFINITY, f64::min);
     let own = Score::new(product);
     let row = &product.rows[0];
     writeln!(
         out,
         "{} {}: top tier attained {:.1}% (best baseline {:.1}%), goodput {:.0} tokens/s ({:.0}), \
-         wasted {:.1}% ({least_wasted:.1}%)",
+         wasted {:.2}% ({least_wasted:.2}%), {:.2}% besides what engines lost in crashes ({:.2}%)",
         row.shape,
         row.scenario,
         own.top_tier,
@@ -344,5 +353,7 @@
         own.goodput,
         best(|score| score.goodput),
         own.wasted,
+        own.wasted - own.crashed,
+        least_besides,
     )
 }
--- a/crates/fakes/src/history.rs
+++ b/crates/fakes/src/history.rs
@@ -337,6 +337,8 @@
     pub generated: u64,
     /// Those of them that reached no caller in an answer.
     pub wasted: u64,
+    /// Those of the wasted ones that a backend server lost in its own crash.
+    pub crashed: u64,
 }
 
 /// The work done for each class, and how much of it was in vain.
@@ -352,6 +354,8 @@
         let work = works.entry(sent.class.clone()).or_default();
         work.generated += generated;
         work.wasted += generated - used;
+        let crashed = story.executions.iter().filter(|execution| execution.end == End::Crashed);
+        work.crashed += crashed.map(|execution| execution.tokens).sum::<u64>();
     }
     works
 }
