--- a/crates/caller/tests/crash.rs
+++ b/crates/caller/tests/crash.rs
@@ -10,6 +10,7 @@
 use bench::{
     Bench, Call,
     engine::{Act, Fleet, expected},
+    life::State,
 };
 
 /// Daemons that share the records of suspects, as notices make them do.
@@ -131,3 +132,19 @@
     }
     assert_eq!(fleet.crashes.load(Ordering::SeqCst), 3);
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_request_quarantined_while_it_waits_is_not_run() {
+    let fleet = Fleet::new(6);
+    let daemons = daemons(&fleet, 2);
+    daemons[1].life.set(State::Frozen);
+    let waiting = daemons[1].send(Call::draft("poison"));
+    let meanwhile = async {
+        tokio::task::yield_now().await;
+        assert_eq!(daemons[0].send(Call::draft("poison")).await.reason(), "quarantined");
+        daemons[1].life.set(State::Up);
+    };
+    let (reply, ()) = tokio::join!(waiting, meanwhile);
+    assert_eq!(reply.reason(), "quarantined");
+    assert_eq!(fleet.crashes.load(Ordering::SeqCst), 3);
+}
--- a/crates/fakes/tests/once_homes.rs
+++ b/crates/fakes/tests/once_homes.rs
@@ -183,6 +183,24 @@
     check(&cluster, &history, SEED, "killed and frozen homes").await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn daemons_are_cut_off_from_each_other() {
+    const SEED: u64 = 14;
+    let builder = Builder::new(env!("CARGO_BIN_EXE_node"), shape());
+    let cluster = builder.daemons(DAEMONS).own_processes().links().start().await.unwrap();
+    let mut random = SmallRng::seed_from_u64(SEED);
+    let (history, sending) = send(&cluster, SEED);
+    for _ in 0..3 {
+        tokio::time::sleep(Duration::from_millis(random.random_range(200..600))).await;
+        let part: Vec<_> = (0..DAEMONS).filter(|_| random.random_bool(0.5)).collect();
+        cluster.cut(&part, true);
+        tokio::time::sleep(Duration::from_millis(1_200)).await;
+        cluster.cut(&part, false);
+    }
+    sending.await.unwrap();
+    check(&cluster, &history, SEED, "daemons cut off").await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn answers_come_late_crossed_twice_and_truncated_while_engines_crash() {
     const SEED: u64 = 12;
