--- a/crates/peer/src/node/beat.rs
+++ b/crates/peer/src/node/beat.rs
@@ -5,7 +5,7 @@
 use super::Shared;
 use crate::{
     identity::Process,
-    wire::{self, Heartbeat, MAX_DATAGRAM_BYTES},
+    wire::{self, Heartbeat, MAX_DATAGRAM_BYTES, News},
 };
 
 /// The shortest time between two rounds of heartbeats.
@@ -56,7 +56,11 @@
     for (address, heartbeat) in heartbeats {
         match wire::encode(&heartbeat) {
             // A datagram that is lost here is made up for by the next one.
-            Ok(bytes) => drop(shared.socket.try_send_to(&bytes, address)),
+            Ok(bytes) => {
+                if let Ok(sent) = shared.socket.try_send_to(&bytes, address) {
+                    shared.meter.datagram_sent(sent);
+                }
+            }
             Err(error) => log::error!("heartbeat not sent to={address} error={error}"),
         }
     }
@@ -77,14 +81,17 @@
 }
 
 fn take(shared: &Shared, bytes: &[u8], from: SocketAddr) {
+    shared.meter.datagram_received(bytes.len());
     let now = shared.now();
     if !shared.core.lock().members.knows_address(from.ip()) {
+        shared.meter.datagram_dropped();
         log::debug!("datagram dropped from={from} reason=unknown_address");
         return;
     }
     let heartbeat = match wire::decode(bytes) {
         Ok(heartbeat) => heartbeat,
         Err(error) => {
+            shared.meter.datagram_dropped();
             log::debug!("datagram dropped from={from} reason={error:?}");
             return;
         }
@@ -96,16 +103,26 @@
     if effect.replaced {
         log::info!("daemon replaced host={} incarnation={}", heartbeat.host, heartbeat.incarnation);
     }
-    shared.publish();
+    match &heartbeat.news {
+        Some(news) => {
+            shared.publish();
+            compare(shared, news);
+        }
+        None => shared.publish_standings(),
+    }
     if effect.moved {
         shared.beat.notify_one();
     }
+}
+
+/// Has values fetched that a peer has and this daemon lacks.
+fn compare(shared: &Shared, news: &News) {
     let stamps = shared.stamps();
-    let list = shared.view.load().list.stamp();
-    let differs = heartbeat.document > stamps.document
-        || heartbeat.orders > stamps.orders
-        || heartbeat.list > list
-        || heartbeat.notices != stamps.notices;
+    let list = shared.core.lock().members.stamp();
+    let differs = news.document > stamps.document
+        || news.orders > stamps.orders
+        || news.list > list
+        || news.notices != stamps.notices;
     if differs {
         shared.spread.notify_one();
     }
