Let only the home of a key say that it did not run

A daemon with an older document refused a copy as 'not run' although the key's home might have run it: a workspace, class or pool that it did not know yet, or no document at all (seen failing). Outcomes that are no refusals are logged, and a full table of connections no longer writes a line each.

--- a/crates/caller/src/home/entry.rs
+++ b/crates/caller/src/home/entry.rs
@@ -65,8 +65,9 @@
         if route == Route::Addresses {
             return Ok(render::json(&self.shared.directory.addresses()));
         }
-        let workspace = self.workspace(&head)?;
         let key = request::key(&head.headers)?;
+        let workspace = self.workspace(&head);
+        let workspace = workspace.map_err(|outcome| self.settle_head(&head, outcome))?;
         match key.filter(|key| key.incarnation != self.shared.directory.incarnation()) {
             Some(key) => self.foreign(id, &key, head, body, arrived).await,
             None => self.own(id, &workspace, &head, body, arrived).await,
@@ -88,7 +89,7 @@
             Ok((request, terms)) => self.run(request, terms, arrived).await,
             Err(outcome) => {
                 let key = request::key(&head.headers)?;
-                Err(self.settle(workspace, key, outcome))
+                Err(self.settle(Some(workspace.clone()), key, outcome))
             }
         }
     }
@@ -221,12 +222,26 @@
     }
 
     /// Makes a refusal final for its key, or says less if that cannot be done.
-    fn settle(&self, workspace: &name::Workspace, key: Option<Key>, outcome: Outcome) -> Outcome {
+    ///
+    /// Only the home of a key may say that it did not run, since only there it is known and kept
+    /// from running later.
+    fn settle(
+        &self,
+        workspace: Option<name::Workspace>,
+        key: Option<Key>,
+        outcome: Outcome,
+    ) -> Outcome {
         let Some(key) = key.filter(|_| outcome.kind == Kind::Refused) else { return outcome };
         let own = key.incarnation == self.shared.directory.incarnation();
-        let owned = Owned { workspace: workspace.clone(), key };
-        let now = self.shared.clock.now();
-        if own && self.shared.registry.bury(&owned, &outcome, now) {
+        let settled = match workspace {
+            Some(workspace) if own => {
+                let owned = Owned { workspace, key };
+                self.shared.registry.bury(&owned, &outcome, self.shared.clock.now())
+            }
+            // A workspace that is unknown now may have been known when the key began.
+            _ => false,
+        };
+        if settled {
             return outcome;
         }
         let message = format_compact!("{}; a copy of the request may have run", outcome.message);
@@ -235,14 +250,18 @@
 
     /// Settles the refusal of a request of which only the head was read.
     fn settle_head(&self, head: &Parts, outcome: Outcome) -> Outcome {
-        let (Ok(workspace), Ok(key)) = (self.workspace(head), request::key(&head.headers)) else {
-            return outcome;
-        };
-        self.settle(&workspace, key, outcome)
+        match request::key(&head.headers) {
+            Ok(key) => self.settle(self.workspace(head).ok(), key, outcome),
+            Err(_) => outcome,
+        }
     }
 
     fn outcome(&self, outcome: &Outcome, id: &str) -> Response<Body> {
-        log::debug!("request ended request={id} outcome={outcome}");
+        if outcome.kind == Kind::Refused {
+            log::debug!("request refused request={id} outcome={outcome}");
+        } else {
+            log::info!("request ended request={id} outcome={outcome}");
+        }
         render::outcome(outcome, id)
     }
 
--- a/crates/caller/src/registry.rs
+++ b/crates/caller/src/registry.rs
@@ -234,8 +234,9 @@
             return Err(Outcome::unknown(Reason::KeyExpired, message));
         }
         if issued_ms > wall_ms + self.limits.skew.as_millis() as u64 {
-            let message = "the key was issued in the future";
-            return Err(Outcome::refused(Reason::KeyInFuture, message));
+            // Its time may come, and then a late copy runs, so this is no "not run".
+            let message = "the key was issued in the future; nothing was done with it yet";
+            return Err(Outcome::unknown(Reason::KeyInFuture, message));
         }
         let until = inner.refused_until.get(&owned.workspace);
         if until.is_some_and(|until| issued_ms <= *until) {
--- a/crates/caller/src/server.rs
+++ b/crates/caller/src/server.rs
@@ -73,7 +73,7 @@
 
     fn take(&self, stream: TcpStream, peer: SocketAddr, tasks: &TaskTracker) {
         let Some(seat) = self.shared.table.seat() else {
-            log::warn!("connection closed peer={peer} reason=too_many_connections");
+            log::debug!("connection closed peer={peer} reason=too_many_connections");
             return;
         };
         let shared = Arc::clone(&self.shared);
