Never say 'not run' of a draft that was tried before

The registry now remembers that an idempotent key was tried, and another daemon runs a copy only if the home refuses connections; a relay that fails otherwise is 'unknown'.

--- a/crates/caller/src/home/entry.rs
+++ b/crates/caller/src/home/entry.rs
@@ -1,7 +1,6 @@
 //! How requests enter the home: authentication, keys, relay, and the response.
 
 use std::{
-    net::SocketAddr,
     sync::{Arc, atomic::Ordering},
     time::Instant,
 };
@@ -24,11 +23,19 @@
     key::Key,
     outcome::{Kind, Outcome, Reason, SOON},
     record::{End, Next, Reader, Record},
-    registry::{Begin, Owned},
+    registry::{Begin, Fresh, Owned},
     render,
     request::{self, Request, Route},
 };
 
+/// What a request that may run reads its answer from.
+enum Begun {
+    /// A run that begins with it.
+    Fresh(Fresh),
+    /// The run of an earlier copy.
+    Joined(Arc<Record>),
+}
+
 impl Desk for Home {
     fn admit(&self, head: &Parts) -> Result<(), Outcome> {
         let route = Route::find(&head.method, head.uri.path(), head.uri.query())?;
@@ -103,72 +110,71 @@
         body: Bytes,
         arrived: Instant,
     ) -> Result<Response<Body>, Outcome> {
-        let relayed = head.headers.contains_key(request::RELAYED);
-        let address = self.shared.directory.locate(key.incarnation).filter(|_| !relayed);
-        if let Some(address) = address {
-            let answered = self.relay(id, key, address, head.clone(), body.clone()).await;
-            if let Some(response) = answered {
-                return Ok(response);
-            }
-        }
-        let gone = || {
+        let unknown = || {
             let message = "the daemon that the key is bound to cannot be reached";
             Outcome::unknown(Reason::HomeGone, message)
         };
-        let request = Request::parse(id.clone(), &head, body).map_err(|_| gone())?;
-        let terms = self.terms(&request).map_err(|_| gone())?;
+        let relayed = head.headers.contains_key(request::RELAYED);
+        let address = self.shared.directory.locate(key.incarnation).filter(|_| !relayed);
+        let address = address.ok_or_else(unknown)?;
+        let by = format_compact!("{}", self.shared.directory.incarnation());
+        let relay = self.shared.relay.relay(address, by, head.clone(), body.clone());
+        let error = match relay.await {
+            Ok(response) => return Ok(response),
+            Err(error) => error,
+        };
+        let (home, gone) = (key.incarnation, error.gone);
+        log::info!("relay failed request={id} home={home} gone={gone} error=\"{error}\"");
+        // A home that may be alive may run the request, or refuse it as not run.
+        if !gone {
+            return Err(unknown());
+        }
+        let request = Request::parse(id.clone(), &head, body).map_err(|_| unknown())?;
+        let terms = self.terms(&request).map_err(|_| unknown())?;
         if !terms.class.idempotent {
-            return Err(gone());
+            return Err(unknown());
         }
         self.run(request, terms, arrived).await
     }
 
-    async fn relay(
-        &self,
-        id: &CompactString,
-        key: &Key,
-        address: SocketAddr,
-        head: Parts,
-        body: Bytes,
-    ) -> Option<Response<Body>> {
-        let by = format_compact!("{}", self.shared.directory.incarnation());
-        match self.shared.relay.relay(address, by, head, body).await {
-            Ok(response) => Some(response),
-            Err(error) => {
-                let home = key.incarnation;
-                log::info!("relay failed request={id} home={home} error=\"{error}\"");
-                None
-            }
-        }
-    }
-
     async fn run(
         &self,
         request: Request,
         terms: Terms,
         arrived: Instant,
     ) -> Result<Response<Body>, Outcome> {
-        let (record, owned, is_new) = self.begin(&request, &terms)?;
-        let reader = record.reader();
-        let order = Order { request, terms, arrived, number: self.next_number() };
+        let (begun, owned) = self.begin(&request, &terms)?;
+        let fresh = match begun {
+            Begun::Joined(record) => return self.respond(&request, record.reader()).await,
+            Begun::Fresh(fresh) => fresh,
+        };
+        let reader = fresh.record.reader();
+        let order = Order {
+            arrived,
+            number: self.next_number(),
+            // What the daemon did that the key is bound to is not known here.
+            ran_before: fresh.ran_before || self.is_foreign(&request),
+            terms,
+            request,
+        };
         let request = order.request.clone();
-        if is_new {
-            let run = Run::new(Arc::clone(&self.shared), order, record);
-            self.shared.runs.spawn(supervise::run(run, owned));
-        }
+        let run = Run::new(Arc::clone(&self.shared), order, fresh.record);
+        self.shared.runs.spawn(supervise::run(run, owned));
         self.respond(&request, reader).await
     }
 
+    fn is_foreign(&self, request: &Request) -> bool {
+        let own = self.shared.directory.incarnation();
+        request.head.key.as_ref().is_some_and(|key| key.incarnation != own)
+    }
+
     /// Registers a request, and says whether it is to be run.
-    fn begin(
-        &self,
-        request: &Request,
-        terms: &Terms,
-    ) -> Result<(Arc<Record>, Option<Owned>, bool), Outcome> {
+    fn begin(&self, request: &Request, terms: &Terms) -> Result<(Begun, Option<Owned>), Outcome> {
         let idempotent = terms.class.idempotent;
         let Some(key) = request.head.key.clone() else {
             if idempotent {
-                return Ok((Arc::default(), None, true));
+                let fresh = Fresh { record: Arc::default(), ran_before: false };
+                return Ok((Begun::Fresh(fresh), None));
             }
             let message = "a non-idempotent request needs an Idempotency-Key";
             return Err(Outcome::refused(Reason::KeyRequired, message));
@@ -176,9 +182,9 @@
         let owned = Owned { workspace: terms.workspace.clone(), key };
         let now = self.shared.clock.now();
         match self.shared.registry.begin(&owned, request.digest(), idempotent, now) {
-            Begin::Run(record) => Ok((record, Some(owned), true)),
-            Begin::Unregistered(record) => Ok((record, None, true)),
-            Begin::Join(record) => Ok((record, None, false)),
+            Begin::Run(fresh) => Ok((Begun::Fresh(fresh), Some(owned))),
+            Begin::Unregistered(fresh) => Ok((Begun::Fresh(fresh), None)),
+            Begin::Join(record) => Ok((Begun::Joined(record), None)),
             Begin::Refuse(outcome) => Err(outcome),
         }
     }
--- a/crates/caller/src/home/run.rs
+++ b/crates/caller/src/home/run.rs
@@ -43,6 +43,8 @@
     pub(super) arrived: Instant,
     /// A number that no other request of any daemon has.
     pub(super) number: CompactString,
+    /// Whether an earlier copy may have run.
+    pub(super) ran_before: bool,
 }
 
 /// One run of a request.
@@ -77,11 +79,11 @@
             deadline: order.arrived + wait,
             fingerprint,
             shared,
+            tally: Tally::new(order.ran_before),
             order,
             record,
             progress: Arc::default(),
             exclude: Vec::new(),
-            tally: Tally::default(),
         }
     }
 
--- a/crates/caller/src/home/tally.rs
+++ b/crates/caller/src/home/tally.rs
@@ -25,10 +25,11 @@
     pub(super) dropped: Dropped,
 }
 
-impl Default for Tally {
-    fn default() -> Self {
+impl Tally {
+    /// Nothing but whether the request may have run before.
+    pub(super) fn new(ran_before: bool) -> Self {
         Self {
-            ran: Ran::NotRun,
+            ran: if ran_before { Ran::MayHaveRun } else { Ran::NotRun },
             attempts: 0,
             permits: 0,
             granted: None,
@@ -38,9 +39,7 @@
             dropped: Dropped::default(),
         }
     }
-}
 
-impl Tally {
     /// Counts the tokens of the attempt that ran as wasted.
     pub(super) fn waste(&mut self) {
         self.wasted += std::mem::take(&mut self.tokens);
--- a/crates/caller/src/record.rs
+++ b/crates/caller/src/record.rs
@@ -178,7 +178,9 @@
     pub fn of(record: &Record) -> Self {
         let state = record.state.lock();
         let end = state.end.clone().unwrap_or_else(|| End::Other(broken_off()));
-        Self { head: state.head.clone(), parts: state.parts.clone().into(), end }
+        // Without its end a streamed answer is of use to nobody.
+        let parts = if end == End::Whole { state.parts.clone().into() } else { Box::default() };
+        Self { head: state.head.clone(), parts, end }
     }
 
     /// Keeps an outcome other than an answer.
@@ -186,6 +188,16 @@
         Self { head: None, parts: Box::default(), end: End::Other(outcome) }
     }
 
+    /// Whether the answer is whole.
+    pub fn is_whole(&self) -> bool {
+        self.end == End::Whole
+    }
+
+    /// Whether the request may have run.
+    pub fn has_run(&self) -> bool {
+        !matches!(&self.end, End::Other(outcome) if outcome.ran == Ran::NotRun)
+    }
+
     /// A record that can be read.
     pub fn record(&self) -> Record {
         let record = Record::default();
--- a/crates/caller/src/registry.rs
+++ b/crates/caller/src/registry.rs
@@ -17,7 +17,7 @@
 use crate::{
     key::Key,
     outcome::{Outcome, Ran, Reason},
-    record::{End, Kept, Record},
+    record::{Kept, Record},
 };
 
 /// The bounds of a registry.
@@ -63,15 +63,24 @@
 #[derive(Debug)]
 pub enum Begin {
     /// Run it and write the record.
-    Run(Arc<Record>),
+    Run(Fresh),
     /// Run it without registration, which is allowed to idempotent requests only.
-    Unregistered(Arc<Record>),
+    Unregistered(Fresh),
     /// Read the record of the run that has this key.
     Join(Arc<Record>),
     /// Answer with this outcome. Nothing was registered.
     Refuse(Outcome),
 }
 
+/// A run that begins.
+#[derive(Debug)]
+pub struct Fresh {
+    /// The record to be written.
+    pub record: Arc<Record>,
+    /// Whether the request may have run before, which an idempotent one may.
+    pub ran_before: bool,
+}
+
 #[derive(Debug)]
 struct Entry {
     /// The digest of the request, absent if the key was refused before the request was known.
@@ -83,6 +92,13 @@
     place: Place,
 }
 
+impl Entry {
+    /// Whether a copy runs it again instead of getting its outcome.
+    fn may_run_again(&self) -> bool {
+        matches!(&self.run, Run::Ended(kept) if self.idempotent && !kept.is_whole())
+    }
+}
+
 /// The run of a key.
 #[derive(Debug)]
 enum Run {
@@ -119,6 +135,8 @@
     bytes: usize,
     /// For each workspace the latest time of issue of a key that was refused for want of room.
     refused_until: Map<name::Workspace, u64>,
+    /// For each workspace the latest time of issue of an idempotent key that was not remembered.
+    forgotten_until: Map<name::Workspace, u64>,
 }
 
 /// The registry.
@@ -149,24 +167,32 @@
         let wall_ms = self.wall_ms(now);
         let mut inner = self.inner.lock();
         inner.expire(self.oldest_ms(wall_ms));
+        let mut ran_before = false;
         if let Some(entry) = inner.entries.get(owned) {
             if entry.digest.is_some_and(|known| known != digest) {
                 return Begin::Refuse(reused());
             }
-            return Begin::Join(entry.run.record());
+            if !entry.may_run_again() {
+                return Begin::Join(entry.run.record());
+            }
+            ran_before = true;
+            inner.remove(owned);
         }
         if let Err(outcome) = self.check_time(&inner, owned, wall_ms) {
             return Begin::Refuse(outcome);
         }
+        ran_before |= idempotent && is_until(&inner.forgotten_until, owned);
         let record = Arc::new(Record::default());
         let run = Run::Live(Arc::clone(&record));
+        let fresh = Fresh { record, ran_before };
         if self.insert(&mut inner, owned, Some(digest), run, idempotent) {
-            return Begin::Run(record);
+            return Begin::Run(fresh);
         }
         if idempotent {
-            return Begin::Unregistered(record);
+            raise(&mut inner.forgotten_until, owned);
+            return Begin::Unregistered(fresh);
         }
-        inner.refuse_until(owned);
+        raise(&mut inner.refused_until, owned);
         Begin::Refuse(full(self.limits.window))
     }
 
@@ -185,7 +211,7 @@
         }
         let run = Run::Ended(Box::new(Kept::outcome(outcome.clone())));
         if !self.insert(&mut inner, owned, None, run, false) {
-            inner.refuse_until(owned);
+            raise(&mut inner.refused_until, owned);
         }
         true
     }
@@ -196,22 +222,22 @@
         let inner = &mut *inner;
         let Some(entry) = inner.entries.get_mut(owned) else { return };
         let Run::Live(record) = &entry.run else { return };
-        let whole = record.end() == Some(End::Whole);
         let bytes = record.bytes();
         let fits = bytes <= self.limits.answer_bytes_per_key;
         let kept = if fits { Kept::of(record) } else { Kept::outcome(not_kept()) };
         inner.bytes -= entry.bytes;
-        entry.bytes = if fits { bytes } else { 0 };
+        entry.bytes = if fits && kept.is_whole() { bytes } else { 0 };
         inner.bytes += entry.bytes;
+        let has_run = kept.has_run();
         entry.run = Run::Ended(Box::new(kept));
         if !entry.idempotent {
             return;
         }
         let place = entry.place;
-        if whole && fits {
+        if has_run {
             inner.evictable.insert(place);
         } else {
-            // It may run again, so there is nothing to remember.
+            // It may be sent again, and has left no trace.
             inner.remove(owned);
         }
     }
@@ -238,8 +264,7 @@
             let message = "the key was issued in the future; nothing was done with it yet";
             return Err(Outcome::unknown(Reason::KeyInFuture, message));
         }
-        let until = inner.refused_until.get(&owned.workspace);
-        if until.is_some_and(|until| issued_ms <= *until) {
+        if is_until(&inner.refused_until, owned) {
             return Err(full(Duration::from_secs(1)));
         }
         Ok(())
@@ -294,6 +319,7 @@
         let first = self.evictable.first().and_then(|place| self.by_issue.get(place).cloned());
         first.is_some_and(|owned| {
             self.remove(&owned);
+            raise(&mut self.forgotten_until, &owned);
             true
         })
     }
@@ -310,13 +336,17 @@
             }
         }
     }
+}
 
-    /// Remembers with one number that a key was refused: no key of the workspace that was issued
-    /// up to then is taken in any more, so that a late copy of the refused request cannot run.
-    fn refuse_until(&mut self, owned: &Owned) {
-        let until = self.refused_until.entry(owned.workspace.clone()).or_default();
-        *until = (*until).max(owned.key.issued_ms);
-    }
+/// Remembers with one number what holds for a key: it then holds for every unknown key of the
+/// workspace that was issued up to then, late copies of this one among them.
+fn raise(until: &mut Map<name::Workspace, u64>, owned: &Owned) {
+    let until = until.entry(owned.workspace.clone()).or_default();
+    *until = (*until).max(owned.key.issued_ms);
+}
+
+fn is_until(until: &Map<name::Workspace, u64>, owned: &Owned) -> bool {
+    until.get(&owned.workspace).is_some_and(|until| owned.key.issued_ms <= *until)
 }
 
 fn reused() -> Outcome {
--- a/crates/caller/src/relay.rs
+++ b/crates/caller/src/relay.rs
@@ -1,6 +1,6 @@
 //! Relay of requests to the daemon that their keys are bound to.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{io, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use compact_str::{CompactString, format_compact};
@@ -27,6 +27,8 @@
 #[derive(Debug, Clone, PartialEq, Eq, derive_more::Display, derive_more::Error)]
 #[display("{message}")]
 pub struct Error {
+    /// Whether the daemon's process is known to have ended.
+    pub gone: bool,
     /// A plain message for logs.
     pub message: CompactString,
 }
@@ -89,7 +91,10 @@
         let stream = timeout(self.connect_timeout, TcpStream::connect(address))
             .await
             .map_err(|_| error("the daemon did not accept in time"))?
-            .map_err(error)?;
+            .map_err(|cause| Error {
+                gone: cause.kind() == io::ErrorKind::ConnectionRefused,
+                ..error(cause)
+            })?;
         stream.set_nodelay(true).map_err(error)?;
         let (mut sender, driver) = http1::handshake(TokioIo::new(stream)).await.map_err(error)?;
         let driver = AbortOnDropHandle::new(tokio::spawn(async move {
@@ -149,5 +154,5 @@
 }
 
 fn error(error: impl std::fmt::Display) -> Error {
-    Error { message: format_compact!("{error}") }
+    Error { gone: false, message: format_compact!("{error}") }
 }
--- a/crates/caller/tests/history.rs
+++ b/crates/caller/tests/history.rs
@@ -245,7 +245,14 @@
     for _ in 0..SENDS {
         let home = random.random_range(0..HOMES as usize);
         let patience = Duration::from_millis(random.random_range(100..1500));
+        let from = Instant::now();
         let reply = send(world, home, call.clone(), patience, delay(random)).await;
+        if reply.as_ref().is_some_and(|reply| reply.outcome == "refused") {
+            let executions = world.fleet.executions.lock();
+            if executions.iter().any(|run| run.body == call.body && run.at < from) {
+                world.wrong.lock().push(format!("{name}: not run after it ran: {reply:?}"));
+            }
+        }
         let Some(reply) = reply.filter(|reply| reply.outcome == "answered") else { continue };
         let streamed = call.body.contains("\"stream\":true");
         if streamed && !reply.body.ends_with("data: [DONE]\n\n") {
