--- a/crates/caller/tests/once.rs
+++ b/crates/caller/tests/once.rs
@@ -121,6 +121,10 @@
     second.life.set(State::Dead);
     let draft = first.send(Call::draft("gone").key(key(2, "a"))).await;
     assert_eq!((draft.status, fleet.runs()), (200, 1));
+    let refusal = Refusal { reason: Reason::QueueFull, retry_after_ms: 100 };
+    first.grants.script.lock().push(Verdict::Refused(refusal));
+    let refused = first.send(Call::draft("other").key(key(2, "c"))).await;
+    assert_eq!(refused.ran(), "may_have_run", "the home may have run it before it ended");
     let booking = first.send(Call::booking("gone").key(key(2, "b"))).await;
     assert_eq!((booking.ran().as_str(), fleet.runs()), ("may_have_run", 1));
 }
--- a/crates/caller/tests/registry.rs
+++ b/crates/caller/tests/registry.rs
@@ -128,4 +128,26 @@
     }
     let begun = registry.begin(&owned(0, 4, issued), Digest([0; 32]), false, now);
     assert!(matches!(begun, Begin::Run(_)));
+    // What was forgotten for it counts as tried before.
+    let begun = registry.begin(&owned(0, 0, issued), Digest([0; 32]), true, now);
+    assert!(matches!(begun, Begin::Run(Fresh { ran_before: true, .. })));
+}
+
+#[test]
+fn an_unregistered_run_counts_as_tried_before() {
+    let now = Instant::now();
+    let registry = Registry::new(LIMITS, now);
+    let issued = registry.wall_ms(now);
+    let begin = |number, idempotent, at| {
+        registry.begin(&owned(0, number, issued), Digest([0; 32]), idempotent, at)
+    };
+    let running: Vec<_> = (0..4).map(|number| begin(number, false, now)).collect();
+    let begun = begin(4, true, now);
+    assert!(matches!(begun, Begin::Unregistered(Fresh { ran_before: false, .. })));
+    for (number, begun) in running.into_iter().enumerate() {
+        let Begin::Run(Fresh { record, .. }) = begun else { panic!("{begun:?}") };
+        end(&registry, &owned(0, number as u8, issued), &record, 1);
+    }
+    let later = begin(4, true, now + LIMITS.window / 2);
+    assert!(matches!(later, Begin::Unregistered(Fresh { ran_before: true, .. })));
 }
