--- a/crates/caller/src/registry.rs
+++ b/crates/caller/src/registry.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     key::Key,
-    outcome::{Outcome, Ran, Reason},
+    outcome::{Outcome, Ran, Reason, SOON},
     record::{Kept, Record},
 };
 
@@ -178,9 +178,12 @@
             ran_before = true;
             inner.remove(owned);
         }
-        if let Err(outcome) = self.check_time(&inner, owned, wall_ms) {
+        if let Err(outcome) = self.check_time(owned, wall_ms) {
             return Begin::Refuse(outcome);
         }
+        if !idempotent && is_until(&inner.refused_until, owned) {
+            return Begin::Refuse(full(SOON));
+        }
         ran_before |= idempotent && is_until(&inner.forgotten_until, owned);
         let record = Arc::new(Record::default());
         let run = Run::Live(Arc::clone(&record));
@@ -206,8 +209,8 @@
         if inner.entries.contains_key(owned) {
             return false;
         }
-        if let Err(outcome) = self.check_time(&inner, owned, wall_ms) {
-            return outcome.ran == Ran::NotRun;
+        if self.check_time(owned, wall_ms).is_err() {
+            return false;
         }
         let run = Run::Ended(Box::new(Kept::outcome(outcome.clone())));
         if !self.insert(&mut inner, owned, None, run, false) {
@@ -252,7 +255,7 @@
         wall_ms.saturating_sub(self.limits.window.as_millis() as u64)
     }
 
-    fn check_time(&self, inner: &Inner, owned: &Owned, wall_ms: u64) -> Result<(), Outcome> {
+    fn check_time(&self, owned: &Owned, wall_ms: u64) -> Result<(), Outcome> {
         let issued_ms = owned.key.issued_ms;
         if issued_ms < self.oldest_ms(wall_ms) {
             // A key of that age may have run and been forgotten.
@@ -264,9 +267,6 @@
             let message = "the key was issued in the future; nothing was done with it yet";
             return Err(Outcome::unknown(Reason::KeyInFuture, message));
         }
-        if is_until(&inner.refused_until, owned) {
-            return Err(full(Duration::from_secs(1)));
-        }
         Ok(())
     }
 
--- a/crates/caller/tests/history.rs
+++ b/crates/caller/tests/history.rs
@@ -21,7 +21,8 @@
 use rand::{RngExt as _, SeedableRng as _, rngs::StdRng, seq::IndexedRandom as _};
 use tokio::time::{Instant, sleep, timeout};
 
-const SEEDS: u64 = 40;
+/// The first histories. Seeds 1, 13 and 40 once found faults.
+const SEEDS: u64 = 50;
 const HOMES: u64 = 3;
 const CALLERS: u64 = 12;
 const REQUESTS: u64 = 10;
