--- a/crates/caller/src/home/run/exchange.rs
+++ b/crates/caller/src/home/run/exchange.rs
@@ -13,7 +13,8 @@
     render,
 };
 
-const SERVICE_UNAVAILABLE: u16 = 503;
+/// The status of a backend server that is overloaded.
+pub(super) const SERVICE_UNAVAILABLE: u16 = 503;
 const NOT_FOUND: u16 = 404;
 const GONE: u16 = 410;
 
--- a/crates/caller/src/home/run/fault.rs
+++ b/crates/caller/src/home/run/fault.rs
@@ -2,7 +2,7 @@
 
 use hyssop_policy::permit;
 
-use super::{Held, Run, Step};
+use super::{Held, Run, Step, exchange::SERVICE_UNAVAILABLE};
 use crate::{
     backends::{Failure, FailureKind},
     outcome::{Ran, Reason},
@@ -66,9 +66,14 @@
     }
 
     fn completed(&mut self, held: &mut Held, solo: bool) -> Step {
-        held.end = permit::End::Completed;
         held.late = !self.is_on_time(self.shared.clock.now());
         self.tally.ran = Ran::Ran;
+        if self.record.status() == Some(SERVICE_UNAVAILABLE) {
+            // The answer of an overloaded plain service, which its caller gets as it is.
+            held.end = permit::End::Refused503;
+            return Step::Done(End::Whole);
+        }
+        held.end = permit::End::Completed;
         self.shared.retries.success(&self.order.terms.pool.name);
         if solo {
             self.shared.quarantine.clear(self.fingerprint);
--- a/crates/caller/src/record.rs
+++ b/crates/caller/src/record.rs
@@ -131,6 +131,11 @@
         (state.head.clone(), state.parts.clone())
     }
 
+    /// The status code, once there is a head.
+    pub fn status(&self) -> Option<u16> {
+        self.state.lock().head.as_ref().map(|head| head.status)
+    }
+
     /// Whether the parts are an engine's chunks.
     pub fn has_chunks(&self) -> bool {
         self.state.lock().head.as_ref().is_some_and(|head| head.chunks)
--- a/crates/caller/tests/answers.rs
+++ b/crates/caller/tests/answers.rs
@@ -38,6 +38,16 @@
     assert_eq!((reply.status, reply.body.as_str()), (200, booked("m7").as_str()));
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_services_503_is_passed_on_and_told_to_the_scheduler() {
+    let bench = Bench::new(Fleet::new(1));
+    bench.fleet.act(Act::Unavailable);
+    let reply = bench.send(Call::booking("m7").key(key(1, "a"))).await;
+    assert_eq!((reply.status, reply.outcome.as_str()), (503, "answered"));
+    bench.home.drain().await;
+    assert_eq!(bench.grants.released.lock()[0].end, hyssop_policy::permit::End::Refused503);
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_broken_connection_is_resumed_at_the_same_engine() {
     let bench = Bench::new(Fleet::new(2));
--- a/crates/caller/tests/bench/engine.rs
+++ b/crates/caller/tests/bench/engine.rs
@@ -44,6 +44,8 @@
     Overloaded,
     /// Answers with this status.
     Status(u16),
+    /// Answers 503 as a plain service does, with a body.
+    Unavailable,
     /// Answers with other tokens than it ought to from this number on.
     Differ(u64),
     /// Takes the request and says nothing.
@@ -384,7 +386,7 @@
 
 impl Answer for Stream {
     fn status(&self) -> u16 {
-        200
+        if self.act == Act::Unavailable { 503 } else { 200 }
     }
 
     fn content_type(&self) -> Option<CompactString> {
