Tell a new scheduler the limits that homes saw in permits

Cause: a new scheduler took every backend server on which no voter runs anything for cold.

Change: a home remembers for 60 s, per backend server, the incarnation and the limit of the last permit, and sends them with the full report; the task hands them to the policy before it grants.

Shown: after a kill the next scheduler starts with the limit that was reached (cold limit 1, at least 3); without the hand-over of what is known the test fails.

--- a/crates/peer/src/group.rs
+++ b/crates/peer/src/group.rs
@@ -310,7 +310,9 @@
     }
 
     fn adopt(&mut self, report: &Report, now: Instant) {
-        let running = report.running.iter().flatten();
+        let Some(full) = &report.full else { return };
+        self.scheduler.learn(&full.known, now);
+        let running = full.running.iter();
         let unknown = running.filter(|one| !self.counted.contains_key(&one.id));
         let mut unknown: Vec<_> = unknown.cloned().collect();
         for one in &mut unknown {
--- a/crates/peer/src/held.rs
+++ b/crates/peer/src/held.rs
@@ -5,12 +5,16 @@
 use hyssop_document::{
     collections::{Map, Set},
     group::Group,
+    name,
     number::Tokens,
 };
-use hyssop_policy::permit::{self, Permit, Running};
+use hyssop_policy::permit::{self, Known, Permit, Running};
 
 use crate::{identity::Process, message::Ask};
 
+/// The time for which the limit in a permit is remembered.
+const MEMORY: Duration = Duration::from_secs(60);
+
 /// A permit in use.
 #[derive(Debug, Clone)]
 pub struct Holding {
@@ -20,6 +24,14 @@
     output: Tokens,
 }
 
+/// The limit that a backend server had when it was last seen in a permit.
+#[derive(Debug, Clone, Copy)]
+struct Seen {
+    incarnation: u64,
+    limit: u32,
+    at: Instant,
+}
+
 /// The open requests and the permits of one home.
 ///
 /// A permit is held from its arrival to its release. A request is open until it is held, refused or
@@ -30,6 +42,7 @@
     last_number: u64,
     open: Map<Group, Set<u64>>,
     held: Map<permit::Id, Holding>,
+    seen: Map<Group, Map<name::Backend, Seen>>,
 }
 
 /// What is open and held of one group.
@@ -41,12 +54,20 @@
     pub waiting: Vec<u64>,
     /// The permits in use.
     pub running: Vec<Running>,
+    /// The limits that were seen in permits lately.
+    pub known: Vec<Known>,
 }
 
 impl Table {
     /// An empty table.
     pub fn new(me: Process) -> Self {
-        Self { me, last_number: 0, open: Map::default(), held: Map::default() }
+        Self {
+            me,
+            last_number: 0,
+            open: Map::default(),
+            held: Map::default(),
+            seen: Map::default(),
+        }
     }
 
     /// Opens a request and returns its number.
@@ -69,6 +90,9 @@
         let ends = now + Duration::from_millis(permit.latest_end_ms);
         let holding = Holding { permit: permit.clone(), ask: ask.clone(), ends, output: Tokens(0) };
         self.held.insert(permit.id, holding);
+        let seen = Seen { incarnation: permit.backend_incarnation, limit: permit.limit, at: now };
+        let group = self.seen.entry(permit.group.clone()).or_default();
+        group.insert(permit.backend.clone(), seen);
     }
 
     /// Notes the tokens that have arrived. Returns the permit's group.
@@ -86,6 +110,10 @@
     /// Drops permits whose latest end has passed.
     pub fn expire(&mut self, now: Instant) {
         self.held.retain(|_, holding| now < holding.ends);
+        for group in self.seen.values_mut() {
+            group.retain(|_, seen| seen.age(now) <= MEMORY);
+        }
+        self.seen.retain(|_, group| !group.is_empty());
     }
 
     /// The number of permits in use.
@@ -109,9 +137,21 @@
                 .map(|open| open.iter().copied().collect())
                 .unwrap_or_default(),
             running: held.map(|holding| self.running(holding, now)).collect(),
+            known: self.known(group, now),
         }
     }
 
+    fn known(&self, group: &Group, now: Instant) -> Vec<Known> {
+        let seen = self.seen.get(group).into_iter().flatten();
+        let known = seen.map(|(backend, seen)| Known {
+            backend: backend.clone(),
+            backend_incarnation: seen.incarnation,
+            limit: seen.limit,
+            age_ms: seen.age(now).as_millis() as u64,
+        });
+        known.collect()
+    }
+
     fn running(&self, holding: &Holding, now: Instant) -> Running {
         let Holding { permit, ask, ends, output } = holding;
         Running {
@@ -130,3 +170,9 @@
         }
     }
 }
+
+impl Seen {
+    fn age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.at)
+    }
+}
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -8,7 +8,7 @@
 use hyssop_policy::{
     decision::Refusal,
     entry::{Entry, Ticket},
-    permit::{self, Permit, Release, Running},
+    permit::{self, Known, Permit, Release, Running},
 };
 use serde::{Deserialize, Serialize};
 
@@ -122,8 +122,17 @@
     pub waiting: Vec<u64>,
     /// The permits in use.
     pub held: Vec<Reference>,
-    /// The permits in use with all that a new scheduler must know. `None`: as reported before.
-    pub running: Option<Vec<Running>>,
+    /// What a new scheduler must know besides. `None`: as reported before.
+    pub full: Option<Full>,
+}
+
+/// What only a new scheduler must know of a home.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Full {
+    /// The permits in use.
+    pub running: Vec<Running>,
+    /// The limits of backend servers that were seen in permits lately.
+    pub known: Vec<Known>,
 }
 
 /// A permit's identity in a compact form.
--- a/crates/peer/src/node/report.rs
+++ b/crates/peer/src/node/report.rs
@@ -16,7 +16,7 @@
     core::Standing,
     group::Command,
     identity::Process,
-    message::{Batch, Event, Receipt, Report},
+    message::{Batch, Event, Full, Receipt, Report},
     rank::Key,
     vote::Vote,
 };
@@ -174,7 +174,7 @@
         last_number: snapshot.last_number,
         waiting: snapshot.waiting,
         held: snapshot.running.iter().map(|one| one.id.into()).collect(),
-        running: full.then_some(snapshot.running),
+        full: full.then_some(Full { running: snapshot.running, known: snapshot.known }),
     };
     let receipt = match scheduler == shared.me() {
         true => shared.group(&group).report(report).await?,
--- a/crates/peer/tests/node/failure.rs
+++ b/crates/peer/tests/node/failure.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 
 use hyssop_document::name;
-use hyssop_peer::{Node, Verdict};
+use hyssop_peer::{Node, Verdict, current::Source};
 
-use crate::support::{ask, cluster, completed, until};
+use crate::support::{ask, cluster, completed, document, until};
 
 /// The host that holds a whole or partial share of the group, once one does.
 async fn scheduler(nodes: &[Arc<Node>], votes: u32) -> name::Host {
@@ -92,3 +92,38 @@
     })
     .await;
 }
+
+/// The highest limit of a backend server at the scheduler that holds votes.
+async fn limit(nodes: &[Arc<Node>], host: &name::Host) -> u32 {
+    let fleet = nodes[0].status().await;
+    let status = fleet.reached.iter().find(|status| status.identity.host == *host);
+    let groups = status.into_iter().flat_map(|status| &status.groups);
+    groups.flat_map(|group| &group.backends).map(|backend| backend.limit).max().unwrap_or(0)
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_new_scheduler_starts_with_the_limits_that_homes_remember() {
+    let mut nodes = cluster(3).await;
+    let text = String::from_utf8(document(2).to_vec()).expect("the document is text");
+    let colder = text.replace("\"cold_limit\": 4", "\"cold_limit\": 1");
+    nodes[0].offer_document(colder.into(), Source::Platform);
+    let host = scheduler(&nodes, 3).await;
+    until("warm", async || {
+        for node in &nodes {
+            if let Verdict::Granted(permit) = node.permit(ask(5000)).await {
+                node.release(completed(permit.id));
+            }
+        }
+        limit(&nodes, &host).await >= 3
+    })
+    .await;
+    // A permit that shows the limit to one that stays.
+    let stays = usize::from(nodes[0].identity().host == host);
+    for _ in 0..4 {
+        let Verdict::Granted(permit) = nodes[stays].permit(ask(5000)).await else { continue };
+        nodes[stays].release(completed(permit.id));
+    }
+    drop(take(&mut nodes, &host));
+    let next = scheduler(&nodes, 2).await;
+    assert!(limit(&nodes, &next).await >= 3, "the new scheduler takes every server for cold");
+}
