--- a/crates/operator/src/server/route.rs
+++ b/crates/operator/src/server/route.rs
@@ -21,11 +21,12 @@
     check,
     desk::Desk,
     error::{Error, Kind},
-    histogram::Filter,
+    histogram::{self, Filter},
     outcome,
 };
 
 const MAX_ORDER_BYTES: usize = 4 << 10;
+const MAX_HISTOGRAM_ROWS: usize = 200;
 
 #[derive(Serialize)]
 struct Live {
@@ -138,8 +139,8 @@
             .unwrap_or_default()
             .parse()
             .map_err(|error| Error::new(Kind::BadRequest, format!("{error}")))?;
-        let mut report = self.desk.histograms().await;
-        filter.apply(&mut report);
+        let mut report = self.desk.histograms(filter).await;
+        report.rows = histogram::limit(report.rows, MAX_HISTOGRAM_ROWS);
         Ok(json(StatusCode::OK, &report))
     }
 
--- a/crates/operator/src/status.rs
+++ b/crates/operator/src/status.rs
@@ -2,9 +2,11 @@
 
 use std::net::SocketAddr;
 
+use compact_str::CompactString;
 use hyssop_document::{
     digest::Digest,
     group::Group,
+    load::Fault,
     name,
     number::{Incarnation, Revision},
     order,
@@ -40,12 +42,14 @@
         Self { answered_by, partial, not_reached, orders, hosts }
     }
 
-    /// The groups with the hosts that schedule them.
+    /// The groups with the hosts that schedule them. A scheduler without votes grants nothing and
+    /// is left out.
     ///
     /// A group has more than one while the hosts are cut off from each other.
     pub fn schedulers(&self) -> impl Iterator<Item = (&name::Host, &Scheduler)> {
         let hosts = self.hosts.iter();
-        hosts.flat_map(|host| host.schedulers.iter().map(move |group| (&host.host, group)))
+        let all = hosts.flat_map(|host| host.schedulers.iter().map(move |one| (&host.host, one)));
+        all.filter(|(_, scheduler)| scheduler.votes > 0)
     }
 }
 
@@ -70,12 +74,31 @@
     pub document: Option<Published>,
     /// The service orders in force.
     pub orders: Published,
+    /// Whether its last read of the platform worked.
+    pub platform: bool,
+    /// The last value that was not adopted because of its faults. A good one clears it.
+    pub rejected: Option<Rejected>,
+    /// The last value that came with the revision in force and another content.
+    pub conflict: Option<Rejected>,
     /// The number of requests of callers that are in progress here.
     pub running: u64,
     /// The groups that it schedules.
     pub schedulers: Vec<Scheduler>,
 }
 
+/// A value that was not adopted.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Rejected {
+    /// What it was: `document` or `orders`.
+    pub value: CompactString,
+    /// Where it came from.
+    pub source: CompactString,
+    /// The number of its faults.
+    pub fault_count: u64,
+    /// The first faults.
+    pub faults: Vec<Fault>,
+}
+
 /// Which published value is in force.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Published {
