--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -439,6 +439,7 @@
             latest_end: now + Duration::from_millis(request.remaining_ms),
             epoch,
             loaded: false,
+            waited: None,
             solo: request.solo,
             prompt: request.prompt_tokens,
             cost: request.prompt_tokens.0 + request.output_tokens.0,
--- a/crates/policy/src/scheduler/grants.rs
+++ b/crates/policy/src/scheduler/grants.rs
@@ -32,6 +32,8 @@
     pub(super) epoch: Option<Epoch>,
     /// Whether at least half of the backend server's limit was in use.
     pub(super) loaded: bool,
+    /// The time for which it waited, unless it had missed its target before the grant.
+    pub(super) waited: Option<Duration>,
     pub(super) solo: bool,
     pub(super) prompt: Tokens,
     /// The tokens of prompt and answer that were counted against the workspace.
--- a/crates/policy/src/scheduler/placement.rs
+++ b/crates/policy/src/scheduler/placement.rs
@@ -128,6 +128,7 @@
             latest_end: now + Duration::from_millis(latest_end_ms),
             epoch: Some(backend.tracker.epoch()),
             loaded: 2 * (backend.running + 1) >= backend.slots(self.share),
+            waited: (!item.deferred).then(|| now.saturating_duration_since(item.arrived)),
             solo: entry.solo,
             prompt: entry.prompt_tokens,
             cost: item.cost,
