Give a failed server nothing until it reports again

A server that fails every request at once looks like the least loaded one and draws retries. After a failed connection it now gets nothing until its next report, or for 1 s without one. Scheduler:: unreachable takes in that a load report failed or timed out: a connection failure that goes on until a report comes.

Found by taking the rule out, which the first test did not notice: requests that were broken off stayed in the grants since the report, so a server whose reports fail got stuck after as many cancellations as its limit. They now leave it like all others; a cold server still counts them for 500 ms.

Tests: a_failed_server_gets_nothing_until_it_reports_again and broken_off_requests_do_not_add_up, both seen failing without their rules.

--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -250,7 +250,7 @@
         }
         let group_ms = self.first_token_ms;
         if let Some(&position) = self.backend_positions.get(&grant.backend) {
-            self.backends[position].learn(&grant, release, on_time, group_ms);
+            self.backends[position].learn(&grant, release, on_time, group_ms, now);
         }
         self.compare_speeds();
     }
@@ -262,6 +262,13 @@
         }
     }
 
+    /// Takes note that a backend server's report could not be had.
+    pub fn unreachable(&mut self, backend: &name::Backend, now: Instant) {
+        if let Some(&position) = self.backend_positions.get(backend) {
+            self.backends[position].unreachable(now);
+        }
+    }
+
     /// Counts requests that run at the voters on permits of another scheduler.
     pub fn adopt(&mut self, running: &[Running], now: Instant) {
         for request in running {
--- a/crates/policy/src/scheduler/backend.rs
+++ b/crates/policy/src/scheduler/backend.rs
@@ -5,7 +5,7 @@
 use hyssop_document::model;
 
 use crate::{
-    coldstart::{Cause, Completion, Tracker},
+    coldstart::{Cause, Completion, Epoch, Tracker},
     estimate::{Drift, Speed},
     load::Load,
     permit::{End, Release},
@@ -29,6 +29,10 @@
 /// The age above which a report of the KV cache is not used.
 const KV_REPORT_AGE: Duration = Duration::from_secs(5);
 
+/// The time for which a backend server gets nothing after a failed connection, unless it reports.
+/// Otherwise one that fails every request at once would look like the least loaded one.
+const FAILURE_PAUSE: Duration = Duration::from_secs(1);
+
 /// The time for which a request that was broken off still counts at a cold backend server.
 const BREAK_OFF_DELAY: Duration = Duration::from_millis(500);
 
@@ -54,6 +58,8 @@
     /// The times until which requests that were broken off still count.
     broken_off: Vec<Instant>,
     report: Option<Report>,
+    /// The time until which it gets nothing after a failed connection, unless it reports before.
+    failed_until: Option<Instant>,
     granted_since_report: u32,
     finished_since_report: u32,
     /// The tokens of prompts and answers that are there, over all counted permits.
@@ -75,6 +81,7 @@
             suspects: 0,
             broken_off: Vec::new(),
             report: None,
+            failed_until: None,
             granted_since_report: 0,
             finished_since_report: 0,
             tokens: 0,
@@ -101,6 +108,7 @@
     /// Whether one more request may be granted.
     pub(super) fn has_room(&self, share: Share, now: Instant) -> bool {
         self.in_service
+            && self.failed_until.is_none_or(|until| until <= now)
             && self.own(now) < self.slots(share)
             && self.counted(now) < self.limit()
             && self.kv_used(now) < KV_HIGH_WATER_MARK
@@ -136,14 +144,32 @@
         self.expected_tokens += expected;
     }
 
-    /// Forgets requests that were broken off long enough ago.
+    /// Takes note that a connection failed in the cold start `epoch`.
+    pub(super) fn fail(&mut self, epoch: Epoch, now: Instant) {
+        if epoch == self.tracker.epoch() {
+            self.failed_until = Some(now + FAILURE_PAUSE);
+        }
+        let cause = self.tracker.fail(epoch);
+        self.log_cold(cause);
+    }
+
+    /// Takes note that no load report could be had.
+    pub(super) fn unreachable(&mut self, now: Instant) {
+        if self.failed_until.is_none() {
+            self.fail(self.tracker.epoch(), now);
+        }
+        self.failed_until = Some(now + FAILURE_PAUSE);
+    }
+
+    /// Forgets failures and requests that were broken off long enough ago.
     pub(super) fn expire(&mut self, now: Instant) {
+        self.failed_until = self.failed_until.filter(|until| *until > now);
         self.broken_off.retain(|until| *until > now);
     }
 
     /// The next time at which a request that was broken off stops counting.
     pub(super) fn next_expiry(&self) -> Option<Instant> {
-        self.broken_off.iter().min().copied()
+        self.broken_off.iter().copied().chain(self.failed_until).min()
     }
 
     pub(super) fn incarnation(&self) -> u64 {
@@ -154,6 +180,7 @@
     pub(super) fn report(&mut self, load: Load, now: Instant) {
         let cause = self.tracker.report(load.incarnation, load.cold);
         self.report = Some(Report { load, at: now });
+        self.failed_until = None;
         self.granted_since_report = 0;
         self.finished_since_report = 0;
         self.log_cold(cause);
@@ -187,9 +214,10 @@
         self.suspects = self.suspects.saturating_sub(u32::from(grant.solo));
         self.tokens = self.tokens.saturating_sub(grant.tokens());
         self.expected_tokens = self.expected_tokens.saturating_sub(grant.cost);
-        match end {
-            Some(End::Completed | End::NotDispatched | End::Refused503) => self.finish(grant),
-            _ => self.broken_off.push(now + BREAK_OFF_DELAY),
+        self.finish(grant);
+        let done = matches!(end, Some(End::Completed | End::NotDispatched | End::Refused503));
+        if !done {
+            self.broken_off.push(now + BREAK_OFF_DELAY);
         }
     }
 
@@ -202,10 +230,14 @@
         release: &Release,
         on_time: bool,
         group_ms: Option<f64>,
+        now: Instant,
     ) {
         let Some(epoch) = grant.epoch else { return };
         let cause = match release.end {
-            End::BackendFailed => self.tracker.fail(epoch),
+            End::BackendFailed => {
+                self.fail(epoch, now);
+                None
+            }
             End::Refused503 => {
                 self.tracker.refuse(epoch);
                 None
--- a/crates/policy/tests/limits.rs
+++ b/crates/policy/tests/limits.rs
@@ -577,3 +577,40 @@
     assert_eq!(scheduler.status(now).backends[0].cold, Some(Cause::Connection));
     assert_eq!(scheduler.status(now).backends[0].limit, 1);
 }
+
+/// A server that fails each request at once would always be the least loaded one.
+#[test]
+fn a_failed_server_gets_nothing_until_it_reports_again() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(&document(1, 2, 4), now);
+    let b0 = name::Backend::new("b0");
+    scheduler.report(&b0, load(1, 0), now);
+    (0..6).for_each(|ticket| scheduler.enqueue(entry(ticket, "desk", "w1"), now));
+    let granted = permits(scheduler.poll(now));
+    assert_eq!(granted.len(), 2);
+    for (_, permit) in &granted {
+        scheduler.release(&release(permit, End::BackendFailed, 1), now);
+    }
+    let later = now + ms(900);
+    assert!(scheduler.poll(later).is_empty());
+    scheduler.unreachable(&b0, later);
+    assert!(scheduler.poll(later + ms(900)).is_empty(), "no load report either");
+    scheduler.report(&b0, load(2, 0), later + ms(900));
+    assert_eq!(permits(scheduler.poll(later + ms(900))).len(), 2);
+    assert_eq!(scheduler.status(later).backends[0].cold, Some(Cause::Incarnation));
+}
+
+/// Requests that were broken off do not count for ever when no report comes.
+#[test]
+fn broken_off_requests_do_not_add_up() {
+    let mut now = Instant::now();
+    let mut scheduler = scheduler(&document(1, 4, 4), now);
+    scheduler.report(&name::Backend::new("b0"), load(1, 0), now);
+    for ticket in 0..20 {
+        now += ms(1000);
+        scheduler.enqueue(entry(ticket, "desk", "w1"), now);
+        let granted = permits(scheduler.poll(now));
+        assert_eq!(granted.len(), 1, "{ticket}");
+        scheduler.release(&release(&granted[0].1, End::Cancelled, 10), now);
+    }
+}
