Compare first tokens within a class, and fill whole floors before parts

Times to the first token were compared over all classes. Five long prompts in a row after a run of short ones made a backend server cold (a_slow_class_is_no_cold_server, seen failing at request 113), and plain services with calls of different lengths looked like stragglers. The time is now divided by what is usual for its class before it is compared.

Of the classes below their floors the higher tier went first, also when it only wanted the part of a slot.

--- a/crates/policy/benches/queue.rs
+++ b/crates/policy/benches/queue.rs
@@ -61,7 +61,7 @@
     bencher.bench_local(|| {
         queue.push(item(ticket, start));
         ticket += 1;
-        let next = queue.next(|_| false).expect("the queue is not empty");
+        let next = queue.next(|_| 0).expect("the queue is not empty");
         queue.take(next)
     });
 }
--- a/crates/policy/src/estimate.rs
+++ b/crates/policy/src/estimate.rs
@@ -121,6 +121,8 @@
 pub struct Speed {
     /// The time to the first token, in milliseconds.
     pub first_token_ms: Average,
+    /// The time to the first token, divided by what is usual for the class of the request.
+    pub relative: Average,
     /// The time between tokens, in milliseconds.
     pub inter_token_ms: Average,
 }
@@ -128,9 +130,6 @@
 /// A first token is suspect if it takes this multiple of the usual time.
 const SUSPECT_FACTOR: f64 = 4.0;
 
-/// Differences below this are never suspect.
-const SUSPECT_LEAST_MS: f64 = 20.0;
-
 /// The number of suspect first tokens in a row after which a backend server counts as cold.
 const SUSPECTS_IN_ROW: u32 = 5;
 
@@ -142,20 +141,20 @@
 }
 
 impl Drift {
-    /// Adds a time to the first token. Returns whether the history was left.
+    /// Adds a time to the first token, divided by what is usual for the class of the request. Returns
+    /// whether the history was left.
     ///
-    /// `group_ms` is the group's median. While the whole group is slow, the cause is its load and
-    /// not this backend server.
-    pub fn record(&mut self, first_token_ms: f64, group_ms: Option<f64>) -> bool {
+    /// `group` is the group's median. While the whole group is slow, the cause is its load and not
+    /// this backend server.
+    pub fn record(&mut self, relative: f64, group: Option<f64>) -> bool {
         let Some(usual) = self.usual.settled() else {
-            self.usual.record(first_token_ms);
+            self.usual.record(relative);
             return false;
         };
-        let limit = usual * SUSPECT_FACTOR + SUSPECT_LEAST_MS;
-        let alone = group_ms.is_none_or(|group| first_token_ms > 2.0 * group);
-        if first_token_ms <= limit || !alone {
+        let alone = group.is_none_or(|group| relative > 2.0 * group);
+        if relative <= usual * SUSPECT_FACTOR || !alone {
             self.suspects = 0;
-            self.usual.record(first_token_ms);
+            self.usual.record(relative);
             return false;
         }
         self.suspects += 1;
--- a/crates/policy/src/floor.rs
+++ b/crates/policy/src/floor.rs
@@ -10,6 +10,17 @@
 /// The longest rest between two uses of a part of a slot.
 pub const LONGEST_REST: Duration = Duration::from_secs(30);
 
+/// How a class stands to its floor. The lower one goes first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Standing {
+    /// It runs less than the whole number of slots.
+    Below,
+    /// It may use the part of a slot now.
+    Part,
+    /// It has what the floor keeps.
+    Above,
+}
+
 /// The floor of one class.
 ///
 /// A floor of `p` percent of `s` slots is `p * s / 100` slots: a whole number and a part of one. The
@@ -33,11 +44,15 @@
         self.percent = percent.max(LEAST);
     }
 
-    /// Whether a class that runs `running` requests in `slots` slots is below its floor.
-    pub fn is_below(&self, running: u32, slots: u32, now: Instant) -> bool {
+    /// How a class that runs `running` requests in `slots` slots stands to its floor.
+    pub fn standing(&self, running: u32, slots: u32, now: Instant) -> Standing {
         let (whole, part) = self.split(slots);
         let rested = self.rests_until.is_none_or(|until| until <= now);
-        running < whole || running == whole && part > 0 && rested
+        match running {
+            running if running < whole => Standing::Below,
+            running if running == whole && part > 0 && rested => Standing::Part,
+            _ => Standing::Above,
+        }
     }
 
     /// The time until a class that runs `running` requests may be below its floor again, where a
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -172,15 +172,15 @@
 
     /// The entry that goes next.
     ///
-    /// Classes below their floor, for which `below_floor` holds, go before all others. Then the
+    /// The class with the lowest `rank` goes first, which is how it stands to its floor. Then the
     /// higher tier goes first, then what can still meet its target, then the earlier deadline. Inside
     /// a class the workspace that has been served the least for its share goes first, and inside a
     /// workspace what can still meet its target, then the earliest deadline.
-    pub fn next(&self, below_floor: impl Fn(line::Key) -> bool) -> Option<Ticket> {
+    pub fn next<R: Ord + Copy>(&self, rank: impl Fn(line::Key) -> R) -> Option<Ticket> {
         self.lines()
             .filter_map(|(key, line)| {
                 let (place, ticket) = line.head()?;
-                Some(((!below_floor(key), line.tier(), place), ticket))
+                Some(((rank(key), line.tier(), place), ticket))
             })
             .min_by_key(|(order, _)| *order)
             .map(|(_, ticket)| ticket)
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -37,7 +37,7 @@
 mod prefixes;
 mod speeds;
 
-use backend::Backend;
+use backend::{Backend, Lesson};
 use class::Class;
 use grants::{Grant, Grants};
 use prefixes::Prefixes;
@@ -91,6 +91,7 @@
             backend_positions: Map::default(),
             inter_token_ms: None,
             first_token_ms: None,
+            relative: None,
             classes: Vec::new(),
             class_keys: Map::default(),
             workspaces: Map::default(),
@@ -136,6 +137,8 @@
     inter_token_ms: Option<f64>,
     /// The group's median time to the first token.
     first_token_ms: Option<f64>,
+    /// The group's median time to the first token, divided by what is usual for the class.
+    relative: Option<f64>,
     /// The classes at the positions of their keys.
     classes: Vec<Class>,
     class_keys: Map<name::Class, line::Key>,
@@ -244,13 +247,15 @@
             self.budget.succeed();
         }
         let mut on_time = !release.late;
+        let mut relative = None;
         if let Some(key) = grant.class {
+            relative = self.classes[key.0].relative(release);
             on_time = self.classes[key.0].is_on_time(release);
             self.classes[key.0].learn(&grant, release, now);
         }
-        let group_ms = self.first_token_ms;
+        let lesson = Lesson { on_time, relative, group: self.relative };
         if let Some(&position) = self.backend_positions.get(&grant.backend) {
-            self.backends[position].learn(&grant, release, on_time, group_ms, now);
+            self.backends[position].learn(&grant, release, lesson, now);
         }
         self.compare_speeds();
     }
--- a/crates/policy/src/scheduler/backend.rs
+++ b/crates/policy/src/scheduler/backend.rs
@@ -43,6 +43,17 @@
     at: Instant,
 }
 
+/// What the end of a request tells about its backend server.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Lesson {
+    /// Whether it met the targets of its class without what it waited before.
+    pub(super) on_time: bool,
+    /// The time to the first token, divided by what is usual for the class.
+    pub(super) relative: Option<f64>,
+    /// The group's median of that.
+    pub(super) group: Option<f64>,
+}
+
 /// What a scheduler knows about one backend server.
 #[derive(Debug)]
 pub(super) struct Backend {
@@ -222,16 +233,7 @@
     }
 
     /// Learns from the end of a request.
-    ///
-    /// `on_time` tells whether it met the targets of its class without what it waited before.
-    pub(super) fn learn(
-        &mut self,
-        grant: &Grant,
-        release: &Release,
-        on_time: bool,
-        group_ms: Option<f64>,
-        now: Instant,
-    ) {
+    pub(super) fn learn(&mut self, grant: &Grant, release: &Release, lesson: Lesson, now: Instant) {
         let Some(epoch) = grant.epoch else { return };
         let cause = match release.end {
             End::BackendFailed => {
@@ -243,8 +245,12 @@
                 None
             }
             End::Completed => {
-                self.tracker.complete(Completion { epoch, on_time, loaded: grant.loaded });
-                self.learn_speed(release, group_ms)
+                self.tracker.complete(Completion {
+                    epoch,
+                    on_time: lesson.on_time,
+                    loaded: grant.loaded,
+                });
+                self.learn_speed(release, lesson)
             }
             End::Cancelled | End::NotDispatched | End::TimedOut => None,
         };
@@ -291,7 +297,7 @@
         }
     }
 
-    fn learn_speed(&mut self, release: &Release, group_ms: Option<f64>) -> Option<Cause> {
+    fn learn_speed(&mut self, release: &Release, lesson: Lesson) -> Option<Cause> {
         let first_token_ms = release.first_token_ms.unwrap_or(release.elapsed_ms) as f64;
         self.speed.first_token_ms.record(first_token_ms);
         let gaps = release.output_tokens.0.saturating_sub(1);
@@ -299,7 +305,9 @@
             let streaming_ms = release.elapsed_ms.saturating_sub(first) as f64;
             self.speed.inter_token_ms.record(streaming_ms / gaps as f64);
         }
-        if self.drift.record(first_token_ms, group_ms) { self.tracker.drift() } else { None }
+        let relative = lesson.relative?;
+        self.speed.relative.record(relative);
+        if self.drift.record(relative, lesson.group) { self.tracker.drift() } else { None }
     }
 
     fn log_cold(&self, cause: Option<Cause>) {
--- a/crates/policy/src/scheduler/class.rs
+++ b/crates/policy/src/scheduler/class.rs
@@ -7,7 +7,7 @@
 use crate::{
     entry::Entry,
     estimate::{Average, Histogram},
-    floor::Floor,
+    floor::{Floor, Standing},
     permit::{End, Release},
 };
 
@@ -25,6 +25,9 @@
 /// The largest part of the target that is left over for delays.
 const LARGEST_MARGIN: f64 = 0.5;
 
+/// Times below this are not told apart when backend servers are compared.
+const LEAST_USUAL_MS: u64 = 10;
+
 /// The time for which the refusal of a request past its target shows that others will fare alike.
 const PRESSURE: Duration = Duration::from_secs(5);
 
@@ -41,6 +44,8 @@
     length: Histogram,
     elapsed_ms: Histogram,
     first_token_ms: Average,
+    /// The time to the first token, or to the end of an answer without tokens.
+    usual_ms: Average,
     /// The part of the target for the first token that is left over for delays after the grant.
     margin: f64,
     /// The time for which a slot is held without a request at the backend server.
@@ -61,6 +66,7 @@
             length: Histogram::default(),
             elapsed_ms: Histogram::default(),
             first_token_ms: Average::default(),
+            usual_ms: Average::default(),
             margin: 0.0,
             overhead_ms: Average::default(),
             pressed_until: None,
@@ -73,8 +79,8 @@
         self.declared = true;
     }
 
-    pub(super) fn is_below_floor(&self, slots: u32, now: Instant) -> bool {
-        self.floor.is_below(self.running, slots, now)
+    pub(super) fn standing(&self, slots: u32, now: Instant) -> Standing {
+        self.floor.standing(self.running, slots, now)
     }
 
     /// The slots of the floor, with the part of one.
@@ -135,6 +141,14 @@
         first_token_ms <= self.model.first_token_ms && release.elapsed_ms <= self.model.complete_ms
     }
 
+    /// The time to the first token, or to the end without tokens, divided by what is usual in the
+    /// class. Prompts and calls of different classes take different times anywhere.
+    pub(super) fn relative(&self, release: &Release) -> Option<f64> {
+        let ms = release.first_token_ms.unwrap_or(release.elapsed_ms).max(LEAST_USUAL_MS);
+        let usual_ms = self.usual_ms.settled()?.max(LEAST_USUAL_MS as f64);
+        Some(ms as f64 / usual_ms)
+    }
+
     /// Learns from a request that ended.
     pub(super) fn learn(&mut self, grant: &Grant, release: &Release, now: Instant) {
         if release.end != End::Completed {
@@ -144,6 +158,7 @@
         let held_ms = grant.held(now).as_millis() as u64;
         self.overhead_ms.record(held_ms.saturating_sub(release.elapsed_ms) as f64);
         self.elapsed_ms.record(release.elapsed_ms);
+        self.usual_ms.record(release.first_token_ms.unwrap_or(release.elapsed_ms) as f64);
         if let Some(first) = release.first_token_ms {
             self.length.record(release.output_tokens.0);
             self.first_token_ms.record(first as f64);
--- a/crates/policy/src/scheduler/placement.rs
+++ b/crates/policy/src/scheduler/placement.rs
@@ -33,7 +33,7 @@
         let mut passed_over = Vec::new();
         while passed_over.len() < MAX_PASSED_OVER && self.has_room(now) {
             let classes = &self.classes;
-            let next = self.queue.next(|key| classes[key.0].is_below_floor(slots, now));
+            let next = self.queue.next(|key| classes[key.0].standing(slots, now));
             let Some(ticket) = next else { break };
             match self.place(ticket, now) {
                 Some(position) => self.grant(ticket, position, now),
--- a/crates/policy/src/scheduler/speeds.rs
+++ b/crates/policy/src/scheduler/speeds.rs
@@ -11,18 +11,21 @@
             self.backends.iter().filter_map(|b| b.speed.inter_token_ms.settled()).collect();
         let first: Vec<_> =
             self.backends.iter().filter_map(|b| b.speed.first_token_ms.settled()).collect();
+        let relative: Vec<_> =
+            self.backends.iter().filter_map(|b| b.speed.relative.settled()).collect();
+        self.relative = estimate::median(relative.iter().copied());
         self.inter_token_ms = estimate::median(inter.iter().copied());
         self.first_token_ms = estimate::median(first.iter().copied());
         let by_tokens = inter.len() >= straggler::LEAST_MEASURED;
-        let by_first = first.len() >= straggler::LEAST_MEASURED;
+        let by_first = relative.len() >= straggler::LEAST_MEASURED;
         for backend in &mut self.backends {
             let was = backend.verdict.is_straggler();
             if by_tokens {
                 let own = backend.speed.inter_token_ms.settled();
                 backend.verdict.update(own, self.inter_token_ms);
             } else {
-                let median = self.first_token_ms.filter(|_| by_first);
-                backend.verdict.update(backend.speed.first_token_ms.settled(), median);
+                let median = self.relative.filter(|_| by_first);
+                backend.verdict.update(backend.speed.relative.settled(), median);
             }
             if was != backend.verdict.is_straggler() {
                 let (name, limit) = (&backend.model.name, backend.limit());
--- a/crates/policy/tests/limits.rs
+++ b/crates/policy/tests/limits.rs
@@ -14,6 +14,7 @@
 use hyssop_policy::{
     budget::Budget,
     coldstart::{Cause, Completion, Tracker},
+    estimate::Drift,
     load::Load,
     permit::{End, Id, Known, Permit, Release, Running},
     scheduler::Scheduler,
@@ -614,3 +615,39 @@
         scheduler.release(&release(&granted[0].1, End::Cancelled, 10), now);
     }
 }
+
+/// Long prompts take longer anywhere. Some in a row do not make a server cold.
+#[test]
+fn a_slow_class_is_no_cold_server() {
+    let mut now = Instant::now();
+    let mut scheduler = scheduler(&document(1, 1, 2), now);
+    let classes = [("draft", 600, 9), ("desk", 50, 100), ("draft", 600, 10)];
+    let runs = classes
+        .iter()
+        .flat_map(|(class, first_ms, count)| std::iter::repeat_n((*class, *first_ms), *count));
+    for (ticket, (class, first_ms)) in runs.enumerate() {
+        scheduler.enqueue(entry(ticket as u64, class, "w1"), now);
+        let granted = permits(scheduler.poll(now));
+        now += ms(first_ms + 100);
+        let end = release(&granted[0].1, End::Completed, first_ms + 100);
+        scheduler.release(&Release { first_token_ms: Some(first_ms), ..end }, now);
+        let cold = scheduler.status(now).backends[0].cold;
+        assert_ne!(cold, Some(Cause::FirstToken), "{ticket}");
+    }
+}
+
+#[test]
+fn a_first_token_that_leaves_its_history_is_found_unless_all_are_slow() {
+    let settled = || {
+        let mut drift = Drift::default();
+        (0..20).for_each(|_| assert!(!drift.record(1.0, Some(1.0))));
+        drift
+    };
+    let mut drift = settled();
+    let found: Vec<_> = (0..5).map(|_| drift.record(6.0, Some(1.0))).collect();
+    assert_eq!(found, [false, false, false, false, true]);
+    let mut drift = settled();
+    assert!((0..20).all(|_| !drift.record(6.0, Some(5.0))), "the whole group is slow");
+    let mut drift = settled();
+    assert!((0..20).all(|index| !drift.record([6.0, 1.0][index % 2], Some(1.0))), "single ones");
+}
--- a/crates/policy/tests/queue.rs
+++ b/crates/policy/tests/queue.rs
@@ -75,7 +75,7 @@
         Step::Take { below_floor } => {
             let below = |key: line::Key| below_floor >> key.0 & 1 == 1;
             let waiting: Vec<Item> = queue.items().cloned().collect();
-            let Some(next) = queue.next(below) else {
+            let Some(next) = queue.next(|key| !below(key)) else {
                 assert!(waiting.is_empty(), "a waiting request was passed over");
                 return;
             };
@@ -158,7 +158,7 @@
         };
         (0..3).for_each(|workspace| push(&mut queue, workspace, 1));
         for cost in costs {
-            let next = queue.next(|_| false).expect("all workspaces wait");
+            let next = queue.next(|_| 0).expect("all workspaces wait");
             let taken = queue.take(next).expect("the next one waits");
             served[taken.workspace.0 as usize] += taken.cost;
             push(&mut queue, taken.workspace.0, u64::from(*cost) + 1);
@@ -178,13 +178,13 @@
     let mut queue = queue(usize::MAX);
     (0..100).for_each(|ticket| queue.push(item(ticket, 0, 0, start, 10)));
     (0..50).for_each(|_| {
-        let next = queue.next(|_| false).expect("workspace 0 waits");
+        let next = queue.next(|_| 0).expect("workspace 0 waits");
         queue.take(next);
     });
     (100..200).for_each(|ticket| queue.push(item(ticket, 0, 1, start, 10)));
     let first: Vec<_> = (0..12)
         .map(|_| {
-            let next = queue.next(|_| false).expect("both wait");
+            let next = queue.next(|_| 0).expect("both wait");
             queue.take(next).expect("the next one waits").workspace.0
         })
         .collect();
