Answer 'unknown' where only an earlier copy can have run

Callers take 'failed' as final; it is 'unknown' now, with the refusal's reason and its time to come back (three tests seen failing).

--- a/crates/caller/src/home/run.rs
+++ b/crates/caller/src/home/run.rs
@@ -289,6 +289,8 @@
     fn outcome(&self, reason: Reason, message: &str, retry_after: Option<Duration>) -> Outcome {
         let mut outcome = match self.tally.ran {
             Ran::NotRun => Outcome::refused(reason, message),
+            // Only an earlier copy can have run, here or at a home that has ended.
+            Ran::MayHaveRun if self.tally.attempts == 0 => Outcome::unknown(reason, message),
             ran if self.order.terms.class.idempotent => Outcome::failed(ran, reason, message),
             _ => Outcome::unknown(reason, message),
         };
--- a/crates/caller/tests/once.rs
+++ b/crates/caller/tests/once.rs
@@ -9,7 +9,7 @@
 
 use bench::{
     Bench, Call,
-    engine::{Act, Fleet, booked},
+    engine::{Act, Fleet, booked, expected},
     incarnation, key, key_at,
     life::State,
     now_ms,
@@ -124,7 +124,8 @@
     let refusal = Refusal { reason: Reason::QueueFull, retry_after_ms: 100 };
     first.grants.script.lock().push(Verdict::Refused(refusal));
     let refused = first.send(Call::draft("other").key(key(2, "c"))).await;
-    assert_eq!(refused.ran(), "may_have_run", "the home may have run it before it ended");
+    assert_eq!((refused.outcome.as_str(), refused.ran().as_str()), ("unknown", "may_have_run"));
+    assert_eq!(refused.reason(), "queue_full");
     let booking = first.send(Call::booking("gone").key(key(2, "b"))).await;
     assert_eq!((booking.ran().as_str(), fleet.runs()), ("may_have_run", 1));
 }
@@ -142,6 +143,7 @@
     bench.grants.script.lock().push(Verdict::Refused(refusal));
     let reply = bench.send(call.clone()).await;
     assert_eq!((reply.reason().as_str(), reply.ran().as_str()), ("queue_full", "may_have_run"));
+    assert_eq!((reply.outcome.as_str(), &reply.json()["retry_after_ms"]), ("unknown", &100.into()));
     bench.fleet.servers[0].acts.lock().clear();
     assert_eq!(bench.send(call).await.status, 200);
 }
@@ -311,3 +313,20 @@
         assert_eq!((reply.outcome.as_str(), reply.ran().as_str()), ("unknown", "may_have_run"));
     }
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_draft_cancelled_after_its_dispatch_is_not_refused_as_not_run() {
+    let mut fleet = Fleet::build(1);
+    fleet.step = Duration::from_millis(100);
+    let bench = Bench::new(Arc::new(fleet));
+    let call = Call::draft("left").key(key(1, "a"));
+    let left = tokio::time::timeout(Duration::from_millis(250), bench.send(call.clone())).await;
+    assert!(left.is_err());
+    bench.home.drain().await;
+    assert!(bench.fleet.executions.lock()[0].cancelled);
+    let refusal = Refusal { reason: Reason::NoBackend, retry_after_ms: 100 };
+    bench.grants.script.lock().push(Verdict::Refused(refusal));
+    let reply = bench.send(call.clone()).await;
+    assert_eq!((reply.outcome.as_str(), reply.ran().as_str()), ("unknown", "may_have_run"));
+    assert_eq!(bench.send(call.clone()).await.text(), expected(&call.body));
+}
