--- a/crates/policy/src/scheduler/grants.rs
+++ b/crates/policy/src/scheduler/grants.rs
@@ -28,10 +28,12 @@
     pub(super) home_incarnation: Incarnation,
     pub(super) granted: Instant,
     pub(super) latest_end: Instant,
-    /// The cold start in which it was granted. `None` for permits of another scheduler.
+    /// The cold start in which it was granted or adopted, if its backend server is known.
     pub(super) epoch: Option<Epoch>,
     /// Whether at least half of the backend server's limit was in use.
     pub(super) loaded: bool,
+    /// The time for which it waited, unless it had missed its target before the grant.
+    pub(super) waited: Option<Duration>,
     pub(super) solo: bool,
     pub(super) prompt: Tokens,
     /// The tokens of prompt and answer that were counted against the workspace.
