Answer a withdrawn vote at once, and ask for load reports when votes come

Cause: a leaving scheduler told that it had dropped a vote only with its next heartbeat, up to 200 ms later. A new scheduler whose votes came after its first round of load reports waited for the next round, 250 ms later.

Change: a heartbeat that withdraws a vote is answered at once; the next round of load reports starts when the newest vote settles, by the same rule that the share uses.

--- a/crates/peer/src/core.rs
+++ b/crates/peer/src/core.rs
@@ -97,7 +97,8 @@
 pub struct Effect {
     /// Whether the heartbeat was taken in.
     pub accepted: bool,
-    /// Whether own votes moved or were withdrawn, which peers should hear of at once.
+    /// Whether a vote of this daemon moved, or one for it was withdrawn, which peers should hear of
+    /// at once.
     pub moved: bool,
     /// Whether the process is new, so that its host's process before has ended.
     pub replaced: bool,
@@ -396,13 +397,14 @@
         if replaced {
             self.book.ended(&process.host, process.incarnation);
         }
-        self.tally.heard(&process, heartbeat.sequence, answered, &heartbeat.votes, now);
+        let Heartbeat { sequence, votes, .. } = heartbeat;
+        let withdrawn = self.tally.heard(&process, *sequence, answered, votes, now);
         self.book.heard(&process, now);
         if let Some(answered) = answered {
             self.book.echoed(&process, answered);
             self.answered(answered);
         }
-        Effect { accepted: true, moved: self.move_votes(now), replaced }
+        Effect { accepted: true, moved: self.move_votes(now) || withdrawn, replaced }
     }
 
     /// Notes that a process has ended. Returns whether own votes moved.
@@ -458,19 +460,35 @@
         if self.members.is_list_stale(now) || self.refreshed(now).is_none() {
             return Share { votes: 0, hosts };
         }
-        let strangers = self.members.has_strangers(electorate, now);
-        let reports = self.tally.reports(key, electorate, now);
-        let ended = self.members.ended_among(electorate);
-        let votes = if reports == hosts && !strangers {
-            hosts
-        } else if reports + ended == hosts && !strangers {
-            self.tally.settled(key, electorate, observed, Duration::ZERO, now)
-        } else {
-            self.tally.settled(key, electorate, observed, self.settle, now)
+        let votes = match self.settle(key, hosts, now) {
+            Some(settle) => self.tally.settled(key, electorate, observed, settle, now),
+            None => hosts,
         };
         Share { votes, hosts }
     }
 
+    /// The time that votes for `key` must settle. `None` if they need no load report at all.
+    fn settle(&self, key: Key, hosts: u32, now: Instant) -> Option<Duration> {
+        if self.members.has_strangers(&self.electorate, now) {
+            return Some(self.settle);
+        }
+        let reports = self.tally.reports(key, &self.electorate, now);
+        let ended = self.members.ended_among(&self.electorate);
+        match hosts {
+            hosts if reports == hosts => None,
+            hosts if reports + ended == hosts => Some(Duration::ZERO),
+            _ => Some(self.settle),
+        }
+    }
+
+    /// The time at which load reports may be asked for that settle the newest vote for `key`.
+    pub fn settles_at(&self, key: Key, now: Instant) -> Option<Instant> {
+        let newest = self.tally.newest(key, &self.electorate, now)?;
+        let hosts = self.members.voters(&self.electorate, now).unwrap_or(0);
+        let settle = self.settle(key, hosts, now).unwrap_or(Duration::ZERO);
+        Some(newest + settle)
+    }
+
     /// The schedulers from which permits may be taken.
     pub fn standings(&self, now: Instant) -> Map<Key, Standing> {
         let mut standings = Map::default();
--- a/crates/peer/src/group.rs
+++ b/crates/peer/src/group.rs
@@ -409,8 +409,7 @@
 
     /// The start of the next round: after the interval, or when the newest vote settles.
     fn next_round(&self, now: Instant) -> Option<Instant> {
-        let core = self.shared.core.lock();
-        let settles = core.tally.settles_at(self.key, core.electorate(), now)?;
+        let settles = self.shared.core.lock().settles_at(self.key, now)?;
         let Some(last) = self.round else { return Some(now) };
         let next = last + self.shared.timing.load;
         Some(if settles > last { next.min(settles.max(now)) } else { next })
--- a/crates/peer/src/vote/tally.rs
+++ b/crates/peer/src/vote/tally.rs
@@ -21,7 +21,6 @@
 #[derive(Debug)]
 pub struct Tally {
     counted: Duration,
-    settle: Duration,
     sent: VecDeque<(Sequence, Instant)>,
     voters: Map<name::Host, Voter>,
 }
@@ -55,7 +54,6 @@
     pub fn new(timing: &Timing) -> Self {
         Self {
             counted: timing.lease.saturating_sub(timing.drift),
-            settle: timing.settle,
             sent: VecDeque::new(),
             voters: Map::default(),
         }
@@ -73,7 +71,8 @@
     /// Takes the votes out of a voter's heartbeat. `answered` is the own heartbeat it answers.
     ///
     /// The heartbeat names every vote for this scheduler: one that is missing was withdrawn.
-    /// Returns whether the heartbeat was new; an older or repeated one changes nothing.
+    /// An older or repeated heartbeat changes nothing. Returns whether a vote was withdrawn, which the
+    /// voter should be told at once: it may not vote elsewhere before.
     pub fn heard(
         &mut self,
         voter: &Process,
@@ -95,8 +94,7 @@
             return false;
         }
         entry.last = sequence;
-        entry.replace(votes, until, now);
-        true
+        entry.replace(votes, until, now)
     }
 
     /// The time at which the own heartbeat `sequence` was sent, if a vote may still count from it.
@@ -149,9 +147,9 @@
         self.held(key, electorate, now).count()
     }
 
-    /// The time at which the newest vote for `key` settles.
-    pub fn settles_at(&self, key: Key, electorate: &Electorate, now: Instant) -> Option<Instant> {
-        self.held(key, electorate, now).map(|held| held.since + self.settle).max()
+    /// The time at which the newest vote for `key` came.
+    pub fn newest(&self, key: Key, electorate: &Electorate, now: Instant) -> Option<Instant> {
+        self.held(key, electorate, now).map(|held| held.since).max()
     }
 
     fn held<'a>(
@@ -173,7 +171,8 @@
         Self { incarnation: process.incarnation, last: Sequence(0), votes: Map::default() }
     }
 
-    fn replace(&mut self, votes: &[Vote], until: Option<Instant>, now: Instant) {
+    /// Replaces the votes. Returns whether one was withdrawn.
+    fn replace(&mut self, votes: &[Vote], until: Option<Instant>, now: Instant) -> bool {
         let mut next = Map::default();
         for vote in votes {
             let old = self.votes.get(&vote.key).filter(|held| held.epoch == vote.epoch);
@@ -182,6 +181,8 @@
             held.until = until.map_or(held.until, |until| until.max(held.until));
             next.insert(vote.key, held);
         }
+        let withdrawn = self.votes.keys().any(|key| !next.contains_key(key));
         self.votes = next;
+        withdrawn
     }
 }
