--- a/crates/daemon/src/adapt/status.rs
+++ b/crates/daemon/src/adapt/status.rs
@@ -11,7 +11,7 @@
 const MAX_FAULTS: usize = 3;
 
 /// What a daemon says about itself.
-pub(super) fn host(status: &peer::Status) -> status::Host {
+pub(crate) fn host(status: &peer::Status) -> status::Host {
     let Stamp { revision, digest } = status.document;
     let document = status::Published { revision, digest };
     let orders =
@@ -30,6 +30,7 @@
         rejected: status.rejection.as_ref().map(rejected),
         conflict: status.conflict.as_ref().map(rejected),
         running: status.running,
+        traffic: traffic(&status.traffic),
         schedulers: status.groups.iter().map(scheduler).collect(),
     }
 }
@@ -83,3 +84,13 @@
     }
     status::State::Warm
 }
+
+fn traffic(traffic: &hyssop_peer::traffic::Traffic) -> status::Traffic {
+    status::Traffic {
+        datagrams_sent: traffic.datagrams_sent,
+        datagrams_dropped: traffic.datagrams_dropped,
+        udp_sent_bytes: traffic.udp_sent_bytes,
+        messages_sent: traffic.messages_sent,
+        tcp_sent_bytes: traffic.tcp_sent_bytes,
+    }
+}
