--- a/crates/peer/src/core.rs
+++ b/crates/peer/src/core.rs
@@ -3,14 +3,14 @@
 use std::time::{Duration, Instant};
 
 use hyssop_document::{collections::Map, name, number::Incarnation, order};
-use hyssop_policy::{permit::Permit, share::Share};
-use serde::{Deserialize, Serialize};
+use hyssop_policy::share::Share;
 
 use crate::{
     hosts::{self, List},
     identity::{Identity, Process},
     member::{Answer, Peer, Table},
     rank::{self, Key},
+    standing::Standing,
     timing::Timing,
     vote::{Book, Electorate, Sequence, Tally, Vote},
     wire::{self, Cell, Heartbeat, News, Stamp},
@@ -27,71 +27,6 @@
     pub notices: u64,
 }
 
-/// The scheduler from which permits for a group may be taken.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Standing {
-    /// The scheduler.
-    pub scheduler: Process,
-    /// The epoch of the vote.
-    pub epoch: u32,
-    /// The end of the promise.
-    pub until: Instant,
-    /// The time on the own clock before which the scheduler had not started, once that is known.
-    pub start: Option<Instant>,
-}
-
-impl Standing {
-    /// Checks that a permit was granted by this scheduler and is to be used now.
-    ///
-    /// Its age is taken at the most that it can be.
-    ///
-    /// # Errors
-    ///
-    /// Says why the permit must not be used.
-    pub fn check(&self, permit: &Permit, now: Instant) -> Result<(), Stale> {
-        if self.scheduler.incarnation != permit.id.scheduler || now >= self.until {
-            return Err(Stale::VoteEnded);
-        }
-        let start = self.start.ok_or(Stale::VoteEnded)?;
-        let uptime_ms = now.saturating_duration_since(start).as_millis() as u64;
-        match uptime_ms.saturating_sub(permit.granted_at_ms) > permit.use_within_ms {
-            true => Err(Stale::Expired),
-            false => Ok(()),
-        }
-    }
-}
-
-/// Why a permit may not be used any more. The request did not run.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    Hash,
-    Serialize,
-    Deserialize,
-    derive_more::Display,
-    derive_more::Error,
-)]
-pub enum Stale {
-    /// The process was stopped and its view is not fresh yet.
-    #[display("the process was stopped")]
-    Paused,
-    /// The time within which the permit must be used has passed.
-    #[display("the permit has expired")]
-    Expired,
-    /// The vote for the scheduler that granted it has ended.
-    #[display("the vote has ended")]
-    VoteEnded,
-    /// The availability zone of the backend server is out of service.
-    #[display("the availability zone is out of service")]
-    ZoneOut,
-    /// The document in force does not have the backend server at this address any more.
-    #[display("the backend server was removed")]
-    Removed,
-}
-
 /// What a heartbeat changed.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Effect {
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod order;
 pub mod rank;
 pub mod rpc;
+pub mod standing;
 pub mod status;
 pub mod timing;
 pub mod traffic;
--- a/crates/peer/src/node/permit.rs
+++ b/crates/peer/src/node/permit.rs
@@ -14,10 +14,10 @@
 
 use super::{Node, Shared};
 use crate::{
-    core::Stale,
     identity::Process,
     message::{Ask, Event, Petition, Verdict},
     rank::Key,
+    standing::Stale,
 };
 
 /// The longest wait for a scheduler to be elected.
--- a/crates/peer/src/node/report.rs
+++ b/crates/peer/src/node/report.rs
@@ -13,11 +13,11 @@
 
 use super::Shared;
 use crate::{
-    core::Standing,
     group::Command,
     identity::Process,
     message::{Batch, Event, Full, Receipt, Report},
     rank::Key,
+    standing::Standing,
     vote::Vote,
 };
 
--- a/crates/peer/src/view.rs
+++ b/crates/peer/src/view.rs
@@ -5,10 +5,11 @@
 use hyssop_document::{collections::Map, name};
 
 use crate::{
-    core::{Core, Standing},
+    core::Core,
     hosts::{self, List},
     identity::Identity,
     rank::Key,
+    standing::Standing,
     wire::Stamp,
 };
 
