Keep an ended process from coming back by an old datagram; forget a replaced home

And a higher incarnation alone, without a closed connection, did not make schedulers drop what the former process had asked for and ran.

Change: only an answer to a heartbeat sent after the presumed end shows that a process lives. `Effect` names the process that was replaced, and the schedulers are told of its end.

--- a/crates/peer/src/core.rs
+++ b/crates/peer/src/core.rs
@@ -28,15 +28,15 @@
 }
 
 /// What a heartbeat changed.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Effect {
     /// Whether the heartbeat was taken in.
     pub accepted: bool,
     /// Whether a vote of this daemon moved, or one for it was withdrawn, which peers should hear of
     /// at once.
     pub moved: bool,
-    /// Whether the process is new, so that its host's process before has ended.
-    pub replaced: bool,
+    /// The process that the sender replaced on its host, and that has ended so.
+    pub replaced: Option<Process>,
 }
 
 /// Membership, own votes and votes held of one daemon.
@@ -317,7 +317,7 @@
         if heartbeat.cell != self.cell {
             return Effect::default();
         }
-        let before = self.members.peer(&heartbeat.host).map(|peer| peer.identity.incarnation);
+        let before = self.members.peer(&heartbeat.host).map(|peer| peer.identity.process());
         let echo = heartbeat.echo.filter(|echo| echo.incarnation == self.me.incarnation);
         let answered = echo.map(|echo| echo.sequence);
         let answer = answered.and_then(|sequence| {
@@ -328,8 +328,8 @@
             return Effect::default();
         }
         let process = heartbeat.process();
-        let replaced = before.is_some_and(|before| before < process.incarnation);
-        if replaced {
+        let replaced = before.filter(|before| before.incarnation < process.incarnation);
+        if replaced.is_some() {
             self.book.ended(&process.host, process.incarnation);
         }
         let Heartbeat { sequence, votes, .. } = heartbeat;
@@ -345,7 +345,7 @@
     /// Notes that a process has ended. Returns whether own votes moved.
     pub fn ended(&mut self, process: &Process, now: Instant) -> bool {
         let after = Incarnation(process.incarnation.0 + 1);
-        self.members.ended(process);
+        self.members.ended(process, now);
         self.book.ended(&process.host, after);
         self.tally.ended(&process.host, after);
         self.move_votes(now)
--- a/crates/peer/src/member.rs
+++ b/crates/peer/src/member.rs
@@ -34,8 +34,8 @@
     pub leaving: bool,
     /// Whether it reached the platform lately.
     pub platform: bool,
-    /// Whether its process is known to have ended.
-    pub ended: bool,
+    /// The time at which its process was found to have ended.
+    pub ended: Option<Instant>,
     /// The document that it has in force.
     pub document: Stamp,
     /// The orders that it has in force.
@@ -274,7 +274,9 @@
         peer.heard = now;
         peer.sequence = heartbeat.sequence;
         peer.lists_me = heartbeat.lists_recipient;
-        peer.ended = false;
+        // Only an answer to what was sent later shows that the process has not ended after all.
+        let sent = answer.map(|answer| answer.sent);
+        peer.ended = peer.ended.filter(|ended| sent.is_none_or(|sent| sent <= *ended));
         self.peers.insert(heartbeat.host.clone(), peer);
         true
     }
@@ -295,10 +297,12 @@
     }
 
     /// Notes that a process has ended. Returns whether that was news.
-    pub fn ended(&mut self, process: &Process) -> bool {
+    pub fn ended(&mut self, process: &Process, now: Instant) -> bool {
         match self.peers.get_mut(&process.host) {
-            Some(peer) if peer.identity.incarnation == process.incarnation && !peer.ended => {
-                peer.ended = true;
+            Some(peer)
+                if peer.identity.incarnation == process.incarnation && peer.ended.is_none() =>
+            {
+                peer.ended = Some(now);
                 true
             }
             _ => false,
@@ -307,7 +311,9 @@
 
     /// Whether the peer was heard of lately.
     pub fn is_alive(&self, peer: &Peer, now: Instant) -> bool {
-        !peer.ended && peer.is_heard() && now.saturating_duration_since(peer.heard) <= self.alive
+        peer.ended.is_none()
+            && peer.is_heard()
+            && now.saturating_duration_since(peer.heard) <= self.alive
     }
 
     /// All peers known.
@@ -338,8 +344,9 @@
         let mut recipients: Vec<_> =
             listed.map(|entry| (entry.peer_address, self.peers.get(&entry.host))).collect();
         let unlisted = self.peers.values().filter(|peer| !self.list.contains(&peer.identity.host));
-        let recent = unlisted
-            .filter(|peer| now.saturating_duration_since(peer.heard) <= self.guard && !peer.ended);
+        let recent = unlisted.filter(|peer| {
+            now.saturating_duration_since(peer.heard) <= self.guard && peer.ended.is_none()
+        });
         recipients.extend(recent.map(|peer| (peer.identity.peer_address, Some(peer))));
         recipients
     }
@@ -351,7 +358,7 @@
 
     /// The number of hosts of the electorate whose last known process has ended.
     pub fn ended_among(&self, electorate: &Electorate) -> u32 {
-        let ended = |host| self.peers.get(host).is_some_and(|peer| peer.ended);
+        let ended = |host| self.peers.get(host).is_some_and(|peer| peer.ended.is_some());
         electorate.iter().filter(|host| ended(*host)).count() as u32
     }
 
@@ -399,7 +406,7 @@
             lists_me: false,
             leaving: false,
             platform: false,
-            ended: false,
+            ended: None,
             document: Stamp::NONE,
             orders: Stamp::NONE,
             list: Stamp::NONE,
--- a/crates/peer/src/node/beat.rs
+++ b/crates/peer/src/node/beat.rs
@@ -100,8 +100,9 @@
     if !effect.accepted {
         return;
     }
-    if effect.replaced {
-        log::info!("daemon replaced host={} incarnation={}", heartbeat.host, heartbeat.incarnation);
+    if let Some(former) = effect.replaced {
+        log::info!("process replaced former={former} incarnation={}", heartbeat.incarnation);
+        shared.tell_groups_of_end(&former);
     }
     match &heartbeat.news {
         Some(news) => {
--- a/crates/peer/src/node/watch.rs
+++ b/crates/peer/src/node/watch.rs
@@ -56,10 +56,15 @@
     fn ended(&self, process: &Process) {
         log::info!("process ended peer={process}");
         self.core.lock().ended(process, self.now());
+        self.tell_groups_of_end(process);
+        self.publish();
+        self.beat.notify_one();
+    }
+
+    /// Has the schedulers forget what an ended process asked for and ran.
+    pub(super) fn tell_groups_of_end(&self, process: &Process) {
         for handle in self.groups.lock().values() {
             handle.send(Command::Ended(process.clone()));
         }
-        self.publish();
-        self.beat.notify_one();
     }
 }
