Check an order's precondition and apply it under one lock

Cause: two orders that raced on the deciding host both read revision 8, both made a revision 9, and the one with the higher digest replaced the other: both operators were told that their order is in force. Ruled out: two deciding hosts; both orders were logged by one daemon.

--- a/crates/peer/src/node/direct.rs
+++ b/crates/peer/src/node/direct.rs
@@ -10,12 +10,7 @@
 use tokio::time;
 
 use super::{Node, Shared};
-use crate::{
-    current::{Outcome as Offer, Source},
-    link,
-    order::Outcome,
-    wire::Stamp,
-};
+use crate::{current::Source, link, order::Outcome, wire::Stamp};
 
 /// The longest wait for a peer to take orders over.
 const OFFER_TIMEOUT: Duration = Duration::from_millis(1000);
@@ -62,28 +57,12 @@
         if known != State::default() {
             self.offer_orders(known, &Source::Operator);
         }
-        match self.apply(order) {
+        match self.apply_order(order) {
             Ok(state) => self.confirm_orders(state).await,
             Err(current) => Outcome::Conflict { current },
         }
     }
 
-    /// Applies an order here. Of two orders with the same precondition one fails.
-    fn apply(&self, order: &Order) -> Result<State, State> {
-        loop {
-            let current = self.store.load().orders.clone();
-            if order.if_revision.is_some_and(|revision| revision != current.revision) {
-                return Err((*current).clone());
-            }
-            let next = order.apply(&current);
-            let out = if order.out { "out" } else { "in" };
-            if self.offer_orders(next.clone(), &Source::Operator) == Offer::Adopted {
-                log::info!("order target={} {out} revision={}", order.target, next.revision);
-                return Ok(next);
-            }
-        }
-    }
-
     async fn confirm_orders(self: &Arc<Self>, state: State) -> Outcome {
         let stamp = Stamp { revision: state.revision, digest: state.digest() };
         let hosts = self.audience();
--- a/crates/peer/src/node/values.rs
+++ b/crates/peer/src/node/values.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 use hyssop_document::{group, order};
+use parking_lot::MutexGuard;
 
 use super::{Node, Shared};
 use crate::{
@@ -49,7 +50,36 @@
     }
 
     pub(super) fn offer_orders(&self, state: order::State, source: &Source) -> Outcome {
-        let _offer = self.offers.lock();
+        let offer = self.offers.lock();
+        self.offer_orders_alone(state, source, &offer)
+    }
+
+    /// Applies an order to the orders in force, unless its precondition does not hold.
+    ///
+    /// No other offer comes between the check and the change.
+    ///
+    /// # Errors
+    ///
+    /// Returns the orders in force if they have another revision than the operator has seen.
+    pub(super) fn apply_order(&self, order: &order::Order) -> Result<order::State, order::State> {
+        let offer = self.offers.lock();
+        let current = order::State::clone(&self.store.load().orders);
+        if order.if_revision.is_some_and(|revision| revision != current.revision) {
+            return Err(current);
+        }
+        let next = order.apply(&current);
+        self.offer_orders_alone(next.clone(), &Source::Operator, &offer);
+        let out = if order.out { "out" } else { "in" };
+        log::info!("order target={} {out} revision={}", order.target, next.revision);
+        Ok(next)
+    }
+
+    fn offer_orders_alone(
+        &self,
+        state: order::State,
+        source: &Source,
+        _offer: &MutexGuard<'_, ()>,
+    ) -> Outcome {
         let outcome = self.store.offer_orders(state, source);
         if outcome == Outcome::Adopted {
             self.core.lock().set_orders(&self.store.load().orders);
--- a/crates/peer/tests/node/cluster.rs
+++ b/crates/peer/tests/node/cluster.rs
@@ -1,8 +1,11 @@
 //! Several nodes in one process: membership, votes, permits, spread of values, orders.
 
+use std::sync::Arc;
+
 use crate::support::{ask, cluster, completed, group, until};
 use hyssop_document::{
     name,
+    number::Revision,
     order::{Order, Target},
 };
 use hyssop_peer::{Verdict, order::Outcome};
@@ -54,3 +57,21 @@
         assert!(node.current().orders.zones_out.contains(&name::Zone::new("z1")));
     }
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 8)]
+async fn of_many_orders_racing_on_one_host_one_is_carried_out() {
+    let nodes = cluster(1).await;
+    for revision in 0..200 {
+        let orders = (0..8).map(|racer| {
+            let node = Arc::clone(&nodes[0]);
+            let target = Target::Zone(name::Zone::new(&format!("z{}", 1 + racer % 3)));
+            let out = revision % 2 == 0;
+            let order = Order { target, out, if_revision: Some(Revision(revision)) };
+            tokio::spawn(async move { node.order(order).await })
+        });
+        let outcomes = futures::future::join_all(orders.collect::<Vec<_>>()).await;
+        let done =
+            outcomes.into_iter().filter(|outcome| matches!(outcome, Ok(Outcome::Done { .. })));
+        assert_eq!(done.count(), 1, "revision {revision}");
+    }
+}
