--- a/crates/caller/tests/history.rs
+++ b/crates/caller/tests/history.rs
@@ -1,8 +1,9 @@
 //! Histories of concurrent callers that resend through other daemons while these are killed and
 //! frozen, relays are lost, and backend servers die.
 //!
-//! Time is simulated, so each seed gives one history. Each key is checked as a register that is
-//! written at most once, by the execution, and that a "not run" seals.
+//! Time is simulated and callers and faults are drawn from a seed. Histories of one seed are alike but
+//! not equal, since times of issue come from the system's clock and hash maps are seeded anew. Each key
+//! is checked as a register that is written at most once, by the execution, and that a "not run" seals.
 
 mod bench;
 
