Read objects with many unknown fields in linear time

Each unknown field was compared with all before it, to report repeated ones once. A value of 1.1 MB out of unknown fields kept the reader busy for more than 300 s in a debug build (test a_document_of_unknown_fields, stopped there), on the daemon that checks it. With a set of the names seen the whole test file takes about 1 s. Deep nesting was tried too and was no problem.

--- a/crates/document/src/load/object.rs
+++ b/crates/document/src/load/object.rs
@@ -13,6 +13,7 @@
     fault,
     list::{List, Place},
 };
+use crate::collections::Set;
 
 /// The number of characters of a wrong value that are shown.
 const MAX_SHOWN_CHARS: usize = 40;
@@ -286,12 +287,12 @@
         texts
     }
 
-    /// Reports the fields that nobody asked for.
+    /// Reports the fields that nobody asked for, repeated ones once.
     pub(super) fn close(self) {
-        for (position, (name, _)) in self.fields.iter().enumerate() {
+        let mut seen = Set::default();
+        for (name, _) in &self.fields {
             let asked = self.known.iter().any(|known| known == name);
-            let repeated = self.fields[..position].iter().any(|(earlier, _)| earlier == name);
-            if asked || repeated {
+            if asked || !seen.insert(name.as_str()) {
                 continue;
             }
             let path = format_compact!("{}{}", self.prefix, shortened(name));
--- a/crates/document/tests/faults.rs
+++ b/crates/document/tests/faults.rs
@@ -303,6 +303,32 @@
     );
 }
 
+/// Reading takes a time in proportion to the size, so that no document keeps a daemon busy.
+#[test]
+fn a_document_of_unknown_fields() {
+    let mut text = String::from("{");
+    for number in 0..100_000 {
+        text.push_str(&format!("\"{number}\":0,"));
+    }
+    text.push_str("\"last\":0}");
+    let found = faults(&text);
+    let last = found.lines().last().unwrap();
+    check(last, &expect!["document: 99008 more faults"]);
+}
+
+#[test]
+fn a_deeply_nested_document() {
+    let depth = 500_000;
+    let text = format!("{{\"classes\":{}{}}}", "[".repeat(depth), "]".repeat(depth));
+    let found = faults(&text);
+    check(
+        found.lines().nth(2).unwrap(),
+        &expect![
+            "classes[0]: an object is needed, found [[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[..."
+        ],
+    );
+}
+
 #[test]
 fn more_than_can_be_listed() {
     let found = faults_after(|document| {
