--- a/crates/caller/src/home/entry.rs
+++ b/crates/caller/src/home/entry.rs
@@ -1,7 +1,6 @@
 //! How requests enter the home: authentication, keys, relay, and the response.
 
 use std::{
-    net::SocketAddr,
     sync::{Arc, atomic::Ordering},
     time::Instant,
 };
@@ -24,11 +23,19 @@
     key::Key,
     outcome::{Kind, Outcome, Reason, SOON},
     record::{End, Next, Reader, Record},
-    registry::{Begin, Owned},
+    registry::{Begin, Fresh, Owned},
     render,
     request::{self, Request, Route},
 };
 
+/// What a request that may run reads its answer from.
+enum Begun {
+    /// A run that begins with it.
+    Fresh(Fresh),
+    /// The run of an earlier copy.
+    Joined(Arc<Record>),
+}
+
 impl Desk for Home {
     fn admit(&self, head: &Parts) -> Result<(), Outcome> {
         let route = Route::find(&head.method, head.uri.path(), head.uri.query())?;
@@ -65,8 +72,9 @@
         if route == Route::Addresses {
             return Ok(render::json(&self.shared.directory.addresses()));
         }
-        let workspace = self.workspace(&head)?;
         let key = request::key(&head.headers)?;
+        let workspace = self.workspace(&head);
+        let workspace = workspace.map_err(|outcome| self.settle_head(&head, outcome))?;
         match key.filter(|key| key.incarnation != self.shared.directory.incarnation()) {
             Some(key) => self.foreign(id, &key, head, body, arrived).await,
             None => self.own(id, &workspace, &head, body, arrived).await,
@@ -88,7 +96,7 @@
             Ok((request, terms)) => self.run(request, terms, arrived).await,
             Err(outcome) => {
                 let key = request::key(&head.headers)?;
-                Err(self.settle(workspace, key, outcome))
+                Err(self.settle(Some(workspace.clone()), key, outcome))
             }
         }
     }
@@ -102,72 +110,71 @@
         body: Bytes,
         arrived: Instant,
     ) -> Result<Response<Body>, Outcome> {
-        let relayed = head.headers.contains_key(request::RELAYED);
-        let address = self.shared.directory.locate(key.incarnation).filter(|_| !relayed);
-        if let Some(address) = address {
-            let answered = self.relay(id, key, address, head.clone(), body.clone()).await;
-            if let Some(response) = answered {
-                return Ok(response);
-            }
-        }
-        let gone = || {
+        let unknown = || {
             let message = "the daemon that the key is bound to cannot be reached";
             Outcome::unknown(Reason::HomeGone, message)
         };
-        let request = Request::parse(id.clone(), &head, body).map_err(|_| gone())?;
-        let terms = self.terms(&request).map_err(|_| gone())?;
+        let relayed = head.headers.contains_key(request::RELAYED);
+        let address = self.shared.directory.locate(key.incarnation).filter(|_| !relayed);
+        let address = address.ok_or_else(unknown)?;
+        let by = format_compact!("{}", self.shared.directory.incarnation());
+        let relay = self.shared.relay.relay(address, by, head.clone(), body.clone());
+        let error = match relay.await {
+            Ok(response) => return Ok(response),
+            Err(error) => error,
+        };
+        let (home, gone) = (key.incarnation, error.gone);
+        log::info!("relay failed request={id} home={home} gone={gone} error=\"{error}\"");
+        // A home that may be alive may run the request, or refuse it as not run.
+        if !gone {
+            return Err(unknown());
+        }
+        let request = Request::parse(id.clone(), &head, body).map_err(|_| unknown())?;
+        let terms = self.terms(&request).map_err(|_| unknown())?;
         if !terms.class.idempotent {
-            return Err(gone());
+            return Err(unknown());
         }
         self.run(request, terms, arrived).await
     }
 
-    async fn relay(
-        &self,
-        id: &CompactString,
-        key: &Key,
-        address: SocketAddr,
-        head: Parts,
-        body: Bytes,
-    ) -> Option<Response<Body>> {
-        let by = format_compact!("{}", self.shared.directory.incarnation());
-        match self.shared.relay.relay(address, by, head, body).await {
-            Ok(response) => Some(response),
-            Err(error) => {
-                let home = key.incarnation;
-                log::info!("relay failed request={id} home={home} error=\"{error}\"");
-                None
-            }
-        }
-    }
-
     async fn run(
         &self,
         request: Request,
         terms: Terms,
         arrived: Instant,
     ) -> Result<Response<Body>, Outcome> {
-        let (record, owned, is_new) = self.begin(&request, &terms)?;
-        let reader = record.reader();
-        let order = Order { request, terms, arrived, number: self.next_number() };
+        let (begun, owned) = self.begin(&request, &terms)?;
+        let fresh = match begun {
+            Begun::Joined(record) => return self.respond(&request, record.reader()).await,
+            Begun::Fresh(fresh) => fresh,
+        };
+        let reader = fresh.record.reader();
+        let order = Order {
+            arrived,
+            number: self.next_number(),
+            // What the daemon did that the key is bound to is not known here.
+            ran_before: fresh.ran_before || self.is_foreign(&request),
+            terms,
+            request,
+        };
         let request = order.request.clone();
-        if is_new {
-            let run = Run::new(Arc::clone(&self.shared), order, record);
-            self.shared.runs.spawn(supervise::run(run, owned));
-        }
+        let run = Run::new(Arc::clone(&self.shared), order, fresh.record);
+        self.shared.runs.spawn(supervise::run(run, owned));
         self.respond(&request, reader).await
     }
 
+    fn is_foreign(&self, request: &Request) -> bool {
+        let own = self.shared.directory.incarnation();
+        request.head.key.as_ref().is_some_and(|key| key.incarnation != own)
+    }
+
     /// Registers a request, and says whether it is to be run.
-    fn begin(
-        &self,
-        request: &Request,
-        terms: &Terms,
-    ) -> Result<(Arc<Record>, Option<Owned>, bool), Outcome> {
+    fn begin(&self, request: &Request, terms: &Terms) -> Result<(Begun, Option<Owned>), Outcome> {
         let idempotent = terms.class.idempotent;
         let Some(key) = request.head.key.clone() else {
             if idempotent {
-                return Ok((Arc::default(), None, true));
+                let fresh = Fresh { record: Arc::default(), ran_before: false };
+                return Ok((Begun::Fresh(fresh), None));
             }
             let message = "a non-idempotent request needs an Idempotency-Key";
             return Err(Outcome::refused(Reason::KeyRequired, message));
@@ -175,9 +182,9 @@
         let owned = Owned { workspace: terms.workspace.clone(), key };
         let now = self.shared.clock.now();
         match self.shared.registry.begin(&owned, request.digest(), idempotent, now) {
-            Begin::Run(record) => Ok((record, Some(owned), true)),
-            Begin::Unregistered(record) => Ok((record, None, true)),
-            Begin::Join(record) => Ok((record, None, false)),
+            Begin::Run(fresh) => Ok((Begun::Fresh(fresh), Some(owned))),
+            Begin::Unregistered(fresh) => Ok((Begun::Fresh(fresh), None)),
+            Begin::Join(record) => Ok((Begun::Joined(record), None)),
             Begin::Refuse(outcome) => Err(outcome),
         }
     }
@@ -221,12 +228,26 @@
     }
 
     /// Makes a refusal final for its key, or says less if that cannot be done.
-    fn settle(&self, workspace: &name::Workspace, key: Option<Key>, outcome: Outcome) -> Outcome {
+    ///
+    /// Only the home of a key may say that it did not run, since only there it is known and kept
+    /// from running later.
+    fn settle(
+        &self,
+        workspace: Option<name::Workspace>,
+        key: Option<Key>,
+        outcome: Outcome,
+    ) -> Outcome {
         let Some(key) = key.filter(|_| outcome.kind == Kind::Refused) else { return outcome };
         let own = key.incarnation == self.shared.directory.incarnation();
-        let owned = Owned { workspace: workspace.clone(), key };
-        let now = self.shared.clock.now();
-        if own && self.shared.registry.bury(&owned, &outcome, now) {
+        let settled = match workspace {
+            Some(workspace) if own => {
+                let owned = Owned { workspace, key };
+                self.shared.registry.bury(&owned, &outcome, self.shared.clock.now())
+            }
+            // A workspace that is unknown now may have been known when the key began.
+            _ => false,
+        };
+        if settled {
             return outcome;
         }
         let message = format_compact!("{}; a copy of the request may have run", outcome.message);
@@ -235,14 +256,18 @@
 
     /// Settles the refusal of a request of which only the head was read.
     fn settle_head(&self, head: &Parts, outcome: Outcome) -> Outcome {
-        let (Ok(workspace), Ok(key)) = (self.workspace(head), request::key(&head.headers)) else {
-            return outcome;
-        };
-        self.settle(&workspace, key, outcome)
+        match request::key(&head.headers) {
+            Ok(key) => self.settle(self.workspace(head).ok(), key, outcome),
+            Err(_) => outcome,
+        }
     }
 
     fn outcome(&self, outcome: &Outcome, id: &str) -> Response<Body> {
-        log::debug!("request ended request={id} outcome={outcome}");
+        if outcome.kind == Kind::Refused {
+            log::debug!("request refused request={id} outcome={outcome}");
+        } else {
+            log::info!("request ended request={id} outcome={outcome}");
+        }
         render::outcome(outcome, id)
     }
 
--- a/crates/caller/src/home/run.rs
+++ b/crates/caller/src/home/run.rs
@@ -43,6 +43,8 @@
     pub(super) arrived: Instant,
     /// A number that no other request of any daemon has.
     pub(super) number: CompactString,
+    /// Whether an earlier copy may have run.
+    pub(super) ran_before: bool,
 }
 
 /// One run of a request.
@@ -77,11 +79,11 @@
             deadline: order.arrived + wait,
             fingerprint,
             shared,
+            tally: Tally::new(order.ran_before),
             order,
             record,
             progress: Arc::default(),
             exclude: Vec::new(),
-            tally: Tally::default(),
         }
     }
 
@@ -287,6 +289,8 @@
     fn outcome(&self, reason: Reason, message: &str, retry_after: Option<Duration>) -> Outcome {
         let mut outcome = match self.tally.ran {
             Ran::NotRun => Outcome::refused(reason, message),
+            // Only an earlier copy can have run, here or at a home that has ended.
+            Ran::MayHaveRun if self.tally.attempts == 0 => Outcome::unknown(reason, message),
             ran if self.order.terms.class.idempotent => Outcome::failed(ran, reason, message),
             _ => Outcome::unknown(reason, message),
         };
--- a/crates/fakes/examples/measure/report.rs
+++ b/crates/fakes/examples/measure/report.rs
@@ -37,6 +37,8 @@
     goodput_tokens_per_s: f64,
     generated_tokens: u64,
     wasted_tokens: u64,
+    /// The part of the wasted tokens that engines lost in their own crashes.
+    crashed_tokens: u64,
     /// The answered tokens in that 10 s of the run in which there were fewest, in percent of what
     /// the engines can generate.
     least_percent_in_10s: f64,
@@ -122,6 +124,7 @@
         goodput_tokens_per_s: 0.0,
         generated_tokens: 0,
         wasted_tokens: 0,
+        crashed_tokens: 0,
         least_percent_in_10s: 0.0,
     };
     for class in &plan.shape.document.classes {
@@ -130,14 +133,18 @@
         let work = works.get(&class.name).copied().unwrap_or_default();
         let mut row = Row { class: class.name.to_string(), tier: class.tier.0, ..base.clone() };
         fill(&mut row, plan, &own, work);
+        let whole_run = fates.iter().filter(|fate| fate.first.class == class.name);
+        row.least_percent_in_10s = least_in_window(plan, counted_ms, whole_run);
         rows.push(row);
     }
     let mut all = base;
     let sum = works.values().fold(Work::default(), |sum, work| Work {
         generated: sum.generated + work.generated,
         wasted: sum.wasted + work.wasted,
+        crashed: sum.crashed + work.crashed,
     });
     fill(&mut all, plan, &counted, sum);
+    all.least_percent_in_10s = least_in_window(plan, counted_ms, fates.iter());
     rows.push(all);
     let violations = history::check(events, records);
     Report {
@@ -166,7 +173,7 @@
     row.goodput_tokens_per_s = tokens as f64 / seconds;
     row.generated_tokens = work.generated;
     row.wasted_tokens = work.wasted;
-    row.least_percent_in_10s = least_in_window(plan, fates);
+    row.crashed_tokens = work.crashed;
 }
 
 fn attains(plan: &Plan, fate: &Fate<'_>) -> bool {
@@ -184,15 +191,19 @@
 }
 
 /// The tokens answered in the window of 10 s that has the fewest, in percent of the capacity.
-fn least_in_window(plan: &Plan, fates: &[&Fate<'_>]) -> f64 {
+fn least_in_window<'a>(
+    plan: &Plan,
+    begin_ms: u64,
+    fates: impl Iterator<Item = &'a Fate<'a>>,
+) -> f64 {
     const WINDOW_S: u64 = 10;
-    let Some(begin) = fates.iter().map(|fate| fate.first.at_ms).min() else { return 0.0 };
     let seconds = (plan.time - plan.warm_up).as_secs();
-    let ends = || fates.iter().map(|fate| fate.end).filter(|end| end.outcome == Outcome::Answered);
+    let ends = fates.map(|fate| fate.end).filter(|end| end.outcome == Outcome::Answered);
+    let ends: Vec<_> = ends.collect();
     let answered = |start: u64| {
-        let from = begin + start * 1_000;
+        let from = begin_ms + start * 1_000;
         let to = from + WINDOW_S * 1_000;
-        let inside = ends().filter(|end| end.at_ms >= from && end.at_ms < to);
+        let inside = ends.iter().filter(|end| end.at_ms >= from && end.at_ms < to);
         inside.map(|end| end.tokens.0).sum::<u64>()
     };
     let least = (0..=seconds.saturating_sub(WINDOW_S)).map(answered).min().unwrap_or(0);
@@ -299,6 +310,7 @@
     top_tier: f64,
     goodput: f64,
     wasted: f64,
+    crashed: f64,
 }
 
 impl Score {
@@ -312,6 +324,7 @@
             top_tier: share(attained as f64, sent as f64),
             goodput: all.goodput_tokens_per_s,
             wasted: share(all.wasted_tokens as f64, all.generated_tokens as f64),
+            crashed: share(all.crashed_tokens as f64, all.generated_tokens as f64),
         }
     }
 }
@@ -325,12 +338,14 @@
     let scores: Vec<_> = baselines.iter().map(|report| Score::new(report)).collect();
     let best = |value: fn(&Score) -> f64| scores.iter().map(value).fold(0.0, f64::max);
     let least_wasted = scores.iter().map(|score| score.wasted).fold(f64::INFINITY, f64::min);
+    let besides = scores.iter().map(|score| score.wasted - score.crashed);
+    let least_besides = besides.fold(f64::INFINITY, f64::min);
     let own = Score::new(product);
     let row = &product.rows[0];
     writeln!(
         out,
         "{} {}: top tier attained {:.1}% (best baseline {:.1}%), goodput {:.0} tokens/s ({:.0}), \
-         wasted {:.1}% ({least_wasted:.1}%)",
+         wasted {:.2}% ({least_wasted:.2}%), {:.2}% besides what engines lost in crashes ({:.2}%)",
         row.shape,
         row.scenario,
         own.top_tier,
@@ -338,5 +353,7 @@
         own.goodput,
         best(|score| score.goodput),
         own.wasted,
+        own.wasted - own.crashed,
+        least_besides,
     )
 }
--- a/crates/peer/src/group.rs
+++ b/crates/peer/src/group.rs
@@ -310,7 +310,9 @@
     }
 
     fn adopt(&mut self, report: &Report, now: Instant) {
-        let running = report.running.iter().flatten();
+        let Some(full) = &report.full else { return };
+        self.scheduler.learn(&full.known, now);
+        let running = full.running.iter();
         let unknown = running.filter(|one| !self.counted.contains_key(&one.id));
         let mut unknown: Vec<_> = unknown.cloned().collect();
         for one in &mut unknown {
@@ -407,8 +409,7 @@
 
     /// The start of the next round: after the interval, or when the newest vote settles.
     fn next_round(&self, now: Instant) -> Option<Instant> {
-        let core = self.shared.core.lock();
-        let settles = core.tally.settles_at(self.key, core.electorate(), now)?;
+        let settles = self.shared.core.lock().settles_at(self.key, now)?;
         let Some(last) = self.round else { return Some(now) };
         let next = last + self.shared.timing.load;
         Some(if settles > last { next.min(settles.max(now)) } else { next })
