--- a/crates/peer/tests/votes.rs
+++ b/crates/peer/tests/votes.rs
@@ -231,7 +231,10 @@
         let started = self.now;
         let host = &mut self.hosts[number];
         host.up = !host.up;
-        if host.up {
+        if !host.up {
+            let ended = host.core.me().clone();
+            self.tell_of_end(&ended);
+        } else {
             host.started = started;
             host.incarnation += 1;
             host.core = core(number, host.incarnation, &timing, now);
@@ -241,6 +244,18 @@
         }
     }
 
+    /// Has some hosts see that a process has ended, as by a refused connection.
+    fn tell_of_end(&mut self, ended: &Process) {
+        for number in 0..HOSTS {
+            let now = self.local(number);
+            let sees = self.random.random();
+            let host = &mut self.hosts[number];
+            if sees && host.up && !host.stopped {
+                host.core.ended(ended, now);
+            }
+        }
+    }
+
     /// Whether no listed process but that of `number` knows the hosts that were listed lately.
     ///
     /// If every process listed before and after a change starts anew within the guard window, then
