Tell the policy of backend servers whose load cannot be had

Cause: a load report that failed was only logged, so a backend server that is down or hangs kept its room.

Change: after two failures in a row the scheduler is told that the backend server cannot be reached. One alone may be a late answer on a busy host, and would make the backend server cold.

Shown: with one of two backend servers down only the other has room; without the change the test waits in vain for 10 s.

--- a/crates/peer/src/group.rs
+++ b/crates/peer/src/group.rs
@@ -43,6 +43,8 @@
 const MAX_COMMANDS_A_STEP: usize = 512;
 /// The shortest sleep of the task, which bounds its processor time.
 const MIN_SLEEP: Duration = Duration::from_millis(1);
+/// The number of load reports that must fail in a row before a backend server gets no work.
+const FAILURES_OF_UNREACHABLE: u32 = 2;
 /// The number of low bits of a permit's number that count the permits of one scheduler.
 const NUMBER_BITS: u32 = 44;
 
@@ -160,6 +162,8 @@
     waiting: Map<Ticket, Waiting>,
     tickets: Map<(Process, u64), Ticket>,
     counted: Map<permit::Id, Counted>,
+    /// The load reports that failed in a row.
+    failures: Map<name::Backend, u32>,
     polls: FuturesUnordered<BoxFuture<'static, Answer>>,
     /// The start of the round of load reports that is under way or was last.
     round: Option<Instant>,
@@ -185,6 +189,7 @@
             waiting: Map::default(),
             tickets: Map::default(),
             counted: Map::default(),
+            failures: Map::default(),
             polls: FuturesUnordered::new(),
             round: None,
             observed: None,
@@ -417,11 +422,20 @@
 
     fn loaded(&mut self, backend: &name::Backend, load: Result<Load, CompactString>) {
         let now = self.now();
-        match load {
-            Ok(load) => self.scheduler.report(backend, load, now),
-            Err(message) => {
-                log::debug!("no load report group={} backend={backend} {message}", self.group);
+        let message = match load {
+            Ok(load) => {
+                self.failures.remove(backend);
+                self.scheduler.report(backend, load, now);
+                return;
             }
+            Err(message) => message,
+        };
+        let failures = self.failures.entry(backend.clone()).or_default();
+        *failures += 1;
+        log::debug!("no load report group={} backend={backend} {message}", self.group);
+        // One answer may be late on a busy host; a backend server that is down fails again.
+        if *failures >= FAILURES_OF_UNREACHABLE {
+            self.scheduler.unreachable(backend, now);
         }
     }
 
--- /dev/null
+++ b/crates/peer/tests/node/loads.rs
@@ -0,0 +1,48 @@
+//! Load reports that cannot be had.
+
+use std::sync::Arc;
+
+use compact_str::CompactString;
+use futures::future::{self, BoxFuture};
+use hyssop_document::{model, name, number::Incarnation};
+use hyssop_peer::{Identity, Loads, current::Source};
+use hyssop_policy::load::Load;
+use hyssop_timer::Service;
+
+use crate::support::{Idle, document, list, start_with, timing, until};
+
+/// Reports the first backend server as one that cannot be reached.
+#[derive(Debug)]
+struct FirstDown;
+
+impl Loads for FirstDown {
+    fn load(&self, backend: &model::Backend) -> BoxFuture<'static, Result<Load, CompactString>> {
+        match backend.name.as_str() {
+            "b1" => Box::pin(future::ready(Err("connection refused".into()))),
+            _ => Idle::default().load(backend),
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_backend_server_whose_load_cannot_be_had_gets_no_work() {
+    let any = "127.0.0.1:0".parse().expect("the address is valid");
+    let identity = Identity {
+        host: name::Host::new("h1"),
+        zone: name::Zone::new("z1"),
+        incarnation: Incarnation::new(1_000_000, 1),
+        caller_address: any,
+        peer_address: any,
+    };
+    let timer = Service::builder().start();
+    let node = start_with(identity, timing(), Vec::new(), Arc::new(FirstDown), timer).await;
+    node.set_listed(list(1, &[Arc::clone(&node)])).expect("the list is valid");
+    node.offer_document(document(1), Source::Platform);
+    until("only b2 has room", async || {
+        let status = node.own_status().await;
+        let backends = status.groups.iter().flat_map(|group| &group.backends);
+        let room: Vec<_> = backends.filter(|b| b.has_room).map(|b| b.name.as_str()).collect();
+        room == ["b2"]
+    })
+    .await;
+}
--- a/crates/peer/tests/node/main.rs
+++ b/crates/peer/tests/node/main.rs
@@ -2,5 +2,6 @@
 
 mod cluster;
 mod failure;
+mod loads;
 mod support;
 mod values;
--- a/crates/peer/tests/node/support.rs
+++ b/crates/peer/tests/node/support.rs
@@ -114,7 +114,16 @@
 
 pub(crate) async fn start(identity: Identity, timing: Timing, seeds: Vec<SocketAddr>) -> Arc<Node> {
     let timer = Service::builder().resolution(Duration::from_millis(10)).start();
-    let loads = Arc::new(Idle::default());
+    start_with(identity, timing, seeds, Arc::new(Idle::default()), timer).await
+}
+
+pub(crate) async fn start_with(
+    identity: Identity,
+    timing: Timing,
+    seeds: Vec<SocketAddr>,
+    loads: Arc<dyn Loads>,
+    timer: Arc<Service>,
+) -> Arc<Node> {
     Node::builder(identity, timer, loads)
         .timing(timing)
         .seeds(seeds)
