--- a/crates/peer/src/core.rs
+++ b/crates/peer/src/core.rs
@@ -3,14 +3,14 @@
 use std::time::{Duration, Instant};
 
 use hyssop_document::{collections::Map, name, number::Incarnation, order};
-use hyssop_policy::{permit::Permit, share::Share};
-use serde::{Deserialize, Serialize};
+use hyssop_policy::share::Share;
 
 use crate::{
     hosts::{self, List},
     identity::{Identity, Process},
     member::{Answer, Peer, Table},
     rank::{self, Key},
+    standing::Standing,
     timing::Timing,
     vote::{Book, Electorate, Sequence, Tally, Vote},
     wire::{self, Cell, Heartbeat, News, Stamp},
@@ -27,80 +27,16 @@
     pub notices: u64,
 }
 
-/// The scheduler from which permits for a group may be taken.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Standing {
-    /// The scheduler.
-    pub scheduler: Process,
-    /// The epoch of the vote.
-    pub epoch: u32,
-    /// The end of the promise.
-    pub until: Instant,
-    /// The time on the own clock before which the scheduler had not started, once that is known.
-    pub start: Option<Instant>,
-}
-
-impl Standing {
-    /// Checks that a permit was granted by this scheduler and is to be used now.
-    ///
-    /// Its age is taken at the most that it can be.
-    ///
-    /// # Errors
-    ///
-    /// Says why the permit must not be used.
-    pub fn check(&self, permit: &Permit, now: Instant) -> Result<(), Stale> {
-        if self.scheduler.incarnation != permit.id.scheduler || now >= self.until {
-            return Err(Stale::VoteEnded);
-        }
-        let start = self.start.ok_or(Stale::VoteEnded)?;
-        let uptime_ms = now.saturating_duration_since(start).as_millis() as u64;
-        match uptime_ms.saturating_sub(permit.granted_at_ms) > permit.use_within_ms {
-            true => Err(Stale::Expired),
-            false => Ok(()),
-        }
-    }
-}
-
-/// Why a permit may not be used any more. The request did not run.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    Hash,
-    Serialize,
-    Deserialize,
-    derive_more::Display,
-    derive_more::Error,
-)]
-pub enum Stale {
-    /// The process was stopped and its view is not fresh yet.
-    #[display("the process was stopped")]
-    Paused,
-    /// The time within which the permit must be used has passed.
-    #[display("the permit has expired")]
-    Expired,
-    /// The vote for the scheduler that granted it has ended.
-    #[display("the vote has ended")]
-    VoteEnded,
-    /// The availability zone of the backend server is out of service.
-    #[display("the availability zone is out of service")]
-    ZoneOut,
-    /// The document in force does not have the backend server at this address any more.
-    #[display("the backend server was removed")]
-    Removed,
-}
-
 /// What a heartbeat changed.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Effect {
     /// Whether the heartbeat was taken in.
     pub accepted: bool,
-    /// Whether own votes moved or were withdrawn, which peers should hear of at once.
+    /// Whether a vote of this daemon moved, or one for it was withdrawn, which peers should hear of
+    /// at once.
     pub moved: bool,
-    /// Whether the process is new, so that its host's process before has ended.
-    pub replaced: bool,
+    /// The process that the sender replaced on its host, and that has ended so.
+    pub replaced: Option<Process>,
 }
 
 /// Membership, own votes and votes held of one daemon.
@@ -381,7 +317,7 @@
         if heartbeat.cell != self.cell {
             return Effect::default();
         }
-        let before = self.members.peer(&heartbeat.host).map(|peer| peer.identity.incarnation);
+        let before = self.members.peer(&heartbeat.host).map(|peer| peer.identity.process());
         let echo = heartbeat.echo.filter(|echo| echo.incarnation == self.me.incarnation);
         let answered = echo.map(|echo| echo.sequence);
         let answer = answered.and_then(|sequence| {
@@ -392,23 +328,24 @@
             return Effect::default();
         }
         let process = heartbeat.process();
-        let replaced = before.is_some_and(|before| before < process.incarnation);
-        if replaced {
+        let replaced = before.filter(|before| before.incarnation < process.incarnation);
+        if replaced.is_some() {
             self.book.ended(&process.host, process.incarnation);
         }
-        self.tally.heard(&process, heartbeat.sequence, answered, &heartbeat.votes, now);
+        let Heartbeat { sequence, votes, .. } = heartbeat;
+        let withdrawn = self.tally.heard(&process, *sequence, answered, votes, now);
         self.book.heard(&process, now);
         if let Some(answered) = answered {
             self.book.echoed(&process, answered);
             self.answered(answered);
         }
-        Effect { accepted: true, moved: self.move_votes(now), replaced }
+        Effect { accepted: true, moved: self.move_votes(now) || withdrawn, replaced }
     }
 
     /// Notes that a process has ended. Returns whether own votes moved.
     pub fn ended(&mut self, process: &Process, now: Instant) -> bool {
         let after = Incarnation(process.incarnation.0 + 1);
-        self.members.ended(process);
+        self.members.ended(process, now);
         self.book.ended(&process.host, after);
         self.tally.ended(&process.host, after);
         self.move_votes(now)
@@ -458,19 +395,35 @@
         if self.members.is_list_stale(now) || self.refreshed(now).is_none() {
             return Share { votes: 0, hosts };
         }
-        let strangers = self.members.has_strangers(electorate, now);
-        let reports = self.tally.reports(key, electorate, now);
-        let ended = self.members.ended_among(electorate);
-        let votes = if reports == hosts && !strangers {
-            hosts
-        } else if reports + ended == hosts && !strangers {
-            self.tally.settled(key, electorate, observed, Duration::ZERO, now)
-        } else {
-            self.tally.settled(key, electorate, observed, self.settle, now)
+        let votes = match self.settle(key, hosts, now) {
+            Some(settle) => self.tally.settled(key, electorate, observed, settle, now),
+            None => hosts,
         };
         Share { votes, hosts }
     }
 
+    /// The time that votes for `key` must settle. `None` if they need no load report at all.
+    fn settle(&self, key: Key, hosts: u32, now: Instant) -> Option<Duration> {
+        if self.members.has_strangers(&self.electorate, now) {
+            return Some(self.settle);
+        }
+        let reports = self.tally.reports(key, &self.electorate, now);
+        let ended = self.members.ended_among(&self.electorate);
+        match hosts {
+            hosts if reports == hosts => None,
+            hosts if reports + ended == hosts => Some(Duration::ZERO),
+            _ => Some(self.settle),
+        }
+    }
+
+    /// The time at which load reports may be asked for that settle the newest vote for `key`.
+    pub fn settles_at(&self, key: Key, now: Instant) -> Option<Instant> {
+        let newest = self.tally.newest(key, &self.electorate, now)?;
+        let hosts = self.members.voters(&self.electorate, now).unwrap_or(0);
+        let settle = self.settle(key, hosts, now).unwrap_or(Duration::ZERO);
+        Some(newest + settle)
+    }
+
     /// The schedulers from which permits may be taken.
     pub fn standings(&self, now: Instant) -> Map<Key, Standing> {
         let mut standings = Map::default();
