Carry incarnations and digests in binary between daemons

Cause: a permit's identity travelled with its incarnation as 17 bytes of text, and the peer package had a second form of it for reports. Change: incarnations and digests are text in readable formats and numbers or bytes in binary ones, in one place; the peer package's own binary forms and its second identity of a permit go.

--- a/crates/document/src/digest.rs
+++ b/crates/document/src/digest.rs
@@ -2,15 +2,17 @@
 
 use std::{fmt, str::FromStr};
 
-use serde::{Deserialize, Serialize};
 use sha2::Digest as _;
 use subtle::ConstantTimeEq;
 
+use crate::form::text_or_binary;
+
 /// A SHA-256 digest. The text form has 64 hexadecimal digits.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(into = "String", try_from = "String")]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Digest(pub [u8; 32]);
 
+text_or_binary!(Digest);
+
 impl Digest {
     /// The digest of `bytes`.
     pub fn of(bytes: &[u8]) -> Self {
@@ -63,17 +65,3 @@
         Ok(Self(bytes))
     }
 }
-
-impl From<Digest> for String {
-    fn from(digest: Digest) -> Self {
-        digest.to_string()
-    }
-}
-
-impl TryFrom<String> for Digest {
-    type Error = Error;
-
-    fn try_from(text: String) -> Result<Self, Error> {
-        text.parse()
-    }
-}
--- /dev/null
+++ b/crates/document/src/form.rs
@@ -0,0 +1,30 @@
+//! Types that are text in readable formats and numbers or bytes in binary ones.
+
+/// Implements `Serialize` and `Deserialize` for a newtype with `Display` and `FromStr`.
+///
+/// JSON shows the text form. Binary formats carry the inner value, which is a third of the size.
+macro_rules! text_or_binary {
+    ($name:ident) => {
+        impl serde::Serialize for $name {
+            fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+                if serializer.is_human_readable() {
+                    return serializer.collect_str(self);
+                }
+                serde::Serialize::serialize(&self.0, serializer)
+            }
+        }
+
+        impl<'de> serde::Deserialize<'de> for $name {
+            fn deserialize<D: serde::Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+                if !deserializer.is_human_readable() {
+                    return serde::Deserialize::deserialize(deserializer).map(Self);
+                }
+                let text: compact_str::CompactString =
+                    serde::Deserialize::deserialize(deserializer)?;
+                text.parse().map_err(serde::de::Error::custom)
+            }
+        }
+    };
+}
+
+pub(crate) use text_or_binary;
--- a/crates/document/src/lib.rs
+++ b/crates/document/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod collections;
 pub mod difference;
 pub mod digest;
+mod form;
 pub mod group;
 pub mod load;
 pub mod model;
--- a/crates/document/src/number.rs
+++ b/crates/document/src/number.rs
@@ -4,6 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::form::text_or_binary;
+
 /// The revision of a published value. A higher revision replaces a lower one.
 #[derive(
     Debug,
@@ -92,12 +94,11 @@
 ///
 /// The upper 44 bits are the start time in milliseconds since 1970, the lower 20 bits are random.
 /// The text form has 16 hexadecimal digits.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
-#[serde(into = "String", try_from = "String")]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Incarnation(pub u64);
 
+text_or_binary!(Incarnation);
+
 impl Incarnation {
     /// The number of low bits that are random.
     pub const RANDOM_BITS: u32 = 20;
@@ -133,17 +134,3 @@
         from_hex(text).map(Self).ok_or(IncarnationError)
     }
 }
-
-impl From<Incarnation> for String {
-    fn from(incarnation: Incarnation) -> Self {
-        incarnation.to_string()
-    }
-}
-
-impl TryFrom<String> for Incarnation {
-    type Error = IncarnationError;
-
-    fn try_from(text: String) -> Result<Self, IncarnationError> {
-        text.parse()
-    }
-}
--- a/crates/peer/src/group.rs
+++ b/crates/peer/src/group.rs
@@ -307,7 +307,7 @@
         let now = self.now();
         self.adopt(report, now);
         self.reconcile(report, now);
-        let mut held = report.held.iter().map(|one| permit::Id::from(*one));
+        let mut held = report.held.iter().copied();
         let complete = held.all(|id| self.counted.contains_key(&id));
         let tally = &mut self.shared.core.lock().tally;
         let voted = complete && tally.reported(&report.home, report.vote);
@@ -334,7 +334,7 @@
 
     /// Ends what the home neither holds nor waits for: its answer or its release was lost.
     fn reconcile(&mut self, report: &Report, now: Instant) {
-        let running: Set<_> = report.held.iter().map(|one| permit::Id::from(*one)).collect();
+        let running: Set<_> = report.held.iter().copied().collect();
         let mut lost = Vec::new();
         for (id, counted) in self.counted.iter_mut().filter(|(_, c)| c.home == report.home) {
             let missing = counted.number <= report.last_number
--- a/crates/peer/src/identity.rs
+++ b/crates/peer/src/identity.rs
@@ -5,8 +5,6 @@
 use hyssop_document::{name, number::Incarnation};
 use serde::{Deserialize, Serialize};
 
-use crate::wire::compact;
-
 /// One run of a daemon on a host.
 #[derive(
     Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, derive_more::Display,
@@ -16,7 +14,6 @@
     /// The host.
     pub host: name::Host,
     /// The run of the daemon on that host.
-    #[serde(with = "compact::incarnation")]
     pub incarnation: Incarnation,
 }
 
@@ -28,7 +25,6 @@
     /// The availability zone of the host.
     pub zone: name::Zone,
     /// The run of the daemon on that host.
-    #[serde(with = "compact::incarnation")]
     pub incarnation: Incarnation,
     /// The address on which it serves callers.
     pub caller_address: SocketAddr,
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -12,7 +12,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-use crate::{identity::Process, vote::Vote, wire::compact};
+use crate::{identity::Process, vote::Vote};
 
 /// A request that needs a permit.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -47,7 +47,6 @@
     /// The availability zone of the home.
     pub zone: name::Zone,
     /// The scheduler's run that is meant. Another one refuses to answer.
-    #[serde(with = "compact::incarnation")]
     pub scheduler: Incarnation,
     /// What is asked for.
     pub ask: Ask,
@@ -112,7 +111,6 @@
     /// The home.
     pub home: Process,
     /// The scheduler's run that the report is for.
-    #[serde(with = "compact::incarnation")]
     pub scheduler: Incarnation,
     /// The group.
     pub group: Group,
@@ -123,7 +121,7 @@
     /// The requests that still wait for a permit, by number.
     pub waiting: Vec<u64>,
     /// The permits in use.
-    pub held: Vec<Reference>,
+    pub held: Vec<permit::Id>,
     /// What a new scheduler must know besides. `None`: as reported before.
     pub full: Option<Full>,
 }
@@ -137,28 +135,6 @@
     pub known: Vec<Known>,
 }
 
-/// A permit's identity in a compact form.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct Reference {
-    /// The incarnation of the scheduler that granted the permit.
-    #[serde(with = "compact::incarnation")]
-    pub scheduler: Incarnation,
-    /// The number of the permit.
-    pub number: u64,
-}
-
-impl From<permit::Id> for Reference {
-    fn from(id: permit::Id) -> Self {
-        Self { scheduler: id.scheduler, number: id.number }
-    }
-}
-
-impl From<Reference> for permit::Id {
-    fn from(reference: Reference) -> Self {
-        Self { scheduler: reference.scheduler, number: reference.number }
-    }
-}
-
 /// What a scheduler made of a [`Report`].
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Receipt {
--- a/crates/peer/src/node/report.rs
+++ b/crates/peer/src/node/report.rs
@@ -173,7 +173,7 @@
         vote,
         last_number: snapshot.last_number,
         waiting: snapshot.waiting,
-        held: snapshot.running.iter().map(|one| one.id.into()).collect(),
+        held: snapshot.running.iter().map(|one| one.id).collect(),
         full: full.then_some(Full { running: snapshot.running, known: snapshot.known }),
     };
     let receipt = match scheduler == shared.me() {
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -31,7 +31,6 @@
     /// The revision.
     pub revision: Revision,
     /// The digest. Of two values with one revision the higher digest wins on every daemon.
-    #[serde(with = "compact::digest")]
     pub digest: Digest,
 }
 
@@ -44,7 +43,6 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Echo {
     /// The run of the recipient.
-    #[serde(with = "compact::incarnation")]
     pub incarnation: Incarnation,
     /// The number of the heartbeat.
     pub sequence: Sequence,
@@ -86,7 +84,6 @@
     /// The sender's host.
     pub host: name::Host,
     /// The sender's run.
-    #[serde(with = "compact::incarnation")]
     pub incarnation: Incarnation,
     /// The number of this heartbeat.
     pub sequence: Sequence,
@@ -163,43 +160,3 @@
     }
     Ok(heartbeat)
 }
-
-/// Binary forms of types whose usual form is text.
-pub mod compact {
-    /// An incarnation as a number.
-    pub mod incarnation {
-        use hyssop_document::number::Incarnation;
-        use serde::{Deserialize, Deserializer, Serializer};
-
-        /// Writes the number.
-        pub fn serialize<S: Serializer>(
-            incarnation: &Incarnation,
-            serializer: S,
-        ) -> Result<S::Ok, S::Error> {
-            serializer.serialize_u64(incarnation.0)
-        }
-
-        /// Reads the number.
-        pub fn deserialize<'de, D: Deserializer<'de>>(
-            deserializer: D,
-        ) -> Result<Incarnation, D::Error> {
-            u64::deserialize(deserializer).map(Incarnation)
-        }
-    }
-
-    /// A digest as 32 bytes.
-    pub mod digest {
-        use hyssop_document::digest::Digest;
-        use serde::{Deserialize, Deserializer, Serialize, Serializer};
-
-        /// Writes the bytes.
-        pub fn serialize<S: Serializer>(digest: &Digest, serializer: S) -> Result<S::Ok, S::Error> {
-            digest.0.serialize(serializer)
-        }
-
-        /// Reads the bytes.
-        pub fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Digest, D::Error> {
-            <[u8; 32]>::deserialize(deserializer).map(Digest)
-        }
-    }
-}
