--- a/crates/fakes/tests/once_homes.rs
+++ b/crates/fakes/tests/once_homes.rs
@@ -128,7 +128,6 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "takes a minute and only prints figures by kind of fault"]
 async fn figures_by_kind_of_fault() {
     const SEED: u64 = 13;
     let faults = [
