--- a/crates/fakes/tests/membership.rs
+++ b/crates/fakes/tests/membership.rs
@@ -8,10 +8,10 @@
 use std::time::{Duration, Instant};
 
 use hyper::Method;
-use hyssop_document::{name, order};
+use hyssop_document::{model::Document, name, order};
 use hyssop_fakes::{
     history::{Event, Outcome},
-    record::unix_ms,
+    record::{Record, unix_ms},
     shape,
 };
 use serde_json::{Value, json};
@@ -236,6 +236,33 @@
     assert!(arrivals.iter().any(|at| *at > in_ms), "the zone gets work again");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_backend_server_that_leaves_gets_no_new_work() {
+    let _seat = seat().await;
+    let mut cluster = builder(3).start().await.unwrap();
+    let leaving = cluster.shape().document.backends.len() - 1;
+    let mut published_ms = 0;
+    let mut outcomes = under_load(&mut cluster, &source(8, secs(7.0)), async |cluster| {
+        sleep(secs(2.0)).await;
+        let remove = |document: &mut Document| document.backends.truncate(leaving);
+        cluster.change(remove).await.unwrap();
+        published_ms = unix_ms();
+    })
+    .await;
+    let record = cluster.backend(leaving, "record", "").await.unwrap();
+    let record: Record = serde_json::from_slice(&record).unwrap();
+    let arrivals: Vec<_> = record.executions.iter().map(|one| one.arrived_ms).collect();
+    outcomes.records.push(record);
+    outcomes.print("backend server leaves");
+    outcomes.check(&cluster);
+    let last_ms = arrivals.iter().max().copied().expect("it got work before it left");
+    let after_ms = last_ms as i64 - published_ms as i64;
+    eprintln!("backend server leaves: last new work {after_ms} ms after the publication");
+    assert!(last_ms < published_ms + BOUND.as_millis() as u64, "{}", cluster.logs(30));
+    let (sent, answered) = outcomes.answered();
+    assert_eq!(sent, answered, "{}", cluster.logs(30));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_rolling_restart_cuts_off_nothing() {
     let _seat = seat().await;
