Test the check of a permit before dispatch, and the settling of votes

Trials that removed one rule at a time found rules of the peer package that none of its 25 tests noticed: the check of a permit immediately before the first byte (any part of it, among them the zone that is out and the stop of the process), and the wait of a vote for a report and for a load report.

Six tests, each seen failing with its rule removed: - confirm always Ok: 5 of 5 tests of the check fail - age, scheduler, stop, zone unchecked one by one: the test of just that fails - votes count without settling: the test of settling fails

The stop is shown by a clock that is moved on, on one thread, so that no task runs in between.

--- a/crates/peer/tests/node/main.rs
+++ b/crates/peer/tests/node/main.rs
@@ -1,6 +1,7 @@
 //! Nodes in one process, on loopback.
 
 mod cluster;
+mod confirm;
 mod failure;
 mod loads;
 mod support;
