Test that the home asks for a fresh connection for a booking

In a trial the home asked for idle connections for non-idempotent requests too, and all 64 tests of the package passed: the stand-in for backend servers did not look at what kind of connection was asked for. That the client keeps the two kinds apart was tested already, by its own package.

The stand-in keeps the targets now. The test was seen failing with the rule removed ([false, false] instead of [true, false]) and passes with it.

--- a/crates/caller/tests/bench/engine.rs
+++ b/crates/caller/tests/bench/engine.rs
@@ -83,6 +83,8 @@
     /// The places of the suspects that run, by permit.
     pub solo: Mutex<Map<Id, usize>>,
     pub solo_ended: Notify,
+    /// Where connections were asked for.
+    pub targets: Mutex<Vec<Target>>,
 }
 
 impl Fleet {
@@ -107,6 +109,7 @@
             quick: false,
             solo: Mutex::default(),
             solo_ended: Notify::new(),
+            targets: Mutex::default(),
         }
     }
 
@@ -200,6 +203,7 @@
 
 impl Backends for Door {
     fn connect(&self, target: Target) -> BoxFuture<'_, Result<Box<dyn Connection>, Failure>> {
+        self.fleet.targets.lock().push(target);
         let index = usize::from(target.address.port() - 9000);
         let server = &self.fleet.servers[index];
         let dead = !*server.alive.borrow();
--- a/crates/caller/tests/once.rs
+++ b/crates/caller/tests/once.rs
@@ -215,6 +215,15 @@
     }
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_booking_goes_over_a_fresh_connection_only() {
+    let bench = Bench::new(Fleet::new(1));
+    bench.send(Call::booking("m1").key(key(1, "a"))).await;
+    bench.send(Call::draft("d1").key(key(1, "b"))).await;
+    let fresh: Vec<_> = bench.fleet.targets.lock().iter().map(|target| target.fresh).collect();
+    assert_eq!(fresh, [true, false]);
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_stale_permit_is_not_used() {
     let bench = Bench::new(Fleet::new(1));
