--- a/crates/backend/src/blame.rs
+++ b/crates/backend/src/blame.rs
@@ -2,7 +2,7 @@
 //!
 //! Every such request is a suspect, and a suspect runs where no other suspect runs. One that is
 //! there alone when a backend server dies for the second time is quarantined. The module is pure:
-//! time is passed in, and the book's bounds hold whatever callers send.
+//! time is passed in, and the registry's bounds hold whatever callers send.
 
 use std::time::{Duration, Instant};
 
@@ -75,13 +75,13 @@
 
 /// The records of one daemon, which are merged with those of its peers.
 #[derive(Debug)]
-pub struct Book {
+pub struct Registry {
     records: Map<Fingerprint, Record>,
     lifetime: Duration,
 }
 
-impl Book {
-    /// An empty book, whose records last for `lifetime`.
+impl Registry {
+    /// An empty registry, whose records last for `lifetime`.
     pub fn new(lifetime: Duration) -> Self {
         Self { records: Map::default(), lifetime }
     }
--- a/crates/backend/tests/client.rs
+++ b/crates/backend/tests/client.rs
@@ -23,7 +23,7 @@
 fn attempt(name: &str, kind: model::Kind) -> Attempt {
     let path = match kind {
         model::Kind::Model => "/v1/completions",
-        model::Kind::Service => "/book?x=1",
+        model::Kind::Service => "/registry?x=1",
     };
     let body = "{\"model\":\"m\",\"prompt\":\"p\"}".into();
     Attempt::builder(name.parse().unwrap(), kind, path, body)
--- a/crates/caller/src/desk.rs
+++ b/crates/caller/src/handler.rs
@@ -7,7 +7,7 @@
 use crate::{body::Body, outcome::Outcome};
 
 /// What answers the requests of a server.
-pub trait Desk: Send + Sync {
+pub trait Handler: Send + Sync {
     /// Decides by the head of a request whether its body is read at all.
     ///
     /// # Errors
@@ -20,7 +20,7 @@
 
     /// Refuses a request of which only the head was read.
     ///
-    /// The desk settles what may be said about its key before the refusal goes out.
+    /// The handler settles what may be said about its key before the refusal goes out.
     fn refuse(&self, head: &Parts, outcome: Outcome) -> Response<Body>;
 }
 
--- a/crates/caller/src/home/entry.rs
+++ b/crates/caller/src/home/entry.rs
@@ -18,8 +18,8 @@
 };
 use crate::{
     body::Body,
-    desk::Desk,
     directory::{Missing, Terms},
+    handler::Handler,
     key::Key,
     outcome::{Kind, Outcome, Reason, SOON},
     record::{End, Next, Reader, Record},
@@ -36,7 +36,7 @@
     Joined(Arc<Record>),
 }
 
-impl Desk for Home {
+impl Handler for Home {
     fn admit(&self, head: &Parts) -> Result<(), Outcome> {
         let route = Route::find(&head.method, head.uri.path(), head.uri.query())?;
         if route != Route::Addresses {
@@ -242,7 +242,7 @@
         let settled = match workspace {
             Some(workspace) if own => {
                 let owned = Owned { workspace, key };
-                self.shared.registry.bury(&owned, &outcome, self.shared.clock.now())
+                self.shared.registry.seal(&owned, &outcome, self.shared.clock.now())
             }
             // A workspace that is unknown now may have been known when the key began.
             _ => false,
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -1,15 +1,15 @@
 //! Callers: HTTP server, idempotency keys, outcomes, addresses, and a request's path at its home.
 //!
 //! [`server::Server`] accepts connections, reads requests within limits and hands them to a
-//! [`desk::Desk`]. [`home::Home`] is the desk of a daemon: it authenticates the caller, joins
+//! [`handler::Handler`]. [`home::Home`] is the handler of a daemon: it authenticates the caller, joins
 //! repeated requests by their keys, asks for permits and dispatches to backend servers. What it
 //! needs from other packages it reaches through the traits in [`directory`], [`permits`],
 //! [`backends`], [`quarantine`], [`relay`], [`retries`] and [`observer`].
 
 pub mod backends;
 pub mod body;
-pub mod desk;
 pub mod directory;
+pub mod handler;
 pub mod home;
 pub mod key;
 pub mod observer;
--- a/crates/caller/src/registry.rs
+++ b/crates/caller/src/registry.rs
@@ -202,7 +202,7 @@
     /// Makes sure that a key which is refused before it began will not run later either.
     ///
     /// Returns whether that holds. It does not if the key has begun already.
-    pub fn bury(&self, owned: &Owned, outcome: &Outcome, now: Instant) -> bool {
+    pub fn seal(&self, owned: &Owned, outcome: &Outcome, now: Instant) -> bool {
         let wall_ms = self.wall_ms(now);
         let mut inner = self.inner.lock();
         inner.expire(self.oldest_ms(wall_ms));
--- a/crates/caller/src/relay.rs
+++ b/crates/caller/src/relay.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     body::{self, Body},
-    desk::REQUEST_OUTCOME,
+    handler::REQUEST_OUTCOME,
     request::{self, RELAYED},
 };
 
--- a/crates/caller/src/render.rs
+++ b/crates/caller/src/render.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     body::{self, Body},
-    desk::REQUEST_OUTCOME,
+    handler::REQUEST_OUTCOME,
     outcome::{Kind, Outcome},
     record::{End, Head, Next, Part, Reader, Record},
     request,
--- a/crates/caller/src/server.rs
+++ b/crates/caller/src/server.rs
@@ -14,7 +14,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use crate::desk::Desk;
+use crate::handler::Handler;
 
 /// The pause after an error of the listener, such as no file descriptor being left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -28,7 +28,7 @@
 
 /// What all connections of a server share.
 pub(crate) struct Shared {
-    desk: Arc<dyn Desk>,
+    handler: Arc<dyn Handler>,
     limits: Limits,
     table: table::Table,
     memory: read::Memory,
@@ -37,8 +37,8 @@
 
 impl Server {
     /// Starts to build a server.
-    pub fn builder(listener: TcpListener, desk: Arc<dyn Desk>) -> Builder {
-        Builder::new(listener, desk)
+    pub fn builder(listener: TcpListener, handler: Arc<dyn Handler>) -> Builder {
+        Builder::new(listener, handler)
     }
 
     /// The address that the server listens on.
--- a/crates/caller/src/server/builder.rs
+++ b/crates/caller/src/server/builder.rs
@@ -6,20 +6,20 @@
 use tokio_util::sync::CancellationToken;
 
 use super::{Limits, Server, Shared, read::Memory, table::Table};
-use crate::desk::Desk;
+use crate::handler::Handler;
 
 /// Builds a [`Server`].
 pub struct Builder {
     listener: TcpListener,
-    desk: Arc<dyn Desk>,
+    handler: Arc<dyn Handler>,
     limits: Limits,
     stop: CancellationToken,
 }
 
 impl Builder {
-    pub(super) fn new(listener: TcpListener, desk: Arc<dyn Desk>) -> Self {
+    pub(super) fn new(listener: TcpListener, handler: Arc<dyn Handler>) -> Self {
         let stop = CancellationToken::new();
-        Self { listener, desk, limits: Limits::default(), stop }
+        Self { listener, handler, limits: Limits::default(), stop }
     }
 
     /// Sets the limits.
@@ -37,7 +37,7 @@
     /// The server.
     pub fn build(self) -> Server {
         let shared = Shared {
-            desk: self.desk,
+            handler: self.handler,
             limits: self.limits,
             table: Table::new(self.limits.connections),
             memory: Memory::new(self.limits.all_body_bytes),
--- a/crates/caller/src/server/connection.rs
+++ b/crates/caller/src/server/connection.rs
@@ -47,16 +47,16 @@
 async fn answer(request: Request<Incoming>, shared: &Shared, seat: &Seat) -> Response<Body> {
     let (head, incoming) = request.into_parts();
     // Whoever has no key takes no memory for a body.
-    if let Err(outcome) = shared.desk.admit(&head) {
-        return shared.desk.refuse(&head, outcome);
+    if let Err(outcome) = shared.handler.admit(&head) {
+        return shared.handler.refuse(&head, outcome);
     }
     match read::body(incoming, &shared.limits, &shared.memory).await {
         Ok(body) => {
             // From here to the end of its answer the request keeps the connection its place.
             let running = seat.run();
-            let response = shared.desk.serve(head, body).await;
+            let response = shared.handler.serve(head, body).await;
             response.map(|body| body::guard(body, running))
         }
-        Err(outcome) => shared.desk.refuse(&head, outcome),
+        Err(outcome) => shared.handler.refuse(&head, outcome),
     }
 }
--- a/crates/caller/tests/bench/mod.rs
+++ b/crates/caller/tests/bench/mod.rs
@@ -20,8 +20,8 @@
 use hyper::{Request, Response, http::request::Parts};
 use hyssop_caller::{
     body::Body,
-    desk::Desk,
     directory::{Address, Addresses, Directory, Missing, Terms},
+    handler::Handler,
     home::{self, Home},
     observer::{Measure, Observer},
     permits::{Ask, Permits, Stale, Verdict},
--- a/crates/caller/tests/fuzz.rs
+++ b/crates/caller/tests/fuzz.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyssop_caller::{
-    desk::Desk as _,
+    handler::Handler as _,
     key::{Key, MAX_KEY_BYTES},
     request::{Head, Prompt, Route},
 };
--- a/crates/caller/tests/history.rs
+++ b/crates/caller/tests/history.rs
@@ -14,7 +14,7 @@
     engine::{Act, Fleet, booked, expected},
     life::State,
 };
-use hyssop_caller::{desk::Desk as _, home::Limits, permits::Verdict, registry};
+use hyssop_caller::{handler::Handler as _, home::Limits, permits::Verdict, registry};
 use hyssop_document::collections::Map;
 use hyssop_policy::decision::{Reason, Refusal};
 use parking_lot::Mutex;
--- a/crates/caller/tests/outcome.rs
+++ b/crates/caller/tests/outcome.rs
@@ -137,7 +137,7 @@
     let request = hyper::Request::get("/v1/addresses").body(()).unwrap();
     let (head, ()) = request.into_parts();
     let home = &bench.home;
-    let response = hyssop_caller::desk::Desk::serve(home, head, bytes::Bytes::new()).await;
+    let response = hyssop_caller::handler::Handler::serve(home, head, bytes::Bytes::new()).await;
     expect_test::expect![[r#"{"lifetime_ms":10000,"addresses":[{"address":"127.0.0.1:1","host":"h1","zone":"z1","incarnation":"18bcfe5680100001"}]}"#]].assert_eq(&Reply::read(response).await.body);
 }
 
--- a/crates/caller/tests/registry.rs
+++ b/crates/caller/tests/registry.rs
@@ -66,7 +66,7 @@
                 },
                 2 => {
                     let outcome = Outcome::refused(Reason::UnknownClass, "");
-                    if registry.bury(&owned, &outcome, now) {
+                    if registry.seal(&owned, &outcome, now) {
                         assert_ne!(told.insert(owned, false), Some(true));
                     }
                 }
--- a/crates/daemon/src/adapt.rs
+++ b/crates/daemon/src/adapt.rs
@@ -1,8 +1,8 @@
 //! Adaptors between the packages of the peers, which do not know each other.
 
 pub(crate) mod backends;
-pub(crate) mod desk;
 pub(crate) mod directory;
+pub(crate) mod handler;
 pub(crate) mod loads;
 pub(crate) mod observer;
 pub(crate) mod permits;
--- a/crates/daemon/src/adapt/desk.rs
+++ b/crates/daemon/src/adapt/handler.rs
@@ -11,7 +11,7 @@
     order::{Order, State, Target},
 };
 use hyssop_operator::{
-    desk::Desk as Border,
+    handler::Handler as Border,
     histogram::{self, Filter},
     outcome, quarantine as shown,
     readiness::Readiness,
@@ -20,7 +20,7 @@
 use hyssop_peer::{Node, order::Outcome};
 
 use super::{quarantine::Quarantine, status as status_of};
-use crate::histogram::Book;
+use crate::histogram::Registry;
 
 /// The topic under which daemons ask each other for their histograms; a filter follows.
 const HISTOGRAMS_TOPIC: &str = "histograms?";
@@ -29,12 +29,12 @@
 
 /// Answers operators.
 #[derive(Debug)]
-pub(crate) struct Desk {
+pub(crate) struct Handler {
     pub(crate) node: Arc<Node>,
     pub(crate) quarantine: Arc<Quarantine>,
 }
 
-impl Desk {
+impl Handler {
     async fn fleet(&self) -> status::Fleet {
         let fleet = self.node.status().await;
         let hosts = fleet.reached.iter().map(status_of::host).collect();
@@ -115,7 +115,7 @@
     }
 }
 
-impl Border for Desk {
+impl Border for Handler {
     fn status(&self) -> BoxFuture<'_, status::Fleet> {
         Box::pin(self.fleet())
     }
@@ -155,7 +155,7 @@
 /// Answers the peers' questions about this daemon.
 #[derive(Debug)]
 pub(crate) struct Inquiry {
-    pub(crate) histograms: Arc<Book>,
+    pub(crate) histograms: Arc<Registry>,
 }
 
 impl Inquiry {
--- a/crates/daemon/src/adapt/observer.rs
+++ b/crates/daemon/src/adapt/observer.rs
@@ -8,14 +8,14 @@
 };
 
 use crate::{
-    histogram::{self, Book, Sample},
+    histogram::{self, Registry, Sample},
     metrics::Metrics,
 };
 
 /// Records measurements.
 #[derive(Debug)]
 pub(crate) struct Observer {
-    pub(crate) histograms: Arc<Book>,
+    pub(crate) histograms: Arc<Registry>,
     pub(crate) metrics: Arc<Metrics>,
 }
 
--- a/crates/daemon/src/adapt/quarantine.rs
+++ b/crates/daemon/src/adapt/quarantine.rs
@@ -6,7 +6,7 @@
 };
 
 use compact_str::ToCompactString;
-use hyssop_backend::blame::{self, Book, Record};
+use hyssop_backend::blame::{self, Record, Registry};
 use hyssop_caller::quarantine::{Fingerprint, Quarantine as Border, Standing};
 use hyssop_operator::quarantine as shown;
 use hyssop_peer::{Node, notice};
@@ -21,12 +21,12 @@
 #[derive(Debug)]
 pub(crate) struct Quarantine {
     node: Arc<Node>,
-    book: Mutex<Book>,
+    book: Mutex<Registry>,
 }
 
 impl Quarantine {
     pub(crate) fn new(node: Arc<Node>) -> Self {
-        Self { node, book: Mutex::new(Book::new(LIFETIME)) }
+        Self { node, book: Mutex::new(Registry::new(LIFETIME)) }
     }
 
     /// All fingerprints that are not run any more.
--- a/crates/daemon/src/histogram.rs
+++ b/crates/daemon/src/histogram.rs
@@ -51,11 +51,11 @@
 
 /// All series. A lock is held for a few instructions, and never while rows are copied.
 #[derive(Debug, Default)]
-pub struct Book {
+pub struct Registry {
     series: Mutex<Map<Name, Arc<Mutex<Row>>>>,
 }
 
-impl Book {
+impl Registry {
     /// Records the end of a request.
     pub fn record(&self, class: &name::Class, workspace: &name::Workspace, sample: &Sample) {
         add(&mut self.series(class, workspace).lock(), sample);
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -23,8 +23,8 @@
 use crate::{
     adapt::{
         backends::Backends,
-        desk::{Desk, Inquiry},
         directory::Directory,
+        handler::{Handler, Inquiry},
         loads::Loads,
         observer::Observer,
         permits::Permits,
@@ -32,7 +32,7 @@
         quarantine::Quarantine,
     },
     gauges::Gauges,
-    histogram::Book,
+    histogram::Registry,
     metrics::Metrics,
     settings::Settings,
 };
@@ -91,15 +91,15 @@
         let operator = listen("operator_address", settings.operator_address).await?;
         let timer = Service::builder().start();
         let client = Client::new(CONNECT_TIMEOUT);
-        let histograms = Arc::new(Book::default());
+        let histograms = Arc::new(Registry::default());
         let node = start_node(&settings, &timer, &client, &histograms).await?;
         let quarantine = Arc::new(Quarantine::new(Arc::clone(&node)));
         let metrics = Arc::new(Metrics::new(settings.metrics_address, &settings.host));
         let observer = Observer { histograms, metrics: Arc::clone(&metrics) };
         let home = home(&settings, &node, client, observer, &quarantine);
         let gauges = Gauges::new(Arc::clone(&node), metrics, &timer);
-        let desk = Desk { node: Arc::clone(&node), quarantine };
-        let operator = OperatorServer::builder(operator, Arc::new(desk))
+        let handler = Handler { node: Arc::clone(&node), quarantine };
+        let operator = OperatorServer::builder(operator, Arc::new(handler))
             .keys(settings.operator_keys_sha256.clone())
             .build();
         let stop_callers = CancellationToken::new();
@@ -178,7 +178,7 @@
     settings: &Settings,
     timer: &Arc<Service>,
     client: &Client,
-    histograms: &Arc<Book>,
+    histograms: &Arc<Registry>,
 ) -> Result<Arc<Node>, BindError> {
     let identity = Identity {
         host: settings.host.clone(),
--- a/crates/operator/src/desk.rs
+++ b/crates/operator/src/handler.rs
@@ -15,7 +15,7 @@
 };
 
 /// What a daemon answers to operators.
-pub trait Desk: Send + Sync + 'static {
+pub trait Handler: Send + Sync + 'static {
     /// The status of the fleet, as far as this daemon reaches it.
     fn status(&self) -> BoxFuture<'_, Fleet>;
 
--- a/crates/operator/src/server.rs
+++ b/crates/operator/src/server.rs
@@ -13,7 +13,7 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use self::connections::{Connections, Slot};
-use crate::desk::Desk;
+use crate::handler::Handler;
 
 const DEFAULT_MAX_CONNECTIONS: usize = 256;
 const DEFAULT_HEADER_TIMEOUT: Duration = Duration::from_secs(5);
@@ -36,7 +36,7 @@
 /// Sets up a [`Server`].
 pub struct Builder {
     listener: TcpListener,
-    desk: Arc<dyn Desk>,
+    handler: Arc<dyn Handler>,
     keys: Vec<Digest>,
     limits: Limits,
 }
@@ -81,7 +81,7 @@
     /// Makes the server. It serves nobody before [`Server::run`].
     pub fn build(self) -> Server {
         let routes = route::Routes {
-            desk: self.desk,
+            handler: self.handler,
             keys: self.keys,
             body_timeout: self.limits.body_timeout,
             answer_timeout: self.limits.answer_timeout,
@@ -99,7 +99,7 @@
 
 impl Server {
     /// Starts to set up a server on a listener.
-    pub fn builder(listener: TcpListener, desk: Arc<dyn Desk>) -> Builder {
+    pub fn builder(listener: TcpListener, handler: Arc<dyn Handler>) -> Builder {
         let limits = Limits {
             max_connections: DEFAULT_MAX_CONNECTIONS,
             header_timeout: DEFAULT_HEADER_TIMEOUT,
@@ -107,7 +107,7 @@
             answer_timeout: DEFAULT_ANSWER_TIMEOUT,
             stop_timeout: DEFAULT_STOP_TIMEOUT,
         };
-        Builder { listener, desk, keys: Vec::new(), limits }
+        Builder { listener, handler, keys: Vec::new(), limits }
     }
 
     /// The address that the server listens on.
--- a/crates/operator/src/server/route.rs
+++ b/crates/operator/src/server/route.rs
@@ -19,8 +19,8 @@
 };
 use crate::{
     check,
-    desk::Desk,
     error::{Error, Kind},
+    handler::Handler,
     histogram::{self, Filter},
     outcome,
 };
@@ -35,7 +35,7 @@
 
 /// Answers requests by path.
 pub(super) struct Routes {
-    pub(super) desk: Arc<dyn Desk>,
+    pub(super) handler: Arc<dyn Handler>,
     pub(super) keys: Vec<Digest>,
     pub(super) body_timeout: Duration,
     pub(super) answer_timeout: Duration,
@@ -62,11 +62,11 @@
         slot.trust();
         let posted = request.method() == Method::POST;
         match path {
-            "/v1/status" if read => Ok(json(StatusCode::OK, &self.desk.status().await)),
-            "/v1/orders" if read => Ok(json(StatusCode::OK, &self.desk.orders().await)),
+            "/v1/status" if read => Ok(json(StatusCode::OK, &self.handler.status().await)),
+            "/v1/orders" if read => Ok(json(StatusCode::OK, &self.handler.orders().await)),
             "/v1/orders" if posted => self.order(request).await,
             "/v1/histograms" if read => self.histograms(request.uri().query()).await,
-            "/v1/quarantine" if read => Ok(json(StatusCode::OK, &self.desk.quarantine().await)),
+            "/v1/quarantine" if read => Ok(json(StatusCode::OK, &self.handler.quarantine().await)),
             "/v1/document" if read => self.document().await,
             "/v1/document/check" if posted => self.check(request).await,
             "/v1/status" | "/v1/histograms" | "/v1/quarantine" | "/v1/document" => {
@@ -95,7 +95,7 @@
     }
 
     async fn ready(&self) -> Reply {
-        let readiness = self.desk.readiness().await;
+        let readiness = self.handler.readiness().await;
         let status = if readiness.ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
         json(status, &readiness)
     }
@@ -106,7 +106,7 @@
             .map_err(|error| Error::new(Kind::BadRequest, format!("no order: {error}")))?;
         let outcome = match self.unknown_zone(&order).await {
             Some(unknown) => outcome::Order::UnknownTarget(unknown),
-            None => self.desk.order(order).await,
+            None => self.handler.order(order).await,
         };
         let status = match outcome {
             outcome::Order::InForce(_) => StatusCode::OK,
@@ -126,7 +126,7 @@
         if !order.out {
             return None;
         }
-        let catalog = self.desk.document().await?;
+        let catalog = self.handler.document().await?;
         if catalog.zone(zone).is_some() {
             return None;
         }
@@ -139,13 +139,13 @@
             .unwrap_or_default()
             .parse()
             .map_err(|error| Error::new(Kind::BadRequest, format!("{error}")))?;
-        let mut report = self.desk.histograms(filter).await;
+        let mut report = self.handler.histograms(filter).await;
         report.rows = histogram::limit(report.rows, MAX_HISTOGRAM_ROWS);
         Ok(json(StatusCode::OK, &report))
     }
 
     async fn document(&self) -> Result<Reply, Error> {
-        let catalog = self.desk.document().await;
+        let catalog = self.handler.document().await;
         let none = || Error::new(Kind::NotFound, "no document is in force");
         catalog.map(|catalog| raw(StatusCode::OK, catalog.bytes().clone())).ok_or_else(none)
     }
@@ -165,7 +165,7 @@
         }
         let fingerprint =
             text.parse().map_err(|error| Error::new(Kind::BadRequest, format!("{error}")))?;
-        let release = self.desk.release(fingerprint).await;
+        let release = self.handler.release(fingerprint).await;
         let status = if release.released { StatusCode::OK } else { StatusCode::NOT_FOUND };
         Ok(json(status, &release))
     }
--- a/crates/operator/tests/common/mod.rs
+++ b/crates/operator/tests/common/mod.rs
@@ -20,7 +20,7 @@
 };
 use hyssop_operator::{
     client::Client,
-    desk::Desk,
+    handler::Handler,
     histogram::{self, Filter, Histogram},
     outcome::{self, Confirmation, Conflict},
     quarantine::{Entry, Fingerprint, Release, Report},
@@ -65,7 +65,7 @@
     order::State { revision: Revision(4), zones_out, ..order::State::default() }
 }
 
-impl Desk for Fixed {
+impl Handler for Fixed {
     fn status(&self) -> BoxFuture<'_, Fleet> {
         let backend = Backend {
             backend: name::Backend::new("engine-1"),
--- a/crates/peer/src/core.rs
+++ b/crates/peer/src/core.rs
@@ -12,7 +12,7 @@
     rank::{self, Key},
     standing::Standing,
     timing::Timing,
-    vote::{Book, Electorate, Sequence, Tally, Vote},
+    vote::{Electorate, Ledger, Sequence, Tally, Vote},
     wire::{self, Cell, Heartbeat, News, Stamp},
 };
 
@@ -63,7 +63,7 @@
     /// Membership.
     pub members: Table,
     /// Own votes.
-    pub book: Book,
+    pub ledger: Ledger,
     /// Votes held.
     pub tally: Tally,
     refresh: Refresh,
@@ -102,7 +102,7 @@
             out: order::State::default(),
             electorate: Electorate::default(),
             members,
-            book: Book::new(timing.lease),
+            ledger: Ledger::new(timing.lease),
             tally: Tally::new(timing),
             refresh: Refresh::default(),
             alive: timing.alive,
@@ -177,12 +177,12 @@
         self.electorate = self.members.electorate(now);
         let me = self.me.clone();
         if self.refreshed(now).is_some() {
-            self.book.heard(&me, now);
+            self.ledger.heard(&me, now);
         }
         self.move_votes(now);
         let votes = self.votes_for(&me, now);
         self.tally.heard(&me, sequence, Some(sequence), &votes, now);
-        self.book.echoed(&me, sequence);
+        self.ledger.echoed(&me, sequence);
         self.move_votes(now);
         sequence
     }
@@ -194,7 +194,7 @@
         let mut moved = false;
         for &key in &keys {
             let wanted = self.wanted(key, now);
-            moved |= self.book.want(key, wanted.as_ref(), next, now);
+            moved |= self.ledger.want(key, wanted.as_ref(), next, now);
         }
         self.keys = keys;
         moved
@@ -250,7 +250,7 @@
     /// The votes to send to a scheduler, if this daemon may vote.
     fn votes_for(&mut self, scheduler: &Process, now: Instant) -> Vec<Vote> {
         match self.members.entitled(now) {
-            true => self.book.votes(scheduler),
+            true => self.ledger.votes(scheduler),
             false => Vec::new(),
         }
     }
@@ -330,13 +330,13 @@
         let process = heartbeat.process();
         let replaced = before.filter(|before| before.incarnation < process.incarnation);
         if replaced.is_some() {
-            self.book.ended(&process.host, process.incarnation);
+            self.ledger.ended(&process.host, process.incarnation);
         }
         let Heartbeat { sequence, votes, .. } = heartbeat;
         let withdrawn = self.tally.heard(&process, *sequence, answered, votes, now);
-        self.book.heard(&process, now);
+        self.ledger.heard(&process, now);
         if let Some(answered) = answered {
-            self.book.echoed(&process, answered);
+            self.ledger.echoed(&process, answered);
             self.answered(answered);
         }
         Effect { accepted: true, moved: self.move_votes(now) || withdrawn, replaced }
@@ -346,7 +346,7 @@
     pub fn ended(&mut self, process: &Process, now: Instant) -> bool {
         let after = Incarnation(process.incarnation.0 + 1);
         self.members.ended(process, now);
-        self.book.ended(&process.host, after);
+        self.ledger.ended(&process.host, after);
         self.tally.ended(&process.host, after);
         self.move_votes(now)
     }
@@ -427,7 +427,7 @@
     /// The schedulers from which permits may be taken.
     pub fn standings(&self, now: Instant) -> Map<Key, Standing> {
         let mut standings = Map::default();
-        for (key, scheduler, epoch, until) in self.book.standing(now) {
+        for (key, scheduler, epoch, until) in self.ledger.standing(now) {
             let start = match *scheduler == self.me {
                 true => Some(self.started),
                 false => self.members.peer(&scheduler.host).and_then(|peer| peer.start(now)),
--- a/crates/peer/src/group.rs
+++ b/crates/peer/src/group.rs
@@ -28,7 +28,7 @@
 
 use crate::{
     identity::Process,
-    message::{Batch, Event, Petition, Receipt, Report, Verdict},
+    message::{Batch, Event, Receipt, Report, Request, Verdict},
     node::Shared,
     rank::Key,
 };
@@ -52,7 +52,7 @@
 #[derive(Debug)]
 pub(crate) enum Command {
     /// Queue a request.
-    Ask { petition: Box<Petition>, reply: oneshot::Sender<Verdict> },
+    Ask { request: Box<Request>, reply: oneshot::Sender<Verdict> },
     /// Forget a request whose home has gone.
     Cancel { home: Process, number: u64 },
     /// Take in what happened to permits.
@@ -90,11 +90,11 @@
     }
 
     /// Queues a request and waits for the verdict. Dropping the future forgets the request.
-    pub(crate) async fn ask(&self, petition: Petition) -> Option<Verdict> {
+    pub(crate) async fn ask(&self, request: Request) -> Option<Verdict> {
         let (reply, verdict) = oneshot::channel();
-        let home = petition.home.clone();
-        let mut guard = Guard { handle: self, home, number: petition.number, done: false };
-        self.send(Command::Ask { petition: Box::new(petition), reply });
+        let home = request.home.clone();
+        let mut guard = Guard { handle: self, home, number: request.number, done: false };
+        self.send(Command::Ask { request: Box::new(request), reply });
         let verdict = verdict.await.ok();
         guard.done = true;
         verdict
@@ -251,7 +251,7 @@
 
     fn handle(&mut self, command: Command) {
         match command {
-            Command::Ask { petition, reply } => self.enqueue(&petition, reply),
+            Command::Ask { request, reply } => self.enqueue(&request, reply),
             Command::Cancel { home, number } => self.cancel(&home, number),
             Command::Events(batch) => batch.events.into_iter().for_each(|event| self.event(event)),
             Command::Report { report, reply } => {
@@ -267,13 +267,13 @@
         }
     }
 
-    fn enqueue(&mut self, petition: &Petition, reply: oneshot::Sender<Verdict>) {
+    fn enqueue(&mut self, request: &Request, reply: oneshot::Sender<Verdict>) {
         self.next_ticket += 1;
         let ticket = Ticket(self.next_ticket);
-        let Petition { home, number, .. } = petition;
+        let Request { home, number, .. } = request;
         self.waiting.insert(ticket, Waiting { home: home.clone(), number: *number, reply });
         self.tickets.insert((home.clone(), *number), ticket);
-        self.scheduler.enqueue(petition.entry(ticket), self.shared.timer.now());
+        self.scheduler.enqueue(request.entry(ticket), self.shared.timer.now());
     }
 
     /// Forgets a request whose home has gone: in the queue, or granted and on the way.
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -39,7 +39,7 @@
 
 /// An [`Ask`] on its way from the request's home to the scheduler.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Petition {
+pub struct Request {
     /// The number of the request, counted by its home.
     pub number: u64,
     /// The home.
@@ -52,7 +52,7 @@
     pub ask: Ask,
 }
 
-impl Petition {
+impl Request {
     /// The queue entry of the request.
     pub fn entry(&self, ticket: Ticket) -> Entry {
         let ask = self.ask.clone();
--- a/crates/peer/src/node.rs
+++ b/crates/peer/src/node.rs
@@ -43,7 +43,7 @@
     inquiry::Inquiry,
     link,
     message::{Batch, Event},
-    notice::Board,
+    notice,
     rank::Key,
     standing::Standing,
     timing::Timing,
@@ -62,7 +62,7 @@
     pub(crate) store: Store,
     /// Held while a value is offered, so that two offers never cross.
     offers: Mutex<()>,
-    board: Mutex<Board>,
+    board: Mutex<notice::Table>,
     held: Mutex<held::Table>,
     outbox: Mutex<Map<Group, Batch>>,
     /// The groups of which something may be lost, with the number of reports to send for it.
--- a/crates/peer/src/node/permit.rs
+++ b/crates/peer/src/node/permit.rs
@@ -15,7 +15,7 @@
 use super::{Node, Shared};
 use crate::{
     identity::Process,
-    message::{Ask, Event, Petition, Verdict},
+    message::{Ask, Event, Request, Verdict},
     rank::Key,
     standing::Stale,
 };
@@ -114,9 +114,9 @@
                 }
                 continue;
             };
-            let petition = self.petition(ask, number, &scheduler, remaining);
+            let request = self.request(ask, number, &scheduler, remaining);
             tokio::select! {
-                verdict = self.ask(&scheduler, petition, remaining) => match verdict {
+                verdict = self.ask(&scheduler, request, remaining) => match verdict {
                     Some(verdict) => return verdict,
                     None => {
                         self.doubt(&ask.group);
@@ -144,15 +144,9 @@
         }
     }
 
-    fn petition(
-        &self,
-        ask: &Ask,
-        number: u64,
-        scheduler: &Process,
-        remaining: Duration,
-    ) -> Petition {
+    fn request(&self, ask: &Ask, number: u64, scheduler: &Process, remaining: Duration) -> Request {
         let remaining_ms = remaining.as_millis() as u64;
-        Petition {
+        Request {
             number,
             home: self.me(),
             zone: self.identity.zone.clone(),
@@ -165,16 +159,16 @@
     async fn ask(
         self: &Arc<Self>,
         scheduler: &Process,
-        petition: Petition,
+        request: Request,
         remaining: Duration,
     ) -> Option<Verdict> {
         if *scheduler == self.me() {
-            return self.group(&petition.ask.group).ask(petition).await;
+            return self.group(&request.ask.group).ask(request).await;
         }
         let link = self.link(&scheduler.host).await.ok()?;
         let mut context = tarpc::context::current();
         context.deadline = Instant::now() + remaining + ANSWER_MARGIN;
-        link.client.ask(context, petition).await.ok().flatten()
+        link.client.ask(context, request).await.ok().flatten()
     }
 
     fn confirm(&self, permit: &Permit) -> Result<(), Stale> {
--- a/crates/peer/src/node/serve.rs
+++ b/crates/peer/src/node/serve.rs
@@ -20,7 +20,7 @@
     group::Command,
     hosts::List,
     identity::Identity,
-    message::{Batch, Petition, Receipt, Report, Verdict},
+    message::{Batch, Receipt, Report, Request, Verdict},
     notice::Notice,
     order::Outcome,
     rpc::Peer,
@@ -82,11 +82,11 @@
         shared.identity.clone()
     }
 
-    async fn ask(self, _: Context, petition: Petition) -> Option<Verdict> {
-        if petition.scheduler != self.shared.identity.incarnation {
+    async fn ask(self, _: Context, request: Request) -> Option<Verdict> {
+        if request.scheduler != self.shared.identity.incarnation {
             return None;
         }
-        self.shared.group(&petition.ask.group).ask(petition).await
+        self.shared.group(&request.ask.group).ask(request).await
     }
 
     async fn events(self, _: Context, batch: Batch) {
--- a/crates/peer/src/notice.rs
+++ b/crates/peer/src/notice.rs
@@ -44,14 +44,14 @@
 
 /// The notices of one daemon.
 #[derive(Debug, Default)]
-pub struct Board {
+pub struct Table {
     kept: Map<Name, Kept>,
     digest: u64,
     /// The time at which the first notice is forgotten.
     next_end: Option<Instant>,
 }
 
-impl Board {
+impl Table {
     /// Puts a notice up. Returns it with its version, to be spread.
     pub fn put(
         &mut self,
--- a/crates/peer/src/rpc.rs
+++ b/crates/peer/src/rpc.rs
@@ -10,7 +10,7 @@
 use crate::{
     hosts::List,
     identity::Identity,
-    message::{Batch, Petition, Receipt, Report, Verdict},
+    message::{Batch, Receipt, Report, Request, Verdict},
     notice::Notice,
     order::Outcome,
     status::Status,
@@ -23,7 +23,7 @@
     /// Introduces the caller. Returns who answers.
     async fn hello(identity: Identity) -> Identity;
     /// Asks for a permit and waits for it. `None` if the scheduler meant is another process.
-    async fn ask(petition: Petition) -> Option<Verdict>;
+    async fn ask(request: Request) -> Option<Verdict>;
     /// Tells what happened to permits in use.
     async fn events(batch: Batch) -> ();
     /// Tells what the caller holds.
--- a/crates/peer/src/vote.rs
+++ b/crates/peer/src/vote.rs
@@ -1,15 +1,15 @@
 //! Votes: leases by which each daemon takes permits for a group from one scheduler alone.
 //!
-//! [`Book`] is the voter's side, [`Tally`] the scheduler's. Both are plain state machines with the
+//! [`Ledger`] is the voter's side, [`Tally`] the scheduler's. Both are plain state machines with the
 //! time passed in. A vote is renewed by each heartbeat that answers a heartbeat of the scheduler.
 //! The scheduler counts it from the time at which it sent the heartbeat that was answered; the
 //! voter promises it from the time at which it received that heartbeat, which is later. So a vote
 //! ends at the scheduler before it ends at the voter, whatever the network does.
 
-mod book;
+mod ledger;
 mod tally;
 
-pub use book::Book;
+pub use ledger::Ledger;
 pub use tally::{Electorate, Tally};
 
 use serde::{Deserialize, Serialize};
--- a/crates/peer/src/vote/book.rs
+++ b/crates/peer/src/vote/ledger.rs
@@ -9,7 +9,7 @@
 
 /// The promises of one daemon.
 #[derive(Debug)]
-pub struct Book {
+pub struct Ledger {
     lease: Duration,
     promises: Map<Key, Promise>,
 }
@@ -36,8 +36,8 @@
     }
 }
 
-impl Book {
-    /// An empty book.
+impl Ledger {
+    /// An empty ledger.
     ///
     /// The process must not send votes before the votes of its predecessor on the same host have
     /// expired or are known to be forgotten; see [`crate::member::Table::entitled`].
