Wait until a frozen process stands still

Cause: a stop signal is delivered while other threads of the process go on; a test that asked the daemon right after it got an answer now and then. Seen: processes_freeze_thaw_and_end failed once in a run of the package, and 2 of 15 times when repeated before the change. Change: the harness waits until the operating system reports the stop.

--- a/crates/fakes/src/process.rs
+++ b/crates/fakes/src/process.rs
@@ -10,9 +10,11 @@
 };
 
 use anyhow::{Context, Result, bail};
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::{Pid, Signal, WaitId, WaitIdOptions, kill_process, waitid};
 
 const POLL: Duration = Duration::from_millis(10);
+const FREEZE_POLL: Duration = Duration::from_micros(200);
+const FREEZE_LIMIT: Duration = Duration::from_secs(2);
 
 /// A child process. It ends when this value is dropped.
 #[derive(Debug)]
@@ -50,13 +52,22 @@
         _ = self.child.wait();
     }
 
-    /// Stops the process, which keeps its connections.
+    /// Stops the process, which keeps its connections, and waits until all its threads stand still.
     ///
     /// # Errors
     ///
     /// Fails if there is no such process any more.
     pub fn freeze(&self) -> Result<()> {
-        self.signal(Signal::STOP)
+        self.signal(Signal::STOP)?;
+        let end = Instant::now() + FREEZE_LIMIT;
+        let stopped = WaitIdOptions::STOPPED | WaitIdOptions::NOHANG;
+        while waitid(WaitId::Pid(self.pid()?), stopped).map_err(io::Error::from)?.is_none() {
+            if Instant::now() >= end {
+                bail!("process {} goes on after a stop", self.id());
+            }
+            std::thread::sleep(FREEZE_POLL);
+        }
+        Ok(())
     }
 
     /// Lets a stopped process go on.
@@ -116,9 +127,12 @@
     }
 
     fn signal(&self, signal: Signal) -> Result<()> {
+        Ok(kill_process(self.pid()?, signal).map_err(io::Error::from)?)
+    }
+
+    fn pid(&self) -> Result<Pid> {
         let id = i32::try_from(self.id()).ok().and_then(Pid::from_raw);
-        let id = id.context("no process id")?;
-        Ok(kill_process(id, signal).map_err(io::Error::from)?)
+        id.context("no process id")
     }
 }
 
