--- a/crates/fakes/tests/membership.rs
+++ b/crates/fakes/tests/membership.rs
@@ -10,6 +10,7 @@
 use hyper::Method;
 use hyssop_document::{model::Document, name, order};
 use hyssop_fakes::{
+    engine,
     history::{Event, Outcome},
     record::{Record, unix_ms},
     shape,
@@ -24,6 +25,11 @@
     Duration::from_secs_f64(secs)
 }
 
+/// Engines that stay cold and bear two requests each, so that schedulers are at their limits.
+fn cold() -> engine::Settings {
+    engine::Settings { warm_after: u64::MAX, ..engine::Settings::default() }
+}
+
 async fn sleep(duration: Duration) {
     tokio::time::sleep(duration).await;
 }
@@ -31,7 +37,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_killed_scheduler_is_replaced() {
     let _seat = seat().await;
-    let mut cluster = builder(3).start().await.unwrap();
+    let mut cluster = builder(3).engine(cold()).start().await.unwrap();
     let victim = scheduler(&cluster, "desk").await;
     let outcomes = under_load(&mut cluster, &source(1, secs(8.0)), async |cluster| {
         sleep(secs(2.0)).await;
@@ -48,7 +54,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_frozen_scheduler_grants_nothing_when_it_wakes() {
     let _seat = seat().await;
-    let mut cluster = builder(3).start().await.unwrap();
+    let mut cluster = builder(3).engine(cold()).start().await.unwrap();
     let victim = scheduler(&cluster, "desk").await;
     let outcomes = under_load(&mut cluster, &source(2, secs(9.0)), async |cluster| {
         sleep(secs(2.0)).await;
@@ -84,7 +90,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn both_halves_of_a_partition_serve_within_the_limits() {
     let _seat = seat().await;
-    let mut cluster = builder(4).links().start().await.unwrap();
+    let mut cluster = builder(4).links().engine(cold()).start().await.unwrap();
     let (mut from_ms, mut to_ms) = (0, 0);
     let outcomes = under_load(&mut cluster, &source(4, secs(12.0)), async |cluster| {
         sleep(secs(2.0)).await;
