--- a/crates/fakes/examples/capacity.rs
+++ b/crates/fakes/examples/capacity.rs
@@ -73,7 +73,7 @@
     let mut out = io::stdout();
     writeln!(
         out,
-        "daemons requests/s  cpu %  rss MB  udp B/s  tcp B/s  datagrams/s  messages/s  platform calls/s"
+        "daemons requests/s  cpu %  rss MB  udp B/s  tcp B/s  datagrams/s  messages/s  platform calls/s  watches  peak"
     )?;
     for &daemons in &flags.daemons {
         for &rate in &flags.rates {
@@ -92,16 +92,28 @@
     tcp: f64,
     datagrams: f64,
     messages: f64,
-    platform_calls: f64,
+    platform: Platform,
+}
+
+/// What the stand-in of the platform counted, over all daemons.
+#[derive(Debug, Clone, Copy)]
+struct Platform {
+    /// The calls; in a row, those of a second.
+    calls: f64,
+    /// The watches that wait.
+    waiting: f64,
+    /// The largest load in a second since the start: calls begun in it and watches that waited.
+    peak: f64,
 }
 
 impl std::fmt::Display for Row {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        let Self { cpu_percent, rss_mb, udp, tcp, datagrams, messages, platform_calls } = self;
+        let Self { cpu_percent, rss_mb, udp, tcp, datagrams, messages, platform } = self;
+        let Platform { calls, waiting, peak } = platform;
         write!(
             f,
             "{cpu_percent:6.2} {rss_mb:7.1} {udp:8.0} {tcp:8.0} {datagrams:12.1} {messages:11.1} \
-             {platform_calls:17.2}"
+             {calls:17.2} {waiting:8.0} {peak:5.0}"
         )
     }
 }
@@ -157,7 +169,7 @@
     tcp: f64,
     datagrams: f64,
     messages: f64,
-    platform_calls: f64,
+    platform: Platform,
 }
 
 impl Counts {
@@ -175,7 +187,7 @@
             tcp: sum("tcp_sent_bytes"),
             datagrams: sum("datagrams_sent"),
             messages: sum("messages_sent"),
-            platform_calls: platform_calls(cluster).await?,
+            platform: platform(cluster).await?,
         };
         for daemon in &cluster.daemons {
             let (ticks, rss_mb) = accounts(daemon.id())?;
@@ -195,15 +207,19 @@
             tcp: rate(self.tcp, before.tcp),
             datagrams: rate(self.datagrams, before.datagrams),
             messages: rate(self.messages, before.messages),
-            platform_calls: rate(self.platform_calls, before.platform_calls) * daemons,
+            platform: Platform {
+                calls: rate(self.platform.calls, before.platform.calls) * daemons,
+                ..self.platform
+            },
         }
     }
 }
 
-async fn platform_calls(cluster: &Cluster) -> Result<f64> {
+async fn platform(cluster: &Cluster) -> Result<Platform> {
     let (_, control) = cluster.shape().network.platform();
     let calls: Value = serde_json::from_slice(&client::get(control, "/control/calls").await?)?;
-    calls["total"].as_f64().context("a total is counted")
+    let count = |field: &str| calls[field].as_f64().context("calls are counted");
+    Ok(Platform { calls: count("total")?, waiting: count("waiting")?, peak: count("peak")? })
 }
 
 /// The clock ticks that a process has used, and its resident memory in megabytes.
