--- a/crates/daemon/src/adapt/platform.rs
+++ b/crates/daemon/src/adapt/platform.rs
@@ -6,7 +6,7 @@
 use compact_str::ToCompactString;
 use hyssop_document::{number::Revision, order};
 use hyssop_peer::{Node, current::Source, hosts as listed};
-use hyssop_platform::{
+use hyssop_published::{
     Key,
     client::{Error, Value},
     hosts,
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -12,7 +12,7 @@
 use hyssop_document::number::Incarnation;
 use hyssop_operator::server::Server as OperatorServer;
 use hyssop_peer::{Identity, Node};
-use hyssop_platform::{Key, client::Client as PlatformClient, reader};
+use hyssop_published::{Key, client::Client as PlatformClient, reader};
 use hyssop_timer::Service;
 use tokio::{
     net::TcpListener,
--- a/crates/platform/tests/reader.rs
+++ b/crates/published/tests/reader.rs
@@ -7,7 +7,7 @@
 };
 
 use expect_test::expect;
-use hyssop_platform::{
+use hyssop_published::{
     Key,
     backoff::Backoff,
     client::{Client, Error, Value},
