--- /dev/null
+++ b/crates/gateway/src/follow.rs
@@ -0,0 +1,108 @@
+//! The task that follows the source of published records.
+
+use std::{
+    future::Future,
+    pin::Pin,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use compact_str::CompactString;
+use rand::RngExt as _;
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    gateway::Gateway,
+    knowledge::Origin,
+    record::{Record, Revision},
+};
+
+/// How long one watch waits. Short, so that a watch that has gone silent is found soon.
+const WATCH: Duration = Duration::from_millis(1_500);
+/// The first pause after a failure, and the longest.
+const PAUSE_FIRST: Duration = Duration::from_millis(100);
+const PAUSE_MOST: Duration = Duration::from_millis(800);
+
+/// Records up to a revision.
+#[derive(Debug, Clone)]
+pub struct Batch {
+    /// The records.
+    pub records: Vec<Record>,
+    /// The revision from which to go on.
+    pub until: Revision,
+}
+
+/// Why the source gave nothing.
+#[derive(Debug, Clone, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+pub enum Fault {
+    /// The history after the revision is gone: read all.
+    #[display("the history is gone")]
+    Compacted,
+    /// It refuses, for too many calls or otherwise.
+    #[display("refused with status {_0}")]
+    Refused(#[error(not(source))] u16),
+    /// It can't be reached, or answers with something else.
+    #[display("{_0}")]
+    Unreachable(#[error(not(source))] CompactString),
+}
+
+/// What a source's call gives.
+pub type Answer<'a> = Pin<Box<dyn Future<Output = Result<Batch, Fault>> + Send + 'a>>;
+
+/// A source of published records.
+pub trait Source: Send + Sync {
+    /// Reads all records.
+    fn read(&self) -> Answer<'_>;
+
+    /// Waits for changes after a revision. Gives an empty batch if there are none for `wait`.
+    fn watch(&self, after: Revision, wait: Duration) -> Answer<'_>;
+}
+
+/// Follows `source` until `stop` is cancelled.
+pub async fn run(gateway: Arc<Gateway>, source: Arc<dyn Source>, stop: CancellationToken) {
+    stop.run_until_cancelled(follow(&gateway, &*source)).await;
+}
+
+async fn follow(gateway: &Gateway, source: &dyn Source) {
+    let mut position = None;
+    let mut pause = PAUSE_FIRST;
+    loop {
+        let suspended = gateway.knowledge.is_suspended();
+        let (answer, full) = match position {
+            Some(after) if !suspended => (source.watch(after, WATCH).await, false),
+            _ => (source.read().await, true),
+        };
+        let now = Instant::now();
+        match answer {
+            Ok(batch) => {
+                pause = PAUSE_FIRST;
+                if let Some(gone) = gateway.knowledge.source_back(now) {
+                    tracing::info!(event = "source_back", gone_ms = gone.as_millis() as u64);
+                }
+                position = Some(batch.until);
+                let changed = if full {
+                    gateway.knowledge.suspend(false);
+                    gateway.knowledge.replace(batch.records, batch.until, now)
+                } else {
+                    gateway.knowledge.apply(batch.records, Origin::Watch, now)
+                };
+                if changed {
+                    gateway.reconfigure(now);
+                }
+            }
+            Err(Fault::Compacted) => {
+                tracing::info!(event = "history_gone", position = ?position);
+                position = None;
+            }
+            Err(fault) => {
+                if gateway.knowledge.is_source_up() {
+                    tracing::warn!(event = "source_lost", %fault, position = ?position);
+                }
+                gateway.knowledge.source_lost(now);
+                let part = rand::rng().random_range(0.5..1.0);
+                tokio::time::sleep(pause.mul_f64(part)).await;
+                pause = (pause * 2).min(PAUSE_MOST);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/share.rs
@@ -0,0 +1,151 @@
+//! What the daemon tells its peers, and what it takes from them.
+
+use std::{
+    net::{IpAddr, SocketAddr},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use hyssop_view::{
+    beat::{Beat, Entry, name_hash},
+    node::Local,
+    record::Revision,
+    sync,
+};
+
+use crate::{gateway::Gateway, knowledge::Origin};
+
+/// How long a peer may have a newer revision before its records are fetched. The source usually
+/// tells all daemons within this time.
+const LAG: Duration = Duration::from_millis(250);
+/// The largest number of loads in one beat; more are told in turn.
+const MAX_LOADS: usize = 48;
+
+/// The daemon's side of the exchange with its peers.
+pub struct Share {
+    gateway: Arc<Gateway>,
+    /// The port of peers.
+    port: u16,
+    started: Instant,
+    /// When a peer was first seen ahead, in ms since the start plus one; 0 for none.
+    behind_since_ms: AtomicU64,
+    turn: AtomicU64,
+}
+
+impl Share {
+    /// The side of `gateway`, whose peers listen on `port`.
+    pub fn new(gateway: Arc<Gateway>, port: u16) -> Arc<Self> {
+        Arc::new(Self {
+            gateway,
+            port,
+            started: Instant::now(),
+            behind_since_ms: AtomicU64::new(0),
+            turn: AtomicU64::new(0),
+        })
+    }
+
+    fn catch_up(&self, from: IpAddr, ahead: Revision, now: Instant) {
+        let applied = self.gateway.knowledge.snapshot().applied;
+        if ahead <= applied {
+            self.behind_since_ms.store(0, Ordering::Relaxed);
+            return;
+        }
+        let at_ms = now.duration_since(self.started).as_millis() as u64 + 1;
+        let since = self.behind_since_ms.load(Ordering::Relaxed);
+        let unknown = applied == Revision::default();
+        if since == 0 {
+            self.behind_since_ms.store(at_ms, Ordering::Relaxed);
+        }
+        let late = since != 0 && at_ms - since >= LAG.as_millis() as u64;
+        if !(late || unknown) {
+            return;
+        }
+        let gateway = Arc::clone(&self.gateway);
+        let address = SocketAddr::new(from, self.port);
+        // The next fetch waits as long again, so there are few at a time.
+        self.behind_since_ms.store(at_ms, Ordering::Relaxed);
+        let fetch = Fetch { gateway, address, after: applied };
+        tokio::spawn(async move { fetch.run().await });
+    }
+}
+
+struct Fetch {
+    gateway: Arc<Gateway>,
+    address: SocketAddr,
+    after: Revision,
+}
+
+impl Fetch {
+    async fn run(&self) {
+        let peer = self.address.ip();
+        match sync::fetch(self.address, self.after).await {
+            Ok(records) => {
+                let count = records.len();
+                let now = Instant::now();
+                let changed = self.gateway.knowledge.apply(records, Origin::Peer, now);
+                tracing::info!(event = "records_from_peer", %peer, after = %self.after, count, changed);
+                if changed {
+                    self.gateway.reconfigure(now);
+                }
+            }
+            Err(error) => tracing::warn!(event = "records_not_fetched", %peer, %error),
+        }
+    }
+}
+
+impl Local for Share {
+    fn beat(&self) -> Beat {
+        let gateway = &self.gateway;
+        let now = Instant::now();
+        let mut loads = gateway.decider.lock().own_loads(now);
+        if loads.len() > MAX_LOADS {
+            let turn = self.turn.fetch_add(1, Ordering::Relaxed) as usize * MAX_LOADS;
+            let length = loads.len();
+            loads.rotate_left(turn % length);
+            loads.truncate(MAX_LOADS);
+        }
+        let entry = |(backend, load, cold): (u32, _, Duration)| {
+            Entry { backend, load, cold_ms: cold.as_millis() as u32 }
+        };
+        Beat {
+            host: gateway.settings.host.clone(),
+            zone: gateway.settings.zone.clone(),
+            incarnation: gateway.settings.incarnation,
+            callers: gateway.settings.callers,
+            phase: gateway.phase(),
+            weight: gateway.settings.weight,
+            applied: gateway.knowledge.snapshot().applied,
+            members: Vec::new(),
+            loads: loads.into_iter().map(entry).collect(),
+            blames: gateway.suspects.lock().told(now),
+        }
+    }
+
+    fn heard(&self, from: IpAddr, beat: &Beat, now: Instant) {
+        {
+            let mut decider = self.gateway.decider.lock();
+            for entry in &beat.loads {
+                let cold = Duration::from_millis(u64::from(entry.cold_ms));
+                decider.peer(from, entry.backend, entry.load, cold, now);
+            }
+        }
+        if !beat.blames.is_empty() {
+            self.gateway.suspects.lock().merge(&beat.blames, now);
+        }
+        self.catch_up(from, beat.applied, now);
+    }
+
+    fn tick(&self, now: Instant) {
+        let gateway = &self.gateway;
+        if gateway.knowledge.tick(now) {
+            gateway.reconfigure(now);
+        }
+        let mut members = gateway.members.lock().sharers_hashes(now);
+        members.push(name_hash(gateway.settings.host.as_str()));
+        members.sort_unstable();
+        gateway.decider.lock().set_members(members);
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod estimate;
 pub mod floor;
 pub mod load;
+pub mod local;
 pub mod permit;
 pub mod queue;
 pub mod scheduler;
--- /dev/null
+++ b/crates/policy/src/local/decider.rs
@@ -0,0 +1,367 @@
+//! Places requests, for one daemon.
+
+use std::{
+    net::IpAddr,
+    time::{Duration, Instant},
+};
+
+use compact_str::CompactString;
+use hyssop_document::{
+    collections::Map,
+    name::{Backend, Pool, Zone},
+};
+
+use super::{
+    affinity,
+    cold::Bound as ColdBound,
+    demand::Demand,
+    model,
+    repeats::{Bound as RepeatBound, Repeats},
+    standing::{Load, Run, Server, Standing, Ticket},
+};
+
+/// How much later a first event may be to stay in the daemon's zone. Between zones bytes cost.
+const ZONE_PREFERENCE: Duration = Duration::from_millis(4);
+/// How long a backend server gets nothing after it could not be reached or broke an answer. Doubles
+/// with each further failure.
+const AVOIDED_FIRST: Duration = Duration::from_millis(300);
+/// The longest of these times, so that one that is back is found within seconds.
+const AVOIDED_MOST: Duration = Duration::from_secs(3);
+/// How long one that said that it is full gets nothing.
+const FULL_AVOIDED: Duration = Duration::from_millis(60);
+/// A first event that is further away than this part of the time left will not come in time to use.
+const HOPELESS: f64 = 0.85;
+/// The least time to come back that callers are told.
+const RETRY_LEAST: Duration = Duration::from_millis(150);
+/// The part of a queue that daemons fill together: the rest absorbs what they do not see yet.
+const FILL: f64 = 2.5;
+
+/// What to do with a request.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Verdict {
+    /// Send it there.
+    Send {
+        /// The backend server.
+        server: Backend,
+        /// The predicted time to the first event.
+        predicted: Duration,
+        /// The prompt tokens that it will have to read there.
+        unread: u32,
+    },
+    /// Refuse it: it has not run.
+    Refuse {
+        /// Why.
+        reason: Reason,
+        /// When the caller should come back.
+        retry_after: Duration,
+    },
+}
+
+/// Why a request is refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, derive_more::Display)]
+pub enum Reason {
+    /// No backend server of the pool is in service.
+    #[display("no_server")]
+    NoServer,
+    /// All are cold, and this daemon's share of what they bear is used.
+    #[display("cold")]
+    Cold,
+    /// The answer would come after the caller has given up.
+    #[display("overload")]
+    Overload,
+    /// The budget for repeats is used.
+    #[display("repeats")]
+    Repeats,
+}
+
+/// How a request at a backend server ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+pub enum End {
+    /// Whole.
+    #[display("complete")]
+    Complete,
+    /// Refused by the backend server, which has not run it.
+    #[display("rejected")]
+    Rejected,
+    /// The connection or the answer broke.
+    #[display("broken")]
+    Broken,
+    /// The backend server could not be reached.
+    #[display("unreachable")]
+    Unreachable,
+    /// The caller left, or the time was over.
+    #[display("abandoned")]
+    Abandoned,
+}
+
+/// Settings of a decider.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// The daemon's zone.
+    pub zone: Zone,
+    /// The hash of the daemon's name.
+    pub own: u32,
+    /// The bound on cold backend servers.
+    pub cold: ColdBound,
+    /// The bound on repeats.
+    pub repeats: RepeatBound,
+}
+
+/// Decides for one daemon.
+#[derive(Debug)]
+pub struct Decider {
+    settings: Settings,
+    members: Vec<u32>,
+    standings: Map<Backend, Standing>,
+    by_hash: Map<u32, Backend>,
+    repeats: Map<Pool, Repeats>,
+    next: u64,
+}
+
+impl Decider {
+    /// A decider that knows no backend server.
+    pub fn new(settings: Settings) -> Self {
+        let members = vec![settings.own];
+        Self {
+            settings,
+            members,
+            standings: Map::default(),
+            by_hash: Map::default(),
+            repeats: Map::default(),
+            next: 0,
+        }
+    }
+
+    /// Replaces the bounds, as when the settings change.
+    pub fn set_bounds(&mut self, cold: ColdBound, repeats: RepeatBound) {
+        if self.settings.repeats != repeats {
+            self.repeats.clear();
+        }
+        self.settings.cold = cold;
+        self.settings.repeats = repeats;
+    }
+
+    /// Sets the hashes of all daemons that may use a share, this one included.
+    pub fn set_members(&mut self, members: Vec<u32>) {
+        self.members = members;
+    }
+
+    /// Replaces the backend servers that may get requests. What is known of those that stay is kept.
+    pub fn configure(&mut self, servers: Vec<Server>, now: Instant) {
+        let mut known = std::mem::take(&mut self.standings);
+        self.by_hash.clear();
+        for server in servers {
+            let name = server.name.clone();
+            self.by_hash.insert(server.hash, name.clone());
+            let standing = match known.remove(&name) {
+                Some(mut standing) if standing.server.incarnation == server.incarnation => {
+                    standing.server = server;
+                    standing
+                }
+                _ => Standing::new(server, now),
+            };
+            self.standings.insert(name, standing);
+        }
+    }
+
+    /// Takes that a backend server is cold for some time from now.
+    pub fn cold(&mut self, server: &Backend, left: Duration, now: Instant) {
+        if let Some(standing) = self.standings.get_mut(server) {
+            standing.cold_until = Some(now + left);
+        }
+    }
+
+    /// How long a backend server stays cold.
+    pub fn cold_left(&self, server: &Backend, now: Instant) -> Duration {
+        let until = self.standings.get(server).and_then(|standing| standing.cold_until);
+        until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
+    }
+
+    /// Takes what a peer has at backend servers.
+    pub fn peer(&mut self, peer: IpAddr, hash: u32, load: Load, cold: Duration, now: Instant) {
+        let Some(name) = self.by_hash.get(&hash) else { return };
+        let Some(standing) = self.standings.get_mut(name) else { return };
+        standing.peers.insert(peer, (load, now));
+        let until = now + cold;
+        if cold > Duration::ZERO && standing.cold_until.is_none_or(|known| known < until) {
+            standing.cold_until = Some(until);
+        }
+    }
+
+    /// What this daemon has at each backend server.
+    pub fn own_loads(&mut self, now: Instant) -> Vec<(u32, Load, Duration)> {
+        let loads = self.standings.values_mut().map(|standing| {
+            let cold = standing.cold_until.map_or(Duration::ZERO, |u| u.saturating_duration_since(now));
+            (standing.server.hash, standing.own(now), cold)
+        });
+        loads.filter(|(_, load, cold)| *load != Load::default() || !cold.is_zero()).collect()
+    }
+
+    /// The connections that this daemon may have to a backend server.
+    pub fn connections(&self, server: &Backend) -> usize {
+        let most = self.standings.get(server).map_or(0, |s| s.server.max_connections as usize);
+        // A tenth is left for members that others do not know yet.
+        (most * 9 / 10 / self.members.len().max(1)).max(1)
+    }
+
+    /// Decides where a request goes.
+    pub fn place(&mut self, demand: &Demand, now: Instant) -> Verdict {
+        if demand.repeat && !self.take_repeat(&demand.pool, now) {
+            return Verdict::Refuse { reason: Reason::Repeats, retry_after: RETRY_LEAST };
+        }
+        let subject = demand.subject();
+        let first_choice = subject.and_then(|part| self.first_choice(&demand.pool, part.id));
+        let mut best: Option<(Duration, Verdict)> = None;
+        let mut present = false;
+        let mut cold = false;
+        let (own, zone) = (self.settings.own, &self.settings.zone);
+        for standing in self.standings.values_mut() {
+            let server = &standing.server;
+            if server.pool != demand.pool || demand.excluded.contains(&server.name) {
+                continue;
+            }
+            present = true;
+            if standing.is_avoided(now) {
+                continue;
+            }
+            if standing.is_cold(now) {
+                let bound = self.settings.cold;
+                let share = bound.share(server.cold_rate, server.hash, own, &self.members);
+                if standing.sends.count(now) >= share {
+                    cold = true;
+                    continue;
+                }
+            }
+            let first = first_choice.as_ref() == Some(&standing.server.name);
+            let (cost, predicted, unread) = cost(standing, demand, first, zone, now);
+            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
+                let server = standing.server.name.clone();
+                best = Some((cost, Verdict::Send { server, predicted, unread }));
+            }
+        }
+        let left = demand.deadline.saturating_duration_since(now);
+        match best {
+            Some((_, Verdict::Send { predicted, .. })) if predicted > left.mul_f64(HOPELESS) => {
+                let retry_after = (predicted - left.mul_f64(HOPELESS)).max(RETRY_LEAST);
+                Verdict::Refuse { reason: Reason::Overload, retry_after }
+            }
+            Some((_, verdict)) => verdict,
+            None => {
+                let reason = if cold || !present { Reason::Cold } else { Reason::NoServer };
+                let reason = if present { reason } else { Reason::NoServer };
+                Verdict::Refuse { reason, retry_after: RETRY_LEAST * 2 }
+            }
+        }
+    }
+
+    fn take_repeat(&mut self, pool: &Pool, now: Instant) -> bool {
+        let sharers = self.members.len();
+        self.repeats_of(pool).take(sharers, now)
+    }
+
+    fn repeats_of(&mut self, pool: &Pool) -> &mut Repeats {
+        let bound = self.settings.repeats;
+        self.repeats.entry(pool.clone()).or_insert_with(|| Repeats::new(bound))
+    }
+
+    fn first_choice(&self, pool: &Pool, part: u64) -> Option<Backend> {
+        let servers = self.standings.values().map(|standing| &standing.server);
+        let of_pool = servers.filter(|server| server.pool == *pool);
+        of_pool.max_by_key(|server| affinity::weight(server.hash, part)).map(|s| s.name.clone())
+    }
+
+    /// Takes that a request is sent.
+    pub fn sent(&mut self, to: &Backend, demand: &Demand, verdict: (Duration, u32), now: Instant) -> Ticket {
+        self.next += 1;
+        let ticket = Ticket(self.next);
+        if !demand.repeat {
+            self.repeats_of(&demand.pool).sent_first(now);
+        }
+        if let Some(standing) = self.standings.get_mut(to) {
+            let (predicted, unread) = verdict;
+            let run =
+                Run { sent: now, predicted, unread, held: demand.held_tokens(), begun: false };
+            standing.runs.insert(ticket, run);
+            standing.sends.add(now);
+            standing.remember_parts(demand, now);
+        }
+        ticket
+    }
+
+    /// Takes that the first event of a request came.
+    pub fn began(&mut self, at: &Backend, ticket: Ticket, now: Instant) {
+        let Some(standing) = self.standings.get_mut(at) else { return };
+        let Some(run) = standing.runs.get_mut(&ticket) else { return };
+        if run.begun {
+            return;
+        }
+        run.begun = true;
+        let (predicted, seen) = (run.predicted, now.duration_since(run.sent));
+        standing.failures = 0;
+        standing.measured(predicted, seen);
+    }
+
+    /// Takes that a request ended.
+    pub fn ended(&mut self, at: &Backend, ticket: Ticket, end: End, now: Instant) {
+        let Some(standing) = self.standings.get_mut(at) else { return };
+        standing.runs.remove(&ticket);
+        match end {
+            End::Complete => standing.failures = 0,
+            End::Abandoned => {}
+            End::Rejected => standing.avoid_until = Some(now + FULL_AVOIDED),
+            End::Broken | End::Unreachable => {
+                let factor = 1 << standing.failures.min(4);
+                standing.failures += 1;
+                standing.avoid_until = Some(now + (AVOIDED_FIRST * factor).min(AVOIDED_MOST));
+            }
+        }
+    }
+
+    /// One line for each backend server, for logs.
+    pub fn summary(&mut self, now: Instant) -> Vec<CompactString> {
+        let lines = self.standings.values_mut().map(|standing| {
+            let load = standing.total(now);
+            compact_str::format_compact!(
+                "{} running={} unread={} sent={} slowness={:.2} cold={} avoided={}",
+                standing.server.name,
+                load.running,
+                load.unread_tokens,
+                load.sent,
+                standing.slowness,
+                standing.is_cold(now),
+                standing.is_avoided(now)
+            )
+        });
+        lines.collect()
+    }
+}
+
+/// The cost of a place, the predicted time to the first event, and the tokens to read.
+fn cost(
+    standing: &mut Standing,
+    demand: &Demand,
+    first_choice: bool,
+    zone: &Zone,
+    now: Instant,
+) -> (Duration, Duration, u32) {
+    let load = standing.total(now);
+    let far = if standing.server.zone == *zone { Duration::ZERO } else { ZONE_PREFERENCE };
+    let Some(cache_tokens) = standing.server.cache_tokens else {
+        return service_cost(standing, load, far);
+    };
+    let unread = standing.unread(demand, first_choice, now);
+    let predicted = standing.queue(load).first_event(f64::from(unread));
+    let held = u64::from(load.held_tokens) + u64::from(demand.held_tokens());
+    // A request that does not fit into memory preempts another one or waits for it.
+    let full = if held > cache_tokens { model::reading(held as f64) } else { Duration::ZERO };
+    (predicted + far + full, predicted + full, unread)
+}
+
+/// A plain service runs one request in each slot and queues the rest.
+fn service_cost(standing: &Standing, load: Load, far: Duration) -> (Duration, Duration, u32) {
+    let slots = f64::from(standing.server.slots.max(1));
+    let filled = f64::from(load.running) / slots;
+    let predicted = Duration::from_secs_f64(0.02 * standing.slowness * (1.0 + filled));
+    let over = if filled > FILL { Duration::from_secs(1) } else { Duration::ZERO };
+    (predicted + far + over, predicted + over, 0)
+}
--- /dev/null
+++ b/crates/policy/src/local/standing.rs
@@ -0,0 +1,183 @@
+//! What a daemon knows of one backend server.
+
+use std::{
+    net::IpAddr,
+    time::{Duration, Instant},
+};
+
+use hyssop_document::{
+    collections::Map,
+    name::{Backend, Pool, Zone},
+};
+
+use super::{demand::Demand, model::Queue, window::Window};
+
+/// How long a peer's load counts after its last beat.
+const PEER_LOAD_KEPT: Duration = Duration::from_millis(1_500);
+/// How long a part counts as cached after its last use by this daemon.
+const PART_KEPT: Duration = Duration::from_secs(15);
+/// The largest number of parts remembered for one backend server.
+const MAX_PARTS: usize = 1_024;
+/// The span over which sends are counted for cold backend servers.
+const RATE_SPAN: Duration = Duration::from_millis(1_100);
+/// The weight of a new measurement in the slowness.
+const SLOWNESS_GAIN: f64 = 0.1;
+
+/// A backend server that may get requests.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Server {
+    /// The name.
+    pub name: Backend,
+    /// The hash of the name that daemons use among themselves.
+    pub hash: u32,
+    /// The pool.
+    pub pool: Pool,
+    /// The availability zone.
+    pub zone: Zone,
+    /// The requests that it runs at once.
+    pub slots: u32,
+    /// The tokens of KV cache, for a model engine.
+    pub cache_tokens: Option<u64>,
+    /// Requests a second that it bears while cold; 0 if it is never cold.
+    pub cold_rate: f64,
+    /// The connections that it accepts from all daemons.
+    pub max_connections: u32,
+    /// The start of its incarnation. One that started again holds nothing of before.
+    pub incarnation: u64,
+}
+
+/// What one daemon has at a backend server.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Load {
+    /// Requests sent and not finished.
+    pub running: u32,
+    /// Prompt tokens sent and not read yet.
+    pub unread_tokens: u32,
+    /// Tokens of KV cache held.
+    pub held_tokens: u32,
+    /// Requests sent in the last second.
+    pub sent: u32,
+}
+
+/// Names one request at one backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, derive_more::Display)]
+pub struct Ticket(pub u64);
+
+#[derive(Debug)]
+pub(super) struct Run {
+    pub(super) sent: Instant,
+    pub(super) predicted: Duration,
+    pub(super) unread: u32,
+    pub(super) held: u32,
+    pub(super) begun: bool,
+}
+
+/// Knowledge of one backend server.
+#[derive(Debug)]
+pub struct Standing {
+    pub(super) server: Server,
+    pub(super) runs: Map<Ticket, Run>,
+    pub(super) peers: Map<IpAddr, (Load, Instant)>,
+    pub(super) sends: Window,
+    pub(super) cold_until: Option<Instant>,
+    pub(super) avoid_until: Option<Instant>,
+    pub(super) failures: u32,
+    pub(super) slowness: f64,
+    pub(super) parts: Map<u64, Instant>,
+    pub(super) since: Instant,
+}
+
+impl Standing {
+    pub(super) fn new(server: Server, now: Instant) -> Self {
+        Self {
+            server,
+            runs: Map::default(),
+            peers: Map::default(),
+            sends: Window::new(RATE_SPAN),
+            cold_until: None,
+            avoid_until: None,
+            failures: 0,
+            slowness: 1.0,
+            parts: Map::default(),
+            since: now,
+        }
+    }
+
+    /// What this daemon has there.
+    pub fn own(&mut self, now: Instant) -> Load {
+        let mut load = Load { sent: self.sends.count(now) as u32, ..Load::default() };
+        for run in self.runs.values() {
+            load.running += 1;
+            load.held_tokens = load.held_tokens.saturating_add(run.held);
+            if !run.begun {
+                load.unread_tokens = load.unread_tokens.saturating_add(run.unread);
+            }
+        }
+        load
+    }
+
+    /// What all daemons have there, by what is known now.
+    pub fn total(&mut self, now: Instant) -> Load {
+        self.peers.retain(|_, (_, heard)| now.duration_since(*heard) <= PEER_LOAD_KEPT);
+        let own = self.own(now);
+        self.peers.values().fold(own, |sum, (load, _)| Load {
+            running: sum.running + load.running,
+            unread_tokens: sum.unread_tokens.saturating_add(load.unread_tokens),
+            held_tokens: sum.held_tokens.saturating_add(load.held_tokens),
+            sent: sum.sent + load.sent,
+        })
+    }
+
+    pub(super) fn queue(&self, load: Load) -> Queue {
+        Queue {
+            unread_tokens: f64::from(load.unread_tokens),
+            running: f64::from(load.running),
+            slots: f64::from(self.server.slots),
+            slowness: self.slowness,
+        }
+    }
+
+    pub(super) fn is_cold(&self, now: Instant) -> bool {
+        self.server.cold_rate > 0.0 && self.cold_until.is_some_and(|until| until > now)
+    }
+
+    pub(super) fn is_avoided(&self, now: Instant) -> bool {
+        self.avoid_until.is_some_and(|until| until > now)
+    }
+
+    /// The tokens of the prompt that must be read there. `first_choice` tells that all daemons send
+    /// the prompt's subject there.
+    pub(super) fn unread(&self, demand: &Demand, first_choice: bool, now: Instant) -> u32 {
+        let subject = demand.subject().map(|part| part.id);
+        let cached = |id: u64| {
+            self.parts.get(&id).is_some_and(|&used| now.duration_since(used) <= PART_KEPT)
+        };
+        let mut unread = demand.prompt_tokens;
+        let mut assumed = first_choice && now.duration_since(self.since) > PART_KEPT;
+        for part in &demand.parts {
+            if !(assumed || cached(part.id)) {
+                break;
+            }
+            unread = unread.saturating_sub(part.tokens);
+            if Some(part.id) == subject {
+                assumed = false;
+            }
+        }
+        unread
+    }
+
+    pub(super) fn remember_parts(&mut self, demand: &Demand, now: Instant) {
+        if self.parts.len() > MAX_PARTS {
+            self.parts.retain(|_, used| now.duration_since(*used) <= PART_KEPT);
+        }
+        for part in &demand.parts {
+            self.parts.insert(part.id, now);
+        }
+    }
+
+    pub(super) fn measured(&mut self, predicted: Duration, seen: Duration) {
+        let usual = predicted.as_secs_f64() / self.slowness;
+        let ratio = (seen.as_secs_f64() / usual.max(0.005)).clamp(0.3, 10.0);
+        self.slowness += SLOWNESS_GAIN * (ratio - self.slowness);
+    }
+}
--- /dev/null
+++ b/crates/view/src/beat.rs
@@ -0,0 +1,100 @@
+//! The datagram that a daemon sends to its peers.
+
+use std::net::{IpAddr, SocketAddr};
+
+use hyssop_document::name::{Host, Zone};
+pub use hyssop_policy::local::standing::Load;
+use serde::{Deserialize, Serialize};
+
+use crate::record::Revision;
+
+/// The largest datagram in bytes: fits into one packet of an Ethernet link.
+pub const MAX_BYTES: usize = 1400;
+
+/// Whether a daemon takes callers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, derive_more::Display)]
+pub enum Phase {
+    /// It has no published state yet.
+    #[display("starting")]
+    Starting,
+    /// It takes callers.
+    #[display("ready")]
+    Ready,
+    /// It is about to stop.
+    #[display("leaving")]
+    Leaving,
+}
+
+/// A [`Load`] with the backend server that it is about.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// The hash of the backend server's name.
+    pub backend: u32,
+    /// The load.
+    pub load: Load,
+    /// How long the backend server stays cold by the sender's knowledge, in ms.
+    pub cold_ms: u32,
+}
+
+/// How often a request broke the backend server that ran it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Blame {
+    /// The hash of what makes the request the same when it comes again.
+    pub fingerprint: u64,
+    /// The number of backend servers that it broke.
+    pub crashes: u32,
+    /// How long the sender will remember it, in ms.
+    pub left_ms: u32,
+}
+
+/// One daemon's beat.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Beat {
+    /// The sender.
+    pub host: Host,
+    /// The sender's availability zone.
+    pub zone: Zone,
+    /// The start of the sender's process: ms since 1970, made unique by its random low bits.
+    pub incarnation: u64,
+    /// Where callers reach the sender.
+    pub callers: SocketAddr,
+    /// Whether the sender takes callers.
+    pub phase: Phase,
+    /// What the sender can carry, in thousandths of a core.
+    pub weight: u16,
+    /// The highest revision that the sender has applied.
+    pub applied: Revision,
+    /// Addresses of other members, a few at a time.
+    pub members: Vec<IpAddr>,
+    /// What the sender has at backend servers.
+    pub loads: Vec<Entry>,
+    /// Requests that broke backend servers.
+    pub blames: Vec<Blame>,
+}
+
+impl Beat {
+    /// The bytes of a datagram.
+    ///
+    /// # Errors
+    ///
+    /// Returns the codec's error; a beat of bounded lists always fits.
+    pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
+        postcard::to_allocvec(self)
+    }
+
+    /// Reads a datagram.
+    ///
+    /// # Errors
+    ///
+    /// Returns the codec's error for bytes that are no beat.
+    pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
+        postcard::from_bytes(bytes)
+    }
+}
+
+/// The hash of a name, the same in all daemons.
+pub fn name_hash(name: &str) -> u32 {
+    // FNV-1a: small, fixed, and good enough for some thousands of names.
+    name.bytes()
+        .fold(0x811c_9dc5_u32, |hash, byte| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193))
+}
