Keep subjects at their first choice

In bursts reading filled the engines. Change: the first choice is taken among usable backend servers and always counts as holding the subject; reading a shared part elsewhere costs three times its time.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -132,24 +132,24 @@
             return Step::Failed(Failure::Refused(Refusal::new(Reason::Quarantined)));
         }
         let placed = self.gateway.decider.lock().place(&self.demand, now);
-        let (name, predicted, unread) = match placed {
-            Verdict::Send { server, predicted, unread } => (server, predicted, unread),
+        let place = match placed {
+            Verdict::Send(place) => place,
             Verdict::Refuse { reason, retry_after } => {
                 return Step::Failed(self.refusal(reason.into(), retry_after));
             }
         };
         let snapshot = self.gateway.knowledge.snapshot();
-        let Some(server) = snapshot.servers.get(&name).cloned() else {
-            self.demand.excluded.push(name);
+        let Some(server) = snapshot.servers.get(&place.server).cloned() else {
+            self.demand.excluded.push(place.server);
             return Step::Again;
         };
         self.tries += 1;
-        let ticket = self.gateway.decider.lock().sent(&name, &self.demand, (predicted, unread), now);
+        let ticket = self.gateway.decider.lock().sent(&place, &self.demand, now);
         let mut exchange = Exchange::new(Arc::clone(&self.gateway), server, ticket, self.fingerprint);
         tracing::info!(
             event = "sent", id = %self.ask.id, route = %self.route.name, tier = %self.tier,
-            server = %name, attempt = self.tries, predicted_ms = predicted.as_millis() as u64,
-            unread, prompt = self.demand.prompt_tokens, version = self.version,
+            server = %place.server, attempt = self.tries,
+            predicted_ms = place.predicted.as_millis() as u64, unread = place.unread, prompt = self.demand.prompt_tokens, version = self.version,
             applied = %snapshot.applied, left_ms = self.left().as_millis() as u64,
             waited_ms = ms(self.arrived), after_event = self.last_event
         );
@@ -157,9 +157,9 @@
         if let Err(fault) = exchange.connect(once).await {
             return self.not_run(exchange, &fault, End::Unreachable).await;
         }
-        let head = self.request_head(&name);
+        let head = self.request_head(&place.server);
         exchange.send(head, self.body.bytes());
-        let late = predicted * LATE_FACTOR + LATE_SLACK;
+        let late = place.predicted * LATE_FACTOR + LATE_SLACK;
         let hurry = self.may_rerun().then_some(late);
         let limit = hurry.unwrap_or(Duration::MAX).min(self.left());
         let answer = exchange.head(&self.method, &self.ask.id, limit).await;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -118,7 +118,7 @@
         let snapshot = self.knowledge.snapshot();
         let mut decider = self.decider.lock();
         let candidates = snapshot.servers.values().filter_map(|server| candidate(&snapshot, server));
-        decider.configure(candidates.collect(), now);
+        decider.configure(candidates.collect());
         for server in snapshot.servers.values().filter(|server| server.cold_ms > 0) {
             if decider.cold_left(&server.name, now).is_zero() {
                 decider.cold(&server.name, Duration::from_millis(server.cold_ms), now);
--- a/crates/policy/src/local/decider.rs
+++ b/crates/policy/src/local/decider.rs
@@ -33,21 +33,35 @@
 const HOPELESS: f64 = 0.85;
 /// The least time to come back that callers are told.
 const RETRY_LEAST: Duration = Duration::from_millis(150);
+/// How many times its own time the reading of a shared part costs that is cached elsewhere.
+const READ_AGAIN_WEIGHT: f64 = 3.0;
 /// The part of a queue that daemons fill together: the rest absorbs what they do not see yet.
 const FILL: f64 = 2.5;
 
+/// Where a request goes.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Place {
+    /// The backend server.
+    pub server: Backend,
+    /// The predicted time to the first event.
+    pub predicted: Duration,
+    /// The prompt tokens that will have to be read there.
+    pub unread: u32,
+}
+
+/// The backend servers that may get a request.
+#[derive(Debug, Default)]
+struct Usable {
+    names: Vec<Backend>,
+    /// Whether others are cold, and this daemon's share of them is used.
+    cold: bool,
+}
+
 /// What to do with a request.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Verdict {
     /// Send it there.
-    Send {
-        /// The backend server.
-        server: Backend,
-        /// The predicted time to the first event.
-        predicted: Duration,
-        /// The prompt tokens that it will have to read there.
-        unread: u32,
-    },
+    Send(Place),
     /// Refuse it: it has not run.
     Refuse {
         /// Why.
@@ -147,7 +161,7 @@
     }
 
     /// Replaces the backend servers that may get requests. What is known of those that stay is kept.
-    pub fn configure(&mut self, servers: Vec<Server>, now: Instant) {
+    pub fn configure(&mut self, servers: Vec<Server>) {
         let mut known = std::mem::take(&mut self.standings);
         self.by_hash.clear();
         for server in servers {
@@ -158,7 +172,7 @@
                     standing.server = server;
                     standing
                 }
-                _ => Standing::new(server, now),
+                _ => Standing::new(server),
             };
             self.standings.insert(name, standing);
         }
@@ -209,49 +223,53 @@
         if demand.repeat && !self.take_repeat(&demand.pool, now) {
             return Verdict::Refuse { reason: Reason::Repeats, retry_after: RETRY_LEAST };
         }
-        let subject = demand.subject();
-        let first_choice = subject.and_then(|part| self.first_choice(&demand.pool, part.id));
-        let mut best: Option<(Duration, Verdict)> = None;
-        let mut present = false;
-        let mut cold = false;
-        let (own, zone) = (self.settings.own, &self.settings.zone);
-        for standing in self.standings.values_mut() {
-            let server = &standing.server;
-            if server.pool != demand.pool || demand.excluded.contains(&server.name) {
-                continue;
+        let usable = self.usable(demand, now);
+        if usable.names.is_empty() {
+            let reason = if usable.cold { Reason::Cold } else { Reason::NoServer };
+            return Verdict::Refuse { reason, retry_after: RETRY_LEAST * 2 };
+        }
+        let first_choice = demand.subject().and_then(|part| self.first_choice(&usable.names, part.id));
+        let mut best: Option<(Duration, Place)> = None;
+        for name in usable.names {
+            let Some(standing) = self.standings.get_mut(&name) else { continue };
+            let first = first_choice.as_ref() == Some(&name);
+            let (cost, predicted, unread) = cost(standing, demand, first, &self.settings.zone, now);
+            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
+                best = Some((cost, Place { server: name, predicted, unread }));
             }
-            present = true;
-            if standing.is_avoided(now) {
+        }
+        let Some((_, place)) = best else {
+            return Verdict::Refuse { reason: Reason::NoServer, retry_after: RETRY_LEAST * 2 };
+        };
+        let left = demand.deadline.saturating_duration_since(now).mul_f64(HOPELESS);
+        if place.predicted > left {
+            let retry_after = (place.predicted - left).max(RETRY_LEAST);
+            return Verdict::Refuse { reason: Reason::Overload, retry_after };
+        }
+        Verdict::Send(place)
+    }
+
+    /// The backend servers that may get the request now.
+    fn usable(&mut self, demand: &Demand, now: Instant) -> Usable {
+        let mut usable = Usable::default();
+        for (name, standing) in &mut self.standings {
+            let server = &standing.server;
+            if server.pool != demand.pool || demand.excluded.contains(name) || standing.is_avoided(now)
+            {
                 continue;
             }
             if standing.is_cold(now) {
                 let bound = self.settings.cold;
+                let own = self.settings.own;
                 let share = bound.share(server.cold_rate, server.hash, own, &self.members);
                 if standing.sends.count(now) >= share {
-                    cold = true;
+                    usable.cold = true;
                     continue;
                 }
             }
-            let first = first_choice.as_ref() == Some(&standing.server.name);
-            let (cost, predicted, unread) = cost(standing, demand, first, zone, now);
-            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
-                let server = standing.server.name.clone();
-                best = Some((cost, Verdict::Send { server, predicted, unread }));
-            }
-        }
-        let left = demand.deadline.saturating_duration_since(now);
-        match best {
-            Some((_, Verdict::Send { predicted, .. })) if predicted > left.mul_f64(HOPELESS) => {
-                let retry_after = (predicted - left.mul_f64(HOPELESS)).max(RETRY_LEAST);
-                Verdict::Refuse { reason: Reason::Overload, retry_after }
-            }
-            Some((_, verdict)) => verdict,
-            None => {
-                let reason = if cold || !present { Reason::Cold } else { Reason::NoServer };
-                let reason = if present { reason } else { Reason::NoServer };
-                Verdict::Refuse { reason, retry_after: RETRY_LEAST * 2 }
-            }
+            usable.names.push(name.clone());
         }
+        usable
     }
 
     fn take_repeat(&mut self, pool: &Pool, now: Instant) -> bool {
@@ -264,23 +282,26 @@
         self.repeats.entry(pool.clone()).or_insert_with(|| Repeats::new(bound))
     }
 
-    fn first_choice(&self, pool: &Pool, part: u64) -> Option<Backend> {
-        let servers = self.standings.values().map(|standing| &standing.server);
-        let of_pool = servers.filter(|server| server.pool == *pool);
-        of_pool.max_by_key(|server| affinity::weight(server.hash, part)).map(|s| s.name.clone())
+    fn first_choice(&self, names: &[Backend], part: u64) -> Option<Backend> {
+        let hash = |name: &&Backend| self.standings.get(*name).map_or(0, |s| s.server.hash);
+        names.iter().max_by_key(|name| affinity::weight(hash(name), part)).cloned()
     }
 
     /// Takes that a request is sent.
-    pub fn sent(&mut self, to: &Backend, demand: &Demand, verdict: (Duration, u32), now: Instant) -> Ticket {
+    pub fn sent(&mut self, place: &Place, demand: &Demand, now: Instant) -> Ticket {
         self.next += 1;
         let ticket = Ticket(self.next);
         if !demand.repeat {
             self.repeats_of(&demand.pool).sent_first(now);
         }
-        if let Some(standing) = self.standings.get_mut(to) {
-            let (predicted, unread) = verdict;
-            let run =
-                Run { sent: now, predicted, unread, held: demand.held_tokens(), begun: false };
+        if let Some(standing) = self.standings.get_mut(&place.server) {
+            let run = Run {
+                sent: now,
+                predicted: place.predicted,
+                unread: place.unread,
+                held: demand.held_tokens(),
+                begun: false,
+            };
             standing.runs.insert(ticket, run);
             standing.sends.add(now);
             standing.remember_parts(demand, now);
@@ -351,10 +372,13 @@
     };
     let unread = standing.unread(demand, first_choice, now);
     let predicted = standing.queue(load).first_event(f64::from(unread));
+    // Reading what is cached elsewhere takes time from all requests there, not only from this one.
+    let shared = unread.saturating_sub(demand.own_tokens());
+    let again = model::reading(f64::from(shared)).mul_f64(READ_AGAIN_WEIGHT);
     let held = u64::from(load.held_tokens) + u64::from(demand.held_tokens());
     // A request that does not fit into memory preempts another one or waits for it.
     let full = if held > cache_tokens { model::reading(held as f64) } else { Duration::ZERO };
-    (predicted + far + full, predicted + full, unread)
+    (predicted + again + far + full, predicted + full, unread)
 }
 
 /// A plain service runs one request in each slot and queues the rest.
--- a/crates/policy/src/local/demand.rs
+++ b/crates/policy/src/local/demand.rs
@@ -51,6 +51,15 @@
         }
     }
 
+    /// The tokens of the prompt that no other request has.
+    pub fn own_tokens(&self) -> u32 {
+        let shared: u32 = match self.parts.as_slice() {
+            [] => 0,
+            [shared @ .., _own] => shared.iter().map(|part| part.tokens).sum(),
+        };
+        self.prompt_tokens.saturating_sub(shared)
+    }
+
     /// The tokens of KV cache that it holds while it runs.
     pub fn held_tokens(&self) -> u32 {
         self.prompt_tokens.saturating_add(self.output_tokens)
--- a/crates/policy/src/local/standing.rs
+++ b/crates/policy/src/local/standing.rs
@@ -84,11 +84,10 @@
     pub(super) failures: u32,
     pub(super) slowness: f64,
     pub(super) parts: Map<u64, Instant>,
-    pub(super) since: Instant,
 }
 
 impl Standing {
-    pub(super) fn new(server: Server, now: Instant) -> Self {
+    pub(super) fn new(server: Server) -> Self {
         Self {
             server,
             runs: Map::default(),
@@ -99,7 +98,6 @@
             failures: 0,
             slowness: 1.0,
             parts: Map::default(),
-            since: now,
         }
     }
 
@@ -153,7 +151,7 @@
             self.parts.get(&id).is_some_and(|&used| now.duration_since(used) <= PART_KEPT)
         };
         let mut unread = demand.prompt_tokens;
-        let mut assumed = first_choice && now.duration_since(self.since) > PART_KEPT;
+        let mut assumed = first_choice;
         for part in &demand.parts {
             if !(assumed || cached(part.id)) {
                 break;
