--- a/crates/policy/src/local.rs
+++ b/crates/policy/src/local.rs
@@ -10,5 +10,6 @@
 pub mod demand;
 pub mod model;
 pub mod repeats;
+pub mod split;
 pub mod standing;
 pub mod window;
--- a/crates/policy/src/local/decider.rs
+++ b/crates/policy/src/local/decider.rs
@@ -17,6 +17,7 @@
     demand::Demand,
     model,
     repeats::{Bound as RepeatBound, Repeats},
+    split::{self, Split},
     standing::{Load, Run, Server, Standing, Ticket},
 };
 
@@ -35,6 +36,9 @@
 const RETRY_LEAST: Duration = Duration::from_millis(150);
 /// How many times its own time the reading of a shared part costs that is cached elsewhere.
 const READ_AGAIN_WEIGHT: f64 = 3.0;
+/// How much that weight grows for each second that prompts wait to be read. When all engines are
+/// behind, reading again elsewhere only adds work, and the queue that it avoids grows everywhere.
+const READ_AGAIN_PRESSURE: f64 = 30.0;
 /// The part of a queue that daemons fill together: the rest absorbs what they do not see yet.
 const FILL: f64 = 2.5;
 
@@ -47,6 +51,10 @@
     pub predicted: Duration,
     /// The prompt tokens that will have to be read there.
     pub unread: u32,
+    /// What all daemons have there, by what is known.
+    pub load: Load,
+    /// How many engines are set aside for requests that generate.
+    pub aside: usize,
 }
 
 /// The backend servers that may get a request.
@@ -129,6 +137,7 @@
     standings: Map<Backend, Standing>,
     by_hash: Map<u32, Backend>,
     repeats: Map<Pool, Repeats>,
+    splits: Map<Pool, Split>,
     next: u64,
 }
 
@@ -142,6 +151,7 @@
             standings: Map::default(),
             by_hash: Map::default(),
             repeats: Map::default(),
+            splits: Map::default(),
             next: 0,
         }
     }
@@ -223,19 +233,25 @@
         if demand.repeat && !self.take_repeat(&demand.pool, now) {
             return Verdict::Refuse { reason: Reason::Repeats, retry_after: RETRY_LEAST };
         }
-        let usable = self.usable(demand, now);
+        let mut usable = self.usable(demand, now);
+        let aside = match demand.prompt_tokens {
+            0 => 0,
+            _ => self.narrow(&mut usable.names, demand, now),
+        };
         if usable.names.is_empty() {
             let reason = if usable.cold { Reason::Cold } else { Reason::NoServer };
             return Verdict::Refuse { reason, retry_after: RETRY_LEAST * 2 };
         }
         let first_choice = demand.subject().and_then(|part| self.first_choice(&usable.names, part.id));
+        let pressure = self.pressure(&usable.names, now);
         let mut best: Option<(Duration, Place)> = None;
         for name in usable.names {
             let Some(standing) = self.standings.get_mut(&name) else { continue };
             let first = first_choice.as_ref() == Some(&name);
-            let (cost, predicted, unread) = cost(standing, demand, first, &self.settings.zone, now);
+            let (cost, predicted, unread) = cost(standing, demand, first, pressure, &self.settings.zone, now);
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
-                best = Some((cost, Place { server: name, predicted, unread }));
+                let load = standing.total(now);
+                best = Some((cost, Place { server: name, predicted, unread, load, aside }));
             }
         }
         let Some((_, place)) = best else {
@@ -272,6 +288,40 @@
         usable
     }
 
+    /// The mean time that prompts wait to be read.
+    fn pressure(&mut self, names: &[Backend], now: Instant) -> Duration {
+        let mut unread = 0.0;
+        for name in names {
+            let standing = self.standings.get_mut(name);
+            unread += standing.map_or(0.0, |standing| f64::from(standing.total(now).unread_tokens));
+        }
+        model::reading(unread / names.len().max(1) as f64)
+    }
+
+    /// Keeps the engines that are for requests like this one, if there is room at one of them.
+    fn narrow(&mut self, names: &mut Vec<Backend>, demand: &Demand, now: Instant) -> usize {
+        let (mut generating, mut slots) = (0, 1);
+        let mut ranked = Vec::with_capacity(names.len());
+        for name in names.iter() {
+            let Some(standing) = self.standings.get_mut(name) else { continue };
+            let load = standing.total(now);
+            generating += load.generating;
+            slots = standing.server.slots;
+            let room = load.running < slots;
+            ranked.push((standing.server.hash, name.clone(), room));
+        }
+        let engines = ranked.len();
+        let split = self.splits.entry(demand.pool.clone()).or_default();
+        let aside = split.update(generating, slots, engines, now);
+        split::rank(&mut ranked);
+        let (generate, read) = ranked.split_at(aside);
+        let own = if split::generates(demand) { generate } else { read };
+        if own.iter().any(|(.., room)| *room) {
+            *names = own.iter().map(|(_, name, _)| name.clone()).collect();
+        }
+        aside
+    }
+
     fn take_repeat(&mut self, pool: &Pool, now: Instant) -> bool {
         let sharers = self.members.len();
         self.repeats_of(pool).take(sharers, now)
@@ -301,6 +351,7 @@
                 unread: place.unread,
                 held: demand.held_tokens(),
                 begun: false,
+                generates: split::generates(demand),
             };
             standing.runs.insert(ticket, run);
             standing.sends.add(now);
@@ -362,6 +413,7 @@
     standing: &mut Standing,
     demand: &Demand,
     first_choice: bool,
+    pressure: Duration,
     zone: &Zone,
     now: Instant,
 ) -> (Duration, Duration, u32) {
@@ -374,7 +426,8 @@
     let predicted = standing.queue(load).first_event(f64::from(unread));
     // Reading what is cached elsewhere takes time from all requests there, not only from this one.
     let shared = unread.saturating_sub(demand.own_tokens());
-    let again = model::reading(f64::from(shared)).mul_f64(READ_AGAIN_WEIGHT);
+    let weight = READ_AGAIN_WEIGHT + READ_AGAIN_PRESSURE * pressure.as_secs_f64();
+    let again = model::reading(f64::from(shared)).mul_f64(weight);
     let held = u64::from(load.held_tokens) + u64::from(demand.held_tokens());
     // A request that does not fit into memory preempts another one or waits for it.
     let full = if held > cache_tokens { model::reading(held as f64) } else { Duration::ZERO };
--- a/crates/policy/src/local/model.rs
+++ b/crates/policy/src/local/model.rs
@@ -15,6 +15,9 @@
 /// Time that each further request in the batch adds to a step, as published.
 const STEP_MS_PER_RUNNING: f64 = 0.05;
 
+/// Requests in a batch of usual size.
+const USUAL_BATCH: f64 = 16.0;
+
 /// What is at an engine when a request would come.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Queue {
@@ -45,6 +48,11 @@
     ms(tokens / READ_TOKENS_PER_MS)
 }
 
+/// Time that generating these tokens takes in a batch of usual size.
+pub fn generating(tokens: f64) -> Duration {
+    ms(tokens * (STEP_MS + STEP_MS_PER_RUNNING * USUAL_BATCH))
+}
+
 fn ms(ms: f64) -> Duration {
     Duration::from_secs_f64(ms.max(0.0) / 1_000.0)
 }
--- a/crates/policy/src/local/standing.rs
+++ b/crates/policy/src/local/standing.rs
@@ -57,6 +57,8 @@
     pub held_tokens: u32,
     /// Requests sent in the last second.
     pub sent: u32,
+    /// Running requests that mostly generate.
+    pub generating: u32,
 }
 
 /// Names one request at one backend server.
@@ -70,6 +72,7 @@
     pub(super) unread: u32,
     pub(super) held: u32,
     pub(super) begun: bool,
+    pub(super) generates: bool,
 }
 
 /// Knowledge of one backend server.
@@ -106,6 +109,7 @@
         let mut load = Load { sent: self.sends.count(now) as u32, ..Load::default() };
         for run in self.runs.values() {
             load.running += 1;
+            load.generating += u32::from(run.generates);
             load.held_tokens = load.held_tokens.saturating_add(run.held);
             if !run.begun {
                 load.unread_tokens = load.unread_tokens.saturating_add(run.unread);
@@ -123,6 +127,7 @@
             unread_tokens: sum.unread_tokens.saturating_add(load.unread_tokens),
             held_tokens: sum.held_tokens.saturating_add(load.held_tokens),
             sent: sum.sent + load.sent,
+            generating: sum.generating + load.generating,
         })
     }
 
