End exchanges with their last data, and share nothing cold while members are learned

Cause 1: the HTTP server does not poll a body beyond its announced length, so exchanges with a length counted as left by the caller and closed their connection. Cause 2: after a loss of power all daemons start at once and each took the whole rate of a cold backend server (39 requests in a second, 32 allowed).

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -150,7 +150,8 @@
             event = "sent", id = %self.ask.id, route = %self.route.name, tier = %self.tier,
             server = %place.server, attempt = self.tries,
             predicted_ms = place.predicted.as_millis() as u64, unread = place.unread,
-            running = place.load.running, queued_tokens = place.load.unread_tokens, aside = place.aside,
+            running = place.load.running, queued_tokens = place.load.unread_tokens,
+            held_tokens = place.load.held_tokens, aside = place.aside,
             prompt = self.demand.prompt_tokens, version = self.version,
             applied = %snapshot.applied, left_ms = self.left().as_millis() as u64,
             waited_ms = ms(self.arrived), after_event = self.last_event
--- a/crates/gateway/src/call/exchange.rs
+++ b/crates/gateway/src/call/exchange.rs
@@ -214,6 +214,11 @@
         }
     }
 
+    /// Whether the body's end is there already, so that nobody has to ask for it.
+    pub(crate) fn at_end(&mut self, framing: &mut Framing) -> bool {
+        framing.take_end(&mut self.connection_mut().buffer)
+    }
+
     async fn read_all(&mut self, mut framing: Framing, most: usize) -> Result<Bytes, Fault> {
         let mut all = BytesMut::new();
         loop {
--- a/crates/gateway/src/http/framing.rs
+++ b/crates/gateway/src/http/framing.rs
@@ -95,6 +95,18 @@
         }
     }
 
+    /// Takes the body's end if it is next and all of it is in `buffer`.
+    pub fn take_end(&mut self, buffer: &mut BytesMut) -> bool {
+        let no_data = match *self {
+            Self::Length(left) | Self::ChunkData(left) => left == 0,
+            Self::ChunkEnd => buffer.starts_with(b"\r\n0"),
+            Self::ChunkSize => buffer.starts_with(b"0"),
+            Self::UntilClose => false,
+            Self::Trailers | Self::Done => true,
+        };
+        no_data && matches!(self.step(buffer), Ok(Step::End))
+    }
+
     /// Takes that the connection ended in order.
     ///
     /// # Errors
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -86,6 +86,16 @@
         Some(data)
     }
 
+    /// Ends with the last data if the end is there: a server does not ask for more than the length
+    /// that it has announced.
+    fn finish_at_end(&mut self) {
+        let whole_events = self.splitter.as_ref().is_none_or(|splitter| splitter.tail().is_empty());
+        if whole_events && self.exchange.at_end(&mut self.framing) {
+            self.exchange.finish(End::Complete);
+            self.ended("");
+        }
+    }
+
     fn ended(&mut self, reason: &str) {
         self.done = true;
         let call = &self.call;
@@ -125,9 +135,15 @@
 impl Parts for Relay {
     async fn next(&mut self) -> Option<Result<Bytes, Broken>> {
         loop {
+            if self.done {
+                return None;
+            }
             let fault = match self.step().await {
                 Ok(Step::Data(data)) => match self.passed(data) {
-                    Some(data) => return Some(Ok(data)),
+                    Some(data) => {
+                        self.finish_at_end();
+                        return Some(Ok(data));
+                    }
                     None => continue,
                 },
                 Ok(Step::End) if self.splitter.as_ref().is_none_or(|s| s.tail().is_empty()) => {
--- a/crates/policy/src/local/decider.rs
+++ b/crates/policy/src/local/decider.rs
@@ -123,6 +123,9 @@
     pub zone: Zone,
     /// The hash of the daemon's name.
     pub own: u32,
+    /// Until when the members are being learned. A daemon that has just started does not know among
+    /// how many it shares, so it sends nothing to cold backend servers.
+    pub learning_until: Instant,
     /// The bound on cold backend servers.
     pub cold: ColdBound,
     /// The bound on repeats.
@@ -277,7 +280,11 @@
             if standing.is_cold(now) {
                 let bound = self.settings.cold;
                 let own = self.settings.own;
-                let share = bound.share(server.cold_rate, server.hash, own, &self.members);
+                let learning = now < self.settings.learning_until;
+                let share = match learning {
+                    true => 0,
+                    false => bound.share(server.cold_rate, server.hash, own, &self.members),
+                };
                 if standing.sends.count(now) >= share {
                     usable.cold = true;
                     continue;
