--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -145,7 +145,8 @@
         };
         self.tries += 1;
         let ticket = self.gateway.decider.lock().sent(&place, &self.demand, now);
-        let mut exchange = Exchange::new(Arc::clone(&self.gateway), server, ticket, self.fingerprint);
+        let mut exchange =
+            Exchange::new(Arc::clone(&self.gateway), server, ticket, self.fingerprint);
         tracing::info!(
             event = "sent", id = %self.ask.id, route = %self.route.name, tier = %self.tier,
             server = %place.server, attempt = self.tries,
@@ -266,7 +267,11 @@
             after_ms = ms(self.arrived), last_event = self.last_event
         );
         let timeout = matches!(fault, Fault::Late(_));
-        exchange.finish(if timeout && self.left() < LEAST_LEFT { End::Abandoned } else { End::Broken });
+        exchange.finish(if timeout && self.left() < LEAST_LEFT {
+            End::Abandoned
+        } else {
+            End::Broken
+        });
         self.demand.excluded.push(server.name.clone());
         self.demand.repeat = true;
         if fault.is_reset() {
@@ -295,7 +300,9 @@
         self.gateway.dialect.write_attempt(&attempt, &mut out);
         let body = self.body.bytes();
         if !body.is_empty() || self.method == Method::POST || self.method == Method::PUT {
-            out.put_slice(compact_str::format_compact!("content-length: {}\r\n", body.len()).as_bytes());
+            out.put_slice(
+                compact_str::format_compact!("content-length: {}\r\n", body.len()).as_bytes(),
+            );
         }
         out.put_slice(b"\r\n");
         out.freeze()
--- a/crates/gateway/src/call/exchange.rs
+++ b/crates/gateway/src/call/exchange.rs
@@ -77,10 +77,7 @@
 impl Fault {
     /// Whether the backend server's process may have died.
     pub fn is_reset(&self) -> bool {
-        matches!(
-            self,
-            Self::Connection(_) | Self::Closed | Self::Body(framing::Fault::Truncated)
-        )
+        matches!(self, Self::Connection(_) | Self::Closed | Self::Body(framing::Fault::Truncated))
     }
 }
 
@@ -129,7 +126,8 @@
     pub(super) async fn connect(&mut self, once: bool) -> Result<(), Fault> {
         let name = &self.server.name;
         let most = self.gateway.decider.lock().connections(name);
-        let connection = self.gateway.connections.take(name, self.server.address, most, once).await?;
+        let connection =
+            self.gateway.connections.take(name, self.server.address, most, once).await?;
         self.connection = Some(connection);
         Ok(())
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -117,7 +117,8 @@
     pub fn reconfigure(&self, now: Instant) {
         let snapshot = self.knowledge.snapshot();
         let mut decider = self.decider.lock();
-        let candidates = snapshot.servers.values().filter_map(|server| candidate(&snapshot, server));
+        let candidates =
+            snapshot.servers.values().filter_map(|server| candidate(&snapshot, server));
         decider.configure(candidates.collect());
         for server in snapshot.servers.values().filter(|server| server.cold_ms > 0) {
             if decider.cold_left(&server.name, now).is_zero() {
--- a/crates/gateway/src/http/framing.rs
+++ b/crates/gateway/src/http/framing.rs
@@ -95,16 +95,22 @@
         }
     }
 
-    /// Takes the body's end if it is next and all of it is in `buffer`.
+    /// Takes the body's end if it is next and all of it is in `buffer`. Takes nothing else.
     pub fn take_end(&mut self, buffer: &mut BytesMut) -> bool {
-        let no_data = match *self {
-            Self::Length(left) | Self::ChunkData(left) => left == 0,
-            Self::ChunkEnd => buffer.starts_with(b"\r\n0"),
-            Self::ChunkSize => buffer.starts_with(b"0"),
-            Self::UntilClose => false,
-            Self::Trailers | Self::Done => true,
+        let end: &[u8] = match *self {
+            Self::Done | Self::Length(0) => b"",
+            Self::ChunkData(0) | Self::ChunkEnd => b"\r\n0\r\n\r\n",
+            Self::ChunkSize => b"0\r\n\r\n",
+            Self::Length(_) | Self::ChunkData(_) | Self::Trailers | Self::UntilClose => {
+                return false;
+            }
         };
-        no_data && matches!(self.step(buffer), Ok(Step::End))
+        let is_next = buffer.starts_with(end);
+        if is_next {
+            buffer.advance(end.len());
+            *self = Self::Done;
+        }
+        is_next
     }
 
     /// Takes that the connection ended in order.
--- a/crates/gateway/src/http/head.rs
+++ b/crates/gateway/src/http/head.rs
@@ -51,7 +51,9 @@
     let mut response = httparse::Response::new(&mut slots);
     let length = match response.parse(buffer) {
         Ok(httparse::Status::Complete(length)) => length,
-        Ok(httparse::Status::Partial) if buffer.len() > MAX_HEAD_BYTES => return Err(Fault::TooLong),
+        Ok(httparse::Status::Partial) if buffer.len() > MAX_HEAD_BYTES => {
+            return Err(Fault::TooLong);
+        }
         Ok(httparse::Status::Partial) => return Ok(None),
         Err(_) => return Err(Fault::Malformed),
     };
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -200,7 +200,8 @@
                 Ok(fact) => learn(inner, fact, revision, origin),
                 Err(fault) => {
                     tracing::warn!(event = "record_refused", %key, %revision, %origin, %fault);
-                    matches!(subject, Subject::Server(_)) && forget(inner, &subject, revision, origin, now)
+                    matches!(subject, Subject::Server(_))
+                        && forget(inner, &subject, revision, origin, now)
                 }
             },
         };
@@ -214,7 +215,9 @@
             environment.as_ref().is_some_and(|environment| environment.pool(&server.pool).is_some())
         };
         let in_service = |server: &Server| {
-            server.state == State::Ready && !inner.zones_out.contains(&server.zone) && has_pool(server)
+            server.state == State::Ready
+                && !inner.zones_out.contains(&server.zone)
+                && has_pool(server)
         };
         let servers = inner.servers.iter().filter(|(_, listed)| in_service(&listed.server));
         let servers = servers.map(|(name, listed)| (name.clone(), Arc::clone(&listed.server)));
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -99,7 +99,8 @@
     fn ended(&mut self, reason: &str) {
         self.done = true;
         let call = &self.call;
-        let first_ms = self.began.map(|began| began.duration_since(call.arrived).as_millis() as u64);
+        let first_ms =
+            self.began.map(|began| began.duration_since(call.arrived).as_millis() as u64);
         tracing::info!(
             event = "answered", id = %call.ask.id, route = %call.route.name, status = self.status,
             reason, server = %self.exchange.server.name, first_ms, after_ms = ms(call.arrived),
--- a/crates/gateway/src/share.rs
+++ b/crates/gateway/src/share.rs
@@ -107,8 +107,10 @@
             loads.rotate_left(turn % length);
             loads.truncate(MAX_LOADS);
         }
-        let entry = |(backend, load, cold): (u32, _, Duration)| {
-            Entry { backend, load, cold_ms: cold.as_millis() as u32 }
+        let entry = |(backend, load, cold): (u32, _, Duration)| Entry {
+            backend,
+            load,
+            cold_ms: cold.as_millis() as u32,
         };
         Beat {
             host: gateway.settings.host.clone(),
--- a/crates/policy/src/local/decider.rs
+++ b/crates/policy/src/local/decider.rs
@@ -34,6 +34,8 @@
 const HOPELESS: f64 = 0.85;
 /// The least time to come back that callers are told.
 const RETRY_LEAST: Duration = Duration::from_millis(150);
+/// What each request of the last second counts at a plain service, so that equals take turns.
+const TURN: Duration = Duration::from_micros(100);
 /// How many times its own time the reading of a shared part costs that is cached elsewhere.
 const READ_AGAIN_WEIGHT: f64 = 3.0;
 /// How much that weight grows for each second that prompts wait to be read. When all engines are
@@ -218,7 +220,8 @@
     /// What this daemon has at each backend server.
     pub fn own_loads(&mut self, now: Instant) -> Vec<(u32, Load, Duration)> {
         let loads = self.standings.values_mut().map(|standing| {
-            let cold = standing.cold_until.map_or(Duration::ZERO, |u| u.saturating_duration_since(now));
+            let cold =
+                standing.cold_until.map_or(Duration::ZERO, |u| u.saturating_duration_since(now));
             (standing.server.hash, standing.own(now), cold)
         });
         loads.filter(|(_, load, cold)| *load != Load::default() || !cold.is_zero()).collect()
@@ -245,13 +248,15 @@
             let reason = if usable.cold { Reason::Cold } else { Reason::NoServer };
             return Verdict::Refuse { reason, retry_after: RETRY_LEAST * 2 };
         }
-        let first_choice = demand.subject().and_then(|part| self.first_choice(&usable.names, part.id));
+        let first_choice =
+            demand.subject().and_then(|part| self.first_choice(&usable.names, part.id));
         let pressure = self.pressure(&usable.names, now);
         let mut best: Option<(Duration, Place)> = None;
         for name in usable.names {
             let Some(standing) = self.standings.get_mut(&name) else { continue };
             let first = first_choice.as_ref() == Some(&name);
-            let (cost, predicted, unread) = cost(standing, demand, first, pressure, &self.settings.zone, now);
+            let (cost, predicted, unread) =
+                cost(standing, demand, first, pressure, &self.settings.zone, now);
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 let load = standing.total(now);
                 best = Some((cost, Place { server: name, predicted, unread, load, aside }));
@@ -273,7 +278,9 @@
         let mut usable = Usable::default();
         for (name, standing) in &mut self.standings {
             let server = &standing.server;
-            if server.pool != demand.pool || demand.excluded.contains(name) || standing.is_avoided(now)
+            if server.pool != demand.pool
+                || demand.excluded.contains(name)
+                || standing.is_avoided(now)
             {
                 continue;
             }
@@ -447,5 +454,6 @@
     let filled = f64::from(load.running) / slots;
     let predicted = Duration::from_secs_f64(0.02 * standing.slowness * (1.0 + filled));
     let over = if filled > FILL { Duration::from_secs(1) } else { Duration::ZERO };
-    (predicted + far + over, predicted + over, 0)
+    let turn = TURN * load.sent;
+    (predicted + far + turn + over, predicted + over, 0)
 }
--- a/crates/view/src/member.rs
+++ b/crates/view/src/member.rs
@@ -67,7 +67,9 @@
 
     /// The members heard of lately.
     pub fn alive(&self, now: Instant) -> impl Iterator<Item = (&IpAddr, &Member)> {
-        self.members.iter().filter(move |(_, member)| now.duration_since(member.heard) <= SILENT_AFTER)
+        self.members
+            .iter()
+            .filter(move |(_, member)| now.duration_since(member.heard) <= SILENT_AFTER)
     }
 
     /// The members that take callers.
--- a/crates/view/src/node.rs
+++ b/crates/view/src/node.rs
@@ -154,7 +154,8 @@
         };
         for &target in targets {
             // A full socket buffer loses this beat like the network would.
-            if let Err(error) = self.socket.try_send_to(&bytes, SocketAddr::new(target, own.port())) {
+            if let Err(error) = self.socket.try_send_to(&bytes, SocketAddr::new(target, own.port()))
+            {
                 tracing::debug!(event = "beat_lost", %target, %error);
             }
         }
