--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -98,7 +98,7 @@
     /// Serves the call.
     pub async fn run(mut self) -> Response<Body> {
         match self.open().await {
-            Ok((exchange, head)) => self.relay(exchange, head),
+            Ok((exchange, head)) => self.relay(exchange, &head),
             Err(failure) => self.failed(failure),
         }
     }
@@ -308,7 +308,7 @@
         out.freeze()
     }
 
-    fn relay(self, exchange: Exchange, head: Head) -> Response<Body> {
+    fn relay(self, exchange: Exchange, head: &Head) -> Response<Body> {
         let mut response = Response::new(full(Bytes::new()));
         *response.status_mut() = head.status;
         *response.headers_mut() = passed_on(&head.headers);
@@ -317,7 +317,7 @@
             // Another backend server may go on with it, so its length is not known.
             response.headers_mut().remove(CONTENT_LENGTH);
         }
-        *response.body_mut() = streamed(Relay::new(self, exchange, &head, streams));
+        *response.body_mut() = streamed(Relay::new(self, exchange, head, streams));
         response
     }
 
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -143,7 +143,7 @@
         None => headers.get(HOST)?.to_str().ok()?,
     };
     let host = named.rsplit_once(':').filter(|(_, port)| port.bytes().all(|b| b.is_ascii_digit()));
-    Some(CompactString::new(host.map_or(named, |(host, _)| host)).to_ascii_lowercase().into())
+    Some(CompactString::new(host.map_or(named, |(host, _)| host)).to_ascii_lowercase())
 }
 
 async fn read_body(
--- /dev/null
+++ b/crates/policy/tests/local.rs
@@ -0,0 +1,366 @@
+//! Decisions of a daemon for itself, each with the load that it answers.
+
+use std::{
+    net::{IpAddr, Ipv4Addr},
+    time::{Duration, Instant},
+};
+
+use hyssop_document::{
+    name::{Backend, Pool, Zone},
+    number::Tier,
+};
+use hyssop_policy::local::{
+    cold,
+    decider::{Decider, End, Place, Reason, Settings, Verdict},
+    demand::{Demand, Part},
+    repeats::{self, Repeats},
+    split::{self, Split},
+    standing::{Load, Server},
+};
+
+const COLD: cold::Bound = cold::Bound { factor: 1.5, slack: 5.0 };
+const REPEATS: repeats::Bound =
+    repeats::Bound { ratio: 0.2, burst: 58.0, window: Duration::from_secs(10) };
+
+fn decider(zone: &str, learning_until: Instant) -> Decider {
+    let zone = Zone::new(zone);
+    Decider::new(Settings { zone, own: 1, learning_until, cold: COLD, repeats: REPEATS })
+}
+
+fn engine(index: u32) -> Server {
+    Server {
+        name: Backend::new(&format!("engine-{index}")),
+        hash: index.wrapping_mul(0x9e37_79b1),
+        pool: Pool::new("drafts"),
+        zone: Zone::new("a"),
+        slots: 48,
+        cache_tokens: Some(457_270),
+        cold_rate: 16.0,
+        max_connections: 310,
+        incarnation: 1,
+    }
+}
+
+fn service(index: u32) -> Server {
+    Server {
+        pool: Pool::new("desk"),
+        slots: 6,
+        cache_tokens: None,
+        cold_rate: 0.0,
+        ..engine(index)
+    }
+}
+
+/// A long prompt about a subject, with a short answer.
+fn reading(subject: u64, now: Instant) -> Demand {
+    let parts = vec![
+        Part { id: subject % 4, tokens: 2_500 },
+        Part { id: 1_000 + subject, tokens: 3_800 },
+        Part { id: 1_000_000 + subject, tokens: 2_900 },
+    ];
+    Demand {
+        pool: Pool::new("drafts"),
+        tier: Tier(2),
+        prompt_tokens: parts.iter().map(|part| part.tokens).sum(),
+        parts,
+        output_tokens: 54,
+        arrived: now,
+        target: Duration::from_millis(400),
+        deadline: now + Duration::from_secs(4),
+        excluded: Vec::new(),
+        repeat: false,
+    }
+}
+
+/// A short prompt with a long answer.
+fn generating(subject: u64, now: Instant) -> Demand {
+    let parts = vec![
+        Part { id: 50 + subject % 40, tokens: 120 },
+        Part { id: 5_000 + subject, tokens: 80 },
+        Part { id: 5_000_000 + subject, tokens: 630 },
+    ];
+    let deadline = now + Duration::from_secs(12);
+    Demand { prompt_tokens: 830, parts, output_tokens: 294, deadline, ..reading(subject, now) }
+}
+
+fn plain(now: Instant) -> Demand {
+    Demand {
+        pool: Pool::new("desk"),
+        parts: Vec::new(),
+        prompt_tokens: 0,
+        output_tokens: 0,
+        deadline: now + Duration::from_millis(800),
+        ..reading(0, now)
+    }
+}
+
+fn sent_to(verdict: &Verdict) -> &Place {
+    match verdict {
+        Verdict::Send(place) => place,
+        Verdict::Refuse { reason, .. } => panic!("refused: {reason}"),
+    }
+}
+
+#[test]
+fn daemons_agree_without_a_message_where_a_subject_is_read() {
+    let now = Instant::now();
+    let mut one = decider("a", now);
+    let mut other = decider("b", now);
+    for decider in [&mut one, &mut other] {
+        decider.configure((0..18).map(engine).collect());
+    }
+    for subject in 0..200 {
+        let demand = reading(subject, now);
+        let (here, there) = (one.place(&demand, now), other.place(&demand, now));
+        assert_eq!(sent_to(&here).server, sent_to(&there).server, "subject {subject}");
+        assert_eq!(sent_to(&here).unread, 2_900, "only the request's own part is read");
+    }
+}
+
+#[test]
+fn the_loss_of_an_engine_moves_only_its_subjects() {
+    let now = Instant::now();
+    let mut decider = decider("a", now);
+    decider.configure((0..18).map(engine).collect());
+    // One engine is set aside; the loss of another that keeps its number changes nothing else.
+    let before: Vec<Backend> = (0..300)
+        .map(|subject| sent_to(&decider.place(&reading(subject, now), now)).server.clone())
+        .collect();
+    let lost = before[0].clone();
+    decider.configure((0..18).map(engine).filter(|server| server.name != lost).collect());
+    for (subject, server) in before.iter().enumerate() {
+        let verdict = decider.place(&reading(subject as u64, now), now);
+        if *server != lost {
+            assert_eq!(sent_to(&verdict).server, *server, "subject {subject}");
+        }
+    }
+}
+
+#[test]
+fn a_hot_subject_spills_when_its_engine_is_behind() {
+    let now = Instant::now();
+    let mut decider = decider("a", now);
+    decider.configure((0..18).map(engine).collect());
+    let mut used: Vec<Backend> = Vec::new();
+    for _ in 0..60 {
+        let demand = reading(7, now);
+        let verdict = decider.place(&demand, now);
+        let place = sent_to(&verdict).clone();
+        decider.sent(&place, &demand, now);
+        used.push(place.server);
+    }
+    used.sort();
+    used.dedup();
+    assert!(used.len() > 1, "all went to one engine");
+}
+
+/// The load of a burst in which all engines are behind: reading elsewhere what one engine holds only
+/// adds to it.
+#[test]
+fn under_pressure_everywhere_subjects_stay() {
+    let now = Instant::now();
+    let mut decider = decider("a", now);
+    let engines: Vec<Server> = (0..18).map(engine).collect();
+    decider.configure(engines.clone());
+    let peer = IpAddr::V4(Ipv4Addr::LOCALHOST);
+    for (index, server) in engines.iter().enumerate() {
+        let unread_tokens = 30_000 + 2_000 * (index as u32 % 5);
+        let load = Load { running: 15, unread_tokens, held_tokens: 130_000, ..Load::default() };
+        decider.peer(peer, server.hash, load, Duration::ZERO, now);
+    }
+    for subject in 0..100 {
+        let verdict = decider.place(&reading(subject, now), now);
+        assert_eq!(sent_to(&verdict).unread, 2_900, "subject {subject} is read again elsewhere");
+    }
+}
+
+/// The load of long prompts beside long answers, which lose their pauses to the reading.
+#[test]
+fn generating_requests_have_engines_of_their_own() {
+    let now = Instant::now();
+    let mut decider = decider("a", now);
+    decider.configure((0..18).map(engine).collect());
+    let (mut read, mut generate): (Vec<Backend>, Vec<Backend>) = (Vec::new(), Vec::new());
+    for subject in 0..100 {
+        let demand = generating(subject, now);
+        let place = sent_to(&decider.place(&demand, now)).clone();
+        decider.sent(&place, &demand, now);
+        generate.push(place.server);
+    }
+    for subject in 0..100 {
+        read.push(sent_to(&decider.place(&reading(subject, now), now)).server.clone());
+    }
+    assert!(read.iter().all(|server| !generate.contains(server)), "{generate:?}");
+    generate.sort();
+    generate.dedup();
+    assert_eq!(generate.len(), 3, "100 requests of 36 on each engine");
+}
+
+#[test]
+fn the_number_of_engines_set_aside_falls_slowly() {
+    let now = Instant::now();
+    let mut split = Split::default();
+    assert_eq!(split.update(200, 48, 18, now), 6);
+    assert_eq!(split.update(20, 48, 18, now + Duration::from_millis(100)), 6);
+    assert_eq!(split.update(20, 48, 18, now + Duration::from_secs(20)), 1);
+    assert_eq!(split.update(2_000, 48, 18, now + Duration::from_secs(21)), 9, "at most half");
+    assert_eq!(split.update(2_000, 48, 1, now + Duration::from_secs(22)), 0, "none of one");
+    assert!(split::generates(&generating(1, now)) && !split::generates(&reading(1, now)));
+}
+
+#[test]
+fn a_full_engine_set_aside_spills_to_the_others() {
+    let now = Instant::now();
+    let mut decider = decider("a", now);
+    decider.configure((0..2).map(engine).collect());
+    let mut used = Vec::new();
+    for subject in 0..80 {
+        let demand = generating(subject, now);
+        let place = sent_to(&decider.place(&demand, now)).clone();
+        decider.sent(&place, &demand, now);
+        used.push(place.server);
+    }
+    used.sort();
+    used.dedup();
+    assert_eq!(used.len(), 2);
+}
+
+#[test]
+fn what_cannot_be_served_in_time_is_refused_at_once_with_the_time_to_come_back() {
+    let now = Instant::now();
+    let mut decider = decider("a", now);
+    decider.configure(vec![engine(0)]);
+    let load = Load { running: 40, unread_tokens: 900_000, ..Load::default() };
+    decider.peer(IpAddr::V4(Ipv4Addr::LOCALHOST), engine(0).hash, load, Duration::ZERO, now);
+    match decider.place(&reading(1, now), now) {
+        Verdict::Refuse { reason: Reason::Overload, retry_after } => {
+            assert!(retry_after > Duration::from_secs(1), "{retry_after:?}");
+        }
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn a_backend_server_that_breaks_is_left_alone_longer_each_time() {
+    let now = Instant::now();
+    let mut decider = decider("a", now);
+    decider.configure(vec![service(0)]);
+    let mut at = now;
+    for expected_ms in [300, 600, 1_200, 2_400, 3_000, 3_000] {
+        let demand = plain(at);
+        let verdict = decider.place(&demand, at);
+        let place = sent_to(&verdict).clone();
+        let ticket = decider.sent(&place, &demand, at);
+        decider.ended(&place.server, ticket, End::Broken, at);
+        let just_before = at + Duration::from_millis(expected_ms - 1);
+        assert!(matches!(decider.place(&plain(just_before), just_before), Verdict::Refuse { .. }));
+        at += Duration::from_millis(expected_ms);
+    }
+}
+
+#[test]
+fn equal_services_take_turns() {
+    let now = Instant::now();
+    let mut decider = decider("a", now);
+    decider.configure((0..4).map(service).collect());
+    let mut counts = hyssop_document::collections::Map::<Backend, u32>::default();
+    for index in 0..80_u64 {
+        let at = now + Duration::from_millis(index);
+        let demand = plain(at);
+        let place = sent_to(&decider.place(&demand, at)).clone();
+        let ticket = decider.sent(&place, &demand, at);
+        decider.began(&place.server, ticket, at + place.predicted);
+        decider.ended(&place.server, ticket, End::Complete, at);
+        *counts.entry(place.server).or_default() += 1;
+    }
+    assert!(counts.len() == 4 && counts.values().all(|&count| count >= 10), "{counts:?}");
+}
+
+#[test]
+fn a_backend_server_that_started_again_holds_nothing_of_before() {
+    let now = Instant::now();
+    let mut decider = decider("a", now);
+    decider.configure(vec![service(0)]);
+    let demand = plain(now);
+    let place = sent_to(&decider.place(&demand, now)).clone();
+    let ticket = decider.sent(&place, &demand, now);
+    decider.ended(&place.server, ticket, End::Broken, now);
+    assert!(matches!(decider.place(&plain(now), now), Verdict::Refuse { .. }));
+    decider.configure(vec![Server { incarnation: 2, ..service(0) }]);
+    assert!(matches!(decider.place(&plain(now), now), Verdict::Send(_)));
+}
+
+/// Whatever daemons believe of each other, the sum of their shares of a cold backend server stays
+/// within the bound, as long as each knows all those that may use a share.
+#[test]
+fn shares_of_a_cold_backend_server_stay_within_the_bound() {
+    let inputs = bolero::check!().with_type::<(u8, u8, u32)>();
+    inputs.with_iterations(2_000).for_each(|&(members, rate, server)| {
+        let members: Vec<u32> = (1..=u32::from(members).max(1)).collect();
+        let rate = f64::from(rate);
+        let sum: usize = members.iter().map(|&own| COLD.share(rate, server, own, &members)).sum();
+        assert!(sum as f64 <= COLD.total(rate), "{sum} of {}", COLD.total(rate));
+    });
+}
+
+#[test]
+fn few_daemons_send_to_a_cold_backend_server_when_there_are_many() {
+    let members: Vec<u32> = (1..=200).collect();
+    let senders = members.iter().filter(|&&own| COLD.share(16.0, 7, own, &members) > 0).count();
+    assert_eq!(senders, 23, "four fifths of 29");
+}
+
+#[test]
+fn a_cold_backend_server_gets_no_more_than_the_share() {
+    let now = Instant::now();
+    let mut decider = decider("a", now);
+    decider.configure(vec![engine(0)]);
+    decider.set_members(vec![1, 2, 3]);
+    decider.cold(&engine(0).name, Duration::from_secs(3), now);
+    let mut sent = 0;
+    for index in 0..60 {
+        let at = now + Duration::from_millis(index * 10);
+        let demand = reading(index, at);
+        if let Verdict::Send(place) = decider.place(&demand, at) {
+            decider.sent(&place, &demand, at);
+            sent += 1;
+        }
+    }
+    assert_eq!(sent, 7, "a third of four fifths of 29");
+}
+
+/// The load after a loss of power: all daemons start at once, and each knows itself alone.
+#[test]
+fn a_daemon_that_learns_its_members_sends_nothing_cold() {
+    let now = Instant::now();
+    let mut decider = decider("a", now + Duration::from_secs(1));
+    decider.configure(vec![engine(0)]);
+    decider.cold(&engine(0).name, Duration::from_secs(3), now);
+    let refused = decider.place(&reading(1, now), now);
+    assert!(matches!(refused, Verdict::Refuse { reason: Reason::Cold, .. }), "{refused:?}");
+    let later = now + Duration::from_millis(1_001);
+    assert!(matches!(decider.place(&reading(1, later), later), Verdict::Send(_)));
+}
+
+/// Daemons that know each other repeat no more than the bound allows over all of them, in any window.
+#[test]
+fn repeats_stay_within_the_bound_over_all_daemons() {
+    for sharers in [1, 3, 9, 70] {
+        let now = Instant::now();
+        let mut all: Vec<Repeats> = (0..sharers).map(|_| Repeats::new(REPEATS)).collect();
+        let (mut requests, mut taken) = (0, 0);
+        for step in 0..1_000_u64 {
+            let at = now + Duration::from_millis(step * 10);
+            for repeats in &mut all {
+                if step % 5 == 0 {
+                    repeats.sent_first(at);
+                    requests += 1;
+                }
+                taken += u32::from(repeats.take(sharers, at));
+            }
+        }
+        let bound = REPEATS.ratio * f64::from(requests) + REPEATS.burst;
+        assert!(f64::from(taken) <= bound, "{sharers}: {taken} of {bound}");
+        assert!(f64::from(taken) >= bound * 0.5, "{sharers}: {taken} of {bound}");
+    }
+}
--- a/crates/view/src/node.rs
+++ b/crates/view/src/node.rs
@@ -119,11 +119,11 @@
             let mut table = self.table.lock();
             table.expire(now);
             for (address, zone) in table.addresses() {
-                if *zone == self.zone || period % FAR_EVERY == 0 {
+                if *zone == self.zone || period.is_multiple_of(FAR_EVERY) {
                     targets.push(address);
                 }
             }
-            if period % SEED_EVERY == 0 {
+            if period.is_multiple_of(SEED_EVERY) {
                 let seeds = self.seeds.iter().copied().filter(|&ip| ip != own.ip());
                 targets.extend(seeds.filter(|&ip| !table.hears(ip, now)));
             }
