Wait where nobody else can answer, and close idle connections of a daemon that leaves

A queue is not shorter for those who leave it, so one that answers others is waited for longer. Daemons that left held idle connections until the end of the grace time. A backend server that was never measured looked slower than all that were. Change: as said; callers of a daemon that knows nothing while the store is away come back after 1.2 s instead of 0.3.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -40,10 +40,11 @@
 const LEAST_LEFT: Duration = Duration::from_millis(40);
 /// The pause before a refused or unreachable backend server's pool is asked again.
 const PAUSE: Duration = Duration::from_millis(15);
-/// A request that may run again goes elsewhere when its first event is this much later than
-/// predicted: three times, and half a second more.
-const LATE_FACTOR: u32 = 3;
-const LATE_SLACK: Duration = Duration::from_millis(500);
+/// A request that may run again goes elsewhere when its first event is late by a multiple of what was
+/// predicted and some time on top: sooner if the backend server has sent nothing to this daemon
+/// meanwhile, later if it answers others, since a queue is not shorter for those who leave it.
+const LATE_SILENT: (u32, Duration) = (3, Duration::from_millis(500));
+const LATE_ALIVE: (u32, Duration) = (6, Duration::from_millis(1_500));
 /// The largest body of a failed answer that is kept while the request is tried elsewhere.
 const SAVED_BYTES: usize = 64 << 10;
 /// When callers come back after backend servers rejected their requests.
@@ -163,13 +164,41 @@
         }
         let head = self.request_head(&place.server);
         exchange.send(head, self.body.bytes());
-        let late = place.predicted * LATE_FACTOR + LATE_SLACK;
-        let hurry = self.may_rerun().then_some(late);
-        let limit = hurry.unwrap_or(Duration::MAX).min(self.left());
-        let answer = exchange.head(&self.method, &self.ask.id, limit).await;
+        let answer = self.wait(&mut exchange, place.predicted, now).await;
         self.judge(exchange, answer).await
     }
 
+    /// Waits for an answer's head. Gives up early only where another backend server can take over.
+    async fn wait(
+        &self,
+        exchange: &mut Exchange,
+        predicted: Duration,
+        sent: Instant,
+    ) -> Result<Answered, Fault> {
+        if self.may_rerun() {
+            for (factor, slack) in [LATE_SILENT, LATE_ALIVE] {
+                let late =
+                    (sent + predicted * factor + slack).saturating_duration_since(Instant::now());
+                let answer = exchange.head(&self.method, &self.ask.id, late.min(self.left())).await;
+                let plain = self.demand.prompt_tokens == 0;
+                let give_up = plain || factor == LATE_ALIVE.0 || !exchange.server_heard_since(sent);
+                match answer {
+                    Err(Fault::Late(_)) if !give_up || !self.has_elsewhere(exchange) => {}
+                    answer => return answer,
+                }
+            }
+        }
+        exchange.head(&self.method, &self.ask.id, self.left()).await
+    }
+
+    /// Whether another backend server would get the request now.
+    fn has_elsewhere(&self, exchange: &Exchange) -> bool {
+        let mut demand = self.demand.clone();
+        demand.excluded.push(exchange.server.name.clone());
+        let placed = self.gateway.decider.lock().place(&demand, Instant::now());
+        matches!(placed, Verdict::Send(_))
+    }
+
     fn quarantined(&self, now: Instant) -> bool {
         self.gateway.suspects.lock().standing(self.fingerprint, now) == Standing::Quarantined
     }
--- a/crates/gateway/src/call/exchange.rs
+++ b/crates/gateway/src/call/exchange.rs
@@ -145,6 +145,11 @@
         self.connection.as_ref().is_none_or(Connection::is_unsent)
     }
 
+    /// Whether the backend server has sent anything to this daemon since `since`.
+    pub(super) fn server_heard_since(&self, since: Instant) -> bool {
+        self.connection.as_ref().is_some_and(|connection| connection.server_heard_since(since))
+    }
+
     /// Waits for the head of the answer to request `id`.
     pub(super) async fn head(
         &mut self,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -19,6 +19,7 @@
     member::Table,
 };
 use parking_lot::Mutex;
+use tokio_util::sync::CancellationToken;
 
 use crate::{
     dialect::Dialect,
@@ -73,6 +74,8 @@
     pub metrics: Metrics,
     /// Bytes of request bodies held now.
     pub body_bytes: AtomicUsize,
+    /// Cancelled when idle connections of callers are closed.
+    pub closing: CancellationToken,
     leaving: AtomicBool,
 }
 
@@ -90,6 +93,7 @@
             members: Arc::default(),
             metrics: Metrics::default(),
             body_bytes: AtomicUsize::new(0),
+            closing: CancellationToken::new(),
             leaving: AtomicBool::new(false),
         }
     }
--- a/crates/gateway/src/http/connection.rs
+++ b/crates/gateway/src/http/connection.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
     sync::{
         Arc,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicU64, AtomicUsize, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -30,24 +30,52 @@
 /// The room for one read.
 const READ_BYTES: usize = 4 << 10;
 
+/// What all connections to one backend server share.
+#[derive(Debug)]
+pub struct Activity {
+    open: AtomicUsize,
+    started: Instant,
+    /// When bytes came last, in ms since `started`.
+    heard_ms: AtomicU64,
+}
+
+impl Default for Activity {
+    fn default() -> Self {
+        let started = Instant::now();
+        Self { open: AtomicUsize::new(0), started, heard_ms: AtomicU64::new(0) }
+    }
+}
+
+impl Activity {
+    /// Whether the backend server has sent anything since `since`.
+    pub fn heard_since(&self, since: Instant) -> bool {
+        let since_ms = since.duration_since(self.started).as_millis() as u64;
+        self.heard_ms.load(Ordering::Relaxed) > since_ms
+    }
+
+    fn heard(&self) {
+        self.heard_ms.store(self.started.elapsed().as_millis() as u64, Ordering::Relaxed);
+    }
+}
+
 /// Counts one open connection for as long as it lives.
 #[derive(Debug)]
-pub struct Counted(Arc<AtomicUsize>);
+pub struct Counted(Arc<Activity>);
 
 impl Counted {
     /// Counts one more if fewer than `most` are open.
-    pub fn take(count: &Arc<AtomicUsize>, most: usize) -> Option<Self> {
-        if count.load(Ordering::Relaxed) >= most {
+    pub fn take(activity: &Arc<Activity>, most: usize) -> Option<Self> {
+        if activity.open.load(Ordering::Relaxed) >= most {
             return None;
         }
-        count.fetch_add(1, Ordering::Relaxed);
-        Some(Self(Arc::clone(count)))
+        activity.open.fetch_add(1, Ordering::Relaxed);
+        Some(Self(Arc::clone(activity)))
     }
 }
 
 impl Drop for Counted {
     fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
+        self.0.open.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
@@ -67,7 +95,7 @@
     pub idle_since: Instant,
     /// How long the backend server keeps it idle.
     pub keep_alive: Option<Duration>,
-    _counted: Counted,
+    counted: Counted,
 }
 
 impl Connection {
@@ -95,7 +123,7 @@
             reused: false,
             idle_since: Instant::now(),
             keep_alive: None,
-            _counted: counted,
+            counted,
         })
     }
 
@@ -148,12 +176,21 @@
                 match self.stream.try_read_buf(&mut self.buffer) {
                     Ok(0) => return self.write_error.map_or(Ok(0), |kind| Err(kind.into())),
                     Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                    other => return other,
+                    Ok(count) => {
+                        self.counted.0.heard();
+                        return Ok(count);
+                    }
+                    Err(error) => return Err(error),
                 }
             }
         }
     }
 
+    /// Whether the backend server has sent anything on any connection since `since`.
+    pub fn server_heard_since(&self, since: Instant) -> bool {
+        self.counted.0.heard_since(since)
+    }
+
     fn write(&mut self) {
         while self.is_writing() {
             let parts = [io::IoSlice::new(&self.head), io::IoSlice::new(&self.body)];
--- a/crates/gateway/src/http/pool.rs
+++ b/crates/gateway/src/http/pool.rs
@@ -3,7 +3,7 @@
 use std::{
     io,
     net::SocketAddr,
-    sync::{Arc, atomic::AtomicUsize},
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -11,7 +11,7 @@
 use hyssop_document::{collections::Map, name::Backend};
 use parking_lot::Mutex;
 
-use super::connection::{Connection, Counted};
+use super::connection::{Activity, Connection, Counted};
 
 /// How long a connection is kept when the backend server does not say how long it does.
 const KEPT: Duration = Duration::from_secs(4);
@@ -37,7 +37,7 @@
 struct Kept {
     address: Option<SocketAddr>,
     idle: Vec<Connection>,
-    open: Arc<AtomicUsize>,
+    activity: Arc<Activity>,
 }
 
 /// The connections of a daemon to all backend servers.
@@ -72,7 +72,7 @@
                     return Ok(connection);
                 }
             }
-            Counted::take(&kept.open, most).ok_or(Fault::Share)?
+            Counted::take(&kept.activity, most).ok_or(Fault::Share)?
         };
         Ok(Connection::open(address, counted).await?)
     }
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -25,6 +25,8 @@
 
 /// When callers come back to a daemon that is not ready. Its peers answer sooner.
 const NOT_READY_RETRY: Duration = Duration::from_millis(300);
+/// The same while the source of published records is away, and no peer has them either.
+const SOURCE_AWAY_RETRY: Duration = Duration::from_millis(1_200);
 /// The time to read a body of a caller that names no deadline.
 const BODY_TIME: Duration = Duration::from_secs(10);
 
@@ -88,7 +90,9 @@
     arrived: Instant,
 ) -> Result<Call, Refused> {
     let snapshot = gateway.knowledge.snapshot();
-    let not_ready = Refusal::after(Reason::NotReady, NOT_READY_RETRY);
+    let source_up = gateway.knowledge.is_source_up();
+    let retry = if source_up { NOT_READY_RETRY } else { SOURCE_AWAY_RETRY };
+    let not_ready = Refusal::after(Reason::NotReady, retry);
     let Some(environment) = snapshot.environment.clone() else {
         return Err(Refused { refusal: not_ready, version: 0 });
     };
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -3,6 +3,7 @@
 use std::{
     convert::Infallible,
     future::Future,
+    pin::pin,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -66,13 +67,21 @@
         let gateway = Arc::clone(&gateway);
         async move { Ok::<_, Infallible>(intake::handle(gateway, request).await) }
     });
-    let served = http1::Builder::new()
+    let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         // The same timer bounds a head that comes slowly and a connection that is idle.
         .header_read_timeout(idle)
         .max_buf_size(head_bytes)
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = pin!(connection);
+    let served = tokio::select! {
+        served = connection.as_mut() => served,
+        () = gateway.closing.cancelled() => {
+            // Ends an idle connection at once, and one in use after its answer.
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
     if let Err(error) = served {
         tracing::debug!(event = "connection_ended", %error);
     }
@@ -125,10 +134,11 @@
     response
 }
 
-/// Waits until the daemon serves nobody, at most until `until`.
+/// Closes idle connections and waits until the daemon serves nobody, at most until `until`.
 pub async fn finish(gateway: &Gateway, until: Instant) {
     /// How often the counts are looked at.
     const PERIOD: Duration = Duration::from_millis(50);
+    gateway.closing.cancel();
     while Instant::now() < until && gateway.metrics.connections.get() > 0 {
         tokio::time::sleep(PERIOD).await;
     }
--- a/crates/gateway/src/share.rs
+++ b/crates/gateway/src/share.rs
@@ -60,7 +60,8 @@
             self.behind_since_ms.store(at_ms, Ordering::Relaxed);
         }
         let late = since != 0 && at_ms - since >= LAG.as_millis() as u64;
-        if !(late || unknown) {
+        let first = since == 0 && unknown;
+        if !(late || first) {
             return;
         }
         let gateway = Arc::clone(&self.gateway);
--- a/crates/gateway/tests/library.rs
+++ b/crates/gateway/tests/library.rs
@@ -21,7 +21,9 @@
         let (mut stream, _) = listener.accept().expect("a connection");
         let read = stream.read(&mut [0; 1_024]).expect("a request");
         assert!(read > 0);
-        let answer = |id: &str| format!("HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nContent-Length: 4\r\n\r\n{id}");
+        let answer = |id: &str| {
+            format!("HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nContent-Length: 4\r\n\r\n{id}")
+        };
         stream.write_all(answer("r-00").as_bytes()).expect("the client reads");
         stream.write_all(answer("r-01").as_bytes()).expect("the client reads");
         // The client closes without having given the second answer to anyone.
--- a/crates/policy/src/local/decider.rs
+++ b/crates/policy/src/local/decider.rs
@@ -35,7 +35,7 @@
 /// The least time to come back that callers are told.
 const RETRY_LEAST: Duration = Duration::from_millis(150);
 /// What each request of the last second counts at a plain service, so that equals take turns.
-const TURN: Duration = Duration::from_micros(100);
+const TURN: Duration = Duration::from_millis(1);
 /// How many times its own time the reading of a shared part costs that is cached elsewhere.
 const READ_AGAIN_WEIGHT: f64 = 3.0;
 /// How much that weight grows for each second that prompts wait to be read. When all engines are
@@ -236,9 +236,6 @@
 
     /// Decides where a request goes.
     pub fn place(&mut self, demand: &Demand, now: Instant) -> Verdict {
-        if demand.repeat && !self.take_repeat(&demand.pool, now) {
-            return Verdict::Refuse { reason: Reason::Repeats, retry_after: RETRY_LEAST };
-        }
         let mut usable = self.usable(demand, now);
         let aside = match demand.prompt_tokens {
             0 => 0,
@@ -251,6 +248,7 @@
         let first_choice =
             demand.subject().and_then(|part| self.first_choice(&usable.names, part.id));
         let pressure = self.pressure(&usable.names, now);
+        self.assume_usual_speed(&usable.names);
         let mut best: Option<(Duration, Place)> = None;
         for name in usable.names {
             let Some(standing) = self.standings.get_mut(&name) else { continue };
@@ -270,6 +268,9 @@
             let retry_after = (place.predicted - left).max(RETRY_LEAST);
             return Verdict::Refuse { reason: Reason::Overload, retry_after };
         }
+        if demand.repeat && !self.may_repeat(&demand.pool, now) {
+            return Verdict::Refuse { reason: Reason::Repeats, retry_after: RETRY_LEAST };
+        }
         Verdict::Send(place)
     }
 
@@ -302,6 +303,20 @@
         usable
     }
 
+    /// Takes backend servers that were not measured for as fast as the fastest one that was, so that
+    /// each gets requests.
+    fn assume_usual_speed(&mut self, names: &[Backend]) {
+        let measured = names.iter().filter_map(|name| self.standings.get(name));
+        let measured = measured.filter(|standing| standing.is_measured);
+        let Some(least) = measured.map(|standing| standing.slowness).reduce(f64::min) else { return };
+        for name in names {
+            let standing = self.standings.get_mut(name).filter(|standing| !standing.is_measured);
+            if let Some(standing) = standing {
+                standing.slowness = least;
+            }
+        }
+    }
+
     /// The mean time that prompts wait to be read.
     fn pressure(&mut self, names: &[Backend], now: Instant) -> Duration {
         let mut unread = 0.0;
@@ -336,9 +351,9 @@
         aside
     }
 
-    fn take_repeat(&mut self, pool: &Pool, now: Instant) -> bool {
+    fn may_repeat(&mut self, pool: &Pool, now: Instant) -> bool {
         let sharers = self.members.len();
-        self.repeats_of(pool).take(sharers, now)
+        self.repeats_of(pool).has(sharers, now)
     }
 
     fn repeats_of(&mut self, pool: &Pool) -> &mut Repeats {
@@ -355,8 +370,11 @@
     pub fn sent(&mut self, place: &Place, demand: &Demand, now: Instant) -> Ticket {
         self.next += 1;
         let ticket = Ticket(self.next);
-        if !demand.repeat {
-            self.repeats_of(&demand.pool).sent_first(now);
+        let repeats = self.repeats_of(&demand.pool);
+        if demand.repeat {
+            repeats.sent_again(now)
+        } else {
+            repeats.sent_first(now)
         }
         if let Some(standing) = self.standings.get_mut(&place.server) {
             let run = Run {
--- a/crates/policy/src/local/repeats.rs
+++ b/crates/policy/src/local/repeats.rs
@@ -42,14 +42,15 @@
         self.first.add(now);
     }
 
-    /// Takes one repeat from the budget, if there is one.
-    pub fn take(&mut self, sharers: usize, now: Instant) -> bool {
+    /// Counts a repeat.
+    pub fn sent_again(&mut self, now: Instant) {
+        self.again.add(now);
+    }
+
+    /// Whether the budget has one more repeat.
+    pub fn has(&mut self, sharers: usize, now: Instant) -> bool {
         let earned = self.bound.ratio * self.first.count(now) as f64;
         let allowed = USED * (earned + self.bound.burst / sharers.max(1) as f64);
-        let free = (self.again.count(now) as f64) + 1.0 <= allowed;
-        if free {
-            self.again.add(now);
-        }
-        free
+        (self.again.count(now) as f64) + 1.0 <= allowed
     }
 }
--- a/crates/policy/src/local/standing.rs
+++ b/crates/policy/src/local/standing.rs
@@ -86,6 +86,8 @@
     pub(super) avoid_until: Option<Instant>,
     pub(super) failures: u32,
     pub(super) slowness: f64,
+    /// Whether the slowness was measured here.
+    pub(super) is_measured: bool,
     pub(super) parts: Map<u64, Instant>,
 }
 
@@ -100,6 +102,7 @@
             avoid_until: None,
             failures: 0,
             slowness: 1.0,
+            is_measured: false,
             parts: Map::default(),
         }
     }
@@ -179,6 +182,7 @@
     }
 
     pub(super) fn measured(&mut self, predicted: Duration, seen: Duration) {
+        self.is_measured = true;
         let usual = predicted.as_secs_f64() / self.slowness;
         let ratio = (seen.as_secs_f64() / usual.max(0.005)).clamp(0.3, 10.0);
         self.slowness += SLOWNESS_GAIN * (ratio - self.slowness);
--- a/crates/policy/tests/local.rs
+++ b/crates/policy/tests/local.rs
@@ -356,7 +356,10 @@
                     repeats.sent_first(at);
                     requests += 1;
                 }
-                taken += u32::from(repeats.take(sharers, at));
+                if repeats.has(sharers, at) {
+                    repeats.sent_again(at);
+                    taken += 1;
+                }
             }
         }
         let bound = REPEATS.ratio * f64::from(requests) + REPEATS.burst;
