Write all logs as JSON lines, and explain a request from them

Change: the daemons' log goes to standard output through the bounded writer, which replaces simplelog; hyssopctl explain prints a request's story from the logs of several daemons, with what they learned around it.

--- a/crates/ctl/src/arguments.rs
+++ b/crates/ctl/src/arguments.rs
@@ -104,6 +104,15 @@
     },
     /// Print the document in force.
     Document,
+    /// Print the story of a request from the logs of daemons.
+    Explain {
+        /// The request's id.
+        #[arg(value_name = "REQUEST-ID")]
+        id: String,
+        /// The logs, as daemons write them to standard output.
+        #[arg(required = true, value_name = "FILE")]
+        files: Vec<PathBuf>,
+    },
     /// Print a script that completes the command line in a shell.
     Completions {
         /// The shell.
--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -1,6 +1,7 @@
 //! Carries out the commands.
 
 mod documents;
+mod explain;
 mod fleet;
 
 use std::io::Write;
@@ -23,6 +24,7 @@
         Command::Diff { old, new, parts } => {
             documents::diff([&old, &new], parts.as_deref(), json, out)
         }
+        Command::Explain { id, files } => explain::explain(&id, &files, json, out),
         Command::Completions { shell } => {
             let mut script = Vec::new();
             clap_complete::generate(shell, &mut Arguments::command(), "hyssopctl", &mut script);
--- a/crates/ctl/src/command/fleet.rs
+++ b/crates/ctl/src/command/fleet.rs
@@ -54,6 +54,7 @@
             Command::Check { .. }
             | Command::Split { .. }
             | Command::Diff { .. }
+            | Command::Explain { .. }
             | Command::Completions { .. } => unreachable!("these commands ask no daemon"),
         }
     }
--- a/crates/ctl/tests/files.rs
+++ b/crates/ctl/tests/files.rs
@@ -200,3 +200,41 @@
         assert!(script.contains("if-revision") && script.contains("exit 0"), "{shell}");
     }
 }
+
+#[test]
+fn explain() {
+    let directory = TempDir::new().unwrap();
+    let one = [
+        r#"{"timestamp":"2026-12-04T01:00:00.100000Z","level":"WARN","event":"source_lost","fault":"refused with status 503"}"#,
+        r#"{"timestamp":"2026-12-04T01:00:01.000000Z","level":"INFO","event":"sent","id":"r-1","server":"i-1","predicted_ms":70}"#,
+        r#"{"timestamp":"2026-12-04T01:00:01.100000Z","level":"INFO","event":"sent","id":"r-2","server":"i-2","predicted_ms":70}"#,
+        "not a line of a log",
+        r#"{"timestamp":"2026-12-04T01:00:02.000000Z","level":"INFO","event":"broken","id":"r-1","server":"i-1","fault":"closed without an answer"}"#,
+        r#"{"timestamp":"2026-12-04T01:00:02.050000Z","level":"WARN","event":"blamed","server":"i-1","standing":"suspect"}"#,
+        r#"{"timestamp":"2026-12-04T01:00:02.050000Z","level":"WARN","event":"blamed","server":"i-2","standing":"suspect"}"#,
+        r#"{"timestamp":"2026-12-04T01:00:02.060000Z","level":"INFO","event":"answered","id":"r-1","status":502,"reason":"broken"}"#,
+        r#"{"timestamp":"2026-12-04T01:00:09.000000Z","level":"INFO","event":"source_back","gone_ms":8900}"#,
+    ];
+    let two = r#"{"timestamp":"2026-12-04T01:00:01.500000Z","level":"WARN","event":"suspended","gap_ms":900}"#;
+    write(&directory, "h1.log", &one.join("\n"));
+    write(&directory, "h2.log", two);
+    expect![[r#"
+          2026-12-04T01:00:00.100000Z h1 source_lost fault="refused with status 503"
+        * 2026-12-04T01:00:01.000000Z h1 sent predicted_ms=70 server=i-1
+        * 2026-12-04T01:00:02.000000Z h1 broken fault="closed without an answer" server=i-1
+          2026-12-04T01:00:02.050000Z h1 blamed server=i-1 standing=suspect
+        * 2026-12-04T01:00:02.060000Z h1 answered reason=broken status=502
+        exit 0
+    "#]]
+    .assert_eq(&run(&directory, &["explain", "r-1", "h1.log", "h2.log"]));
+    expect![[r#"
+        r-9: not in these logs
+        exit 1
+    "#]]
+    .assert_eq(&run(&directory, &["explain", "r-9", "h1.log"]));
+    expect![[r#"
+        hyssopctl: missing.log: No such file or directory (os error 2)
+        exit 2
+    "#]]
+    .assert_eq(&run(&directory, &["explain", "r-1", "missing.log"]));
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -53,9 +53,11 @@
         say(&format!("{}: settings are valid", flags.settings.display()));
         return Ok(ExitCode::SUCCESS);
     }
-    logging::start(settings.log_level);
+    let log = logging::start(settings.log_level);
     let runtime = runtime::Builder::new_multi_thread().enable_all().build();
-    runtime.context("the runtime cannot be started")?.block_on(serve(settings, flags))
+    let served = runtime.context("the runtime cannot be started")?.block_on(serve(settings, flags));
+    log.flush();
+    served
 }
 
 async fn serve(settings: Settings, flags: &Flags) -> anyhow::Result<ExitCode> {
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -1,18 +1,19 @@
-//! The log: one line an event, on standard error.
+//! The log: JSON, one line an event, on standard output.
 
+use hyssop_logging::Buffer;
 use log::LevelFilter;
-use simplelog::{ColorChoice, ConfigBuilder, TermLogger, TerminalMode};
+use tracing::level_filters::LevelFilter as Most;
 
 /// Starts logging. A second call in one process changes nothing.
 ///
-/// A line has the time in UTC, the level, the module, and a text of facts with fields.
-pub fn start(level: LevelFilter) {
-    let config = ConfigBuilder::new()
-        .set_time_format_rfc3339()
-        .set_target_level(LevelFilter::Error)
-        .set_thread_level(LevelFilter::Off)
-        .set_location_level(LevelFilter::Off)
-        .add_filter_allow_str("hyssop")
-        .build();
-    let _started = TermLogger::init(level, config, TerminalMode::Stderr, ColorChoice::Never);
+/// A line has the time in UTC, the level, and a text of facts with fields.
+pub fn start(level: LevelFilter) -> Buffer {
+    hyssop_logging::start(match level {
+        LevelFilter::Off => Most::OFF,
+        LevelFilter::Error => Most::ERROR,
+        LevelFilter::Warn => Most::WARN,
+        LevelFilter::Info => Most::INFO,
+        LevelFilter::Debug => Most::DEBUG,
+        LevelFilter::Trace => Most::TRACE,
+    })
 }
--- a/crates/fakes/src/node.rs
+++ b/crates/fakes/src/node.rs
@@ -115,7 +115,7 @@
 
 #[tokio::main]
 async fn run(command: Command) -> Result<()> {
-    simplelog::SimpleLogger::init(log::LevelFilter::Warn, simplelog::Config::default())?;
+    hyssop_logging::start(tracing::level_filters::LevelFilter::WARN);
     match command {
         Command::Platform { listen, control } => {
             let _platform = Platform::start(listen, control).await?;
--- a/crates/logging/src/lib.rs
+++ b/crates/logging/src/lib.rs
@@ -15,13 +15,19 @@
 
 use parking_lot::Mutex;
 use tracing::level_filters::LevelFilter;
-use tracing_subscriber::fmt::MakeWriter;
+use tracing_subscriber::{
+    Layer as _, filter::Targets, fmt::MakeWriter, layer::SubscriberExt as _,
+    util::SubscriberInitExt as _,
+};
 
 /// The largest amount of text that waits to be written: about a second of lines under full load.
 const BUFFER_BYTES: usize = 512 << 10;
 /// The time between two writes. Few large writes cost less processor time than one for each line.
 const WRITE_PERIOD: Duration = Duration::from_millis(250);
 
+/// How the names of the project's packages begin.
+const OWN_PACKAGES: &str = "hyssop";
+
 #[derive(Debug, Default)]
 struct Shared {
     text: Mutex<Vec<u8>>,
@@ -79,20 +85,24 @@
     }
 }
 
-/// Starts logging for the process and the thread that writes.
+/// Starts logging for the process and the thread that writes. A second call in one process only gives
+/// a buffer that stays empty.
+///
+/// Only lines of the project's own packages are written, those that use the `log` crate included.
 pub fn start(level: LevelFilter) -> Buffer {
     let buffer = Buffer::default();
-    tracing_subscriber::fmt()
+    let lines = tracing_subscriber::fmt::layer()
         .json()
         .flatten_event(true)
         .with_current_span(false)
         .with_span_list(false)
         .with_target(false)
-        .with_max_level(level)
         .with_writer(buffer.clone())
-        .init();
-    let writer = buffer.clone();
-    thread::spawn(move || write(&writer));
+        .with_filter(Targets::new().with_target(OWN_PACKAGES, level));
+    if tracing_subscriber::registry().with(lines).try_init().is_ok() {
+        let writer = buffer.clone();
+        thread::spawn(move || write(&writer));
+    }
     buffer
 }
 
--- a/crates/policy/src/local/decider.rs
+++ b/crates/policy/src/local/decider.rs
@@ -308,7 +308,9 @@
     fn assume_usual_speed(&mut self, names: &[Backend]) {
         let measured = names.iter().filter_map(|name| self.standings.get(name));
         let measured = measured.filter(|standing| standing.is_measured);
-        let Some(least) = measured.map(|standing| standing.slowness).reduce(f64::min) else { return };
+        let Some(least) = measured.map(|standing| standing.slowness).reduce(f64::min) else {
+            return;
+        };
         for name in names {
             let standing = self.standings.get_mut(name).filter(|standing| !standing.is_measured);
             if let Some(standing) = standing {
