Learn from peers whatever other peers know, and tell the age of what refusals rest on

Cause: a daemon waits 250 ms behind a peer before it fetches that peer's records, and each beat of a peer that knew no more ended the wait. Of five hosts that the store turned away none learned of removed keys for nine seconds. Change: the wait counts from when this daemon last applied something; while the source is away there is none. Lines of refusals tell the revision that was applied, how long ago the source answered, and what was predicted.

--- a/crates/ctl/src/command/explain.rs
+++ b/crates/ctl/src/command/explain.rs
@@ -100,7 +100,7 @@
     for file in files {
         read(file, id, &mut lines)?;
     }
-    let mut story: Vec<(bool, Line)> = select(id, lines);
+    let mut story: Vec<(bool, Line)> = select(id, &lines);
     story.sort_by(|(_, one), (_, other)| one.at.cmp(&other.at));
     if story.is_empty() {
         writeln!(out, "{id}: not in these logs")?;
@@ -136,7 +136,7 @@
 }
 
 /// The lines of the request, and those that explain them. The first tells which they are.
-fn select(id: &str, lines: Vec<Line>) -> Vec<(bool, Line)> {
+fn select(id: &str, lines: &[Line]) -> Vec<(bool, Line)> {
     let own = |line: &Line| line.text("id") == Some(id);
     let of_request: Vec<Line> = lines.iter().filter(|line| own(line)).cloned().collect();
     let seconds = || of_request.iter().map(|line| line.second);
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -71,6 +71,8 @@
     pub(crate) last_event: Option<u64>,
     pub(crate) version: u64,
     saved: Option<(Head, Bytes)>,
+    /// The predicted time to the first event, when it was refused.
+    predicted: Option<Duration>,
 }
 
 /// Why no answer came from one try, or from all.
@@ -135,7 +137,8 @@
         let placed = self.gateway.decider.lock().place(&self.demand, now);
         let place = match placed {
             Verdict::Send(place) => place,
-            Verdict::Refuse { reason, retry_after } => {
+            Verdict::Refuse { reason, retry_after, predicted } => {
+                self.predicted = predicted;
                 return Step::Failed(self.refusal(reason.into(), retry_after));
             }
         };
@@ -155,7 +158,8 @@
             running = place.load.running, queued_tokens = place.load.unread_tokens,
             held_tokens = place.load.held_tokens, aside = place.aside,
             prompt = self.demand.prompt_tokens, version = self.version,
-            applied = %snapshot.applied, left_ms = self.left().as_millis() as u64,
+            applied = %snapshot.applied,
+            source_age_ms = self.gateway.knowledge.source_age_ms(now), left_ms = self.left().as_millis() as u64,
             waited_ms = ms(self.arrived), after_event = self.last_event
         );
         let once = self.route.repeat == Repeat::Once;
@@ -375,7 +379,9 @@
             event = "answered", id = %self.ask.id, route = %self.route.name, tier = %self.tier, status,
             reason = %refusal.reason, cause = %cause, tries = self.tries, runs = self.runs,
             version = self.version, after_ms = ms(self.arrived),
-            retry_after_ms = refusal.retry_after.map(|after| after.as_millis() as u64)
+            retry_after_ms = refusal.retry_after.map(|after| after.as_millis() as u64),
+            predicted_ms = self.predicted.map(|predicted| predicted.as_millis() as u64),
+            source_age_ms = self.gateway.knowledge.source_age_ms(Instant::now())
         );
         let reason = compact_str::format_compact!("{}", refusal.reason);
         self.gateway.metrics.answered(&self.route.name, status, &reason);
--- a/crates/gateway/src/call/builder.rs
+++ b/crates/gateway/src/call/builder.rs
@@ -128,6 +128,7 @@
             runs: 0,
             version: self.version,
             saved: None,
+            predicted: None,
         }
     }
 
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -62,7 +62,9 @@
             let Refused { refusal, version } = refused;
             tracing::info!(
                 event = "answered", %id, status = refusal.reason.status().as_u16(),
-                reason = %refusal.reason, version, after_ms = ms(arrived)
+                reason = %refusal.reason, version, after_ms = ms(arrived),
+                applied = %gateway.knowledge.snapshot().applied,
+                source_age_ms = gateway.knowledge.source_age_ms(Instant::now())
             );
             let reason = compact_str::format_compact!("{}", refusal.reason);
             gateway.metrics.answered("", refusal.reason.status().as_u16(), &reason);
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -77,6 +77,7 @@
     applied: Revision,
     trouble_since: Option<Instant>,
     calm_from: Option<Instant>,
+    heard: Option<Instant>,
     suspended: bool,
 }
 
@@ -132,9 +133,15 @@
         inner.trouble_since.get_or_insert(now);
     }
 
+    /// How many ms ago the source answered last, if it has.
+    pub fn source_age_ms(&self, now: Instant) -> Option<u64> {
+        Some(now.duration_since(self.inner.lock().heard?).as_millis() as u64)
+    }
+
     /// Takes that the source answers. Returns how long it did not, if it has just come back.
     pub fn source_back(&self, now: Instant) -> Option<Duration> {
         let mut inner = self.inner.lock();
+        inner.heard = Some(now);
         let since = inner.trouble_since.take()?;
         let calm_from = now + LAPSED_KEPT;
         inner.calm_from = Some(calm_from);
--- a/crates/gateway/src/share.rs
+++ b/crates/gateway/src/share.rs
@@ -16,6 +16,8 @@
     sync,
 };
 
+use parking_lot::Mutex;
+
 use crate::{gateway::Gateway, knowledge::Origin};
 
 /// How long a peer may have a newer revision before its records are fetched. The source usually
@@ -29,50 +31,53 @@
     gateway: Arc<Gateway>,
     /// The port of peers.
     port: u16,
-    started: Instant,
-    /// When a peer was first seen ahead, in ms since the start plus one; 0 for none.
-    behind_since_ms: AtomicU64,
+    behind: Mutex<Option<Behind>>,
     turn: AtomicU64,
 }
 
 impl Share {
     /// The side of `gateway`, whose peers listen on `port`.
     pub fn new(gateway: Arc<Gateway>, port: u16) -> Arc<Self> {
-        Arc::new(Self {
-            gateway,
-            port,
-            started: Instant::now(),
-            behind_since_ms: AtomicU64::new(0),
-            turn: AtomicU64::new(0),
-        })
+        Arc::new(Self { gateway, port, behind: Mutex::default(), turn: AtomicU64::new(0) })
     }
 
+    /// Fetches the records of a peer that has newer ones than this daemon has had for a while.
     fn catch_up(&self, from: IpAddr, ahead: Revision, now: Instant) {
-        let applied = self.gateway.knowledge.snapshot().applied;
+        let knowledge = &self.gateway.knowledge;
+        let applied = knowledge.snapshot().applied;
         if ahead <= applied {
-            self.behind_since_ms.store(0, Ordering::Relaxed);
             return;
         }
-        let at_ms = now.duration_since(self.started).as_millis() as u64 + 1;
-        let since = self.behind_since_ms.load(Ordering::Relaxed);
-        let unknown = applied == Revision::default();
-        if since == 0 {
-            self.behind_since_ms.store(at_ms, Ordering::Relaxed);
-        }
-        let late = since != 0 && at_ms - since >= LAG.as_millis() as u64;
-        let first = since == 0 && unknown;
-        if !(late || first) {
+        let mut behind = self.behind.lock();
+        let since = match *behind {
+            Some(known) if known.applied == applied => known.since,
+            _ => {
+                *behind = Some(Behind { applied, since: now });
+                now
+            }
+        };
+        // A source that is away tells nothing, so that there is nothing to wait for.
+        let expected = applied != Revision::default() && knowledge.is_source_up();
+        let first = since == now && !expected;
+        if !first && now.duration_since(since) < LAG {
             return;
         }
+        // The next fetch waits as long again, so there are few at a time.
+        *behind = Some(Behind { applied, since: now });
         let gateway = Arc::clone(&self.gateway);
         let address = SocketAddr::new(from, self.port);
-        // The next fetch waits as long again, so there are few at a time.
-        self.behind_since_ms.store(at_ms, Ordering::Relaxed);
         let fetch = Fetch { gateway, address, after: applied };
         tokio::spawn(async move { fetch.run().await });
     }
 }
 
+/// Since when peers are ahead of what this daemon has applied.
+#[derive(Debug, Clone, Copy)]
+struct Behind {
+    applied: Revision,
+    since: Instant,
+}
+
 struct Fetch {
     gateway: Arc<Gateway>,
     address: SocketAddr,
--- a/crates/policy/src/local/decider.rs
+++ b/crates/policy/src/local/decider.rs
@@ -78,6 +78,8 @@
         reason: Reason,
         /// When the caller should come back.
         retry_after: Duration,
+        /// The predicted time to the first event at the best place, if there was a place.
+        predicted: Option<Duration>,
     },
 }
 
@@ -243,7 +245,7 @@
         };
         if usable.names.is_empty() {
             let reason = if usable.cold { Reason::Cold } else { Reason::NoServer };
-            return Verdict::Refuse { reason, retry_after: RETRY_LEAST * 2 };
+            return Verdict::Refuse { reason, retry_after: RETRY_LEAST * 2, predicted: None };
         }
         let first_choice =
             demand.subject().and_then(|part| self.first_choice(&usable.names, part.id));
@@ -261,15 +263,22 @@
             }
         }
         let Some((_, place)) = best else {
-            return Verdict::Refuse { reason: Reason::NoServer, retry_after: RETRY_LEAST * 2 };
+            let (reason, retry_after) = (Reason::NoServer, RETRY_LEAST * 2);
+            return Verdict::Refuse { reason, retry_after, predicted: None };
         };
         let left = demand.deadline.saturating_duration_since(now).mul_f64(HOPELESS);
         if place.predicted > left {
             let retry_after = (place.predicted - left).max(RETRY_LEAST);
-            return Verdict::Refuse { reason: Reason::Overload, retry_after };
+            let predicted = Some(place.predicted);
+            return Verdict::Refuse { reason: Reason::Overload, retry_after, predicted };
         }
         if demand.repeat && !self.may_repeat(&demand.pool, now) {
-            return Verdict::Refuse { reason: Reason::Repeats, retry_after: RETRY_LEAST };
+            let predicted = Some(place.predicted);
+            return Verdict::Refuse {
+                reason: Reason::Repeats,
+                retry_after: RETRY_LEAST,
+                predicted,
+            };
         }
         Verdict::Send(place)
     }
@@ -374,9 +383,9 @@
         let ticket = Ticket(self.next);
         let repeats = self.repeats_of(&demand.pool);
         if demand.repeat {
-            repeats.sent_again(now)
+            repeats.sent_again(now);
         } else {
-            repeats.sent_first(now)
+            repeats.sent_first(now);
         }
         if let Some(standing) = self.standings.get_mut(&place.server) {
             let run = Run {
--- a/crates/policy/tests/local.rs
+++ b/crates/policy/tests/local.rs
@@ -233,7 +233,7 @@
     let load = Load { running: 40, unread_tokens: 900_000, ..Load::default() };
     decider.peer(IpAddr::V4(Ipv4Addr::LOCALHOST), engine(0).hash, load, Duration::ZERO, now);
     match decider.place(&reading(1, now), now) {
-        Verdict::Refuse { reason: Reason::Overload, retry_after } => {
+        Verdict::Refuse { reason: Reason::Overload, retry_after, .. } => {
             assert!(retry_after > Duration::from_secs(1), "{retry_after:?}");
         }
         other => panic!("{other:?}"),
