--- /dev/null
+++ b/crates/policy/src/local/decider/placement.rs
@@ -0,0 +1,216 @@
+//! Where a request goes.
+
+use std::time::{Duration, Instant};
+
+use hyssop_document::name::{Backend, Zone};
+
+use super::{Decider, Place, RETRY_LEAST, Reason, Verdict};
+use crate::local::{
+    affinity,
+    demand::Demand,
+    model, split,
+    standing::{Load, Standing},
+};
+
+/// How much later a first event may be to stay in the daemon's zone. Between zones bytes cost.
+const ZONE_PREFERENCE: Duration = Duration::from_millis(4);
+/// A first event that is further away than this part of the time left will not come in time to use.
+const HOPELESS: f64 = 0.85;
+/// What each request of the last second counts at a plain service, so that equals take turns.
+const TURN: Duration = Duration::from_millis(1);
+/// How many times its own time the reading of a shared part costs that is cached elsewhere.
+const READ_AGAIN_WEIGHT: f64 = 3.0;
+/// How much that weight grows for each second that prompts wait to be read. When all engines are
+/// behind, reading again elsewhere only adds work, and the queue that it avoids grows everywhere.
+const READ_AGAIN_PRESSURE: f64 = 30.0;
+/// The part of a queue that daemons fill together: the rest absorbs what they do not see yet.
+const FILL: f64 = 2.5;
+/// The backend servers that may get a request.
+#[derive(Debug, Default)]
+struct Usable {
+    names: Vec<Backend>,
+    /// Whether others are cold, and this daemon's share of them is used.
+    cold: bool,
+}
+
+impl Decider {
+    /// Decides where a request goes.
+    pub fn place(&mut self, demand: &Demand, now: Instant) -> Verdict {
+        let mut usable = self.usable(demand, now);
+        let aside = match demand.prompt_tokens {
+            0 => 0,
+            _ => self.narrow(&mut usable.names, demand, now),
+        };
+        if usable.names.is_empty() {
+            let reason = if usable.cold { Reason::Cold } else { Reason::NoServer };
+            return Verdict::Refuse { reason, retry_after: RETRY_LEAST * 2, predicted: None };
+        }
+        let Some(place) = self.best(&usable.names, aside, demand, now) else {
+            let (reason, retry_after) = (Reason::NoServer, RETRY_LEAST * 2);
+            return Verdict::Refuse { reason, retry_after, predicted: None };
+        };
+        let left = demand.deadline.saturating_duration_since(now).mul_f64(HOPELESS);
+        if place.predicted > left {
+            let retry_after = (place.predicted - left).max(RETRY_LEAST);
+            let predicted = Some(place.predicted);
+            return Verdict::Refuse { reason: Reason::Overload, retry_after, predicted };
+        }
+        if demand.repeat && !self.may_repeat(&demand.pool, now) {
+            let predicted = Some(place.predicted);
+            return Verdict::Refuse {
+                reason: Reason::Repeats,
+                retry_after: RETRY_LEAST,
+                predicted,
+            };
+        }
+        Verdict::Send(place)
+    }
+
+    /// The place with the least cost.
+    fn best(
+        &mut self,
+        names: &[Backend],
+        aside: usize,
+        demand: &Demand,
+        now: Instant,
+    ) -> Option<Place> {
+        let first_choice = self.first_choice(names, demand);
+        let pressure = self.pressure(names, now);
+        self.assume_usual_speed(names);
+        let mut best: Option<(Duration, Place)> = None;
+        for name in names {
+            let Some(standing) = self.standings.get_mut(name) else { continue };
+            let first = first_choice.as_ref() == Some(name);
+            let (cost, predicted, unread) =
+                cost(standing, demand, first, pressure, &self.settings.zone, now);
+            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
+                let load = standing.total(now);
+                let place = Place { server: name.clone(), predicted, unread, load, aside };
+                best = Some((cost, place));
+            }
+        }
+        best.map(|(_, place)| place)
+    }
+
+    /// The backend servers that may get the request now.
+    fn usable(&mut self, demand: &Demand, now: Instant) -> Usable {
+        let mut usable = Usable::default();
+        for (name, standing) in &mut self.standings {
+            let server = &standing.server;
+            if server.pool != demand.pool
+                || demand.excluded.contains(name)
+                || standing.is_avoided(now)
+            {
+                continue;
+            }
+            if standing.is_cold(now) {
+                let bound = self.settings.cold;
+                let own = self.settings.own;
+                let learning = now < self.settings.learning_until;
+                let share = match learning {
+                    true => 0,
+                    false => bound.share(server.cold_rate, server.hash, own, &self.members),
+                };
+                if standing.sends.count(now) >= share {
+                    usable.cold = true;
+                    continue;
+                }
+            }
+            usable.names.push(name.clone());
+        }
+        usable
+    }
+
+    /// Takes backend servers that were not measured for as fast as the fastest one that was, so that
+    /// each gets requests.
+    fn assume_usual_speed(&mut self, names: &[Backend]) {
+        let measured = names.iter().filter_map(|name| self.standings.get(name));
+        let measured = measured.filter(|standing| standing.is_measured);
+        let Some(least) = measured.map(|standing| standing.slowness).reduce(f64::min) else {
+            return;
+        };
+        for name in names {
+            let standing = self.standings.get_mut(name).filter(|standing| !standing.is_measured);
+            if let Some(standing) = standing {
+                standing.slowness = least;
+            }
+        }
+    }
+
+    /// The mean time that prompts wait to be read.
+    fn pressure(&mut self, names: &[Backend], now: Instant) -> Duration {
+        let mut unread = 0.0;
+        for name in names {
+            let standing = self.standings.get_mut(name);
+            unread += standing.map_or(0.0, |standing| f64::from(standing.total(now).unread_tokens));
+        }
+        model::reading(unread / names.len().max(1) as f64)
+    }
+
+    /// Keeps the engines that are for requests like this one, if there is room at one of them.
+    fn narrow(&mut self, names: &mut Vec<Backend>, demand: &Demand, now: Instant) -> usize {
+        let (mut generating, mut slots) = (0, 1);
+        let mut ranked = Vec::with_capacity(names.len());
+        for name in names.iter() {
+            let Some(standing) = self.standings.get_mut(name) else { continue };
+            let load = standing.total(now);
+            generating += load.generating;
+            slots = standing.server.slots;
+            let room = f64::from(load.running) < f64::from(slots) * split::ROOM;
+            ranked.push((standing.server.hash, name.clone(), room));
+        }
+        let engines = ranked.len();
+        let split = self.splits.entry(demand.pool.clone()).or_default();
+        let aside = split.update(generating, slots, engines, now);
+        split::rank(&mut ranked);
+        let (generate, read) = ranked.split_at(aside);
+        let own = if split::generates(demand) { generate } else { read };
+        if own.iter().any(|(.., room)| *room) {
+            *names = own.iter().map(|(_, name, _)| name.clone()).collect();
+        }
+        aside
+    }
+
+    /// The backend server at which all daemons expect the prompt's subject to be cached.
+    fn first_choice(&self, names: &[Backend], demand: &Demand) -> Option<Backend> {
+        let part = demand.subject()?.id;
+        let hash = |name: &&Backend| self.standings.get(*name).map_or(0, |s| s.server.hash);
+        names.iter().max_by_key(|name| affinity::weight(hash(name), part)).cloned()
+    }
+}
+
+/// The cost of a place, the predicted time to the first event, and the tokens to read.
+fn cost(
+    standing: &mut Standing,
+    demand: &Demand,
+    first_choice: bool,
+    pressure: Duration,
+    zone: &Zone,
+    now: Instant,
+) -> (Duration, Duration, u32) {
+    let load = standing.total(now);
+    let far = if standing.server.zone == *zone { Duration::ZERO } else { ZONE_PREFERENCE };
+    let Some(cache_tokens) = standing.server.cache_tokens else {
+        return service_cost(standing, load, far);
+    };
+    let unread = standing.unread(demand, first_choice, now);
+    let predicted = standing.queue(load).first_event(f64::from(unread));
+    // Reading what is cached elsewhere takes time from all requests there, not only from this one.
+    let shared = unread.saturating_sub(demand.own_tokens());
+    let weight = READ_AGAIN_WEIGHT + READ_AGAIN_PRESSURE * pressure.as_secs_f64();
+    let again = model::reading(f64::from(shared)).mul_f64(weight);
+    let held = u64::from(load.held_tokens) + u64::from(demand.held_tokens());
+    // A request that does not fit into memory preempts another one or waits for it.
+    let full = if held > cache_tokens { model::reading(held as f64) } else { Duration::ZERO };
+    (predicted + again + far + full, predicted + full, unread)
+}
+
+/// A plain service runs one request in each slot and queues the rest.
+fn service_cost(standing: &Standing, load: Load, far: Duration) -> (Duration, Duration, u32) {
+    let slots = f64::from(standing.server.slots.max(1));
+    let filled = f64::from(load.running) / slots;
+    let predicted = Duration::from_secs_f64(0.02 * standing.slowness * (1.0 + filled));
+    let over = if filled > FILL { Duration::from_secs(1) } else { Duration::ZERO };
+    let turn = TURN * load.sent;
+    (predicted + far + turn + over, predicted + over, 0)
+}
