Fill engines set aside further

Cause: in a burst of prompts five to six of 18 engines were set aside for 160 to 200 generating requests, and the others were saturated. Change: 0.85 of their slots instead of 0.75, at most 45 instead of 42.

--- a/crates/policy/src/local/split.rs
+++ b/crates/policy/src/local/split.rs
@@ -14,13 +14,13 @@
 /// A request generates if that takes this many times longer than reading its whole prompt.
 const GENERATES: f64 = 12.0;
 /// The part of an engine's slots that requests which generate fill before another engine joins.
-const FILLED: f64 = 0.75;
+const FILLED: f64 = 0.85;
 /// The most of them on one engine: more make each token slower, and more come at once than an engine
 /// that has turned cold bears.
-const MOST: f64 = 42.0;
+const MOST: f64 = 45.0;
 /// The part of an engine's slots up to which it gets more: when all are taken, a more urgent request
 /// preempts one that runs, and other daemons' requests are seen late.
-pub const ROOM: f64 = 0.9;
+pub const ROOM: f64 = 0.95;
 /// How far their number must fall below what fewer engines hold before one leaves.
 const SLACK: f64 = 0.75;
 /// The time over which a falling number is smoothed.
