Refuse at once what would come long after its target, and spread returns

Load: a burst of prompts at 9 s of one and a half times what the engines for reading can read. Cause: all of it was sent, so that nearly all of it was late. Change: 1.4 times the target; the time to come back is by how much it is too late, and up to half more.

--- a/crates/policy/src/local/decider.rs
+++ b/crates/policy/src/local/decider.rs
@@ -125,6 +125,7 @@
     repeats: Map<Pool, Repeats>,
     splits: Map<Pool, Split>,
     next: u64,
+    refusals: u64,
 }
 
 impl Decider {
@@ -139,6 +140,7 @@
             repeats: Map::default(),
             splits: Map::default(),
             next: 0,
+            refusals: 0,
         }
     }
 
--- a/crates/policy/src/local/decider/placement.rs
+++ b/crates/policy/src/local/decider/placement.rs
@@ -16,6 +16,11 @@
 const ZONE_PREFERENCE: Duration = Duration::from_millis(4);
 /// A first event that is further away than this part of the time left will not come in time to use.
 const HOPELESS: f64 = 0.85;
+/// How many times its target away a first event may be. Under overload each request that is sent later
+/// than that makes those after it late too, while one that comes back is served in a calmer moment.
+const OVERLOAD: f64 = 1.4;
+/// By how much the times to come back differ, as a part: callers must not return together.
+const SPREAD: f64 = 0.5;
 /// What each request of the last second counts at a plain service, so that equals take turns.
 const TURN: Duration = Duration::from_millis(1);
 /// How many times its own time the reading of a shared part costs that is cached elsewhere.
@@ -49,9 +54,9 @@
             let (reason, retry_after) = (Reason::NoServer, RETRY_LEAST * 2);
             return Verdict::Refuse { reason, retry_after, predicted: None };
         };
-        let left = demand.deadline.saturating_duration_since(now).mul_f64(HOPELESS);
-        if place.predicted > left {
-            let retry_after = (place.predicted - left).max(RETRY_LEAST);
+        let bound = latest(demand, now);
+        if place.predicted > bound {
+            let retry_after = (place.predicted - bound).max(RETRY_LEAST).mul_f64(self.spread());
             let predicted = Some(place.predicted);
             return Verdict::Refuse { reason: Reason::Overload, retry_after, predicted };
         }
@@ -66,6 +71,13 @@
         Verdict::Send(place)
     }
 
+    /// A factor from 1 to 1 and [`SPREAD`], another one each time.
+    fn spread(&mut self) -> f64 {
+        self.refusals += 1;
+        let drawn = affinity::weight(self.settings.own, self.refusals) >> 11;
+        1.0 + SPREAD * drawn as f64 / (1_u64 << 53) as f64
+    }
+
     /// The place with the least cost.
     fn best(
         &mut self,
@@ -179,6 +191,16 @@
     }
 }
 
+/// The latest first event that is worth sending for: before the caller gives up, and under overload
+/// not long after the target.
+fn latest(demand: &Demand, now: Instant) -> Duration {
+    let usable = demand.deadline.saturating_duration_since(now).mul_f64(HOPELESS);
+    match demand.prompt_tokens {
+        0 => usable,
+        _ => usable.min(demand.target.mul_f64(OVERLOAD)),
+    }
+}
+
 /// The cost of a place, the predicted time to the first event, and the tokens to read.
 fn cost(
     standing: &mut Standing,
