--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod http;
 pub mod intake;
 pub mod knowledge;
+pub mod lifecycle;
 pub mod metrics;
 pub mod record;
 pub mod relay;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -1,12 +1,6 @@
 //! Listeners: requests, directory, readiness, metrics.
 
-use std::{
-    convert::Infallible,
-    future::Future,
-    pin::pin,
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{convert::Infallible, future::Future, pin::pin, sync::Arc, time::Duration};
 
 use hyper::{
     Request, Response, StatusCode,
@@ -133,13 +127,3 @@
     response.headers_mut().insert(CONTENT_TYPE, kind);
     response
 }
-
-/// Closes idle connections and waits until the daemon serves nobody, at most until `until`.
-pub async fn finish(gateway: &Gateway, until: Instant) {
-    /// How often the counts are looked at.
-    const PERIOD: Duration = Duration::from_millis(50);
-    gateway.closing.cancel();
-    while Instant::now() < until && gateway.metrics.connections.get() > 0 {
-        tokio::time::sleep(PERIOD).await;
-    }
-}
