Run suspects where no other suspect runs

Cause: every request counted as a suspect that runs, and nothing asked where they run; two requests that break backend servers together would never have been told apart. Change: only suspects are counted, and a suspect is placed away from others if it can be.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -131,11 +131,12 @@
 
     async fn try_once(&mut self) -> Step {
         let now = Instant::now();
-        if self.quarantined(now) {
+        let standing = self.gateway.suspects.lock().standing(self.fingerprint, now);
+        if standing == Standing::Quarantined {
             return Step::Failed(Failure::Refused(Refusal::new(Reason::Quarantined)));
         }
-        let placed = self.gateway.decider.lock().place(&self.demand, now);
-        let place = match placed {
+        let suspect = standing == Standing::Suspect;
+        let place = match self.place(suspect, now) {
             Verdict::Send(place) => place,
             Verdict::Refuse { reason, retry_after, predicted } => {
                 self.predicted = predicted;
@@ -149,8 +150,8 @@
         };
         self.tries += 1;
         let ticket = self.gateway.decider.lock().sent(&place, &self.demand, now);
-        let mut exchange =
-            Exchange::new(Arc::clone(&self.gateway), server, ticket, self.fingerprint);
+        let suspect = suspect.then_some(self.fingerprint);
+        let mut exchange = Exchange::new(Arc::clone(&self.gateway), server, ticket, suspect);
         tracing::info!(
             event = "sent", id = %self.ask.id, route = %self.route.name, tier = %self.tier,
             server = %place.server, attempt = self.tries,
@@ -203,8 +204,18 @@
         matches!(placed, Verdict::Send(_))
     }
 
-    fn quarantined(&self, now: Instant) -> bool {
-        self.gateway.suspects.lock().standing(self.fingerprint, now) == Standing::Quarantined
+    /// Decides where it goes. A suspect runs where no other suspect of this daemon runs, if it can, so
+    /// that the one which breaks a backend server is known.
+    fn place(&self, suspect: bool, now: Instant) -> Verdict {
+        if suspect {
+            let mut alone = self.demand.clone();
+            alone.excluded.extend(self.gateway.suspects.lock().occupied());
+            let verdict = self.gateway.decider.lock().place(&alone, now);
+            if matches!(verdict, Verdict::Send(_)) {
+                return verdict;
+            }
+        }
+        self.gateway.decider.lock().place(&self.demand, now)
     }
 
     fn refusal(&self, reason: Reason, retry_after: Duration) -> Failure {
--- a/crates/gateway/src/call/exchange.rs
+++ b/crates/gateway/src/call/exchange.rs
@@ -96,7 +96,8 @@
     /// The backend server.
     pub server: Arc<Server>,
     ticket: Ticket,
-    fingerprint: Fingerprint,
+    /// The request's fingerprint, if it is a suspect.
+    suspect: Option<Fingerprint>,
     connection: Option<Connection>,
     reusable: bool,
     finished: bool,
@@ -108,14 +109,16 @@
         gateway: Arc<Gateway>,
         server: Arc<Server>,
         ticket: Ticket,
-        fingerprint: Fingerprint,
+        suspect: Option<Fingerprint>,
     ) -> Self {
-        gateway.suspects.lock().started(&server.name, fingerprint);
+        if let Some(fingerprint) = suspect {
+            gateway.suspects.lock().started(&server.name, fingerprint);
+        }
         Self {
             gateway,
             server,
             ticket,
-            fingerprint,
+            suspect,
             connection: None,
             reusable: false,
             finished: false,
@@ -262,7 +265,9 @@
             return;
         }
         self.gateway.decider.lock().ended(&self.server.name, self.ticket, end, Instant::now());
-        self.gateway.suspects.lock().ended(&self.server.name, self.fingerprint);
+        if let Some(fingerprint) = self.suspect {
+            self.gateway.suspects.lock().ended(&self.server.name, fingerprint);
+        }
         self.gateway.metrics.attempted(&compact_str::format_compact!("{end}"));
         let Some(mut connection) = self.connection.take() else { return };
         let whole = matches!(end, End::Complete | End::Rejected);
