Let the cold end: what peers tell is not told on, and records count from when they came

Found by reading. Cause 1: a daemon told its peers of a cold backend server also what it had from them, each hop a little longer; with 700 ms of delay it never ended. Cause 2: each change of any record made all backend servers cold anew whose record had said so at their start. Change: only what a backend server publishes is told on, and its time counts from when the record came. Test: what_peers_tell_of_the_cold_ends_with_it.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -31,7 +31,7 @@
 };
 
 pub use builder::Builder;
-pub use exchange::{Exchange, Fault};
+pub use exchange::{Answered, Exchange, Fault};
 pub use held::Held;
 
 /// The number of backend servers that are tried for one request, those that reject it included.
@@ -427,5 +427,3 @@
     }
     passed
 }
-
-pub use exchange::Answered;
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -87,7 +87,7 @@
                     gateway.knowledge.apply(batch.records, Origin::Watch, now)
                 };
                 if changed {
-                    gateway.reconfigure(now);
+                    gateway.reconfigure();
                 }
             }
             Err(Fault::Compacted) => {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -118,16 +118,14 @@
     }
 
     /// Hands the backend servers in service to the decider, after the published state changed.
-    pub fn reconfigure(&self, now: Instant) {
+    pub fn reconfigure(&self) {
         let snapshot = self.knowledge.snapshot();
         let mut decider = self.decider.lock();
         let candidates =
             snapshot.servers.values().filter_map(|server| candidate(&snapshot, server));
         decider.configure(candidates.collect());
-        for server in snapshot.servers.values().filter(|server| server.cold_ms > 0) {
-            if decider.cold_left(&server.name, now).is_zero() {
-                decider.cold(&server.name, Duration::from_millis(server.cold_ms), now);
-            }
+        for (server, &until) in &snapshot.cold {
+            decider.cold(server, until);
         }
         drop(decider);
         self.connections.expire(|server| snapshot.servers.contains_key(server));
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -28,6 +28,9 @@
 /// How long a deletion is remembered, so that peers that missed it can learn of it.
 const DELETION_KEPT: Duration = Duration::from_secs(120);
 
+/// The longest time that a backend server can say it is cold. Longer ones are a writer's mistake.
+const COLD_MOST: Duration = Duration::from_secs(600);
+
 /// Who told a record.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
 pub enum Origin {
@@ -49,6 +52,8 @@
     pub environment: Option<Arc<Environment>>,
     /// The backend servers that may get requests.
     pub servers: Map<Backend, Arc<Server>>,
+    /// Until when some of them are cold.
+    pub cold: Map<Backend, Instant>,
     /// The zones that are out of service.
     pub zones_out: Set<Zone>,
     /// The highest revision that is in it.
@@ -64,6 +69,8 @@
 #[derive(Debug)]
 struct Listed {
     server: Arc<Server>,
+    /// Until when it is cold, counted from when its record came.
+    cold_until: Option<Instant>,
     /// When it is dropped, if its entry lapsed while the source was in trouble.
     lapsed: Option<Instant>,
 }
@@ -204,7 +211,7 @@
         let changed = match &record.value {
             None => forget(inner, &subject, revision, origin, now),
             Some(value) => match self.decoder.decode(&subject, value) {
-                Ok(fact) => learn(inner, fact, revision, origin),
+                Ok(fact) => learn(inner, fact, revision, origin, now),
                 Err(fault) => {
                     tracing::warn!(event = "record_refused", %key, %revision, %origin, %fault);
                     matches!(subject, Subject::Server(_))
@@ -226,10 +233,12 @@
                 && !inner.zones_out.contains(&server.zone)
                 && has_pool(server)
         };
-        let servers = inner.servers.iter().filter(|(_, listed)| in_service(&listed.server));
-        let servers = servers.map(|(name, listed)| (name.clone(), Arc::clone(&listed.server)));
+        let listed = || inner.servers.iter().filter(|(_, listed)| in_service(&listed.server));
+        let cold = listed().filter_map(|(name, listed)| Some((name.clone(), listed.cold_until?)));
+        let servers = listed().map(|(name, listed)| (name.clone(), Arc::clone(&listed.server)));
         let snapshot = Snapshot {
             servers: servers.collect(),
+            cold: cold.collect(),
             zones_out: inner.zones_out.clone(),
             applied: inner.applied,
             environment,
@@ -246,7 +255,7 @@
     }
 }
 
-fn learn(inner: &mut Inner, fact: Fact, revision: Revision, origin: Origin) -> bool {
+fn learn(inner: &mut Inner, fact: Fact, revision: Revision, origin: Origin, now: Instant) -> bool {
     match fact {
         Fact::Environment(environment) => {
             tracing::info!(
@@ -258,11 +267,13 @@
         Fact::Server(server) => {
             tracing::info!(
                 event = "server", server = %server.name, pool = %server.pool, zone = %server.zone,
-                state = %server.state, address = %server.address, cold_ms = server.cold_ms,
+                state = %server.state, address = %server.address, cold_ms = server.cold.as_millis() as u64,
                 %revision, %origin
             );
             let name = server.name.clone();
-            inner.servers.insert(name, Listed { server: Arc::new(server), lapsed: None });
+            let cold_until = (!server.cold.is_zero()).then(|| now + server.cold.min(COLD_MOST));
+            let listed = Listed { server: Arc::new(server), cold_until, lapsed: None };
+            inner.servers.insert(name, listed);
         }
         Fact::ZoneOut(zone) => {
             tracing::info!(event = "zone_out", %zone, %revision, %origin);
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -1,6 +1,6 @@
 //! Records: the published state, item by item, with the revision of each.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use compact_str::CompactString;
 use hyssop_document::name::{Backend, Pool, Zone};
@@ -35,8 +35,8 @@
     pub slots: u32,
     /// What it says about its service.
     pub state: State,
-    /// How long it stays cold, counted from when this was written, in ms.
-    pub cold_ms: u64,
+    /// How long it stays cold, counted from when this was written.
+    pub cold: Duration,
     /// The start of this incarnation in ms since 1970, if it says so.
     pub born_ms: Option<u64>,
 }
--- a/crates/gateway/src/share.rs
+++ b/crates/gateway/src/share.rs
@@ -94,7 +94,7 @@
                 let changed = self.gateway.knowledge.apply(records, Origin::Peer, now);
                 tracing::info!(event = "records_from_peer", %peer, after = %self.after, count, changed);
                 if changed {
-                    self.gateway.reconfigure(now);
+                    self.gateway.reconfigure();
                 }
             }
             Err(error) => tracing::warn!(event = "records_not_fetched", %peer, %error),
@@ -149,7 +149,7 @@
     fn tick(&self, now: Instant) {
         let gateway = &self.gateway;
         if gateway.knowledge.tick(now) {
-            gateway.reconfigure(now);
+            gateway.reconfigure();
         }
         let mut members = gateway.members.lock().sharers_hashes(now);
         members.push(name_hash(gateway.settings.host.as_str()));
--- a/crates/policy/src/local/decider.rs
+++ b/crates/policy/src/local/decider.rs
@@ -7,7 +7,6 @@
     time::{Duration, Instant},
 };
 
-use compact_str::CompactString;
 use hyssop_document::{
     collections::Map,
     name::{Backend, Pool, Zone},
@@ -176,31 +175,27 @@
         }
     }
 
-    /// Takes that a backend server is cold for some time from now.
-    pub fn cold(&mut self, server: &Backend, left: Duration, now: Instant) {
+    /// Takes until when a backend server is cold by what it publishes.
+    pub fn cold(&mut self, server: &Backend, until: Instant) {
         if let Some(standing) = self.standings.get_mut(server) {
-            standing.cold_until = Some(now + left);
+            standing.cold_until = Some(until);
         }
     }
 
-    /// How long a backend server stays cold.
-    pub fn cold_left(&self, server: &Backend, now: Instant) -> Duration {
-        let until = self.standings.get(server).and_then(|standing| standing.cold_until);
-        until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
-    }
-
     /// Takes what a peer has at backend servers.
     pub fn peer(&mut self, peer: IpAddr, hash: u32, load: Load, cold: Duration, now: Instant) {
         let Some(name) = self.by_hash.get(&hash) else { return };
         let Some(standing) = self.standings.get_mut(name) else { return };
         standing.peers.insert(peer, (load, now));
-        let until = now + cold;
-        if cold > Duration::ZERO && standing.cold_until.is_none_or(|known| known < until) {
-            standing.cold_until = Some(until);
+        if !cold.is_zero() {
+            let until = now + cold;
+            let known = standing.told_cold_until.filter(|&known| known > until);
+            standing.told_cold_until = Some(known.unwrap_or(until));
         }
     }
 
-    /// What this daemon has at each backend server.
+    /// What this daemon has at each backend server, and how long that is cold by its own knowledge.
+    /// What peers told is not told on: each hop would make it a little longer.
     pub fn own_loads(&mut self, now: Instant) -> Vec<(u32, Load, Duration)> {
         let loads = self.standings.values_mut().map(|standing| {
             let cold =
@@ -281,22 +276,4 @@
             }
         }
     }
-
-    /// One line for each backend server, for logs.
-    pub fn summary(&mut self, now: Instant) -> Vec<CompactString> {
-        let lines = self.standings.values_mut().map(|standing| {
-            let load = standing.total(now);
-            compact_str::format_compact!(
-                "{} running={} unread={} sent={} slowness={:.2} cold={} avoided={}",
-                standing.server.name,
-                load.running,
-                load.unread_tokens,
-                load.sent,
-                standing.slowness,
-                standing.is_cold(now),
-                standing.is_avoided(now)
-            )
-        });
-        lines.collect()
-    }
 }
--- a/crates/policy/src/local/standing.rs
+++ b/crates/policy/src/local/standing.rs
@@ -83,6 +83,8 @@
     pub(super) peers: Map<IpAddr, (Load, Instant)>,
     pub(super) sends: Window,
     pub(super) cold_until: Option<Instant>,
+    /// The same by what peers told.
+    pub(super) told_cold_until: Option<Instant>,
     pub(super) avoid_until: Option<Instant>,
     pub(super) failures: u32,
     pub(super) slowness: f64,
@@ -99,6 +101,7 @@
             peers: Map::default(),
             sends: Window::new(RATE_SPAN),
             cold_until: None,
+            told_cold_until: None,
             avoid_until: None,
             failures: 0,
             slowness: 1.0,
@@ -144,7 +147,8 @@
     }
 
     pub(super) fn is_cold(&self, now: Instant) -> bool {
-        self.server.cold_rate > 0.0 && self.cold_until.is_some_and(|until| until > now)
+        let until = self.cold_until.max(self.told_cold_until);
+        self.server.cold_rate > 0.0 && until.is_some_and(|until| until > now)
     }
 
     pub(super) fn is_avoided(&self, now: Instant) -> bool {
--- a/crates/policy/tests/local.rs
+++ b/crates/policy/tests/local.rs
@@ -346,7 +346,7 @@
     let mut decider = decider("a", now);
     decider.configure(vec![engine(0)]);
     decider.set_members(vec![1, 2, 3]);
-    decider.cold(&engine(0).name, Duration::from_secs(3), now);
+    decider.cold(&engine(0).name, now + Duration::from_secs(3));
     let mut sent = 0;
     for index in 0..60 {
         let at = now + Duration::from_millis(index * 10);
@@ -365,7 +365,7 @@
     let now = Instant::now();
     let mut decider = decider("a", now + Duration::from_secs(1));
     decider.configure(vec![engine(0)]);
-    decider.cold(&engine(0).name, Duration::from_secs(3), now);
+    decider.cold(&engine(0).name, now + Duration::from_secs(3));
     let refused = decider.place(&reading(1, now), now);
     assert!(matches!(refused, Verdict::Refuse { reason: Reason::Cold, .. }), "{refused:?}");
     let later = now + Duration::from_millis(1_001);
@@ -397,3 +397,39 @@
         assert!(f64::from(taken) >= bound * 0.5, "{sharers}: {taken} of {bound}");
     }
 }
+
+/// Daemons that tell each other of a cold backend server with some delay must not keep it cold.
+#[test]
+fn what_peers_tell_of_the_cold_ends_with_it() {
+    let now = Instant::now();
+    let mut deciders = [decider("a", now), decider("b", now)];
+    for decider in &mut deciders {
+        decider.configure(vec![engine(0)]);
+        decider.set_members(vec![1, 2]);
+    }
+    deciders[0].cold(&engine(0).name, now + Duration::from_secs(3));
+    let delay = Duration::from_millis(700);
+    for step in 0..100_u64 {
+        let at = now + Duration::from_millis(100) * step as u32;
+        for (from, to) in [(0, 1), (1, 0)] {
+            for (hash, load, cold) in deciders[from].own_loads(at) {
+                let peer = IpAddr::V4(Ipv4Addr::new(10, 0, 0, from as u8));
+                deciders[to].peer(peer, hash, load, cold, at + delay);
+            }
+        }
+    }
+    let later = now + Duration::from_secs(12);
+    for decider in &mut deciders {
+        let sent = (0..40).filter(|&index| {
+            let demand = reading(index, later);
+            match decider.place(&demand, later) {
+                Verdict::Send(place) => {
+                    decider.sent(&place, &demand, later);
+                    true
+                }
+                Verdict::Refuse { .. } => false,
+            }
+        });
+        assert!(sent.count() > 11, "more than the share of a cold one");
+    }
+}
