One type for revisions, one pass over a full read, one way to begin an answer

Found by reading the whole change: view had a copy of the document's Revision; a full read of the store was applied and published twice, once for its items and once for what was missing; a saved and a passed-on answer copied a head in two places; a function of windows was called by nobody. No behaviour changes.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -353,9 +353,7 @@
     }
 
     fn relay(self, exchange: Exchange, head: &Head) -> Response<Body> {
-        let mut response = Response::new(full(Bytes::new()));
-        *response.status_mut() = head.status;
-        *response.headers_mut() = passed_on(&head.headers);
+        let mut response = answer(head, full(Bytes::new()));
         let streams = self.route.streams && head.status.is_success();
         if streams {
             // Another backend server may go on with it, so its length is not known.
@@ -373,10 +371,7 @@
                 after_ms = ms(self.arrived)
             );
             self.gateway.metrics.answered(&self.route.name, server_status, "saved");
-            let mut response = Response::new(full(body));
-            *response.status_mut() = head.status;
-            *response.headers_mut() = passed_on(&head.headers);
-            return response;
+            return answer(&head, full(body));
         }
         let (refusal, cause) = match failure {
             Failure::Refused(refusal) => (refusal, CompactString::default()),
@@ -407,6 +402,14 @@
     matches!(status.as_u16(), 408 | 421 | 429 | 503)
 }
 
+/// An answer with a backend server's status and headers.
+fn answer(head: &Head, body: Body) -> Response<Body> {
+    let mut response = Response::new(body);
+    *response.status_mut() = head.status;
+    *response.headers_mut() = passed_on(&head.headers);
+    response
+}
+
 /// An answer's headers without those that concern one connection.
 fn passed_on(headers: &HeaderMap) -> HeaderMap {
     const OF_CONNECTION: [&str; 8] = [
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -120,17 +120,15 @@
     }
 
     /// Takes a full read as of `revision`: what is missing in it was deleted.
-    pub fn replace(&self, records: Vec<Record>, revision: Revision, now: Instant) -> bool {
+    pub fn replace(&self, mut records: Vec<Record>, revision: Revision, now: Instant) -> bool {
         let listed: Set<CompactString> = records.iter().map(|record| record.key.clone()).collect();
-        let mut missing = Vec::new();
         for (key, held) in &self.inner.lock().records {
             let record = &held.record;
             if record.value.is_some() && record.revision <= revision && !listed.contains(key) {
-                missing.push(Record { key: key.clone(), revision, value: None });
+                records.push(Record { key: key.clone(), revision, value: None });
             }
         }
-        let changed = self.apply(records, Origin::Read, now);
-        self.apply(missing, Origin::Read, now) | changed
+        self.apply(records, Origin::Read, now)
     }
 
     /// Takes that the source can't be reached or refuses.
--- a/crates/policy/src/local/window.rs
+++ b/crates/policy/src/local/window.rs
@@ -30,11 +30,6 @@
         self.times.len()
     }
 
-    /// When the oldest event leaves the window.
-    pub fn oldest_leaves(&self) -> Option<Instant> {
-        Some(*self.times.front()? + self.span)
-    }
-
     fn expire(&mut self, now: Instant) {
         while self.times.front().is_some_and(|&time| now.duration_since(time) > self.span) {
             self.times.pop_front();
--- a/crates/view/src/record.rs
+++ b/crates/view/src/record.rs
@@ -2,27 +2,9 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
+pub use hyssop_document::number::Revision;
 use serde::{Deserialize, Serialize};
 
-/// The position of a change in the history of the published state.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize,
-    derive_more::Display,
-    derive_more::FromStr,
-)]
-#[serde(transparent)]
-pub struct Revision(pub u64);
-
 /// One published item, opaque to daemons on its way.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
