Do not avoid a backend server because this daemon's connections to it are in use

Cause, found by reading: when a daemon's own share of connections to a backend server was in use, the try counted as unreachable. The server was avoided for 300 ms and more, and after a broken exchange the check whether it had died failed for the same reason, so that it was taken for dead and its requests were blamed.

Change: placement passes over backend servers at which the share is in use, and refuses with the reason `connections` where there is no other; a try that finds none free is `unsent` and says nothing about the server; the check says so in the log and blames nobody.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -165,7 +165,8 @@
         );
         let once = self.route.repeat == Repeat::Once;
         if let Err(fault) = exchange.connect(once).await {
-            return self.not_run(exchange, &fault, End::Unreachable).await;
+            let end = fault.end_unsent();
+            return self.not_run(exchange, &fault, end).await;
         }
         let head = self.request_head(&place.server);
         exchange.send(head, self.body.bytes());
--- a/crates/gateway/src/call/exchange.rs
+++ b/crates/gateway/src/call/exchange.rs
@@ -79,6 +79,14 @@
     pub fn is_reset(&self) -> bool {
         matches!(self, Self::Connection(_) | Self::Closed | Self::Body(framing::Fault::Truncated))
     }
+
+    /// How an exchange ends that this fault stopped before a byte was sent.
+    pub(super) fn end_unsent(&self) -> End {
+        match self {
+            Self::Connect(pool::Fault::Share) => End::Unsent,
+            _ => End::Unreachable,
+        }
+    }
 }
 
 /// An answer's head with what it says.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -23,7 +23,7 @@
 
 use crate::{
     dialect::Dialect,
-    http::pool::Pool as Connections,
+    http::pool::{Fault, Pool as Connections},
     knowledge::{Knowledge, Snapshot},
     metrics::Metrics,
     record::{Decoder, Server},
@@ -142,6 +142,10 @@
         self.connections.close_idle(server);
         match self.connections.take(server, address, most, false).await {
             Ok(connection) => self.connections.put(server, connection),
+            // Other exchanges hold connections to it, and end them if it died.
+            Err(fault @ Fault::Share) => {
+                tracing::info!(event = "not_examined", %server, %fault);
+            }
             Err(fault) => {
                 let blamed = self.suspects.lock().died(server, Instant::now());
                 for (fingerprint, standing) in blamed {
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -39,6 +39,9 @@
     /// All backend servers are cold, and this daemon's share of them is used.
     #[display("cold")]
     Cold,
+    /// All connections of this daemon to the backend servers are in use.
+    #[display("connections")]
+    Connections,
     /// The answer would come too late to be of use.
     #[display("overload")]
     Overload,
@@ -73,6 +76,7 @@
             | Self::Memory
             | Self::NoServer
             | Self::Cold
+            | Self::Connections
             | Self::Overload
             | Self::Repeats
             | Self::Rejected => StatusCode::SERVICE_UNAVAILABLE,
@@ -88,6 +92,7 @@
         match reason {
             Refusal::NoServer => Self::NoServer,
             Refusal::Cold => Self::Cold,
+            Refusal::Connections => Self::Connections,
             Refusal::Overload => Self::Overload,
             Refusal::Repeats => Self::Repeats,
         }
--- a/crates/policy/src/local/decider.rs
+++ b/crates/policy/src/local/decider.rs
@@ -70,6 +70,9 @@
     /// All are cold, and this daemon's share of what they bear is used.
     #[display("cold")]
     Cold,
+    /// All connections of this daemon to the backend servers are in use.
+    #[display("connections")]
+    Connections,
     /// The answer would come after the caller has given up.
     #[display("overload")]
     Overload,
@@ -93,6 +96,9 @@
     /// The backend server could not be reached.
     #[display("unreachable")]
     Unreachable,
+    /// Nothing was sent, for a reason that says nothing about the backend server.
+    #[display("unsent")]
+    Unsent,
     /// The caller left, or the time was over.
     #[display("abandoned")]
     Abandoned,
@@ -209,9 +215,8 @@
 
     /// The connections that this daemon may have to a backend server.
     pub fn connections(&self, server: &Backend) -> usize {
-        let most = self.standings.get(server).map_or(0, |s| s.server.max_connections as usize);
-        // A tenth is left for members that others do not know yet.
-        (most * 9 / 10 / self.members.len().max(1)).max(1)
+        let most = self.standings.get(server).map_or(0, |s| s.server.max_connections);
+        share_of_connections(most, self.members.len())
     }
 
     fn may_repeat(&mut self, pool: &Pool, now: Instant) -> bool {
@@ -269,7 +274,7 @@
         standing.runs.remove(&ticket);
         match end {
             End::Complete => standing.failures = 0,
-            End::Abandoned => {}
+            End::Unsent | End::Abandoned => {}
             End::Rejected => standing.avoid_until = Some(now + FULL_AVOIDED),
             End::Broken | End::Unreachable => {
                 let factor = 1 << standing.failures.min(4);
@@ -279,3 +284,9 @@
         }
     }
 }
+
+/// One daemon's part of the connections that a backend server accepts.
+fn share_of_connections(most: u32, members: usize) -> usize {
+    // A tenth is left for members that others do not know yet.
+    (most as usize * 9 / 10 / members.max(1)).max(1)
+}
--- a/crates/policy/src/local/decider/placement.rs
+++ b/crates/policy/src/local/decider/placement.rs
@@ -4,7 +4,7 @@
 
 use hyssop_document::name::{Backend, Zone};
 
-use super::{Decider, Place, RETRY_LEAST, Reason, Verdict};
+use super::{Decider, Place, RETRY_LEAST, Reason, Verdict, share_of_connections};
 use crate::local::{
     affinity,
     demand::Demand,
@@ -36,6 +36,21 @@
     names: Vec<Backend>,
     /// Whether others are cold, and this daemon's share of them is used.
     cold: bool,
+    /// Whether all connections of this daemon to others are in use.
+    connections: bool,
+}
+
+impl Usable {
+    /// Why there is none.
+    fn reason(&self) -> Reason {
+        if self.connections {
+            Reason::Connections
+        } else if self.cold {
+            Reason::Cold
+        } else {
+            Reason::NoServer
+        }
+    }
 }
 
 impl Decider {
@@ -47,8 +62,11 @@
             _ => self.narrow(&mut usable.names, demand, now),
         };
         if usable.names.is_empty() {
-            let reason = if usable.cold { Reason::Cold } else { Reason::NoServer };
-            return Verdict::Refuse { reason, retry_after: RETRY_LEAST * 2, predicted: None };
+            return Verdict::Refuse {
+                reason: usable.reason(),
+                retry_after: RETRY_LEAST * 2,
+                predicted: None,
+            };
         }
         let Some(place) = self.best(&usable.names, aside, demand, now) else {
             let (reason, retry_after) = (Reason::NoServer, RETRY_LEAST * 2);
@@ -115,6 +133,11 @@
             {
                 continue;
             }
+            let most = share_of_connections(server.max_connections, self.members.len());
+            if standing.runs.len() >= most {
+                usable.connections = true;
+                continue;
+            }
             if standing.is_cold(now) {
                 let bound = self.settings.cold;
                 let own = self.settings.own;
--- a/crates/policy/tests/local.rs
+++ b/crates/policy/tests/local.rs
@@ -361,6 +361,31 @@
     assert_eq!(sent, 7, "a third of four fifths of 29");
 }
 
+/// More requests than this daemon may have connections: the rest goes to others, and what none can
+/// take is refused without a word against the backend servers.
+#[test]
+fn a_daemon_sends_no_more_than_its_share_of_connections() {
+    let now = Instant::now();
+    let mut decider = decider("a");
+    decider
+        .configure((0..2).map(|index| Server { max_connections: 10, ..service(index) }).collect());
+    decider.set_members(vec![1, 2, 3], true);
+    let mut sent = Vec::new();
+    let refused = loop {
+        let demand = plain(now);
+        match decider.place(&demand, now) {
+            Verdict::Send(place) => sent.push((decider.sent(&place, &demand, now), place.server)),
+            Verdict::Refuse { reason, .. } => break reason,
+        }
+    };
+    assert_eq!((refused, sent.len()), (Reason::Connections, 6), "a third of nine at each of two");
+    let (ticket, server) = sent.remove(0);
+    decider.ended(&server, ticket, End::Unsent, now);
+    assert!(
+        matches!(decider.place(&plain(now), now), Verdict::Send(place) if place.server == server)
+    );
+}
+
 /// The load after a loss of power: all daemons start at once, and each knows itself alone.
 #[test]
 fn a_daemon_that_learns_its_members_sends_nothing_cold() {
