Let a daemon that stood still take what holds from a peer

Cause: a daemon that was suspended answered 503 until it had read the store anew; while the store was away, that was as long as the outage, though its peers served (listed as open in docs/DESIGN-PLATFORM.md). Ruled out: taking a peer's beat as proof, since one that waited in the socket may be as old as the pause.

Change: a suspended daemon asks a ready peer for records at once; an answer to a question that was asked after it woke counts as a refresh. A daemon that is suspended itself gives none. A read of the store that began before the pause does not count any more. Seen failing: a_daemon_that_stood_still_takes_what_holds_from_a_peer, not within 20 s.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -80,8 +80,11 @@
                     tracing::info!(event = "source_back", gone_ms = gone.as_millis() as u64);
                 }
                 position = Some(batch.until);
-                let changed = if full {
+                // A read that began before the process stood still may be as old as that.
+                if suspended {
                     gateway.knowledge.suspend(false);
+                }
+                let changed = if full {
                     gateway.knowledge.replace(batch.records, batch.until, now)
                 } else {
                     gateway.knowledge.apply(batch.records, Origin::Watch, now)
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -246,10 +246,13 @@
 }
 
 impl PeerSource for Knowledge {
-    fn records_after(&self, after: Revision) -> Vec<Record> {
+    fn records_after(&self, after: Revision) -> Option<Vec<Record>> {
         let inner = self.inner.lock();
+        if inner.suspended {
+            return None;
+        }
         let records = inner.records.values().map(|held| &held.record);
-        records.filter(|record| record.revision > after).cloned().collect()
+        Some(records.filter(|record| record.revision > after).cloned().collect())
     }
 }
 
--- a/crates/gateway/src/share.rs
+++ b/crates/gateway/src/share.rs
@@ -10,7 +10,7 @@
 };
 
 use hyssop_view::{
-    beat::{Beat, Entry, name_hash},
+    beat::{Beat, Entry, Phase, name_hash},
     node::Local,
     record::Revision,
     sync,
@@ -41,11 +41,14 @@
         Arc::new(Self { gateway, port, behind: Mutex::default(), turn: AtomicU64::new(0) })
     }
 
-    /// Fetches the records of a peer that has newer ones than this daemon has had for a while.
-    fn catch_up(&self, from: IpAddr, ahead: Revision, now: Instant) {
+    /// Fetches the records of a peer that has newer ones than this daemon has had for a while, or that
+    /// can tell this daemon what holds after it stood still.
+    fn catch_up(&self, from: IpAddr, beat: &Beat, now: Instant) {
         let knowledge = &self.gateway.knowledge;
         let applied = knowledge.snapshot().applied;
-        if ahead <= applied {
+        let suspended = knowledge.is_suspended();
+        let useful = if suspended { beat.phase == Phase::Ready } else { beat.applied > applied };
+        if !useful {
             return;
         }
         let mut behind = self.behind.lock();
@@ -57,7 +60,7 @@
             }
         };
         // A source that is away tells nothing, so that there is nothing to wait for.
-        let expected = applied != Revision::default() && knowledge.is_source_up();
+        let expected = applied != Revision::default() && knowledge.is_source_up() && !suspended;
         let first = since == now && !expected;
         if !first && now.duration_since(since) < LAG {
             return;
@@ -66,7 +69,7 @@
         *behind = Some(Behind { applied, since: now });
         let gateway = Arc::clone(&self.gateway);
         let address = SocketAddr::new(from, self.port);
-        let fetch = Fetch { gateway, address, after: applied };
+        let fetch = Fetch { gateway, address, after: applied, suspended };
         tokio::spawn(async move { fetch.run().await });
     }
 }
@@ -82,6 +85,8 @@
     gateway: Arc<Gateway>,
     address: SocketAddr,
     after: Revision,
+    /// Whether this daemon stood still before it asked, and trusts nothing since.
+    suspended: bool,
 }
 
 impl Fetch {
@@ -93,6 +98,11 @@
                 let now = Instant::now();
                 let changed = self.gateway.knowledge.apply(records, Origin::Peer, now);
                 tracing::info!(event = "records_from_peer", %peer, after = %self.after, count, changed);
+                // The answer was made after this daemon woke.
+                if self.suspended && self.gateway.knowledge.is_suspended() {
+                    self.gateway.knowledge.suspend(false);
+                    tracing::info!(event = "resumed", %peer);
+                }
                 if changed {
                     self.gateway.reconfigure();
                 }
@@ -144,7 +154,7 @@
         if !beat.blames.is_empty() {
             self.gateway.suspects.lock().merge(&beat.blames, now);
         }
-        self.catch_up(from, beat.applied, now);
+        self.catch_up(from, beat, now);
     }
 
     fn tick(&self, now: Instant) {
--- a/crates/view/src/sync.rs
+++ b/crates/view/src/sync.rs
@@ -26,8 +26,8 @@
 
 /// Gives the records newer than a revision, deletions included.
 pub trait Source: Send + Sync + 'static {
-    /// The records.
-    fn records_after(&self, after: Revision) -> Vec<Record>;
+    /// The records, or `None` while this daemon can't vouch for what it knows.
+    fn records_after(&self, after: Revision) -> Option<Vec<Record>>;
 }
 
 /// Why records could not be fetched.
@@ -88,7 +88,7 @@
     let mut frames = framed(stream);
     let question = frames.next().await.ok_or(Error::Silent)??;
     let question: Question = postcard::from_bytes(&question)?;
-    let records = source.records_after(question.after);
+    let Some(records) = source.records_after(question.after) else { return Ok(()) };
     frames.send(Bytes::from(postcard::to_allocvec(&records)?)).await?;
     Ok(())
 }
