Tell all loads in each beat, and sum each backend server's loads once

Cause: a beat told only what its sender still had at backend servers, and what it had told before counted for 1.5 s more, so that a daemon saw requests of others that had long ended. With more than 48 loads the rest was told in turn.

Change: a beat is all that its sender has (policy::local::others); what is missing in it has ended. Sums are kept as beats come, so a decision does not grow with the daemons. The test what_a_peer_does_not_tell_again_has_ended asks for the new rule.

--- a/crates/gateway/src/share.rs
+++ b/crates/gateway/src/share.rs
@@ -1,11 +1,9 @@
 //! What the daemon tells its peers, and what it takes from them.
 
 use std::{
+    cmp::Reverse,
     net::{IpAddr, SocketAddr},
-    sync::{
-        Arc,
-        atomic::{AtomicU64, Ordering},
-    },
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -23,7 +21,7 @@
 /// How long a peer may have a newer revision before its records are fetched. The source usually
 /// tells all daemons within this time.
 const LAG: Duration = Duration::from_millis(250);
-/// The largest number of loads in one beat; more are told in turn.
+/// The largest number of loads in one beat.
 const MAX_LOADS: usize = 48;
 
 /// The daemon's side of the exchange with its peers.
@@ -32,13 +30,12 @@
     /// The port of peers.
     port: u16,
     behind: Mutex<Option<Behind>>,
-    turn: AtomicU64,
 }
 
 impl Share {
     /// The side of `gateway`, whose peers listen on `port`.
     pub fn new(gateway: Arc<Gateway>, port: u16) -> Arc<Self> {
-        Arc::new(Self { gateway, port, behind: Mutex::default(), turn: AtomicU64::new(0) })
+        Arc::new(Self { gateway, port, behind: Mutex::default() })
     }
 
     /// Fetches the records of a peer that has newer ones than this daemon has had for a while, or that
@@ -118,16 +115,10 @@
         let now = Instant::now();
         let mut loads = gateway.decider.lock().own_loads(now);
         if loads.len() > MAX_LOADS {
-            let turn = self.turn.fetch_add(1, Ordering::Relaxed) as usize * MAX_LOADS;
-            let length = loads.len();
-            loads.rotate_left(turn % length);
+            // What is left out counts as nothing for peers, so the least goes first.
+            loads.sort_by_key(|(_, load, cold)| Reverse((*cold, load.running)));
             loads.truncate(MAX_LOADS);
         }
-        let entry = |(backend, load, cold): (u32, _, Duration)| Entry {
-            backend,
-            load,
-            cold_ms: cold.as_millis() as u32,
-        };
         Beat {
             host: gateway.settings.host.clone(),
             zone: gateway.settings.zone.clone(),
@@ -138,19 +129,14 @@
             applied: gateway.knowledge.snapshot().applied,
             settled: false,
             members: Vec::new(),
-            loads: loads.into_iter().map(entry).collect(),
+            loads: loads.into_iter().map(Entry::from).collect(),
             blames: gateway.suspects.lock().told(now),
         }
     }
 
     fn heard(&self, from: IpAddr, beat: &Beat, now: Instant) {
-        {
-            let mut decider = self.gateway.decider.lock();
-            for entry in &beat.loads {
-                let cold = Duration::from_millis(u64::from(entry.cold_ms));
-                decider.peer(from, entry.backend, entry.load, cold, now);
-            }
-        }
+        let told: Vec<_> = beat.loads.iter().copied().map(Into::into).collect();
+        self.gateway.decider.lock().peer(from, &told, now);
         if !beat.blames.is_empty() {
             self.gateway.suspects.lock().merge(&beat.blames, now);
         }
@@ -170,6 +156,8 @@
         if let Err(at) = members.binary_search(&own) {
             members.insert(at, own);
         }
-        gateway.decider.lock().set_members(members, settled);
+        let mut decider = gateway.decider.lock();
+        decider.set_members(members, settled);
+        decider.expire(now);
     }
 }
--- a/crates/gateway/tests/rights.rs
+++ b/crates/gateway/tests/rights.rs
@@ -104,11 +104,6 @@
         let mut members = self.table.named(now);
         members.shuffle(random);
         members.truncate(NAMED);
-        let entry = |(backend, load, cold): (u32, _, Duration)| Entry {
-            backend,
-            load,
-            cold_ms: cold.as_millis() as u32,
-        };
         Beat {
             host: Host::new(&format!("host-{}", self.index)),
             zone: Zone::new("a"),
@@ -119,17 +114,15 @@
             applied: Revision(1),
             settled: self.table.is_settled(now),
             members,
-            loads: self.decider.own_loads(now).into_iter().map(entry).collect(),
+            loads: self.decider.own_loads(now).into_iter().map(Entry::from).collect(),
             blames: Vec::new(),
         }
     }
 
     fn hear(&mut self, from: usize, beat: &Beat, now: Instant) {
         self.table.hear(address(from), beat.clone(), now);
-        for entry in &beat.loads {
-            let cold = Duration::from_millis(u64::from(entry.cold_ms));
-            self.decider.peer(address(from), entry.backend, entry.load, cold, now);
-        }
+        let told: Vec<_> = beat.loads.iter().copied().map(Into::into).collect();
+        self.decider.peer(address(from), &told, now);
     }
 
     fn tick(&mut self, now: Instant) {
--- a/crates/policy/src/local.rs
+++ b/crates/policy/src/local.rs
@@ -9,6 +9,7 @@
 pub mod decider;
 pub mod demand;
 pub mod model;
+pub mod others;
 pub mod repeats;
 pub mod split;
 pub mod standing;
--- a/crates/policy/src/local/decider.rs
+++ b/crates/policy/src/local/decider.rs
@@ -15,6 +15,7 @@
 use super::{
     cold::Bound as ColdBound,
     demand::Demand,
+    others::Others,
     repeats::{Bound as RepeatBound, Repeats},
     split::{self, Split},
     standing::{Load, Run, Server, Standing, Ticket},
@@ -126,6 +127,7 @@
     settled: bool,
     standings: Map<Backend, Standing>,
     by_hash: Map<u32, Backend>,
+    others: Others,
     repeats: Map<Pool, Repeats>,
     splits: Map<Pool, Split>,
     next: u64,
@@ -142,6 +144,7 @@
             settled: false,
             standings: Map::default(),
             by_hash: Map::default(),
+            others: Others::default(),
             repeats: Map::default(),
             splits: Map::default(),
             next: 0,
@@ -190,16 +193,19 @@
         }
     }
 
-    /// Takes what a peer has at backend servers.
-    pub fn peer(&mut self, peer: IpAddr, hash: u32, load: Load, cold: Duration, now: Instant) {
-        let Some(name) = self.by_hash.get(&hash) else { return };
-        let Some(standing) = self.standings.get_mut(name) else { return };
-        standing.peers.insert(peer, (load, now));
-        if !cold.is_zero() {
-            let until = now + cold;
-            let known = standing.told_cold_until.filter(|&known| known > until);
-            standing.told_cold_until = Some(known.unwrap_or(until));
+    /// Takes all that a peer has at backend servers, and how long these are cold by its knowledge.
+    pub fn peer(&mut self, peer: IpAddr, told: &[(u32, Load, Duration)], now: Instant) {
+        for &(hash, _, cold) in told.iter().filter(|(.., cold)| !cold.is_zero()) {
+            let Some(name) = self.by_hash.get(&hash) else { continue };
+            let Some(standing) = self.standings.get_mut(name) else { continue };
+            standing.told_cold_until = standing.told_cold_until.max(Some(now + cold));
         }
+        self.others.hear(peer, told.iter().map(|&(hash, load, _)| (hash, load)).collect(), now);
+    }
+
+    /// Forgets what peers told that are not heard of any more.
+    pub fn expire(&mut self, now: Instant) {
+        self.others.expire(now);
     }
 
     /// What this daemon has at each backend server, and how long that is cold by its own knowledge.
--- a/crates/policy/src/local/decider/placement.rs
+++ b/crates/policy/src/local/decider/placement.rs
@@ -30,10 +30,21 @@
 const READ_AGAIN_PRESSURE: f64 = 30.0;
 /// The part of a queue that daemons fill together: the rest absorbs what they do not see yet.
 const FILL: f64 = 2.5;
+
+/// A backend server that may get a request.
+#[derive(Debug)]
+struct Candidate {
+    name: Backend,
+    hash: u32,
+    slots: u32,
+    /// What all daemons have there.
+    load: Load,
+}
+
 /// The backend servers that may get a request.
 #[derive(Debug, Default)]
 struct Usable {
-    names: Vec<Backend>,
+    candidates: Vec<Candidate>,
     /// Whether others are cold, and this daemon's share of them is used.
     cold: bool,
     /// Whether all connections of this daemon to others are in use.
@@ -59,16 +70,16 @@
         let mut usable = self.usable(demand, now);
         let aside = match demand.prompt_tokens {
             0 => 0,
-            _ => self.narrow(&mut usable.names, demand, now),
+            _ => self.narrow(&mut usable.candidates, demand, now),
         };
-        if usable.names.is_empty() {
+        if usable.candidates.is_empty() {
             return Verdict::Refuse {
                 reason: usable.reason(),
                 retry_after: RETRY_LEAST * 2,
                 predicted: None,
             };
         }
-        let Some(place) = self.best(&usable.names, aside, demand, now) else {
+        let Some(place) = self.best(&usable.candidates, aside, demand, now) else {
             let (reason, retry_after) = (Reason::NoServer, RETRY_LEAST * 2);
             return Verdict::Refuse { reason, retry_after, predicted: None };
         };
@@ -99,23 +110,23 @@
     /// The place with the least cost.
     fn best(
         &mut self,
-        names: &[Backend],
+        candidates: &[Candidate],
         aside: usize,
         demand: &Demand,
         now: Instant,
     ) -> Option<Place> {
-        let first_choice = self.first_choice(names, demand);
-        let pressure = self.pressure(names, now);
-        self.assume_usual_speed(names);
+        let first_choice = first_choice(candidates, demand);
+        let pressure = pressure(candidates);
+        self.assume_usual_speed(candidates);
         let mut best: Option<(Duration, Place)> = None;
-        for name in names {
-            let Some(standing) = self.standings.get_mut(name) else { continue };
-            let first = first_choice.as_ref() == Some(name);
+        for Candidate { name, hash, load, .. } in candidates {
+            let Some(standing) = self.standings.get(name) else { continue };
+            let first = first_choice == Some(*hash);
+            let zone = &self.settings.zone;
             let (cost, predicted, unread) =
-                cost(standing, demand, first, pressure, &self.settings.zone, now);
+                cost(standing, *load, demand, first, pressure, zone, now);
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
-                let load = standing.total(now);
-                let place = Place { server: name.clone(), predicted, unread, load, aside };
+                let place = Place { server: name.clone(), predicted, unread, load: *load, aside };
                 best = Some((cost, place));
             }
         }
@@ -150,20 +161,23 @@
                     continue;
                 }
             }
-            usable.names.push(name.clone());
+            let (hash, slots) = (server.hash, server.slots);
+            let load = standing.own(now).plus(self.others.load(hash));
+            usable.candidates.push(Candidate { name: name.clone(), hash, slots, load });
         }
         usable
     }
 
     /// Takes backend servers that were not measured for as fast as the fastest one that was, so that
     /// each gets requests.
-    fn assume_usual_speed(&mut self, names: &[Backend]) {
-        let measured = names.iter().filter_map(|name| self.standings.get(name));
-        let measured = measured.filter(|standing| standing.is_measured);
+    fn assume_usual_speed(&mut self, candidates: &[Candidate]) {
+        let standings =
+            candidates.iter().filter_map(|candidate| self.standings.get(&candidate.name));
+        let measured = standings.filter(|standing| standing.is_measured);
         let Some(least) = measured.map(|standing| standing.slowness).reduce(f64::min) else {
             return;
         };
-        for name in names {
+        for Candidate { name, .. } in candidates {
             let standing = self.standings.get_mut(name).filter(|standing| !standing.is_measured);
             if let Some(standing) = standing {
                 standing.slowness = least;
@@ -171,46 +185,36 @@
         }
     }
 
-    /// The mean time that prompts wait to be read.
-    fn pressure(&mut self, names: &[Backend], now: Instant) -> Duration {
-        let mut unread = 0.0;
-        for name in names {
-            let standing = self.standings.get_mut(name);
-            unread += standing.map_or(0.0, |standing| f64::from(standing.total(now).unread_tokens));
-        }
-        model::reading(unread / names.len().max(1) as f64)
-    }
-
     /// Keeps the engines that are for requests like this one, if there is room at one of them.
-    fn narrow(&mut self, names: &mut Vec<Backend>, demand: &Demand, now: Instant) -> usize {
-        let (mut generating, mut slots) = (0, 1);
-        let mut ranked = Vec::with_capacity(names.len());
-        for name in names.iter() {
-            let Some(standing) = self.standings.get_mut(name) else { continue };
-            let load = standing.total(now);
-            generating += load.generating;
-            slots = standing.server.slots;
-            let room = f64::from(load.running) < f64::from(slots) * split::ROOM;
-            ranked.push((standing.server.hash, name.clone(), room));
-        }
-        let engines = ranked.len();
+    fn narrow(&mut self, engines: &mut Vec<Candidate>, demand: &Demand, now: Instant) -> usize {
+        let generating = engines.iter().map(|engine| engine.load.generating).sum();
+        let slots = engines.last().map_or(1, |engine| engine.slots);
         let split = self.splits.entry(demand.pool.clone()).or_default();
-        let aside = split.update(generating, slots, engines, now);
-        split::rank(&mut ranked);
-        let (generate, read) = ranked.split_at(aside);
-        let own = if split::generates(demand) { generate } else { read };
-        if own.iter().any(|(.., room)| *room) {
-            *names = own.iter().map(|(_, name, _)| name.clone()).collect();
+        let aside = split.update(generating, slots, engines.len(), now);
+        engines.sort_by_cached_key(|engine| split::rank(engine.hash));
+        let own = if split::generates(demand) { 0..aside } else { aside..engines.len() };
+        let room = |engine: &Candidate| {
+            f64::from(engine.load.running) < f64::from(engine.slots) * split::ROOM
+        };
+        if engines[own.clone()].iter().any(room) {
+            engines.truncate(own.end);
+            engines.drain(..own.start);
         }
         aside
     }
+}
 
-    /// The backend server at which all daemons expect the prompt's subject to be cached.
-    fn first_choice(&self, names: &[Backend], demand: &Demand) -> Option<Backend> {
-        let part = demand.subject()?.id;
-        let hash = |name: &&Backend| self.standings.get(*name).map_or(0, |s| s.server.hash);
-        names.iter().max_by_key(|name| affinity::weight(hash(name), part)).cloned()
-    }
+/// The mean time that prompts wait to be read.
+fn pressure(candidates: &[Candidate]) -> Duration {
+    let unread: f64 = candidates.iter().map(|c| f64::from(c.load.unread_tokens)).sum();
+    model::reading(unread / candidates.len().max(1) as f64)
+}
+
+/// The hash of the backend server at which all daemons expect the prompt's subject to be cached.
+fn first_choice(candidates: &[Candidate], demand: &Demand) -> Option<u32> {
+    let part = demand.subject()?.id;
+    let hashes = candidates.iter().map(|candidate| candidate.hash);
+    hashes.max_by_key(|&hash| affinity::weight(hash, part))
 }
 
 /// The latest first event that is worth sending for: before the caller gives up, and under overload
@@ -225,14 +229,14 @@
 
 /// The cost of a place, the predicted time to the first event, and the tokens to read.
 fn cost(
-    standing: &mut Standing,
+    standing: &Standing,
+    load: Load,
     demand: &Demand,
     first_choice: bool,
     pressure: Duration,
     zone: &Zone,
     now: Instant,
 ) -> (Duration, Duration, u32) {
-    let load = standing.total(now);
     let far = if standing.server.zone == *zone { Duration::ZERO } else { ZONE_PREFERENCE };
     let Some(cache_tokens) = standing.server.cache_tokens else {
         return service_cost(standing, load, far);
--- a/crates/policy/src/local/split.rs
+++ b/crates/policy/src/local/split.rs
@@ -5,9 +5,10 @@
 //! Some engines are set aside for requests that mostly generate. Daemons agree on them by rendezvous
 //! hashing, and on their number by the loads that they tell each other.
 
-use std::time::{Duration, Instant};
-
-use hyssop_document::name::Backend;
+use std::{
+    cmp::Reverse,
+    time::{Duration, Instant},
+};
 
 use super::{affinity, demand::Demand, model};
 
@@ -62,8 +63,7 @@
     }
 }
 
-/// Sorts engines, given by their hashes, names and whether they have room, by their rank for being
-/// set aside.
-pub fn rank(engines: &mut [(u32, Backend, bool)]) {
-    engines.sort_by_key(|(hash, ..)| std::cmp::Reverse(affinity::weight(*hash, RANKING)));
+/// The rank of an engine for being set aside, by the hash of its name: the least is the first.
+pub fn rank(engine: u32) -> Reverse<u64> {
+    Reverse(affinity::weight(engine, RANKING))
 }
--- a/crates/policy/src/local/standing.rs
+++ b/crates/policy/src/local/standing.rs
@@ -1,9 +1,6 @@
 //! What a daemon knows of one backend server.
 
-use std::{
-    net::IpAddr,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
 use hyssop_document::{
     collections::Map,
@@ -12,8 +9,6 @@
 
 use super::{demand::Demand, model::Queue, window::Window};
 
-/// How long a peer's load counts after its last beat.
-const PEER_LOAD_KEPT: Duration = Duration::from_millis(1_500);
 /// How long a part counts as cached after its last use by this daemon.
 const PART_KEPT: Duration = Duration::from_secs(15);
 /// The largest number of parts remembered for one backend server.
@@ -61,6 +56,28 @@
     pub generating: u32,
 }
 
+impl Load {
+    /// The sum. What peers tell may be anything, so sums wrap, and what was added can be taken away.
+    pub fn plus(self, other: Self) -> Self {
+        self.combine(other, u32::wrapping_add)
+    }
+
+    /// What is left without `other`, which is a part of it.
+    pub fn minus(self, other: Self) -> Self {
+        self.combine(other, u32::wrapping_sub)
+    }
+
+    fn combine(self, other: Self, with: impl Fn(u32, u32) -> u32) -> Self {
+        Self {
+            running: with(self.running, other.running),
+            unread_tokens: with(self.unread_tokens, other.unread_tokens),
+            held_tokens: with(self.held_tokens, other.held_tokens),
+            sent: with(self.sent, other.sent),
+            generating: with(self.generating, other.generating),
+        }
+    }
+}
+
 /// Names one request at one backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, derive_more::Display)]
 pub struct Ticket(pub u64);
@@ -80,7 +97,6 @@
 pub struct Standing {
     pub(super) server: Server,
     pub(super) runs: Map<Ticket, Run>,
-    pub(super) peers: Map<IpAddr, (Load, Instant)>,
     pub(super) sends: Window,
     pub(super) cold_until: Option<Instant>,
     /// The same by what peers told.
@@ -98,7 +114,6 @@
         Self {
             server,
             runs: Map::default(),
-            peers: Map::default(),
             sends: Window::new(RATE_SPAN),
             cold_until: None,
             told_cold_until: None,
@@ -124,19 +139,6 @@
         load
     }
 
-    /// What all daemons have there, by what is known now.
-    pub fn total(&mut self, now: Instant) -> Load {
-        self.peers.retain(|_, (_, heard)| now.duration_since(*heard) <= PEER_LOAD_KEPT);
-        let own = self.own(now);
-        self.peers.values().fold(own, |sum, (load, _)| Load {
-            running: sum.running + load.running,
-            unread_tokens: sum.unread_tokens.saturating_add(load.unread_tokens),
-            held_tokens: sum.held_tokens.saturating_add(load.held_tokens),
-            sent: sum.sent + load.sent,
-            generating: sum.generating + load.generating,
-        })
-    }
-
     pub(super) fn queue(&self, load: Load) -> Queue {
         Queue {
             unread_tokens: f64::from(load.unread_tokens),
--- a/crates/policy/tests/local.rs
+++ b/crates/policy/tests/local.rs
@@ -22,6 +22,8 @@
 const REPEATS: repeats::Bound =
     repeats::Bound { ratio: 0.2, burst: 58.0, window: Duration::from_secs(10) };
 
+const PEER: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
+
 fn decider(zone: &str) -> Decider {
     let zone = Zone::new(zone);
     let mut decider = Decider::new(Settings { zone, own: 1, cold: COLD, repeats: REPEATS });
@@ -164,18 +166,51 @@
     let mut decider = decider("a");
     let engines: Vec<Server> = (0..18).map(engine).collect();
     decider.configure(engines.clone());
-    let peer = IpAddr::V4(Ipv4Addr::LOCALHOST);
-    for (index, server) in engines.iter().enumerate() {
+    let loads = engines.iter().enumerate().map(|(index, server)| {
         let unread_tokens = 16_000 + 2_000 * (index as u32 % 5);
         let load = Load { running: 15, unread_tokens, held_tokens: 130_000, ..Load::default() };
-        decider.peer(peer, server.hash, load, Duration::ZERO, now);
-    }
+        (server.hash, load, Duration::ZERO)
+    });
+    let loads: Vec<_> = loads.collect();
+    decider.peer(PEER, &loads, now);
     for subject in 0..100 {
         let verdict = decider.place(&reading(subject, now), now);
         assert_eq!(sent_to(&verdict).unread, 2_900, "subject {subject} is read again elsewhere");
     }
 }
 
+/// The load of many daemons whose requests end between two beats: what is not told again has ended,
+/// and a peer that has fallen silent holds nothing.
+#[test]
+fn what_a_peer_does_not_tell_again_has_ended() {
+    let now = Instant::now();
+    let mut decider = decider("a");
+    decider.configure(vec![service(0), service(1)]);
+    let load = Load { running: 9, ..Load::default() };
+    let busy = |index| (service(index).hash, load, Duration::ZERO);
+    let loads = |decider: &mut Decider, at| {
+        // Both are tried, so that the load of each is seen.
+        let mut loads = [0, 1].map(|index| {
+            let excluded = vec![service(1 - index).name];
+            let verdict = decider.place(&Demand { excluded, ..plain(at) }, at);
+            sent_to(&verdict).load.running
+        });
+        loads.sort_unstable();
+        loads
+    };
+    let other = IpAddr::V4(Ipv4Addr::new(10, 0, 0, 2));
+    decider.peer(PEER, &[busy(0), busy(1)], now);
+    decider.peer(other, &[busy(0)], now);
+    assert_eq!(loads(&mut decider, now), [9, 18]);
+    decider.peer(PEER, &[busy(1)], now);
+    assert_eq!(loads(&mut decider, now), [9, 9]);
+    let later = now + Duration::from_millis(1_400);
+    decider.peer(other, &[busy(0)], later);
+    let silent = now + Duration::from_millis(1_501);
+    decider.expire(silent);
+    assert_eq!(loads(&mut decider, silent), [0, 9], "only one peer is silent");
+}
+
 /// The load of long prompts beside long answers, which lose their pauses to the reading.
 #[test]
 fn generating_requests_have_engines_of_their_own() {
@@ -233,7 +268,7 @@
     let mut decider = decider("a");
     decider.configure(vec![engine(0)]);
     let load = Load { running: 40, unread_tokens: 900_000, ..Load::default() };
-    decider.peer(IpAddr::V4(Ipv4Addr::LOCALHOST), engine(0).hash, load, Duration::ZERO, now);
+    decider.peer(PEER, &[(engine(0).hash, load, Duration::ZERO)], now);
     match decider.place(&reading(1, now), now) {
         Verdict::Refuse { reason: Reason::Overload, retry_after, .. } => {
             assert!(retry_after > Duration::from_secs(1), "{retry_after:?}");
@@ -249,13 +284,12 @@
     let now = Instant::now();
     let mut decider = decider("a");
     decider.configure(vec![engine(0)]);
-    let peer = IpAddr::V4(Ipv4Addr::LOCALHOST);
     // 80 tokens a ms: the first event after 55 ms and what is before it.
     for (unread_tokens, refused) in
         [(10_000, false), (30_000, false), (45_000, true), (90_000, true)]
     {
         let load = Load { running: 10, unread_tokens, ..Load::default() };
-        decider.peer(peer, engine(0).hash, load, Duration::ZERO, now);
+        decider.peer(PEER, &[(engine(0).hash, load, Duration::ZERO)], now);
         let verdict = decider.place(&reading(1, now), now);
         let is_refused = matches!(verdict, Verdict::Refuse { reason: Reason::Overload, .. });
         assert_eq!(is_refused, refused, "{unread_tokens}: {verdict:?}");
@@ -440,10 +474,9 @@
     for step in 0..100_u64 {
         let at = now + Duration::from_millis(100) * step as u32;
         for (from, to) in [(0, 1), (1, 0)] {
-            for (hash, load, cold) in deciders[from].own_loads(at) {
-                let peer = IpAddr::V4(Ipv4Addr::new(10, 0, 0, from as u8));
-                deciders[to].peer(peer, hash, load, cold, at + delay);
-            }
+            let loads = deciders[from].own_loads(at);
+            let peer = IpAddr::V4(Ipv4Addr::new(10, 0, 0, from as u8));
+            deciders[to].peer(peer, &loads, at + delay);
         }
     }
     let later = now + Duration::from_secs(12);
--- a/crates/view/src/beat.rs
+++ b/crates/view/src/beat.rs
@@ -42,6 +42,18 @@
     pub cold_ms: u32,
 }
 
+impl From<(u32, Load, Duration)> for Entry {
+    fn from((backend, load, cold): (u32, Load, Duration)) -> Self {
+        Self { backend, load, cold_ms: cold.as_millis() as u32 }
+    }
+}
+
+impl From<Entry> for (u32, Load, Duration) {
+    fn from(entry: Entry) -> Self {
+        (entry.backend, entry.load, Duration::from_millis(u64::from(entry.cold_ms)))
+    }
+}
+
 /// How often a request broke the backend server that ran it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Blame {
@@ -85,7 +97,7 @@
     pub settled: bool,
     /// Other members, a few at a time.
     pub members: Vec<Named>,
-    /// What the sender has at backend servers.
+    /// All that the sender has at backend servers: where it tells nothing it has nothing.
     pub loads: Vec<Entry>,
     /// Requests that broke backend servers.
     pub blames: Vec<Blame>,
