Send beats in turn, so that all members of a large fleet are heard

Cause: each period a beat went to 8 members drawn at random. Among 68 hosts a member was drawn every 0.8 s on average, and one in five was silent for over 1.2 s at any time: the directory left it out, and a line was logged when it came back. With 9 hosts all are told in each period, so the small deployments did not show it.

Change: the table says who is due, those that wait longest first; the own zone twice as often as others; at most 16 in a period. Members count as silent after four turns, 1.2 s at the least; silent ones get a beat a second.

--- a/crates/view/src/beat.rs
+++ b/crates/view/src/beat.rs
@@ -89,7 +89,7 @@
     pub callers: SocketAddr,
     /// Whether the sender takes callers.
     pub phase: Phase,
-    /// What the sender can carry, in thousandths of a core.
+    /// What the sender can carry, in requests a second.
     pub weight: u16,
     /// The highest revision that the sender has applied.
     pub applied: Revision,
--- a/crates/view/src/member.rs
+++ b/crates/view/src/member.rs
@@ -9,7 +9,18 @@
 
 use crate::beat::{Beat, Named, Phase, name_hash};
 
-/// How long after its last beat a member counts as there: ten beats in its zone.
+/// The time between two beats to a member of the own zone.
+pub const PERIOD: Duration = Duration::from_millis(100);
+/// The same for members of other zones: bytes between zones cost.
+const FAR_PERIOD: Duration = Duration::from_millis(200);
+/// The same for members that are silent: finds out when a partition has healed.
+const SILENT_PERIOD: Duration = Duration::from_secs(1);
+/// The largest number of members that get a beat in one period. Keeps the cost of a host flat; in
+/// larger fleets each member gets beats less often, all in turn.
+pub const FANOUT: usize = 16;
+/// How much earlier than due a member may get its beat, as timers are not exact.
+const EARLY: f64 = 0.9;
+/// How long after its last beat a member counts as there, at the least: ten beats in its zone.
 pub const SILENT_AFTER: Duration = Duration::from_millis(1_200);
 /// How long a silent member keeps its part of what is divided among all. Longer than a partition,
 /// during which the member goes on to use its part.
@@ -30,6 +41,8 @@
     pub beat: Beat,
     /// When that came.
     pub heard: Instant,
+    /// When this daemon sent it a beat last.
+    told: Option<Instant>,
 }
 
 /// The table of members. The daemon itself is not in it.
@@ -95,29 +108,36 @@
             let told = self.told.entry(named.host).or_insert(until);
             *told = until.max(*told);
         }
+        let silent_after = self.silent_after();
         let Some(known) = self.members.get_mut(&from) else {
-            self.members.insert(from, Member { beat, heard: now });
+            self.members.insert(from, Member { beat, heard: now, told: None });
             return Some(Change::Joined);
         };
         if beat.incarnation < known.beat.incarnation {
             return None;
         }
-        let change = if now.duration_since(known.heard) > SILENT_AFTER {
+        let change = if now.duration_since(known.heard) > silent_after {
             Some(Change::Joined)
         } else if beat.incarnation > known.beat.incarnation {
             Some(Change::Restarted)
         } else {
             (beat.phase != known.beat.phase).then_some(Change::Phase)
         };
-        *known = Member { beat, heard: now };
+        (known.beat, known.heard) = (beat, now);
         change
     }
 
     /// The members heard of lately.
     pub fn alive(&self, now: Instant) -> impl Iterator<Item = (&IpAddr, &Member)> {
-        self.members
-            .iter()
-            .filter(move |(_, member)| now.duration_since(member.heard) <= SILENT_AFTER)
+        let silent_after = self.silent_after();
+        let is_heard = move |member: &Member| now.duration_since(member.heard) <= silent_after;
+        self.members.iter().filter(move |(_, member)| is_heard(member))
+    }
+
+    /// How long after its last beat a member counts as there: four beats where all get them in turn.
+    fn silent_after(&self) -> Duration {
+        let turns = self.members.len() as f64 / FANOUT as f64;
+        SILENT_AFTER.max(PERIOD.mul_f64(4.0 * turns))
     }
 
     /// The members that take callers.
@@ -149,11 +169,42 @@
         named.collect()
     }
 
-    /// The addresses of all known members, with their zones and whether they were heard of lately.
-    pub fn addresses(&self, now: Instant) -> impl Iterator<Item = (IpAddr, &Zone, bool)> {
-        self.members.iter().map(move |(&address, member)| {
-            (address, &member.beat.zone, now.duration_since(member.heard) <= SILENT_AFTER)
-        })
+    /// The members that are due for a beat of a daemon in `zone`, those that wait longest first. They
+    /// count as told.
+    pub fn due(&mut self, zone: &Zone, now: Instant) -> Vec<IpAddr> {
+        let silent_after = self.silent_after();
+        let overdue = |member: &Member| {
+            let period = if now.duration_since(member.heard) > silent_after {
+                SILENT_PERIOD
+            } else if member.beat.zone == *zone {
+                PERIOD
+            } else {
+                FAR_PERIOD
+            };
+            let waited = member.told.map(|told| now.duration_since(told));
+            waited.map_or(f64::INFINITY, |waited| waited.as_secs_f64() / period.as_secs_f64())
+        };
+        let members = self.members.iter().map(|(&address, member)| (overdue(member), address));
+        let mut due: Vec<(f64, IpAddr)> =
+            members.filter(|&(overdue, _)| overdue >= EARLY).collect();
+        due.sort_by(|a, b| b.0.total_cmp(&a.0));
+        due.truncate(FANOUT);
+        for (_, address) in &due {
+            if let Some(member) = self.members.get_mut(address) {
+                member.told = Some(now);
+            }
+        }
+        due.into_iter().map(|(_, address)| address).collect()
+    }
+
+    /// The number of known members.
+    pub fn len(&self) -> usize {
+        self.members.len()
+    }
+
+    /// Whether no member is known.
+    pub fn is_empty(&self) -> bool {
+        self.members.is_empty()
     }
 
     /// Whether a member of this address was heard of lately.
--- a/crates/view/src/node.rs
+++ b/crates/view/src/node.rs
@@ -4,28 +4,22 @@
     io,
     net::{IpAddr, SocketAddr},
     sync::Arc,
-    time::{Duration, Instant},
+    time::Instant,
 };
 
 use hyssop_document::name::Zone;
 use parking_lot::Mutex;
-use rand::seq::{IndexedRandom as _, SliceRandom as _};
+use rand::seq::SliceRandom as _;
 use tokio::{net::UdpSocket, time::MissedTickBehavior};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
     beat::{Beat, MAX_BYTES},
-    member::Table,
+    member::{PERIOD, Table},
 };
 
-/// The time between two beats to members of the own zone.
-const PERIOD: Duration = Duration::from_millis(100);
-/// Members of other zones get a beat each so many periods: bytes between zones cost.
-const FAR_EVERY: u32 = 2;
 /// Seeds that are not heard of get a beat each so many periods.
 const SEED_EVERY: u32 = 3;
-/// The largest number of members that one period's beat goes to. Keeps the cost of a host flat.
-const FANOUT: usize = 8;
 /// The members named in one beat.
 const NAMED: usize = 4;
 
@@ -114,28 +108,18 @@
 
     fn send(&self, own: SocketAddr, period: u32) {
         let now = Instant::now();
-        let (mut targets, mut silent) = (Vec::new(), Vec::new());
-        {
+        let mut targets = {
             let mut table = self.table.lock();
             table.expire(now);
-            for (address, zone, is_heard) in table.addresses(now) {
-                if !is_heard {
-                    silent.push(address);
-                } else if *zone == self.zone || period.is_multiple_of(FAR_EVERY) {
-                    targets.push(address);
-                }
-            }
+            let mut targets = table.due(&self.zone, now);
             if period.is_multiple_of(SEED_EVERY) {
                 let seeds = self.seeds.iter().copied().filter(|&ip| ip != own.ip());
                 targets.extend(seeds.filter(|&ip| !table.hears(ip, now)));
             }
-        }
+            targets
+        };
         targets.sort_unstable();
         targets.dedup();
-        targets.shuffle(&mut rand::rng());
-        targets.truncate(FANOUT);
-        // One silent member at a time finds out when a partition has healed.
-        targets.extend(silent.choose(&mut rand::rng()));
         self.send_to(&targets, own);
     }
 
