--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -46,7 +46,7 @@
     pub incarnation: u64,
     /// Whether all daemons start for the first time, so that there are no earlier members.
     pub first_start: bool,
-    /// What the host can carry, in thousandths of a core.
+    /// What the host can carry, in requests a second.
     pub weight: u16,
     /// Bytes of request bodies held at once.
     pub body_memory: usize,
