Let a few hosts follow the store for all

Ruled out: longer watches; nearly all calls end with a change, not with their time.

Change: the strongest host of each zone follows the store, three hosts at the least; the next in rank does for one that can't, as its beats say, or that fell silent. Whether the store is in trouble, which decides if a deletion is a lapse, is learned from those that follow it.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -9,6 +9,7 @@
 
 use compact_str::CompactString;
 use rand::RngExt as _;
+use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
 use crate::{
@@ -19,6 +20,8 @@
 
 /// How long one watch waits. Short, so that a watch that has gone silent is found soon.
 const WATCH: Duration = Duration::from_millis(1_500);
+/// How long a daemon that others tell of changes sleeps at most.
+const IDLE: Duration = Duration::from_secs(1);
 /// The first pause after a failure, and the longest.
 const PAUSE_FIRST: Duration = Duration::from_millis(100);
 const PAUSE_MOST: Duration = Duration::from_millis(800);
@@ -68,6 +71,12 @@
     let mut pause = PAUSE_FIRST;
     loop {
         let suspended = gateway.knowledge.is_suspended();
+        if position.is_some() && !suspended && !gateway.is_observer() {
+            // Others tell of changes. What they told is read once more when this daemon goes on.
+            gateway.set_follows(false);
+            timeout(IDLE, gateway.observe.notified()).await.ok();
+            continue;
+        }
         let (answer, full) = match position {
             Some(after) if !suspended => (source.watch(after, WATCH).await, false),
             _ => (source.read().await, true),
@@ -76,8 +85,10 @@
         match answer {
             Ok(batch) => {
                 pause = PAUSE_FIRST;
-                if let Some(gone) = gateway.knowledge.source_back(now) {
-                    tracing::info!(event = "source_back", gone_ms = gone.as_millis() as u64);
+                let gone = gateway.knowledge.source_back(now);
+                if !gateway.set_follows(true) {
+                    let gone_ms = gone.map(|gone| gone.as_millis() as u64);
+                    tracing::info!(event = "source_back", gone_ms);
                 }
                 position = Some(batch.until);
                 // A read that began before the process stood still may be as old as that.
@@ -98,10 +109,7 @@
                 position = None;
             }
             Err(fault) => {
-                if gateway.knowledge.is_source_up() {
-                    tracing::warn!(event = "source_lost", %fault, position = ?position);
-                }
-                gateway.knowledge.source_lost(now);
+                lost(gateway, &fault, position, now);
                 let part = rand::rng().random_range(0.5..1.0);
                 tokio::time::sleep(pause.mul_f64(part)).await;
                 pause = (pause * 2).min(PAUSE_MOST);
@@ -109,3 +117,14 @@
         }
     }
 }
+
+/// Takes that the source gave nothing. While others follow it, only this daemon can't reach it.
+fn lost(gateway: &Gateway, fault: &Fault, position: Option<Revision>, now: Instant) {
+    let followed = gateway.members.lock().is_followed(now);
+    if gateway.set_follows(false) || gateway.knowledge.is_source_up() && !followed {
+        tracing::warn!(event = "source_lost", %fault, position = ?position, followed);
+    }
+    if !followed {
+        gateway.knowledge.source_lost(now);
+    }
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -19,6 +19,7 @@
     member::Table,
 };
 use parking_lot::Mutex;
+use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
 use crate::{
@@ -79,6 +80,12 @@
     /// Cancelled when idle connections of callers are closed.
     pub closing: CancellationToken,
     leaving: AtomicBool,
+    /// Whether this daemon is to follow the source for others too.
+    observer: AtomicBool,
+    /// Whether the source tells this daemon of changes.
+    follows: AtomicBool,
+    /// Wakes the task that follows the source.
+    pub(crate) observe: Notify,
 }
 
 impl Gateway {
@@ -96,6 +103,9 @@
             body_bytes: AtomicUsize::new(0),
             closing: CancellationToken::new(),
             leaving: AtomicBool::new(false),
+            observer: AtomicBool::new(true),
+            follows: AtomicBool::new(false),
+            observe: Notify::new(),
             settings,
         }
     }
@@ -119,6 +129,29 @@
         self.leaving.store(true, Ordering::Relaxed);
     }
 
+    /// Whether this daemon is to follow the source.
+    pub fn is_observer(&self) -> bool {
+        self.observer.load(Ordering::Relaxed)
+    }
+
+    /// Takes whether it is.
+    pub(crate) fn set_observer(&self, observer: bool) {
+        if self.observer.swap(observer, Ordering::Relaxed) != observer {
+            tracing::info!(event = "observer", observer);
+            self.observe.notify_one();
+        }
+    }
+
+    /// Whether the source tells this daemon of changes.
+    pub fn follows(&self) -> bool {
+        self.follows.load(Ordering::Relaxed)
+    }
+
+    /// Takes whether it does. Returns what it was before.
+    pub(crate) fn set_follows(&self, follows: bool) -> bool {
+        self.follows.swap(follows, Ordering::Relaxed)
+    }
+
     /// Hands the backend servers in service to the decider, after the published state changed.
     pub fn reconfigure(&self) {
         let snapshot = self.knowledge.snapshot();
--- a/crates/gateway/src/share.rs
+++ b/crates/gateway/src/share.rs
@@ -9,6 +9,7 @@
 
 use hyssop_view::{
     beat::{Beat, Entry, Phase, name_hash},
+    member::Observer,
     node::Local,
     record::Revision,
     sync,
@@ -16,7 +17,10 @@
 
 use parking_lot::Mutex;
 
-use crate::{gateway::Gateway, knowledge::Origin};
+use crate::{
+    gateway::{Gateway, Settings},
+    knowledge::Origin,
+};
 
 /// How long a peer may have a newer revision before its records are fetched. The source usually
 /// tells all daemons within this time.
@@ -57,7 +61,12 @@
             }
         };
         // A source that is away tells nothing, so that there is nothing to wait for.
-        let expected = applied != Revision::default() && knowledge.is_source_up() && !suspended;
+        // Those who follow it hear of a change at the same time; a peer of the zone costs less than
+        // one that is further away.
+        let near = beat.zone == self.gateway.settings.zone;
+        let expected = applied != Revision::default()
+            && !suspended
+            && (self.gateway.follows() || knowledge.is_source_up() && !near);
         let first = since == now && !expected;
         if !first && now.duration_since(since) < LAG {
             return;
@@ -127,6 +136,7 @@
             phase: gateway.phase(),
             weight: gateway.settings.weight,
             applied: gateway.knowledge.snapshot().applied,
+            follows: gateway.follows(),
             settled: false,
             members: Vec::new(),
             loads: loads.into_iter().map(Entry::from).collect(),
@@ -148,11 +158,17 @@
         if gateway.knowledge.tick(now) {
             gateway.reconfigure();
         }
+        let Settings { host, zone, weight, .. } = &gateway.settings;
+        let own = name_hash(host.as_str());
         let (mut members, settled) = {
             let table = gateway.members.lock();
+            let observer = Observer { host: own, zone, weight: *weight };
+            gateway.set_observer(table.is_observer(&observer, now));
+            if !gateway.follows() && table.is_followed(now) {
+                gateway.knowledge.source_back(now);
+            }
             (table.sharers(now), table.is_settled(now))
         };
-        let own = name_hash(gateway.settings.host.as_str());
         if let Err(at) = members.binary_search(&own) {
             members.insert(at, own);
         }
--- a/crates/gateway/tests/rights.rs
+++ b/crates/gateway/tests/rights.rs
@@ -112,6 +112,7 @@
             phase: Phase::Ready,
             weight: 250,
             applied: Revision(1),
+            follows: false,
             settled: self.table.is_settled(now),
             members,
             loads: self.decider.own_loads(now).into_iter().map(Entry::from).collect(),
--- a/crates/view/src/beat.rs
+++ b/crates/view/src/beat.rs
@@ -93,6 +93,8 @@
     pub weight: u16,
     /// The highest revision that the sender has applied.
     pub applied: Revision,
+    /// Whether the sender hears of changes from the source itself.
+    pub follows: bool,
     /// Whether the sender knows all members that may use a part of what is divided.
     pub settled: bool,
     /// Other members, a few at a time.
--- a/crates/view/src/member.rs
+++ b/crates/view/src/member.rs
@@ -18,6 +18,8 @@
 /// The largest number of members that get a beat in one period. Keeps the cost of a host flat; in
 /// larger fleets each member gets beats less often, all in turn.
 pub const FANOUT: usize = 16;
+/// The least number of daemons that follow the source for all, over all zones.
+const OBSERVERS: usize = 3;
 /// How much earlier than due a member may get its beat, as timers are not exact.
 const EARLY: f64 = 0.9;
 /// How long after its last beat a member counts as there, at the least: ten beats in its zone.
@@ -45,6 +47,17 @@
     told: Option<Instant>,
 }
 
+/// What ranks a daemon among those that may follow the source.
+#[derive(Debug, Clone, Copy)]
+pub struct Observer<'a> {
+    /// The hash of its name.
+    pub host: u32,
+    /// Its availability zone.
+    pub zone: &'a Zone,
+    /// What it can carry.
+    pub weight: u16,
+}
+
 /// The table of members. The daemon itself is not in it.
 #[derive(Debug)]
 pub struct Table {
@@ -197,6 +210,28 @@
         due.into_iter().map(|(_, address)| address).collect()
     }
 
+    /// Whether another member follows the source.
+    pub fn is_followed(&self, now: Instant) -> bool {
+        self.alive(now).any(|(_, member)| member.beat.follows)
+    }
+
+    /// Whether this daemon is one of those that follow the source for all: the strongest of each zone,
+    /// and the next ones for those that can't. Calls to the source cost, and they would grow with the
+    /// fleet; the others learn of changes by beats and fetch them from a peer.
+    pub fn is_observer(&self, own: &Observer<'_>, now: Instant) -> bool {
+        let others = || self.alive(now).map(|(_, member)| member);
+        let mut zones: Vec<&Zone> = others().map(|member| &member.beat.zone).collect();
+        zones.push(own.zone);
+        zones.sort_unstable();
+        zones.dedup();
+        let rank = (own.weight, own.host);
+        let ahead = others().filter(|member| {
+            let beat = &member.beat;
+            beat.zone == *own.zone && beat.follows && (beat.weight, member.hash()) > rank
+        });
+        ahead.count() < OBSERVERS.div_ceil(zones.len())
+    }
+
     /// The number of known members.
     pub fn len(&self) -> usize {
         self.members.len()
