Let substitutes ask the store seldom, and write down who follows it

Cause: while the store is away for all, nobody follows it, so every host tried for itself every 0.8 s; those calls grow with the fleet. Change: a host that only stands in for others waits up to 3 s between tries; observers stay at 0.8 s and find out when the store is back.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -8,6 +8,7 @@
 };
 
 use compact_str::CompactString;
+use hyssop_view::member::Duty;
 use rand::RngExt as _;
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
@@ -25,6 +26,9 @@
 /// The first pause after a failure, and the longest.
 const PAUSE_FIRST: Duration = Duration::from_millis(100);
 const PAUSE_MOST: Duration = Duration::from_millis(800);
+/// The longest pause of a daemon that only stands in for others: while the source is away for all,
+/// calls must not grow with the fleet.
+const PAUSE_SUBSTITUTE: Duration = Duration::from_secs(3);
 
 /// Records up to a revision.
 #[derive(Debug, Clone)]
@@ -71,7 +75,7 @@
     let mut pause = PAUSE_FIRST;
     loop {
         let suspended = gateway.knowledge.is_suspended();
-        if position.is_some() && !suspended && !gateway.is_observer() {
+        if position.is_some() && !suspended && gateway.duty() == Duty::Idle {
             // Others tell of changes. What they told is read once more when this daemon goes on.
             gateway.set_follows(false);
             timeout(IDLE, gateway.observe.notified()).await.ok();
@@ -112,7 +116,11 @@
                 lost(gateway, &fault, position, now);
                 let part = rand::rng().random_range(0.5..1.0);
                 tokio::time::sleep(pause.mul_f64(part)).await;
-                pause = (pause * 2).min(PAUSE_MOST);
+                let most = match gateway.duty() {
+                    Duty::Observer => PAUSE_MOST,
+                    Duty::Substitute | Duty::Idle => PAUSE_SUBSTITUTE,
+                };
+                pause = (pause * 2).min(most);
             }
         }
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -16,7 +16,7 @@
 };
 use hyssop_view::{
     beat::{Phase, name_hash},
-    member::Table,
+    member::{Duty, Table},
 };
 use parking_lot::Mutex;
 use tokio::sync::Notify;
@@ -80,8 +80,8 @@
     /// Cancelled when idle connections of callers are closed.
     pub closing: CancellationToken,
     leaving: AtomicBool,
-    /// Whether this daemon is to follow the source for others too.
-    observer: AtomicBool,
+    /// Whether this daemon is to follow the source.
+    duty: Mutex<Duty>,
     /// Whether the source tells this daemon of changes.
     follows: AtomicBool,
     /// Wakes the task that follows the source.
@@ -103,7 +103,7 @@
             body_bytes: AtomicUsize::new(0),
             closing: CancellationToken::new(),
             leaving: AtomicBool::new(false),
-            observer: AtomicBool::new(true),
+            duty: Mutex::new(Duty::Observer),
             follows: AtomicBool::new(false),
             observe: Notify::new(),
             settings,
@@ -130,14 +130,14 @@
     }
 
     /// Whether this daemon is to follow the source.
-    pub fn is_observer(&self) -> bool {
-        self.observer.load(Ordering::Relaxed)
+    pub fn duty(&self) -> Duty {
+        *self.duty.lock()
     }
 
     /// Takes whether it is.
-    pub(crate) fn set_observer(&self, observer: bool) {
-        if self.observer.swap(observer, Ordering::Relaxed) != observer {
-            tracing::info!(event = "observer", observer);
+    pub(crate) fn set_duty(&self, duty: Duty) {
+        if std::mem::replace(&mut *self.duty.lock(), duty) != duty {
+            tracing::info!(event = "duty", %duty);
             self.observe.notify_one();
         }
     }
--- a/crates/gateway/src/share.rs
+++ b/crates/gateway/src/share.rs
@@ -163,7 +163,7 @@
         let (mut members, settled) = {
             let table = gateway.members.lock();
             let observer = Observer { host: own, zone, weight: *weight };
-            gateway.set_observer(table.is_observer(&observer, now));
+            gateway.set_duty(table.duty(&observer, now));
             if !gateway.follows() && table.is_followed(now) {
                 gateway.knowledge.source_back(now);
             }
--- a/crates/view/src/member.rs
+++ b/crates/view/src/member.rs
@@ -47,6 +47,20 @@
     told: Option<Instant>,
 }
 
+/// Whether a daemon follows the source.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+pub enum Duty {
+    /// It does, for others too.
+    #[display("observer")]
+    Observer,
+    /// It does while one that should can't.
+    #[display("substitute")]
+    Substitute,
+    /// Others tell it of changes.
+    #[display("idle")]
+    Idle,
+}
+
 /// What ranks a daemon among those that may follow the source.
 #[derive(Debug, Clone, Copy)]
 pub struct Observer<'a> {
@@ -218,18 +232,28 @@
     /// Whether this daemon is one of those that follow the source for all: the strongest of each zone,
     /// and the next ones for those that can't. Calls to the source cost, and they would grow with the
     /// fleet; the others learn of changes by beats and fetch them from a peer.
-    pub fn is_observer(&self, own: &Observer<'_>, now: Instant) -> bool {
+    pub fn duty(&self, own: &Observer<'_>, now: Instant) -> Duty {
         let others = || self.alive(now).map(|(_, member)| member);
         let mut zones: Vec<&Zone> = others().map(|member| &member.beat.zone).collect();
         zones.push(own.zone);
         zones.sort_unstable();
         zones.dedup();
+        let observers = OBSERVERS.div_ceil(zones.len());
         let rank = (own.weight, own.host);
-        let ahead = others().filter(|member| {
-            let beat = &member.beat;
-            beat.zone == *own.zone && beat.follows && (beat.weight, member.hash()) > rank
-        });
-        ahead.count() < OBSERVERS.div_ceil(zones.len())
+        let near = others().filter(|member| member.beat.zone == *own.zone);
+        let ahead = near.filter(|member| (member.beat.weight, member.hash()) > rank);
+        let (mut all, mut following) = (0, 0);
+        for member in ahead {
+            all += 1;
+            following += usize::from(member.beat.follows);
+        }
+        if all < observers {
+            Duty::Observer
+        } else if following < observers {
+            Duty::Substitute
+        } else {
+            Duty::Idle
+        }
     }
 
     /// The number of known members.
--- a/crates/view/tests/view.rs
+++ b/crates/view/tests/view.rs
@@ -8,7 +8,7 @@
 use hyssop_document::name::{Host, Zone};
 use hyssop_view::{
     beat::{Beat, Blame, Entry, Load, MAX_BYTES, Named, Phase},
-    member::{Change, FANOUT, Observer, PART_KEPT, PERIOD, SILENT_AFTER, Table},
+    member::{Change, Duty, FANOUT, Observer, PART_KEPT, PERIOD, SILENT_AFTER, Table},
     record::Revision,
 };
 
@@ -153,21 +153,22 @@
     let (own_zone, other_zone) = (Zone::new("south-a"), Zone::new("south-b"));
     let mut table = Table::new(now, true);
     let own = Observer { host: 7, zone: &own_zone, weight: 100 };
-    assert!(table.is_observer(&own, now), "alone");
+    assert_eq!(table.duty(&own, now), Duty::Observer, "alone");
     let mut hear = |index: u8, zone: &Zone, weight, follows| {
         let host = Host::new(&format!("host-{index}"));
         let beat = Beat { host, zone: zone.clone(), weight, follows, ..beat(5, Phase::Ready) };
         table.hear(IpAddr::V4(Ipv4Addr::new(10, 0, 0, index)), beat, now);
-        table.is_observer(&own, now)
+        table.duty(&own, now)
     };
     // Two zones have two observers each, so that there are three at least.
     hear(1, &other_zone, 500, true);
     hear(2, &other_zone, 500, true);
-    assert!(hear(3, &own_zone, 500, true), "one is ahead");
-    assert!(!hear(4, &own_zone, 500, true), "two are ahead");
-    assert!(hear(4, &own_zone, 500, false), "one of them can't");
-    assert!(hear(5, &own_zone, 50, true), "a weaker one is not ahead");
+    assert_eq!(hear(3, &own_zone, 500, true), Duty::Observer, "one is ahead");
+    assert_eq!(hear(4, &own_zone, 500, true), Duty::Idle, "two are ahead");
+    assert_eq!(hear(4, &own_zone, 500, false), Duty::Substitute, "one of them can't");
+    assert_eq!(hear(5, &own_zone, 50, true), Duty::Substitute, "a weaker one is not ahead");
     assert!(table.is_followed(now));
     let silent = now + 3 * SILENT_AFTER;
-    assert!(!table.is_followed(silent) && table.is_observer(&own, silent));
+    assert!(!table.is_followed(silent));
+    assert_eq!(table.duty(&own, silent), Duty::Observer);
 }
