Use backend servers that broke a request or two where all have

Change: a backend server with one or two failures in a row is a last resort; after three in a row it counts as dead, as before.

--- a/crates/policy/src/local/decider/placement.rs
+++ b/crates/policy/src/local/decider/placement.rs
@@ -136,12 +136,16 @@
     /// The backend servers that may get the request now.
     fn usable(&mut self, demand: &Demand, now: Instant) -> Usable {
         let mut usable = Usable::default();
+        // Used where all others are avoided too: backend servers that break a part of their requests
+        // still answer most of them.
+        let mut doubtful = Vec::new();
         for (name, standing) in &mut self.standings {
             let server = &standing.server;
-            if server.pool != demand.pool
-                || demand.excluded.contains(name)
-                || standing.is_avoided(now)
-            {
+            if server.pool != demand.pool || demand.excluded.contains(name) {
+                continue;
+            }
+            let avoided = standing.is_avoided(now);
+            if avoided && !standing.is_doubtful() {
                 continue;
             }
             let most = share_of_connections(server.max_connections, self.members.len());
@@ -163,7 +167,11 @@
             }
             let (hash, slots) = (server.hash, server.slots);
             let load = standing.own(now).plus(self.others.load(hash));
-            usable.candidates.push(Candidate { name: name.clone(), hash, slots, load });
+            let candidates = if avoided { &mut doubtful } else { &mut usable.candidates };
+            candidates.push(Candidate { name: name.clone(), hash, slots, load });
+        }
+        if usable.candidates.is_empty() {
+            usable.candidates = doubtful;
         }
         usable
     }
--- a/crates/policy/src/local/standing.rs
+++ b/crates/policy/src/local/standing.rs
@@ -15,6 +15,9 @@
 const MAX_PARTS: usize = 1_024;
 /// The span over which sends are counted for cold backend servers.
 const RATE_SPAN: Duration = Duration::from_millis(1_100);
+/// Failures in a row up to which a backend server that breaks a part of its requests is still used
+/// where there is no other: one in three would break this many with a chance of one in nine.
+const DOUBTFUL_FAILURES: u32 = 2;
 /// The weight of a new measurement in the slowness.
 const SLOWNESS_GAIN: f64 = 0.1;
 
@@ -157,6 +160,11 @@
         self.avoid_until.is_some_and(|until| until > now)
     }
 
+    /// Whether it broke a request or two, and may well answer the next one.
+    pub(super) fn is_doubtful(&self) -> bool {
+        (1..=DOUBTFUL_FAILURES).contains(&self.failures)
+    }
+
     /// The tokens of the prompt that must be read there. `first_choice` tells that all daemons send
     /// the prompt's subject there.
     pub(super) fn unread(&self, demand: &Demand, first_choice: bool, now: Instant) -> u32 {
