--- a/crates/fakes/src/link.rs
+++ b/crates/fakes/src/link.rs
@@ -11,7 +11,7 @@
     io::{AsyncReadExt, AsyncWriteExt},
     net::{
         TcpListener, TcpStream, UdpSocket,
-        tcp::{OwnedReadHalf, OwnedWriteHalf},
+        tcp::{ReadHalf, WriteHalf},
     },
     sync::watch,
 };
@@ -52,6 +52,8 @@
     back: watch::Sender<Condition>,
     /// The socket towards the target for each sender of datagrams.
     senders: Mutex<Map<SocketAddr, Arc<UdpSocket>>>,
+    /// Cancelled when the open connections are reset.
+    connections: Mutex<CancellationToken>,
     stop: CancellationToken,
 }
 
@@ -71,6 +73,7 @@
             forth: watch::Sender::new(Condition::default()),
             back: watch::Sender::new(Condition::default()),
             senders: Mutex::default(),
+            connections: Mutex::default(),
             stop: stop.clone(),
         });
         tokio::spawn(stop.clone().run_until_cancelled_owned(accept(listener, shared.clone())));
@@ -95,6 +98,11 @@
         }
     }
 
+    /// Resets all open connections.
+    pub fn reset(&self) {
+        std::mem::take(&mut *self.shared.connections.lock()).cancel();
+    }
+
     /// Makes both directions whole.
     pub fn heal(&self) {
         for direction in [Direction::Forth, Direction::Back] {
@@ -124,12 +132,23 @@
     let Ok(target) = TcpStream::connect(shared.target).await else { return };
     _ = client.set_nodelay(true);
     _ = target.set_nodelay(true);
-    let (client_read, client_write) = client.into_split();
-    let (target_read, target_write) = target.into_split();
-    tokio::join!(
-        copy(client_read, target_write, &shared.forth),
-        copy(target_read, client_write, &shared.back),
-    );
+    let reset = shared.connections.lock().clone();
+    let (mut client, mut target) = (client, target);
+    let whole = {
+        let (client_read, client_write) = client.split();
+        let (target_read, target_write) = target.split();
+        reset.run_until_cancelled(async {
+            tokio::join!(
+                copy(client_read, target_write, &shared.forth),
+                copy(target_read, client_write, &shared.back),
+            )
+        })
+    };
+    if whole.await.is_none() {
+        // Without lingering, dropping a socket resets its connection.
+        _ = client.set_zero_linger();
+        _ = target.set_zero_linger();
+    }
 }
 
 /// Waits until the direction is not cut. Returns its delay.
@@ -139,11 +158,7 @@
     whole.map_or(Duration::ZERO, |condition| condition.delay)
 }
 
-async fn copy(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
-    condition: &watch::Sender<Condition>,
-) {
+async fn copy(mut from: ReadHalf<'_>, mut to: WriteHalf<'_>, condition: &watch::Sender<Condition>) {
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
         let read = from.read(&mut buffer).await.unwrap_or(0);
@@ -152,6 +167,8 @@
             tokio::time::sleep(delay).await;
         }
         if read == 0 || to.write_all(&buffer[..read]).await.is_err() {
+            // The other direction may still pass. A peer that is gone can't be told.
+            _ = to.shutdown().await;
             return;
         }
     }
