Estimate an engine's slowness from the pool until it was measured itself

With 18 engines each is measured every second.

Change: a pool has a slowness of its own, measured at all its servers; a server's own measurements outweigh it as there are more of them. Seen failing: a_slow_pool_is_known_before_each_engine_was_measured (1.1 instead of 2 times as slow).

--- a/crates/policy/src/local/decider.rs
+++ b/crates/policy/src/local/decider.rs
@@ -28,6 +28,13 @@
 const AVOIDED_MOST: Duration = Duration::from_secs(3);
 /// How long one that said that it is full gets nothing.
 const FULL_AVOIDED: Duration = Duration::from_millis(60);
+/// The weight of a new measurement in a pool's slowness: a daemon makes some in each second.
+const POOL_GAIN: f64 = 0.05;
+/// The bounds on one measurement, so that a single one does not decide.
+const FASTEST: f64 = 0.3;
+const SLOWEST: f64 = 10.0;
+/// The shortest time that a measurement is compared with.
+const LEAST_PREDICTED: Duration = Duration::from_millis(5);
 /// The least time to come back that callers are told.
 const RETRY_LEAST: Duration = Duration::from_millis(150);
 
@@ -130,6 +137,8 @@
     others: Others,
     repeats: Map<Pool, Repeats>,
     splits: Map<Pool, Split>,
+    /// How many times longer than predicted the backend servers of a pool take.
+    usual: Map<Pool, f64>,
     next: u64,
     refusals: u64,
 }
@@ -147,6 +156,7 @@
             others: Others::default(),
             repeats: Map::default(),
             splits: Map::default(),
+            usual: Map::default(),
             next: 0,
             refusals: 0,
         }
@@ -245,10 +255,11 @@
         } else {
             repeats.sent_first(now);
         }
+        let usual = self.usual_slowness(&demand.pool);
         if let Some(standing) = self.standings.get_mut(&place.server) {
             let run = Run {
                 sent: now,
-                predicted: place.predicted,
+                usual: place.predicted.div_f64(standing.slowness(usual)),
                 unread: place.unread,
                 held: demand.held_tokens(),
                 begun: false,
@@ -269,9 +280,17 @@
             return;
         }
         run.begun = true;
-        let (predicted, seen) = (run.predicted, now.duration_since(run.sent));
+        let (usual, seen) = (run.usual.max(LEAST_PREDICTED), now.duration_since(run.sent));
+        let ratio = seen.div_duration_f64(usual).clamp(FASTEST, SLOWEST);
         standing.failures = 0;
-        standing.measured(predicted, seen);
+        standing.measured(ratio);
+        let known = self.usual.entry(standing.server.pool.clone()).or_insert(ratio);
+        *known += POOL_GAIN * (ratio - *known);
+    }
+
+    /// How many times longer than predicted the backend servers of a pool take.
+    fn usual_slowness(&self, pool: &Pool) -> f64 {
+        self.usual.get(pool).copied().unwrap_or(1.0)
     }
 
     /// Takes that a request ended.
--- a/crates/policy/src/local/decider/placement.rs
+++ b/crates/policy/src/local/decider/placement.rs
@@ -21,6 +21,8 @@
 const OVERLOAD: f64 = 1.4;
 /// By how much the times to come back differ, as a part: callers must not return together.
 const SPREAD: f64 = 0.5;
+/// The time of a request at an idle plain service of usual speed, from the users' sheets.
+const SERVICE_TIME: Duration = Duration::from_millis(20);
 /// What each request of the last second counts at a plain service, so that equals take turns.
 const TURN: Duration = Duration::from_millis(1);
 /// How many times its own time the reading of a shared part costs that is cached elsewhere.
@@ -116,15 +118,18 @@
         now: Instant,
     ) -> Option<Place> {
         let first_choice = first_choice(candidates, demand);
-        let pressure = pressure(candidates);
-        self.assume_usual_speed(candidates);
+        let context = Context {
+            demand,
+            zone: &self.settings.zone,
+            pressure: pressure(candidates),
+            usual: self.usual_slowness(&demand.pool),
+            now,
+        };
         let mut best: Option<(Duration, Place)> = None;
         for Candidate { name, hash, load, .. } in candidates {
             let Some(standing) = self.standings.get(name) else { continue };
             let first = first_choice == Some(*hash);
-            let zone = &self.settings.zone;
-            let (cost, predicted, unread) =
-                cost(standing, *load, demand, first, pressure, zone, now);
+            let (cost, predicted, unread) = cost(standing, *load, first, &context);
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 let place = Place { server: name.clone(), predicted, unread, load: *load, aside };
                 best = Some((cost, place));
@@ -176,23 +181,6 @@
         usable
     }
 
-    /// Takes backend servers that were not measured for as fast as the fastest one that was, so that
-    /// each gets requests.
-    fn assume_usual_speed(&mut self, candidates: &[Candidate]) {
-        let standings =
-            candidates.iter().filter_map(|candidate| self.standings.get(&candidate.name));
-        let measured = standings.filter(|standing| standing.is_measured);
-        let Some(least) = measured.map(|standing| standing.slowness).reduce(f64::min) else {
-            return;
-        };
-        for Candidate { name, .. } in candidates {
-            let standing = self.standings.get_mut(name).filter(|standing| !standing.is_measured);
-            if let Some(standing) = standing {
-                standing.slowness = least;
-            }
-        }
-    }
-
     /// Keeps the engines that are for requests like this one, if there is room at one of them.
     fn narrow(&mut self, engines: &mut Vec<Candidate>, demand: &Demand, now: Instant) -> usize {
         let generating = engines.iter().map(|engine| engine.load.generating).sum();
@@ -235,22 +223,32 @@
     }
 }
 
+/// What is the same for all places of one decision.
+struct Context<'a> {
+    demand: &'a Demand,
+    /// The daemon's zone.
+    zone: &'a Zone,
+    /// The mean time that prompts wait to be read.
+    pressure: Duration,
+    /// The slowness of the pool.
+    usual: f64,
+    now: Instant,
+}
+
 /// The cost of a place, the predicted time to the first event, and the tokens to read.
 fn cost(
     standing: &Standing,
     load: Load,
-    demand: &Demand,
     first_choice: bool,
-    pressure: Duration,
-    zone: &Zone,
-    now: Instant,
+    context: &Context<'_>,
 ) -> (Duration, Duration, u32) {
+    let &Context { demand, zone, pressure, usual, now } = context;
     let far = if standing.server.zone == *zone { Duration::ZERO } else { ZONE_PREFERENCE };
     let Some(cache_tokens) = standing.server.cache_tokens else {
-        return service_cost(standing, load, far);
+        return service_cost(standing, load, far, usual);
     };
     let unread = standing.unread(demand, first_choice, now);
-    let predicted = standing.queue(load).first_event(f64::from(unread));
+    let predicted = standing.queue(load, usual).first_event(f64::from(unread));
     // Reading what is cached elsewhere takes time from all requests there, not only from this one.
     let shared = unread.saturating_sub(demand.own_tokens());
     let weight = READ_AGAIN_WEIGHT + READ_AGAIN_PRESSURE * pressure.as_secs_f64();
@@ -262,10 +260,15 @@
 }
 
 /// A plain service runs one request in each slot and queues the rest.
-fn service_cost(standing: &Standing, load: Load, far: Duration) -> (Duration, Duration, u32) {
+fn service_cost(
+    standing: &Standing,
+    load: Load,
+    far: Duration,
+    usual: f64,
+) -> (Duration, Duration, u32) {
     let slots = f64::from(standing.server.slots.max(1));
     let filled = f64::from(load.running) / slots;
-    let predicted = Duration::from_secs_f64(0.02 * standing.slowness * (1.0 + filled));
+    let predicted = SERVICE_TIME.mul_f64(standing.slowness(usual) * (1.0 + filled));
     let over = if filled > FILL { Duration::from_secs(1) } else { Duration::ZERO };
     let turn = TURN * load.sent;
     (predicted + far + turn + over, predicted + over, 0)
--- a/crates/policy/src/local/standing.rs
+++ b/crates/policy/src/local/standing.rs
@@ -18,8 +18,12 @@
 /// Failures in a row up to which a backend server that breaks a part of its requests is still used
 /// where there is no other: one in three would break this many with a chance of one in nine.
 const DOUBTFUL_FAILURES: u32 = 2;
-/// The weight of a new measurement in the slowness.
+/// The least weight of a new measurement in a backend server's slowness.
 const SLOWNESS_GAIN: f64 = 0.1;
+/// How many measurements of a backend server weigh as much as the pool's slowness.
+const POOL_WEIGHT: f64 = 3.0;
+/// The most measurements that count: what is older says less than what the pool shows now.
+const MOST_MEASUREMENTS: u32 = 10;
 
 /// A backend server that may get requests.
 #[derive(Debug, Clone, PartialEq)]
@@ -88,7 +92,8 @@
 #[derive(Debug)]
 pub(super) struct Run {
     pub(super) sent: Instant,
-    pub(super) predicted: Duration,
+    /// The time to its first event that was predicted for a backend server of usual speed.
+    pub(super) usual: Duration,
     pub(super) unread: u32,
     pub(super) held: u32,
     pub(super) begun: bool,
@@ -106,9 +111,9 @@
     pub(super) told_cold_until: Option<Instant>,
     pub(super) avoid_until: Option<Instant>,
     pub(super) failures: u32,
-    pub(super) slowness: f64,
-    /// Whether the slowness was measured here.
-    pub(super) is_measured: bool,
+    /// How many times longer than predicted it took, by what this daemon measured.
+    slowness: f64,
+    measurements: u32,
     pub(super) parts: Map<u64, Instant>,
 }
 
@@ -123,7 +128,7 @@
             avoid_until: None,
             failures: 0,
             slowness: 1.0,
-            is_measured: false,
+            measurements: 0,
             parts: Map::default(),
         }
     }
@@ -142,12 +147,18 @@
         load
     }
 
-    pub(super) fn queue(&self, load: Load) -> Queue {
+    /// How many times longer than predicted it takes, in a pool in which that is `usual`.
+    pub(super) fn slowness(&self, usual: f64) -> f64 {
+        let own = f64::from(self.measurements);
+        (self.slowness * own + usual * POOL_WEIGHT) / (own + POOL_WEIGHT)
+    }
+
+    pub(super) fn queue(&self, load: Load, usual: f64) -> Queue {
         Queue {
             unread_tokens: f64::from(load.unread_tokens),
             running: f64::from(load.running),
             slots: f64::from(self.server.slots),
-            slowness: self.slowness,
+            slowness: self.slowness(usual),
         }
     }
 
@@ -195,10 +206,10 @@
         }
     }
 
-    pub(super) fn measured(&mut self, predicted: Duration, seen: Duration) {
-        self.is_measured = true;
-        let usual = predicted.as_secs_f64() / self.slowness;
-        let ratio = (seen.as_secs_f64() / usual.max(0.005)).clamp(0.3, 10.0);
-        self.slowness += SLOWNESS_GAIN * (ratio - self.slowness);
+    /// Takes how many times longer than predicted, for a backend server of usual speed, it took.
+    pub(super) fn measured(&mut self, ratio: f64) {
+        self.measurements = (self.measurements + 1).min(MOST_MEASUREMENTS);
+        let gain = (1.0 / f64::from(self.measurements)).max(SLOWNESS_GAIN);
+        self.slowness += gain * (ratio - self.slowness);
     }
 }
--- a/crates/policy/tests/local.rs
+++ b/crates/policy/tests/local.rs
@@ -372,6 +372,37 @@
     assert!(counts.len() == 4 && counts.values().all(|&count| count >= 10), "{counts:?}");
 }
 
+/// The load of a large fleet, in which a daemon meets each engine once in ten seconds: what it has
+/// measured at some of them is its best guess for the others.
+#[test]
+fn a_slow_pool_is_known_before_each_engine_was_measured() {
+    let now = Instant::now();
+    let mut decider = decider("a");
+    decider.configure((0..140).map(engine).collect());
+    let usual = sent_to(&decider.place(&reading(0, now), now)).predicted;
+    let mut met = Vec::new();
+    for index in 0..40_u64 {
+        let at = now + Duration::from_millis(70) * index as u32;
+        let demand = reading(index, at);
+        let place = sent_to(&decider.place(&demand, at)).clone();
+        let ticket = decider.sent(&place, &demand, at);
+        // One of them is fast, the others take twice as long as usual.
+        let takes = if index == 3 { usual / 2 } else { usual * 2 };
+        decider.began(&place.server, ticket, at + takes);
+        decider.ended(&place.server, ticket, End::Complete, at + takes);
+        met.push(place.server);
+    }
+    let at = now + Duration::from_secs(4);
+    let strange = (1_000..1_100).map(|subject| reading(subject, at));
+    let strange = strange.map(|demand| sent_to(&decider.place(&demand, at)).clone());
+    let strange: Vec<Place> = strange.filter(|place| !met.contains(&place.server)).collect();
+    assert!(strange.len() > 20);
+    for place in strange {
+        let factor = place.predicted.as_secs_f64() / usual.as_secs_f64();
+        assert!((1.6..2.4).contains(&factor), "{factor}");
+    }
+}
+
 #[test]
 fn a_backend_server_that_started_again_holds_nothing_of_before() {
     let now = Instant::now();
