--- a/crates/policy/src/local/split.rs
+++ b/crates/policy/src/local/split.rs
@@ -15,7 +15,7 @@
 /// A request generates if that takes this many times longer than reading its whole prompt.
 const GENERATES: f64 = 12.0;
 /// The part of an engine's slots that requests which generate fill before another engine joins.
-const FILLED: f64 = 0.85;
+const FILLED: f64 = 1.0;
 /// The most of them on one engine: more make each token slower, and more come at once than an engine
 /// that has turned cold bears.
 const MOST: f64 = 45.0;
