Know that the store is in trouble as soon as nobody follows it

The observers lost it at 33.1 s while each still believed that another one followed it; their substitutes' watches took 2.2 s more, so that trouble was known at 35.3 s. Had the store come back in between, entries that had lapsed would have counted as deleted. Change: a daemon that does not follow the store itself takes it for lost when no member says that it follows, with the next tick of beats; the first watch of a daemon that begins to follow does not wait, so that others hear of it at once. Seen failing: the_store_is_in_trouble_when_nobody_follows_it.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -82,7 +82,11 @@
             continue;
         }
         let (answer, full) = match position {
-            Some(after) if !suspended => (source.watch(after, WATCH).await, false),
+            // The first answer comes at once, so that others soon know that this daemon follows.
+            Some(after) if !suspended => {
+                let wait = if gateway.follows() { WATCH } else { Duration::ZERO };
+                (source.watch(after, wait).await, false)
+            }
             _ => (source.read().await, true),
         };
         let now = Instant::now();
@@ -126,7 +130,8 @@
     }
 }
 
-/// Takes that the source gave nothing. While others follow it, only this daemon can't reach it.
+/// Takes that the source gave nothing. While others follow it, only this daemon can't reach it, and
+/// when they don't either the next tick of beats finds out.
 fn lost(gateway: &Gateway, fault: &Fault, position: Option<Revision>, now: Instant) {
     let followed = gateway.members.lock().is_followed(now);
     if gateway.set_follows(false) || gateway.knowledge.is_source_up() && !followed {
--- a/crates/gateway/src/share.rs
+++ b/crates/gateway/src/share.rs
@@ -42,6 +42,21 @@
         Arc::new(Self { gateway, port, behind: Mutex::default() })
     }
 
+    /// Takes whether any other daemon follows the source, which this one does not: only when none does
+    /// is the source in trouble.
+    fn judge_source(&self, followed: bool, now: Instant) {
+        let knowledge = &self.gateway.knowledge;
+        if followed {
+            if let Some(gone) = knowledge.source_back(now) {
+                let gone_ms = gone.as_millis() as u64;
+                tracing::info!(event = "source_back", gone_ms, followed);
+            }
+        } else if knowledge.is_source_up() && knowledge.snapshot().environment.is_some() {
+            tracing::warn!(event = "source_lost", fault = "nobody follows it", followed);
+            knowledge.source_lost(now);
+        }
+    }
+
     /// Fetches the records of a peer that has newer ones than this daemon has had for a while, or that
     /// can tell this daemon what holds after it stood still.
     fn catch_up(&self, from: IpAddr, beat: &Beat, now: Instant) {
@@ -164,8 +179,8 @@
             let table = gateway.members.lock();
             let observer = Observer { host: own, zone, weight: *weight };
             gateway.set_duty(table.duty(&observer, now));
-            if !gateway.follows() && table.is_followed(now) {
-                gateway.knowledge.source_back(now);
+            if !gateway.follows() {
+                self.judge_source(table.is_followed(now), now);
             }
             (table.sharers(now), table.is_settled(now))
         };
