Send nothing more to an engine that keeps a request waiting far too long

Cause: streams that may run only once wait at a mute engine to the end, and until that end the daemon went on sending others there; a caller who gave up counted as no failure. Change: an engine with a first event overdue by three times the predicted time and 500 ms gets nothing more from this daemon, as long as such engines are a fifth of the pool at most (else the load is the reason); a caller who leaves after that counts as a failure. The load patterns are in crates/policy/tests/local.rs (two tests, the first seen failing).

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -15,7 +15,7 @@
 use hyssop_backend::blame::{Fingerprint, Standing};
 use hyssop_document::{name::Backend, number::Tier};
 use hyssop_policy::local::{
-    decider::{End, Verdict},
+    decider::{End, OVERDUE, Verdict},
     demand::Demand,
 };
 
@@ -43,7 +43,7 @@
 /// A request that may run again goes elsewhere when its first event is late by a multiple of what was
 /// predicted and some time on top: sooner if the backend server has sent nothing to this daemon
 /// meanwhile, later if it answers others, since a queue is not shorter for those who leave it.
-const LATE_SILENT: (u32, Duration) = (3, Duration::from_millis(500));
+const LATE_SILENT: (u32, Duration) = OVERDUE;
 const LATE_ALIVE: (u32, Duration) = (6, Duration::from_millis(1_500));
 /// The largest body of a failed answer that is kept while the request is tried elsewhere.
 const SAVED_BYTES: usize = 64 << 10;
--- a/crates/policy/src/local/decider.rs
+++ b/crates/policy/src/local/decider.rs
@@ -21,11 +21,6 @@
     standing::{Load, Run, Server, Standing, Ticket},
 };
 
-/// How long a backend server gets nothing after it could not be reached or broke an answer. Doubles
-/// with each further failure.
-const AVOIDED_FIRST: Duration = Duration::from_millis(300);
-/// The longest of these times, so that one that is back is found within seconds.
-const AVOIDED_MOST: Duration = Duration::from_secs(3);
 /// How long one that said that it is full gets nothing.
 const FULL_AVOIDED: Duration = Duration::from_millis(60);
 /// The weight of a new measurement in a pool's slowness: a daemon makes some in each second.
@@ -35,6 +30,9 @@
 const SLOWEST: f64 = 10.0;
 /// The shortest time that a measurement is compared with.
 const LEAST_PREDICTED: Duration = Duration::from_millis(5);
+/// A first event that is later than this multiple of the predicted time and this time on top may never
+/// come. The same as for requests that may run again elsewhere.
+pub const OVERDUE: (u32, Duration) = (3, Duration::from_millis(500));
 /// The least time to come back that callers are told.
 const RETRY_LEAST: Duration = Duration::from_millis(150);
 
@@ -259,6 +257,7 @@
         if let Some(standing) = self.standings.get_mut(&place.server) {
             let run = Run {
                 sent: now,
+                overdue_at: now + place.predicted * OVERDUE.0 + OVERDUE.1,
                 usual: place.predicted.div_f64(standing.slowness(usual)),
                 unread: place.unread,
                 held: demand.held_tokens(),
@@ -296,16 +295,15 @@
     /// Takes that a request ended.
     pub fn ended(&mut self, at: &Backend, ticket: Ticket, end: End, now: Instant) {
         let Some(standing) = self.standings.get_mut(at) else { return };
-        standing.runs.remove(&ticket);
+        let run = standing.runs.remove(&ticket);
+        // A caller that leaves after waiting for so long was not served either.
+        let overdue = run.is_some_and(|run| !run.begun && now > run.overdue_at);
         match end {
+            End::Abandoned if overdue => standing.failed(now),
             End::Complete => standing.failures = 0,
             End::Unsent | End::Abandoned => {}
             End::Rejected => standing.avoid_until = Some(now + FULL_AVOIDED),
-            End::Broken | End::Unreachable => {
-                let factor = 1 << standing.failures.min(4);
-                standing.failures += 1;
-                standing.avoid_until = Some(now + (AVOIDED_FIRST * factor).min(AVOIDED_MOST));
-            }
+            End::Broken | End::Unreachable => standing.failed(now),
         }
     }
 }
--- a/crates/policy/src/local/decider/placement.rs
+++ b/crates/policy/src/local/decider/placement.rs
@@ -30,6 +30,9 @@
 /// How much that weight grows for each second that prompts wait to be read. When all engines are
 /// behind, reading again elsewhere only adds work, and the queue that it avoids grows everywhere.
 const READ_AGAIN_PRESSURE: f64 = 30.0;
+/// The part of a pool's backend servers that may be left alone because requests wait there for far too
+/// long. A rack or a faulty release is about 15 in 100.
+const OVERDUE_PART: f64 = 0.2;
 /// The part of a queue that daemons fill together: the rest absorbs what they do not see yet.
 const FILL: f64 = 2.5;
 
@@ -39,6 +42,8 @@
     name: Backend,
     hash: u32,
     slots: u32,
+    /// Whether it keeps a request of this daemon waiting for far too long.
+    overdue: bool,
     /// What all daemons have there.
     load: Load,
 }
@@ -173,11 +178,13 @@
             let (hash, slots) = (server.hash, server.slots);
             let load = standing.own(now).plus(self.others.load(hash));
             let candidates = if avoided { &mut doubtful } else { &mut usable.candidates };
-            candidates.push(Candidate { name: name.clone(), hash, slots, load });
+            let overdue = standing.is_overdue(now);
+            candidates.push(Candidate { name: name.clone(), hash, slots, overdue, load });
         }
         if usable.candidates.is_empty() {
             usable.candidates = doubtful;
         }
+        leave_overdue(&mut usable.candidates);
         usable
     }
 
@@ -200,6 +207,18 @@
     }
 }
 
+/// Leaves out backend servers that keep requests waiting, as long as they are few.
+///
+/// Answers the load pattern of engines that are mute for a part of their requests while their health
+/// is good. Where many are late, the load is the reason, and leaving them would overrun the others.
+fn leave_overdue(candidates: &mut Vec<Candidate>) {
+    let overdue = candidates.iter().filter(|candidate| candidate.overdue).count();
+    let few = (candidates.len() as f64 * OVERDUE_PART).max(1.0);
+    if overdue < candidates.len() && overdue as f64 <= few {
+        candidates.retain(|candidate| !candidate.overdue);
+    }
+}
+
 /// The mean time that prompts wait to be read.
 fn pressure(candidates: &[Candidate]) -> Duration {
     let unread: f64 = candidates.iter().map(|c| f64::from(c.load.unread_tokens)).sum();
--- a/crates/policy/src/local/standing.rs
+++ b/crates/policy/src/local/standing.rs
@@ -9,6 +9,11 @@
 
 use super::{demand::Demand, model::Queue, window::Window};
 
+/// How long a backend server gets nothing after it could not be reached or broke an answer. Doubles
+/// with each further failure.
+const AVOIDED_FIRST: Duration = Duration::from_millis(300);
+/// The longest of these times, so that one that is back is found within seconds.
+const AVOIDED_MOST: Duration = Duration::from_secs(3);
 /// How long a part counts as cached after its last use by this daemon.
 const PART_KEPT: Duration = Duration::from_secs(15);
 /// The largest number of parts remembered for one backend server.
@@ -92,6 +97,8 @@
 #[derive(Debug)]
 pub(super) struct Run {
     pub(super) sent: Instant,
+    /// When its first event is so late that it may never come.
+    pub(super) overdue_at: Instant,
     /// The time to its first event that was predicted for a backend server of usual speed.
     pub(super) usual: Duration,
     pub(super) unread: u32,
@@ -171,6 +178,11 @@
         self.avoid_until.is_some_and(|until| until > now)
     }
 
+    /// Whether it keeps a request waiting for far longer than was predicted.
+    pub(super) fn is_overdue(&self, now: Instant) -> bool {
+        self.runs.values().any(|run| !run.begun && now > run.overdue_at)
+    }
+
     /// Whether it broke a request or two, and may well answer the next one.
     pub(super) fn is_doubtful(&self) -> bool {
         (1..=DOUBTFUL_FAILURES).contains(&self.failures)
@@ -206,6 +218,13 @@
         }
     }
 
+    /// Takes that it broke a request, could not be reached, or did not answer.
+    pub(super) fn failed(&mut self, now: Instant) {
+        let factor = 1 << self.failures.min(4);
+        self.failures += 1;
+        self.avoid_until = Some(now + (AVOIDED_FIRST * factor).min(AVOIDED_MOST));
+    }
+
     /// Takes how many times longer than predicted, for a backend server of usual speed, it took.
     pub(super) fn measured(&mut self, ratio: f64) {
         self.measurements = (self.measurements + 1).min(MOST_MEASUREMENTS);
--- a/crates/policy/tests/local.rs
+++ b/crates/policy/tests/local.rs
@@ -372,6 +372,56 @@
     assert!(counts.len() == 4 && counts.values().all(|&count| count >= 10), "{counts:?}");
 }
 
+/// The load of an engine that is mute for a part of its requests while its health is good: a stream
+/// that may not run again waits there to its end, and what comes after it must not.
+#[test]
+fn an_engine_that_keeps_a_request_waiting_gets_no_others() {
+    let now = Instant::now();
+    let mut decider = decider("a");
+    decider.configure((0..10).map(engine).collect());
+    let demand = reading(7, now);
+    let mute = sent_to(&decider.place(&demand, now)).clone();
+    let ticket = decider.sent(&mute, &demand, now);
+    let place = |decider: &mut Decider, at| sent_to(&decider.place(&reading(7, at), at)).clone();
+    let soon = now + mute.predicted * 2;
+    assert_eq!(place(&mut decider, soon).server, mute.server, "it may still answer");
+    let late = now + mute.predicted * 3 + Duration::from_millis(501);
+    assert_ne!(place(&mut decider, late).server, mute.server);
+    // The caller gives up. That is no answer either.
+    decider.ended(&mute.server, ticket, End::Abandoned, late);
+    assert_ne!(place(&mut decider, late).server, mute.server);
+    let later = late + Duration::from_millis(301);
+    assert_eq!(place(&mut decider, later).server, mute.server);
+}
+
+/// The load of a burst in which all are late: leaving those that are would overrun the others.
+#[test]
+fn engines_are_not_left_alone_when_many_are_late() {
+    let now = Instant::now();
+    let mut decider = decider("a");
+    decider.configure((0..10).map(engine).collect());
+    let mut used = Vec::new();
+    for subject in 0..60 {
+        let demand = reading(subject, now);
+        let place = sent_to(&decider.place(&demand, now)).clone();
+        decider.sent(&place, &demand, now);
+        used.push(place.server);
+    }
+    used.sort();
+    used.dedup();
+    assert!(used.len() > 5, "{used:?}");
+    let late = now + Duration::from_secs(5);
+    let mut usable = Vec::new();
+    for subject in 0..60 {
+        if let Verdict::Send(place) = decider.place(&reading(subject, late), late) {
+            usable.push(place.server);
+        }
+    }
+    usable.sort();
+    usable.dedup();
+    assert_eq!(usable, used);
+}
+
 /// The load of a large fleet, in which a daemon meets each engine once in ten seconds: what it has
 /// measured at some of them is its best guess for the others.
 #[test]
