--- a/crates/policy/src/local/decider/placement.rs
+++ b/crates/policy/src/local/decider/placement.rs
@@ -190,7 +190,8 @@
 
     /// Keeps the engines that are for requests like this one, if there is room at one of them.
     fn narrow(&mut self, engines: &mut Vec<Candidate>, demand: &Demand, now: Instant) -> usize {
-        let generating = engines.iter().map(|engine| engine.load.generating).sum();
+        let generating = engines.iter().map(|engine| engine.load.generating);
+        let generating = generating.fold(0, u32::saturating_add);
         let slots = engines.last().map_or(1, |engine| engine.slots);
         let split = self.splits.entry(demand.pool.clone()).or_default();
         let aside = split.update(generating, slots, engines.len(), now);
