Keep subjects at their engine longer where many daemons decide

Change: the growth with pressure is multiplied by the members, beyond nine. Small fleets decide as before. Seen failing: the_more_daemons_there_are_the_longer_subjects_stay.

--- a/crates/policy/src/local/decider/placement.rs
+++ b/crates/policy/src/local/decider/placement.rs
@@ -30,6 +30,9 @@
 /// How much that weight grows for each second that prompts wait to be read. When all engines are
 /// behind, reading again elsewhere only adds work, and the queue that it avoids grows everywhere.
 const READ_AGAIN_PRESSURE: f64 = 30.0;
+/// The members up to which that holds; with more it grows with their number. The more daemons place
+/// requests, the less does each know of the others', and a queue that looks shorter often is not.
+const FEW_MEMBERS: f64 = 9.0;
 /// The part of a pool's backend servers that may be left alone because requests wait there for far too
 /// long. A rack or a faulty release is about 15 in 100.
 const OVERDUE_PART: f64 = 0.2;
@@ -128,6 +131,7 @@
             zone: &self.settings.zone,
             pressure: pressure(candidates),
             usual: self.usual_slowness(&demand.pool),
+            doubt: (self.members.len() as f64 / FEW_MEMBERS).max(1.0),
             now,
         };
         let mut best: Option<(Duration, Place)> = None;
@@ -252,6 +256,8 @@
     pressure: Duration,
     /// The slowness of the pool.
     usual: f64,
+    /// How little is known of what other daemons do: 1 in a small fleet.
+    doubt: f64,
     now: Instant,
 }
 
@@ -262,7 +268,7 @@
     first_choice: bool,
     context: &Context<'_>,
 ) -> (Duration, Duration, u32) {
-    let &Context { demand, zone, pressure, usual, now } = context;
+    let &Context { demand, zone, pressure, usual, doubt, now } = context;
     let far = if standing.server.zone == *zone { Duration::ZERO } else { ZONE_PREFERENCE };
     let Some(cache_tokens) = standing.server.cache_tokens else {
         return service_cost(standing, load, far, usual);
@@ -271,7 +277,7 @@
     let predicted = standing.queue(load, usual).first_event(f64::from(unread));
     // Reading what is cached elsewhere takes time from all requests there, not only from this one.
     let shared = unread.saturating_sub(demand.own_tokens());
-    let weight = READ_AGAIN_WEIGHT + READ_AGAIN_PRESSURE * pressure.as_secs_f64();
+    let weight = READ_AGAIN_WEIGHT + READ_AGAIN_PRESSURE * doubt * pressure.as_secs_f64();
     let again = model::reading(f64::from(shared)).mul_f64(weight);
     let held = u64::from(load.held_tokens) + u64::from(demand.held_tokens());
     // A request that does not fit into memory preempts another one or waits for it.
--- a/crates/policy/tests/local_placement.rs
+++ b/crates/policy/tests/local_placement.rs
@@ -8,6 +8,7 @@
 use hyssop_document::name::Backend;
 use hyssop_policy::local::{
     decider::{Reason, Verdict},
+    demand::Demand,
     split::{self, Split},
     standing::{Load, Server},
 };
@@ -87,6 +88,28 @@
     }
 }
 
+/// The load of a burst in a large fleet, where daemons know little of each other's requests: a subject
+/// stays at its engine when another one only looks a little less busy.
+#[test]
+fn the_more_daemons_there_are_the_longer_subjects_stay() {
+    let now = Instant::now();
+    let engines: Vec<Server> = (0..18).map(engine).collect();
+    let spilled = |members: u32| {
+        let mut decider = decider("a");
+        decider.configure(engines.clone());
+        decider.set_members((1..=members).collect(), true);
+        let home = sent_to(&decider.place(&reading(7, now), now)).server.clone();
+        let loads = engines.iter().map(|server| {
+            let unread_tokens = if server.name == home { 60_000 } else { 4_000 };
+            (server.hash, Load { running: 5, unread_tokens, ..Load::default() }, Duration::ZERO)
+        });
+        decider.peer(PEER, &loads.collect::<Vec<_>>(), now);
+        let demand = Demand { target: Duration::from_secs(1), ..reading(7, now) };
+        sent_to(&decider.place(&demand, now)).server != home
+    };
+    assert!(spilled(9) && !spilled(68));
+}
+
 /// The load of long prompts beside long answers, which lose their pauses to the reading.
 #[test]
 fn generating_requests_have_engines_of_their_own() {
