--- /dev/null
+++ b/crates/policy/examples/replay/main.rs
@@ -0,0 +1,57 @@
+//! Replays load patterns against the decisions of several daemons, on views of different age, without
+//! input or output, and compares them with baselines.
+//!
+//! The same seed gives the same figures. Run it with
+//! `cargo run --release -p hyssop-policy --example replay -- --pattern burst --plot burst.svg`.
+
+#![allow(clippy::print_stdout)]
+
+mod engine;
+mod fleet;
+mod pattern;
+mod policy;
+mod report;
+
+use std::path::PathBuf;
+
+use clap::Parser;
+
+use crate::{pattern::Pattern, policy::Policy, report::Summary};
+
+/// Replays a load pattern against decisions.
+#[derive(Debug, Parser)]
+struct Arguments {
+    /// The load pattern: steady, burst, lost, hot, slow or large.
+    #[arg(long, default_value = "burst")]
+    pattern: Pattern,
+    /// The policies: local, least, finish or hashing. All of them if none is given.
+    #[arg(long)]
+    policy: Vec<Policy>,
+    /// The first seed.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// The number of seeds.
+    #[arg(long, default_value_t = 1)]
+    seeds: u64,
+    /// Draws the first event over time of the first seed into this SVG file.
+    #[arg(long)]
+    plot: Option<PathBuf>,
+}
+
+fn main() -> anyhow::Result<()> {
+    let arguments = Arguments::parse();
+    let pattern = &arguments.pattern;
+    let policies =
+        if arguments.policy.is_empty() { Policy::ALL.to_vec() } else { arguments.policy };
+    for seed in arguments.seed..arguments.seed + arguments.seeds {
+        let runs: Vec<_> =
+            policies.iter().map(|&policy| (policy, fleet::run(pattern, policy, seed))).collect();
+        let summaries: Vec<_> =
+            runs.iter().map(|(policy, run)| (*policy, Summary::of(run))).collect();
+        report::print(pattern, seed, &summaries);
+        if let Some(path) = arguments.plot.as_ref().filter(|_| seed == arguments.seed) {
+            report::plot(path, pattern, &runs)?;
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/policy/examples/replay/report.rs
@@ -0,0 +1,188 @@
+//! Results of runs as a table and a plot.
+
+use std::{path::Path, time::Duration};
+
+use plotters::prelude::*;
+
+use crate::{
+    fleet::{Outcome, Record, Run},
+    pattern::{Kind, Pattern},
+    policy::Policy,
+};
+
+/// What is told of one run.
+#[derive(Debug, Default)]
+pub(crate) struct Summary {
+    /// Earned worth of owed worth.
+    pub(crate) worth: f64,
+    /// Parts of the requests of each kind that were in time.
+    reads_in_time: f64,
+    generates_in_time: f64,
+    late: f64,
+    refused: f64,
+    failed: f64,
+    /// Prompt tokens read for each one that had to be.
+    read_factor: f64,
+    rejections: u64,
+    /// The first event, 50 and 99 in 100.
+    first_ms: [u128; 2],
+    /// How far the predicted first event was off, 50, 95 and 99 in 100.
+    error_ms: [u128; 3],
+    /// The part of the largest tenth that was served, against that of all.
+    large: f64,
+}
+
+impl Summary {
+    pub(crate) fn of(run: &Run) -> Self {
+        let records = &run.records;
+        let part = |outcome| share(records, |record| record.outcome == outcome);
+        let in_time = |kind| {
+            let of_kind = records.iter().filter(|record| record.request.class.kind == kind);
+            let of_kind: Vec<Record> = of_kind.cloned().collect();
+            share(&of_kind, |record| record.outcome == Outcome::InTime)
+        };
+        let mut first: Vec<Duration> = records.iter().filter_map(|record| record.first).collect();
+        let errors = records.iter().filter_map(|record| record.predicted);
+        let mut errors: Vec<Duration> =
+            errors.map(|(predicted, seen)| predicted.abs_diff(seen)).collect();
+        Self {
+            worth: worth(records),
+            reads_in_time: in_time(Kind::Reads),
+            generates_in_time: in_time(Kind::Generates),
+            late: part(Outcome::Late),
+            refused: part(Outcome::Refused),
+            failed: part(Outcome::Failed),
+            read_factor: run.read as f64 / needed(records),
+            rejections: run.rejections,
+            first_ms: [0.5, 0.99].map(|part| quantile(&mut first, part).as_millis()),
+            error_ms: [0.5, 0.95, 0.99].map(|part| quantile(&mut errors, part).as_millis()),
+            large: large(records),
+        }
+    }
+}
+
+fn share(records: &[Record], holds: impl Fn(&Record) -> bool) -> f64 {
+    records.iter().filter(|record| holds(record)).count() as f64 / records.len().max(1) as f64
+}
+
+fn worth(records: &[Record]) -> f64 {
+    let owed: f64 = records.iter().map(|record| record.request.class.worth).sum();
+    let earned = records.iter().map(|record| match record.outcome {
+        Outcome::InTime => record.request.class.worth,
+        Outcome::Late => record.request.class.worth_late,
+        Outcome::Refused | Outcome::Failed => 0.0,
+    });
+    earned.sum::<f64>() / owed
+}
+
+/// The tokens that would be read if each shared part were read once.
+fn needed(records: &[Record]) -> f64 {
+    let parts = records.iter().flat_map(|record| &record.request.parts);
+    let mut parts: Vec<(u64, u32)> = parts.map(|part| (part.id, part.tokens)).collect();
+    parts.sort_unstable();
+    parts.dedup();
+    parts.iter().map(|&(_, tokens)| f64::from(tokens)).sum()
+}
+
+fn large(records: &[Record]) -> f64 {
+    let mut records: Vec<&Record> = records.iter().collect();
+    records.sort_by_key(|record| record.request.prompt());
+    let served = |records: &[&Record]| {
+        let served = records
+            .iter()
+            .filter(|record| matches!(record.outcome, Outcome::InTime | Outcome::Late));
+        served.count() as f64 / records.len().max(1) as f64
+    };
+    served(&records[records.len() * 9 / 10..]) / served(&records).max(f64::EPSILON)
+}
+
+fn quantile(times: &mut [Duration], part: f64) -> Duration {
+    times.sort_unstable();
+    let at = (times.len() as f64 * part) as usize;
+    times.get(at.min(times.len().saturating_sub(1))).copied().unwrap_or_default()
+}
+
+/// Prints one line for each policy.
+pub(crate) fn print(pattern: &Pattern, seed: u64, summaries: &[(Policy, Summary)]) {
+    println!(
+        "{}, seed {seed}: {} daemons, {} engines",
+        pattern.name, pattern.daemons, pattern.engines
+    );
+    println!(
+        "{:<16} {:>6} {:>6} {:>9} {:>6} {:>7} {:>6} {:>5} {:>6} {:>11} {:>15} {:>5}",
+        "policy",
+        "worth",
+        "reads",
+        "generates",
+        "late",
+        "refused",
+        "failed",
+        "read",
+        "reject",
+        "first ms",
+        "error ms",
+        "large"
+    );
+    for (policy, summary) in summaries {
+        let first = summary.first_ms.map(|ms| ms.to_string()).join("/");
+        let error = summary.error_ms.map(|ms| ms.to_string()).join("/");
+        println!(
+            "{:<16} {:>6.3} {:>6.3} {:>9.3} {:>6.3} {:>7.3} {:>6.3} {:>5.2} {:>6} {:>11} {:>15} {:>5.2}",
+            policy.to_string(),
+            summary.worth,
+            summary.reads_in_time,
+            summary.generates_in_time,
+            summary.late,
+            summary.refused,
+            summary.failed,
+            summary.read_factor,
+            summary.rejections,
+            first,
+            error,
+            summary.large
+        );
+    }
+}
+
+/// Draws the first event of 95 in 100 over time, one line for each policy.
+pub(crate) fn plot(path: &Path, pattern: &Pattern, runs: &[(Policy, Run)]) -> anyhow::Result<()> {
+    let lines: Vec<(Policy, Vec<(f64, f64)>)> =
+        runs.iter().map(|(policy, run)| (*policy, by_second(run))).collect();
+    let most = lines.iter().flat_map(|(_, line)| line).map(|&(_, ms)| ms).fold(100.0, f64::max);
+    let root = SVGBackend::new(path, (900, 420)).into_drawing_area();
+    root.fill(&WHITE)?;
+    let title = format!("first event, 95 in 100, {}", pattern.name);
+    let mut chart = ChartBuilder::on(&root)
+        .caption(title, ("sans-serif", 18))
+        .margin(10)
+        .x_label_area_size(35)
+        .y_label_area_size(55)
+        .build_cartesian_2d(0.0..pattern.seconds, 0.0..most)?;
+    chart.configure_mesh().x_desc("seconds").y_desc("ms").draw()?;
+    for (index, (policy, line)) in lines.into_iter().enumerate() {
+        let color = Palette99::pick(index).to_rgba();
+        chart
+            .draw_series(LineSeries::new(line, color.stroke_width(2)))?
+            .label(policy.to_string())
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 18, y)], color.stroke_width(2)));
+    }
+    chart.configure_series_labels().background_style(WHITE.mix(0.8)).border_style(BLACK).draw()?;
+    root.present()?;
+    Ok(())
+}
+
+fn by_second(run: &Run) -> Vec<(f64, f64)> {
+    let mut seconds: Vec<Vec<Duration>> = Vec::new();
+    for record in &run.records {
+        let second = record.request.at.as_secs() as usize;
+        if seconds.len() <= second {
+            seconds.resize_with(second + 1, Vec::new);
+        }
+        seconds[second].extend(record.first);
+    }
+    let line = seconds.into_iter().enumerate();
+    line.map(|(second, mut times)| {
+        (second as f64 + 0.5, quantile(&mut times, 0.95).as_secs_f64() * 1_000.0)
+    })
+    .collect()
+}
