caller: wait for the state of a crashing engine that resets connections

Cause: a run whose stream broke asks the engine again to tell a crash from a lost connection.

Change: only a refused connection or a changed incarnation settles the state. Anything else is asked again, for 200 ms, and for 1 s if the request is a suspect.

Test: a_crashing_engine_that_resets_connections_has_crashed, seen failing before.

peer: the test of hosts that were not reached waits until the node has stopped. Dropping a node only requests that its tasks end, so its open connections could still answer. The check itself is unchanged.

--- a/crates/caller/src/home/run/exchange.rs
+++ b/crates/caller/src/home/run/exchange.rs
@@ -22,9 +22,12 @@
 const MIN_READ_TIMEOUT: Duration = Duration::from_secs(2);
 /// The delay before an attempt is resumed again, and between queries of an incarnation.
 const RESUME_DELAY: Duration = Duration::from_millis(50);
-/// The maximum number of repeated queries for an incarnation. A crashing process closes its port
-/// within some tens of ms, also on a busy machine.
-const MAX_INCARNATION_RETRIES: u32 = 3;
+/// How long the state of a backend server is queried again while it is unknown. A crashing process
+/// closes its port within some tens of ms, also on a busy machine.
+const STATE_TIMEOUT: Duration = Duration::from_millis(200);
+/// The same limit for a suspect, which crashes one more backend server if a crash is not attributed
+/// to it.
+const SUSPECT_STATE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// The state of the backend server after an interrupted attempt.
 enum Reconnect {
@@ -72,7 +75,7 @@
                 // An engine may detect the loss of the connection later than the home.
                 tokio::time::sleep(RESUME_DELAY).await;
             }
-            connection = match self.reconnect(guard).await {
+            connection = match self.reconnect(guard, suspect).await {
                 Reconnect::Open(connection) => connection,
                 Reconnect::Crashed => return Err(AttemptError::Crashed { failure, suspect }),
                 Reconnect::Unreachable => return Err(AttemptError::Failed(interrupted(failure))),
@@ -91,13 +94,13 @@
     ///
     /// A refused connection, or another incarnation than that of the permit, distinguishes a crash
     /// from a lost connection. A crashing process may still accept connections without responding,
-    /// so a backend server that does not report its incarnation is queried again.
-    async fn reconnect(&self, guard: &PermitGuard) -> Reconnect {
-        let mut tries = 0;
+    /// or reset them, so a backend server is queried again until its state is known.
+    async fn reconnect(&self, guard: &PermitGuard, suspect: bool) -> Reconnect {
+        let limit = if suspect { SUSPECT_STATE_TIMEOUT } else { STATE_TIMEOUT };
+        let give_up = self.shared.clock.now() + limit.min(self.remaining() / 2);
         loop {
             let (reconnect, is_known) = self.try_reconnect(guard).await;
-            tries += 1;
-            if is_known || tries > MAX_INCARNATION_RETRIES {
+            if is_known || self.shared.clock.now() + RESUME_DELAY > give_up {
                 return reconnect;
             }
             tokio::time::sleep(RESUME_DELAY).await;
@@ -113,7 +116,7 @@
             Err(Failure { kind: FailureKind::Connect { refused: true }, .. }) => {
                 return (Reconnect::Crashed, true);
             }
-            Err(_) => return (Reconnect::Unreachable, true),
+            Err(_) => return (Reconnect::Unreachable, false),
         };
         let before = guard.permit.backend_incarnation;
         let now = self.shared.backends.incarnation(address).await;
--- a/crates/caller/tests/bench/engine.rs
+++ b/crates/caller/tests/bench/engine.rs
@@ -69,6 +69,8 @@
     pub incarnation: AtomicU64,
     /// The number of queries for the incarnation that remain unanswered.
     pub unanswered_queries: AtomicU64,
+    /// The number of connections that will be reset while they are opened.
+    pub connection_resets: AtomicU64,
 }
 
 /// A set of fake backend servers.
@@ -84,6 +86,8 @@
     pub instant_restart: bool,
     /// The number of queries for the incarnation that a server leaves unanswered after a crash.
     pub unanswered_queries: u64,
+    /// The number of connections that a server resets after a crash, before it refuses them.
+    pub connection_resets: u64,
     /// The server indexes of running suspects by permit.
     pub suspects: Mutex<Map<Id, usize>>,
     pub suspect_ended: Notify,
@@ -103,6 +107,7 @@
             attempts: Mutex::default(),
             incarnation: AtomicU64::new(1),
             unanswered_queries: AtomicU64::new(0),
+            connection_resets: AtomicU64::new(0),
         };
         Self {
             servers: (0..servers).map(|_| Arc::new(server())).collect(),
@@ -113,6 +118,7 @@
             restart: true,
             instant_restart: false,
             unanswered_queries: 0,
+            connection_resets: 0,
             suspects: Mutex::default(),
             suspect_ended: Notify::new(),
             targets: Mutex::default(),
@@ -173,6 +179,7 @@
             self.servers[index].attempts.lock().clear();
             self.servers[index].incarnation.fetch_add(1, Ordering::SeqCst);
             self.servers[index].unanswered_queries.store(self.unanswered_queries, Ordering::SeqCst);
+            self.servers[index].connection_resets.store(self.connection_resets, Ordering::SeqCst);
         }
     }
 }
@@ -222,6 +229,15 @@
         self.fleet.targets.lock().push(target);
         let index = usize::from(target.address.port() - 9000);
         let server = &self.fleet.servers[index];
+        let decrement = |resets: u64| resets.checked_sub(1);
+        if server
+            .connection_resets
+            .fetch_update(Ordering::SeqCst, Ordering::SeqCst, decrement)
+            .is_ok()
+        {
+            let reset = FailureKind::Connect { refused: false };
+            return Box::pin(async { Err(failure(reset, outcome::Execution::NotRun)) });
+        }
         let crashed = !*server.alive.borrow();
         if crashed && self.fleet.restart {
             // Only the first connection after the crash is refused.
--- a/crates/caller/tests/crash.rs
+++ b/crates/caller/tests/crash.rs
@@ -132,6 +132,19 @@
     assert_eq!(fleet.crashes.load(Ordering::SeqCst), 3);
 }
 
+/// A crashing engine may reset the connections that it has not accepted yet. If that counts as an
+/// engine out of reach, the request crashes a fourth engine.
+#[tokio::test(start_paused = true)]
+async fn a_crashing_engine_that_resets_connections_has_crashed() {
+    let mut fleet = Fleet::build(6);
+    fleet.connection_resets = 2;
+    let fleet = Arc::new(fleet);
+    let daemons = daemons(&fleet, 1);
+    let reply = daemons[0].send(Call::draft("poison")).await;
+    assert_eq!(reply.reason(), "quarantined");
+    assert_eq!(fleet.crashes.load(Ordering::SeqCst), 3);
+}
+
 #[tokio::test(start_paused = true)]
 async fn the_fingerprint_ignores_field_order_and_delivery_fields() {
     let fleet = Fleet::new(6);
--- a/crates/peer/tests/node/values.rs
+++ b/crates/peer/tests/node/values.rs
@@ -15,6 +15,8 @@
     order::Outcome,
 };
 
+use tokio::net::TcpStream;
+
 use crate::support::{cluster, document, start, timing, until};
 
 fn zone_order(out: bool, zone: &str, if_revision: Option<u64>) -> Order {
@@ -54,7 +56,11 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_order_names_the_hosts_that_were_not_reached() {
     let mut nodes = ready_cluster(3).await;
-    let stopped = nodes.pop().expect("there are three").identity().host.clone();
+    let node = nodes.pop().expect("there are three");
+    let (stopped, address) = (node.identity().host.clone(), node.identity().peer_address);
+    drop(node);
+    // Dropping a node only requests that its tasks end; until they do, it still responds.
+    until("stopped", async || TcpStream::connect(address).await.is_err()).await;
     let outcome = nodes[0].execute_order(zone_order(true, "z1", None)).await;
     let Outcome::InForce { in_force, not_reached, .. } = outcome else { panic!("{outcome:?}") };
     assert_eq!(not_reached, [stopped]);
