policy: fetch shared prefixes from other engines' caches instead of prefilling them again

A prompt that leaves the engine where its prefix is cached was prefilled whole: 13,300 tokens are 243 ms of that engine.

Change: the placement names the engine that is expected to hold the prefix (its first choice by rendezvous, or its home among all engines while that is reserved or was away), the adapter sends it as Kv-Fetch, and the cost of leaving the first choice counts the transfer.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -5,6 +5,7 @@
 mod exchange;
 
 use std::{
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -162,6 +163,7 @@
             predicted_ms = placement.predicted.as_millis() as u64, unread = placement.uncached_tokens,
             running = placement.load.running, queued_tokens = placement.load.pending_tokens,
             held_tokens = placement.load.held_tokens, aside = placement.reserved_engines,
+            fetch_from = placement.cache_source.as_ref().map(Backend::as_str),
             prompt = self.demand.prompt_tokens, version = self.version,
             applied = %snapshot.applied,
             source_age_ms = self.gateway.cache.source_age_ms(now),
@@ -173,7 +175,8 @@
             let end = error.end_before_send();
             return self.on_not_run(exchange, &error, end).await;
         }
-        let head = self.request_head(&placement.server);
+        let source = placement.cache_source.as_ref().and_then(|name| snapshot.servers.get(name));
+        let head = self.request_head(&placement.server, source.map(|source| source.address));
         exchange.send(head, self.body.bytes());
         let result = self.wait_for_head(&mut exchange, placement.predicted, now).await;
         self.on_head(exchange, result).await
@@ -343,7 +346,7 @@
         }
     }
 
-    fn request_head(&self, server: &Backend) -> Bytes {
+    fn request_head(&self, server: &Backend, cache_source: Option<SocketAddr>) -> Bytes {
         let mut out = BytesMut::with_capacity(self.shared_headers.len() + self.target.len() + 256);
         out.put_slice(self.method.as_str().as_bytes());
         out.put_u8(b' ');
@@ -357,6 +360,7 @@
             tier: self.tier,
             route_tier: self.route.tier,
             last_event_id: self.last_event_id,
+            cache_source,
         };
         self.gateway.dialect.write_attempt(&attempt, &mut out);
         let body = self.body.bytes();
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -1,6 +1,6 @@
 //! The header format of requests and responses, implemented by the adapter of each platform.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use bytes::BytesMut;
 use compact_str::CompactString;
@@ -52,6 +52,8 @@
     pub route_tier: Tier,
     /// The id of the last event that the caller has received.
     pub last_event_id: Option<u64>,
+    /// The engine from which the backend server fetches the cached part of the prompt.
+    pub cache_source: Option<SocketAddr>,
 }
 
 /// The data of a backend server's response headers.
--- a/crates/gateway/src/environment.rs
+++ b/crates/gateway/src/environment.rs
@@ -81,6 +81,8 @@
     pub slots: u32,
     /// The size of the KV cache in tokens.
     pub cache_tokens: u64,
+    /// The tokens of KV cache per ms that an engine fetches from another one, or `None` if it can't.
+    pub fetch_tokens_per_ms: Option<f64>,
 }
 
 /// A tenant of the environment, identified by the API keys of its callers.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -205,6 +205,7 @@
         zone: server.zone.clone(),
         slots: if slots == 0 { DEFAULT_SLOTS } else { slots },
         cache_tokens: pool.engine.map(|engine| engine.cache_tokens),
+        fetch_tokens_per_ms: pool.engine.and_then(|engine| engine.fetch_tokens_per_ms),
         cold_rate: pool.cold_rate,
         max_connections: pool.max_connections,
         incarnation: server.started_ms.unwrap_or(0),
--- a/crates/gateway/tests/rights.rs
+++ b/crates/gateway/tests/rights.rs
@@ -47,6 +47,7 @@
         zone: Zone::new("a"),
         slots: 1_000,
         cache_tokens: None,
+        fetch_tokens_per_ms: None,
         cold_rate: COLD_RATE,
         max_connections: MAX_CONNECTIONS,
         incarnation: 1,
--- a/crates/policy/examples/replay/engine.rs
+++ b/crates/policy/examples/replay/engine.rs
@@ -25,6 +25,8 @@
     pub(crate) cache_tokens: u32,
     /// Output tokens per event.
     pub(crate) tokens_per_event: u32,
+    /// Tokens of KV cache per ms that an engine fetches from another one, if it can.
+    pub(crate) fetch_tokens_per_ms: Option<f64>,
 }
 
 /// One request at an engine.
@@ -35,6 +37,8 @@
     ready_at: Duration,
     /// Prompt tokens to prefill.
     pending_tokens: u32,
+    /// Prompt tokens whose KV cache the engine fetches from another one.
+    fetched_tokens: u32,
     generated: u32,
     output_tokens: u32,
     held_tokens: u32,
@@ -80,16 +84,27 @@
         }
     }
 
-    /// Queues a request. Returns false if the queue is full.
-    pub(crate) fn submit(&mut self, request: usize, demand: &Demand, at: Duration) -> bool {
+    /// Queues a request. `source_tokens` are the prompt tokens cached at the engine from which this
+    /// one fetches them. Returns false if the queue is full.
+    pub(crate) fn submit(
+        &mut self,
+        request: usize,
+        demand: &Demand,
+        source_tokens: u32,
+        at: Duration,
+    ) -> bool {
         if self.waiting.len() >= self.spec.max_waiting {
             return false;
         }
+        let moved = source_tokens.saturating_sub(self.cached_tokens(&demand.segments));
+        let rate = self.spec.fetch_tokens_per_ms.unwrap_or(f64::INFINITY);
+        let fetch = Duration::from_secs_f64(f64::from(moved) / rate / 1_000.0);
         self.waiting.push_back(Sequence {
             request,
             segments: demand.segments.clone(),
-            ready_at: at + self.spec.setup,
+            ready_at: at + self.spec.setup + fetch,
             pending_tokens: demand.prompt_tokens,
+            fetched_tokens: source_tokens,
             generated: 0,
             output_tokens: demand.output_tokens.max(1),
             held_tokens: demand.held_tokens(),
@@ -135,15 +150,15 @@
                 return;
             }
             let Some(mut sequence) = self.waiting.pop_front() else { return };
-            sequence.pending_tokens -=
-                self.cached_tokens(&sequence.segments).min(sequence.pending_tokens);
+            let cached = self.cached_tokens(&sequence.segments).max(sequence.fetched_tokens);
+            sequence.pending_tokens -= cached.min(sequence.pending_tokens);
             self.running.push(sequence);
         }
     }
 
     /// The prompt tokens that are cached. A segment counts only if all segments before it are
     /// cached.
-    fn cached_tokens(&mut self, segments: &[Segment]) -> u32 {
+    pub(crate) fn cached_tokens(&mut self, segments: &[Segment]) -> u32 {
         let mut tokens = 0;
         for segment in segments {
             let Some(at) = self.cache.iter().position(|&(id, _)| id == segment.id) else { break };
--- a/crates/policy/examples/replay/fleet.rs
+++ b/crates/policy/examples/replay/fleet.rs
@@ -134,6 +134,7 @@
         zone: zone(index % pattern.zones),
         slots: pattern.spec.slots as u32,
         cache_tokens: Some(u64::from(pattern.spec.cache_tokens)),
+        fetch_tokens_per_ms: pattern.spec.fetch_tokens_per_ms,
         cold_rate: 0.0,
         max_connections: 100_000,
         incarnation: 1,
@@ -338,7 +339,12 @@
                     let decider = &mut self.daemons[at].decider;
                     let send_id = decider.record_sent(&placement, &demand, self.start + now);
                     let down = self.down[engine];
-                    if !down && self.engines[engine].submit(request, &demand, now) {
+                    let source = placement.cache_source.as_ref().and_then(|source| {
+                        self.servers.iter().position(|server| server.name == *source)
+                    });
+                    let source_tokens = source
+                        .map_or(0, |source| self.engines[source].cached_tokens(&demand.segments));
+                    if !down && self.engines[engine].submit(request, &demand, source_tokens, now) {
                         let (daemon, predicted) = (at, placement.predicted);
                         let in_flight = InFlight { daemon, engine, send_id, sent: now, predicted };
                         self.in_flight.insert(request, in_flight);
--- a/crates/policy/examples/replay/pattern.rs
+++ b/crates/policy/examples/replay/pattern.rs
@@ -140,6 +140,8 @@
         setup: Duration::from_millis(53),
         cache_tokens,
         tokens_per_event,
+        // 96,256 bytes per token over a link of 1.1 Tbit/s.
+        fetch_tokens_per_ms: Some(1_428.0),
     }
 }
 
--- a/crates/policy/examples/replay/policy.rs
+++ b/crates/policy/examples/replay/policy.rs
@@ -69,6 +69,7 @@
             server: engine.name.clone(),
             predicted: predicted.max(Duration::from_millis(1)),
             uncached_tokens: demand.prompt_tokens,
+            cache_source: None,
             load: loads(engine),
             reserved_engines: 0,
         })
--- a/crates/policy/src/local/decider.rs
+++ b/crates/policy/src/local/decider.rs
@@ -46,6 +46,8 @@
     pub predicted: Duration,
     /// The prompt tokens that the backend server must prefill.
     pub uncached_tokens: u32,
+    /// The engine from which the backend server fetches the KV cache of the shared prefix.
+    pub cache_source: Option<Backend>,
     /// The load of all daemons at the backend server, as far as this daemon has observed it.
     pub load: Load,
     /// The number of engines reserved for decode-heavy requests.
--- a/crates/policy/src/local/decider/placement.rs
+++ b/crates/policy/src/local/decider/placement.rs
@@ -33,6 +33,10 @@
 /// all engines are behind, a repeated prefill only adds work, and the queue that it avoids grows at
 /// every engine.
 const REPEATED_PREFILL_WEIGHT_PER_S: f64 = 30.0;
+/// The part of [`REPEATED_PREFILL_WEIGHT_PER_S`] that applies to a segment which is fetched from
+/// another engine's cache instead. A fetch costs little by itself, but prefixes that move often are
+/// no longer cached where daemons expect them.
+const FETCH_RATIO: f64 = 0.5;
 /// The number of members above which [`REPEATED_PREFILL_WEIGHT_PER_S`] is scaled up with their
 /// number. The more daemons place requests, the less each has observed of the others' requests, and
 /// a queue that looks shorter often is not.
@@ -84,6 +88,7 @@
     /// [`Self::record_sent`].
     pub fn place_request(&mut self, demand: &Demand, now: Instant) -> Decision {
         let mut selection = self.select(demand, now);
+        let homes = cache_choices(&selection.candidates, demand);
         let reserved_engines = match demand.prompt_tokens {
             0 => 0,
             _ => self.apply_reservation(&mut selection.candidates, demand, now),
@@ -95,8 +100,8 @@
                 predicted: None,
             };
         }
-        let Some(placement) = self.cheapest(&selection.candidates, reserved_engines, demand, now)
-        else {
+        let choice = self.cheapest(&selection.candidates, reserved_engines, demand, now);
+        let Some(mut placement) = choice else {
             let (reason, retry_after) = (Reason::NoServer, MIN_RETRY_AFTER * 2);
             return Decision::Refuse { reason, retry_after, predicted: None };
         };
@@ -115,9 +120,30 @@
                 predicted,
             };
         }
+        placement.cache_source =
+            self.cache_source(&placement.server, &selection.candidates, homes, demand);
         Decision::Send(placement)
     }
 
+    /// The engine from which `server` fetches the shared prefix of a request. `homes` are the cache
+    /// choices among all engines in service, `engines` those that may get this request.
+    fn cache_source(
+        &self,
+        server: &Backend,
+        engines: &[Candidate],
+        homes: [Option<u32>; 2],
+        demand: &Demand,
+    ) -> Option<Backend> {
+        let server = &self.servers.get(server)?.server;
+        server.fetch_tokens_per_ms?;
+        let [first_choice, _] = cache_choices(engines, demand);
+        // The first choice itself may lack the prefix: its home is reserved for other requests now,
+        // or another engine stood in while this one was out of service.
+        let sources = [first_choice, homes[0], homes[1]];
+        let source = sources.into_iter().flatten().find(|&hash| hash != server.hash)?;
+        self.by_hash.get(&source).cloned()
+    }
+
     /// A factor from 1 to 1 + [`RETRY_JITTER_RATIO`] that differs in each call.
     fn retry_jitter(&mut self) -> f64 {
         self.refusals += 1;
@@ -133,7 +159,7 @@
         demand: &Demand,
         now: Instant,
     ) -> Option<Placement> {
-        let first_choice = first_choice(candidates, demand);
+        let [first_choice, _] = cache_choices(candidates, demand);
         let context = Context {
             demand,
             zone: &self.settings.zone,
@@ -146,12 +172,14 @@
         for Candidate { name, hash, load, .. } in candidates {
             let Some(state) = self.servers.get(name) else { continue };
             let is_first_choice = first_choice == Some(*hash);
-            let (cost, predicted, uncached_tokens) = cost(state, *load, is_first_choice, &context);
+            let Cost { cost, predicted, uncached_tokens } =
+                cost(state, *load, is_first_choice, &context);
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 let placement = Placement {
                     server: name.clone(),
                     predicted,
                     uncached_tokens,
+                    cache_source: None,
                     load: *load,
                     reserved_engines,
                 };
@@ -254,11 +282,20 @@
     latency::prefill_time(pending / candidates.len().max(1) as f64)
 }
 
-/// The hash of the backend server at which all daemons expect the shared prefix to be cached.
-fn first_choice(candidates: &[Candidate], demand: &Demand) -> Option<u32> {
-    let prefix = demand.shared_prefix()?.id;
-    let hashes = candidates.iter().map(|candidate| candidate.hash);
-    hashes.max_by_key(|&hash| affinity::weight(hash, prefix))
+/// The hashes of the backend server at which all daemons expect the shared prefix to be cached, and
+/// of the one that is next if it is out of service.
+fn cache_choices(candidates: &[Candidate], demand: &Demand) -> [Option<u32>; 2] {
+    let Some(prefix) = demand.shared_prefix() else { return [None, None] };
+    let mut choices = [None, None];
+    for hash in candidates.iter().map(|candidate| candidate.hash) {
+        let choice = Some((affinity::weight(hash, prefix.id), hash));
+        if choice > choices[0] {
+            choices = [choice, choices[0]];
+        } else if choice > choices[1] {
+            choices[1] = choice;
+        }
+    }
+    choices.map(|choice| choice.map(|(_, hash)| hash))
 }
 
 /// The maximum time to the first event for which a request is sent: before the caller gives up and,
@@ -284,30 +321,51 @@
     now: Instant,
 }
 
-/// The cost of a candidate, the predicted time to the first event, and the uncached prompt tokens.
-fn cost(
-    state: &ServerState,
-    load: Load,
-    is_first_choice: bool,
-    context: &Context<'_>,
-) -> (Duration, Duration, u32) {
+/// What placing a request at a candidate costs.
+struct Cost {
+    cost: Duration,
+    /// The predicted time to the first event.
+    predicted: Duration,
+    /// The prompt tokens to prefill.
+    uncached_tokens: u32,
+}
+
+fn cost(state: &ServerState, load: Load, is_first_choice: bool, context: &Context<'_>) -> Cost {
     let &Context { demand, zone, prefill_wait, pool_slowness, staleness, now } = context;
     let zone_penalty = if state.server.zone == *zone { Duration::ZERO } else { CROSS_ZONE_PENALTY };
     let Some(cache_tokens) = state.server.cache_tokens else {
         return service_cost(state, load, zone_penalty, pool_slowness);
     };
-    let uncached = state.uncached_tokens(demand, is_first_choice, now);
-    let predicted = state.backlog(load, pool_slowness).time_to_first_event(f64::from(uncached));
+    let cached_here = state.uncached_tokens(demand, is_first_choice, now);
+    let (uncached, fetched) = match state.server.fetch_tokens_per_ms {
+        Some(_) => {
+            let uncached = state.uncached_tokens(demand, true, now);
+            (uncached, cached_here.saturating_sub(uncached))
+        }
+        None => (cached_here, 0),
+    };
+    let fetch_time = latency::transfer_time(
+        f64::from(fetched),
+        state.server.fetch_tokens_per_ms.unwrap_or(f64::INFINITY),
+    );
+    let predicted =
+        fetch_time + state.backlog(load, pool_slowness).time_to_first_event(f64::from(uncached));
     // A repeated prefill delays all requests of that engine, not only this one.
     let repeated = uncached.saturating_sub(demand.unshared_tokens());
-    let weight = REPEATED_PREFILL_WEIGHT
-        + REPEATED_PREFILL_WEIGHT_PER_S * staleness * prefill_wait.as_secs_f64();
-    let repeated_prefill = latency::prefill_time(f64::from(repeated)).mul_f64(weight);
+    let wait_weight = REPEATED_PREFILL_WEIGHT_PER_S * staleness * prefill_wait.as_secs_f64();
+    let repeated_prefill = latency::prefill_time(f64::from(repeated))
+        .mul_f64(REPEATED_PREFILL_WEIGHT + wait_weight)
+        + latency::prefill_time(f64::from(fetched))
+            .mul_f64(REPEATED_PREFILL_WEIGHT + FETCH_RATIO * wait_weight);
     let held = u64::from(load.held_tokens) + u64::from(demand.held_tokens());
     // A request that does not fit into memory preempts another one or waits for it.
     let memory_wait =
         if held > cache_tokens { latency::prefill_time(held as f64) } else { Duration::ZERO };
-    (predicted + repeated_prefill + zone_penalty + memory_wait, predicted + memory_wait, uncached)
+    Cost {
+        cost: predicted + repeated_prefill + zone_penalty + memory_wait,
+        predicted: predicted + memory_wait,
+        uncached_tokens: uncached,
+    }
 }
 
 /// The same figures as [`cost`] for a plain service, which runs one request in each slot and queues
@@ -317,11 +375,15 @@
     load: Load,
     zone_penalty: Duration,
     pool_slowness: f64,
-) -> (Duration, Duration, u32) {
+) -> Cost {
     let slots = f64::from(state.server.slots.max(1));
     let fill = f64::from(load.running) / slots;
     let predicted = SERVICE_TIME.mul_f64(state.slowness(pool_slowness) * (1.0 + fill));
     let overflow = if fill > MAX_QUEUE_FILL { Duration::from_secs(1) } else { Duration::ZERO };
     let send_penalty = RECENT_SEND_PENALTY * load.recent_sends;
-    (predicted + zone_penalty + send_penalty + overflow, predicted + overflow, 0)
+    Cost {
+        cost: predicted + zone_penalty + send_penalty + overflow,
+        predicted: predicted + overflow,
+        uncached_tokens: 0,
+    }
 }
--- a/crates/policy/src/local/latency.rs
+++ b/crates/policy/src/local/latency.rs
@@ -51,6 +51,11 @@
     ms(tokens / PREFILL_TOKENS_PER_MS)
 }
 
+/// The time in which an engine fetches this many tokens of KV cache from another one.
+pub fn transfer_time(tokens: f64, tokens_per_ms: f64) -> Duration {
+    ms(tokens / tokens_per_ms)
+}
+
 /// The decoding time of this many output tokens in a batch of usual size.
 pub fn decode_time(tokens: f64) -> Duration {
     ms(tokens * (STEP_MS + STEP_MS_PER_RUNNING * USUAL_BATCH_REQUESTS))
--- a/crates/policy/src/local/server.rs
+++ b/crates/policy/src/local/server.rs
@@ -47,6 +47,8 @@
     pub slots: u32,
     /// The tokens of KV cache, for a model engine.
     pub cache_tokens: Option<u64>,
+    /// The tokens of KV cache per ms that the engine fetches from another one, if it can.
+    pub fetch_tokens_per_ms: Option<f64>,
     /// The requests per second that the backend server sustains while cold; 0 if it is never cold.
     pub cold_rate: f64,
     /// The number of connections that the backend server accepts from all daemons.
--- a/crates/policy/tests/local/mod.rs
+++ b/crates/policy/tests/local/mod.rs
@@ -39,6 +39,7 @@
         zone: Zone::new("a"),
         slots: 48,
         cache_tokens: Some(457_270),
+        fetch_tokens_per_ms: None,
         cold_rate: 16.0,
         max_connections: 310,
         incarnation: 1,
--- a/crates/policy/tests/local_placement.rs
+++ b/crates/policy/tests/local_placement.rs
@@ -69,6 +69,46 @@
     assert!(used.len() > 1, "all requests went to one engine");
 }
 
+/// Engines that fetch KV cache from each other take over a prompt without a second prefill, so the
+/// prefix leaves an engine that is behind, and the placement names where it is cached.
+#[test]
+fn a_prefix_moves_to_an_idle_engine_that_fetches_it() {
+    let now = Instant::now();
+    let fetching = |index| Server { fetch_tokens_per_ms: Some(1_428.0), ..engine(index) };
+    let servers: Vec<Server> = (0..18).map(fetching).collect();
+    let mut decider = decider("a");
+    decider.set_servers(servers.clone());
+    let demand = prefill_heavy(7, now);
+    let first_choice = expect_send(&decider.place_request(&demand, now)).server.clone();
+    let behind = servers.iter().find(|server| server.name == first_choice).unwrap();
+    let load = Load { running: 10, pending_tokens: 30_000, ..Load::default() };
+    decider.record_peer(PEER, &[(behind.hash, load, Duration::ZERO)], now);
+    let decision = decider.place_request(&demand, now);
+    let placement = expect_send(&decision);
+    assert_ne!(placement.server, first_choice);
+    assert_eq!(placement.cache_source, Some(first_choice));
+    assert_eq!(placement.uncached_tokens, 2_900, "only the unshared segment is prefilled");
+    assert!(placement.predicted < demand.target, "{:?}", placement.predicted);
+}
+
+/// An engine that comes back has lost its cache, and another one has cached the prefix meanwhile.
+#[test]
+fn the_first_choice_fetches_from_the_engine_that_stood_in_for_it() {
+    let now = Instant::now();
+    let fetching = |index| Server { fetch_tokens_per_ms: Some(1_428.0), ..engine(index) };
+    let servers: Vec<Server> = (0..18).map(fetching).collect();
+    let mut decider = decider("a");
+    decider.set_servers(servers.clone());
+    let demand = prefill_heavy(7, now);
+    let first_choice = expect_send(&decider.place_request(&demand, now)).server.clone();
+    let without = servers.iter().filter(|server| server.name != first_choice);
+    decider.set_servers(without.cloned().collect());
+    let stand_in = expect_send(&decider.place_request(&demand, now)).server.clone();
+    decider.set_servers(servers);
+    let back = expect_send(&decider.place_request(&demand, now)).clone();
+    assert_eq!((back.server, back.cache_source), (first_choice, Some(stand_in)));
+}
+
 /// In a burst all engines are behind. Moving a prefix to an engine that has not cached it would add
 /// its prefill to the load.
 #[test]
