policy: learn base time and prefill speed of a pool from the usual first event

Notes at engines with two requests and an empty queue were predicted at 313 ms and took 108. One factor, the mean of all ratios of actual to predicted time, scaled everything; requests of other daemons that are not observed yet delay some first events by far, and the factor took them for slow engines. With the bound of 1.4 times the target the kind with the tightest target was refused first.

Change: latency::Model learns base time and time per token apart, by relative errors that count by half at most in each direction. An engine's own slowness is relative to its pool and changes by a factor of four at most in one measurement.

Tests: delays_by_unobserved_requests_do_not_slow_down_a_whole_pool (seen failing), prefill_speed_and_base_time_are_learned_apart (engines of half and twice the speed).

--- a/crates/policy/examples/replay/policy.rs
+++ b/crates/policy/examples/replay/policy.rs
@@ -6,7 +6,7 @@
     affinity,
     decider::{Decider, Decision, Placement},
     demand::Demand,
-    latency::Backlog,
+    latency::{Backlog, Model},
     server::{Load, Server},
 };
 
@@ -52,7 +52,8 @@
                 slots: f64::from(engine.slots),
                 slowness: 1.0,
             };
-            let predicted = backlog.time_to_first_event(f64::from(demand.prompt_tokens));
+            let predicted =
+                Model::of_engines().time_to_first_event(&backlog, f64::from(demand.prompt_tokens));
             let prefix = demand.shared_prefix().map_or(0, |segment| segment.id);
             let order = match self {
                 Self::Local | Self::LeastLoaded => u64::from(load.running),
--- a/crates/policy/src/local/decider.rs
+++ b/crates/policy/src/local/decider.rs
@@ -15,6 +15,7 @@
 use super::{
     cold::Bound as ColdBound,
     demand::Demand,
+    latency::Model,
     peer_loads::PeerLoads,
     repeats::{Bound as RepeatBound, Budget as RepeatBudget},
     reservation::{self, Reservation},
@@ -23,9 +24,6 @@
 
 /// How long a backend server that rejected a request as full gets no requests.
 const REJECTION_BACKOFF: Duration = Duration::from_millis(60);
-/// The weight of a new measurement in a pool's slowness. Small, because a daemon makes several
-/// measurements per second.
-const POOL_SLOWNESS_GAIN: f64 = 0.05;
 /// The bounds on one slowness measurement, so that an outlier has little influence.
 const MIN_SLOWNESS: f64 = 0.3;
 const MAX_SLOWNESS: f64 = 10.0;
@@ -138,8 +136,8 @@
     peer_loads: PeerLoads,
     repeats: Map<Pool, RepeatBudget>,
     reservations: Map<Pool, Reservation>,
-    /// How many times longer than predicted the backend servers of a pool take.
-    pool_slowness: Map<Pool, f64>,
+    /// The speed of the backend servers of each pool.
+    models: Map<Pool, Model>,
     last_send_id: u64,
     /// Counted to draw a different retry time for each refusal.
     refusals: u64,
@@ -158,7 +156,7 @@
             peer_loads: PeerLoads::default(),
             repeats: Map::default(),
             reservations: Map::default(),
-            pool_slowness: Map::default(),
+            models: Map::default(),
             last_send_id: 0,
             refusals: 0,
         }
@@ -264,12 +262,18 @@
         } else {
             repeats.record_first_send(now);
         }
-        let pool_slowness = self.pool_slowness(&demand.pool);
+        let model = self.model(demand);
         if let Some(state) = self.servers.get_mut(&placement.server) {
+            let pending = placement.load.pending_tokens.saturating_add(placement.uncached_tokens);
+            let baseline = placement.predicted.div_f64(state.slowness());
             let request = Request {
                 sent: now,
                 overdue_at: now + placement.predicted * OVERDUE_THRESHOLD.0 + OVERDUE_THRESHOLD.1,
-                baseline: placement.predicted.div_f64(state.slowness(pool_slowness)),
+                baseline,
+                prefill_ratio: model
+                    .prefill_time(f64::from(pending))
+                    .div_duration_f64(baseline.max(MIN_BASELINE))
+                    .min(1.0),
                 uncached_tokens: placement.uncached_tokens,
                 held_tokens: demand.held_tokens(),
                 has_begun: false,
@@ -293,15 +297,21 @@
         let (baseline, actual) =
             (request.baseline.max(MIN_BASELINE), now.duration_since(request.sent));
         let ratio = actual.div_duration_f64(baseline).clamp(MIN_SLOWNESS, MAX_SLOWNESS);
+        let prefill_ratio = request.prefill_ratio;
         state.failures = 0;
         state.record_slowness(ratio);
-        let average = self.pool_slowness.entry(state.server.pool.clone()).or_insert(ratio);
-        *average += POOL_SLOWNESS_GAIN * (ratio - *average);
+        if let Some(model) = self.models.get_mut(&state.server.pool) {
+            model.record(ratio, prefill_ratio);
+        }
     }
 
-    /// How many times longer than predicted the backend servers of a pool take.
-    fn pool_slowness(&self, pool: &Pool) -> f64 {
-        self.pool_slowness.get(pool).copied().unwrap_or(1.0)
+    /// The model of the pool that serves a request.
+    fn model(&mut self, demand: &Demand) -> Model {
+        let initial = || match demand.prompt_tokens {
+            0 => Model::of_services(),
+            _ => Model::of_engines(),
+        };
+        *self.models.entry(demand.pool.clone()).or_insert_with(initial)
     }
 
     /// Records how a request ended.
--- a/crates/policy/src/local/decider/placement.rs
+++ b/crates/policy/src/local/decider/placement.rs
@@ -8,7 +8,8 @@
 use crate::local::{
     affinity,
     demand::Demand,
-    latency, reservation,
+    latency::{self, Model},
+    reservation,
     server::{Load, State as ServerState},
 };
 
@@ -22,8 +23,6 @@
 const MAX_TARGET_RATIO: f64 = 1.4;
 /// The maximum random extension of a retry time, as a fraction: callers must not return together.
 const RETRY_JITTER_RATIO: f64 = 0.5;
-/// The time of a request at an idle plain service of usual speed, by its data sheet.
-const SERVICE_TIME: Duration = Duration::from_millis(20);
 /// Added to the cost of a plain service for each recent send, so that equal servers take turns.
 const RECENT_SEND_PENALTY: Duration = Duration::from_millis(1);
 /// The cost of a repeated prefill, for a shared segment that is cached elsewhere, as a multiple of
@@ -160,11 +159,12 @@
         now: Instant,
     ) -> Option<Placement> {
         let [first_choice, _] = cache_choices(candidates, demand);
+        let model = self.model(demand);
         let context = Context {
             demand,
             zone: &self.settings.zone,
-            prefill_wait: mean_prefill_wait(candidates),
-            pool_slowness: self.pool_slowness(&demand.pool),
+            prefill_wait: model.prefill_time(mean_pending_tokens(candidates)),
+            model,
             staleness: (self.members.len() as f64 / SMALL_FLEET_MEMBERS).max(1.0),
             now,
         };
@@ -276,10 +276,10 @@
     }
 }
 
-/// The mean time that prompts wait for prefill.
-fn mean_prefill_wait(candidates: &[Candidate]) -> Duration {
+/// The mean number of prompt tokens that wait for prefill at one of the candidates.
+fn mean_pending_tokens(candidates: &[Candidate]) -> f64 {
     let pending: f64 = candidates.iter().map(|c| f64::from(c.load.pending_tokens)).sum();
-    latency::prefill_time(pending / candidates.len().max(1) as f64)
+    pending / candidates.len().max(1) as f64
 }
 
 /// The hashes of the backend server at which all daemons expect the shared prefix to be cached, and
@@ -315,7 +315,7 @@
     zone: &'a Zone,
     /// The mean time that prompts wait for prefill.
     prefill_wait: Duration,
-    pool_slowness: f64,
+    model: Model,
     /// How incomplete the observed load of other daemons is: 1 in a small fleet, else more.
     staleness: f64,
     now: Instant,
@@ -331,10 +331,10 @@
 }
 
 fn cost(state: &ServerState, load: Load, is_first_choice: bool, context: &Context<'_>) -> Cost {
-    let &Context { demand, zone, prefill_wait, pool_slowness, staleness, now } = context;
+    let &Context { demand, zone, prefill_wait, model, staleness, now } = context;
     let zone_penalty = if state.server.zone == *zone { Duration::ZERO } else { CROSS_ZONE_PENALTY };
     let Some(cache_tokens) = state.server.cache_tokens else {
-        return service_cost(state, load, zone_penalty, pool_slowness);
+        return service_cost(state, load, zone_penalty, model);
     };
     let cached_here = state.uncached_tokens(demand, is_first_choice, now);
     let (uncached, fetched) = match state.server.fetch_tokens_per_ms {
@@ -349,18 +349,19 @@
         state.server.fetch_tokens_per_ms.unwrap_or(f64::INFINITY),
     );
     let predicted =
-        fetch_time + state.backlog(load, pool_slowness).time_to_first_event(f64::from(uncached));
+        fetch_time + model.time_to_first_event(&state.backlog(load), f64::from(uncached));
     // A repeated prefill delays all requests of that engine, not only this one.
     let repeated = uncached.saturating_sub(demand.unshared_tokens());
     let wait_weight = REPEATED_PREFILL_WEIGHT_PER_S * staleness * prefill_wait.as_secs_f64();
-    let repeated_prefill = latency::prefill_time(f64::from(repeated))
-        .mul_f64(REPEATED_PREFILL_WEIGHT + wait_weight)
-        + latency::prefill_time(f64::from(fetched))
-            .mul_f64(REPEATED_PREFILL_WEIGHT + FETCH_RATIO * wait_weight);
+    let repeated_prefill =
+        model.prefill_time(f64::from(repeated)).mul_f64(REPEATED_PREFILL_WEIGHT + wait_weight)
+            + model
+                .prefill_time(f64::from(fetched))
+                .mul_f64(REPEATED_PREFILL_WEIGHT + FETCH_RATIO * wait_weight);
     let held = u64::from(load.held_tokens) + u64::from(demand.held_tokens());
     // A request that does not fit into memory preempts another one or waits for it.
     let memory_wait =
-        if held > cache_tokens { latency::prefill_time(held as f64) } else { Duration::ZERO };
+        if held > cache_tokens { model.prefill_time(held as f64) } else { Duration::ZERO };
     Cost {
         cost: predicted + repeated_prefill + zone_penalty + memory_wait,
         predicted: predicted + memory_wait,
@@ -370,15 +371,10 @@
 
 /// The same figures as [`cost`] for a plain service, which runs one request in each slot and queues
 /// the rest.
-fn service_cost(
-    state: &ServerState,
-    load: Load,
-    zone_penalty: Duration,
-    pool_slowness: f64,
-) -> Cost {
+fn service_cost(state: &ServerState, load: Load, zone_penalty: Duration, model: Model) -> Cost {
     let slots = f64::from(state.server.slots.max(1));
     let fill = f64::from(load.running) / slots;
-    let predicted = SERVICE_TIME.mul_f64(state.slowness(pool_slowness) * (1.0 + fill));
+    let predicted = model.service_time(fill, state.slowness());
     let overflow = if fill > MAX_QUEUE_FILL { Duration::from_secs(1) } else { Duration::ZERO };
     let send_penalty = RECENT_SEND_PENALTY * load.recent_sends;
     Cost {
--- a/crates/policy/src/local/latency.rs
+++ b/crates/policy/src/local/latency.rs
@@ -5,20 +5,85 @@
 
 use std::time::Duration;
 
-/// Time to the first event of an empty prompt on an idle engine.
-const BASE_FIRST_EVENT_MS: f64 = 55.0;
-/// The published prefill speed of the engines, less the time that decoding takes.
-const PREFILL_TOKENS_PER_MS: f64 = 80.0;
+/// Time to the first event of an empty prompt on an idle engine, before the first measurement.
+const INITIAL_ENGINE_BASE_MS: f64 = 55.0;
+/// The time that an engine takes to prefill one token, before the first measurement.
+const INITIAL_MS_PER_TOKEN: f64 = 1.0 / 80.0;
+/// The time of a request at an idle plain service, before the first measurement.
+const INITIAL_SERVICE_BASE_MS: f64 = 20.0;
 /// Delay of a first event by each running request, whose decoding takes a share of some steps.
 const FIRST_EVENT_MS_PER_RUNNING: f64 = 0.4;
-/// Published time of one output token on a lightly loaded engine.
+/// Time of one output token on a lightly loaded engine.
 const STEP_MS: f64 = 4.0;
-/// Published time that each further request in the batch adds to a step.
+/// Time that each further request in the batch adds to a step.
 const STEP_MS_PER_RUNNING: f64 = 0.05;
 
+/// The part of a relative error by which one measurement corrects a model.
+const MODEL_GAIN: f64 = 0.1;
+/// The maximum relative error that counts. Requests that a daemon has not observed only ever delay
+/// a first event, so that the mean of all errors overstates how slow a pool is.
+const MAX_MODEL_ERROR: f64 = 0.5;
+/// The bounds on a model's base time, in ms, and on its time per token.
+const BASE_MS: (f64, f64) = (2.0, 2_000.0);
+const MS_PER_TOKEN: (f64, f64) = (0.001, 0.2);
+
 /// The size of a usual batch.
 const USUAL_BATCH_REQUESTS: f64 = 16.0;
 
+/// The speed of the backend servers of one pool, learned from the first events of their responses.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Model {
+    /// Time to the first event of an empty prompt on an idle backend server, in ms.
+    base_ms: f64,
+    /// Prefill time of one prompt token, in ms.
+    ms_per_token: f64,
+}
+
+impl Model {
+    /// The model of model engines before the first measurement.
+    pub fn of_engines() -> Self {
+        Self { base_ms: INITIAL_ENGINE_BASE_MS, ms_per_token: INITIAL_MS_PER_TOKEN }
+    }
+
+    /// The model of plain services before the first measurement.
+    pub fn of_services() -> Self {
+        Self { base_ms: INITIAL_SERVICE_BASE_MS, ms_per_token: 0.0 }
+    }
+
+    /// Predicts the time to the first event of a request with this many uncached prompt tokens.
+    pub fn time_to_first_event(&self, backlog: &Backlog, uncached_tokens: f64) -> Duration {
+        let prefill = (backlog.pending_tokens + uncached_tokens) * self.ms_per_token;
+        let over = (backlog.running + 1.0 - backlog.slots).max(0.0);
+        let step = STEP_MS + STEP_MS_PER_RUNNING * backlog.running.min(backlog.slots);
+        // A usual response takes 300 steps for its 50 events. In that time a full batch frees each
+        // of its slots once.
+        let wait = over * step * 300.0 / backlog.slots.max(1.0);
+        let delay = FIRST_EVENT_MS_PER_RUNNING * backlog.running + wait;
+        ms((self.base_ms + prefill + delay) * backlog.slowness)
+    }
+
+    /// Predicts the time of a request at a plain service with this many requests per slot.
+    pub fn service_time(&self, fill: f64, slowness: f64) -> Duration {
+        ms(self.base_ms * slowness * (1.0 + fill))
+    }
+
+    /// The prefill time of this many prompt tokens.
+    pub fn prefill_time(&self, tokens: f64) -> Duration {
+        ms(tokens * self.ms_per_token)
+    }
+
+    /// Corrects the model by a measurement. `ratio` is the actual time to a first event divided by
+    /// the predicted one, of which prefill took `prefill_ratio`.
+    pub fn record(&mut self, ratio: f64, prefill_ratio: f64) {
+        let error = MODEL_GAIN * (ratio - 1.0).clamp(-MAX_MODEL_ERROR, MAX_MODEL_ERROR);
+        let (least, most) = BASE_MS;
+        self.base_ms = (self.base_ms * (1.0 + error * (1.0 - prefill_ratio))).clamp(least, most);
+        let (least, most) = MS_PER_TOKEN;
+        let ms_per_token = self.ms_per_token * (1.0 + error * prefill_ratio);
+        self.ms_per_token = ms_per_token.clamp(least, most);
+    }
+}
+
 /// The work at an engine that delays a new request.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Backlog {
@@ -32,23 +97,10 @@
     pub slowness: f64,
 }
 
-impl Backlog {
-    /// Predicts the time to the first event of a request with this many uncached prompt tokens.
-    pub fn time_to_first_event(&self, uncached_tokens: f64) -> Duration {
-        let prefill = (self.pending_tokens + uncached_tokens) / PREFILL_TOKENS_PER_MS;
-        let over = (self.running + 1.0 - self.slots).max(0.0);
-        let step = STEP_MS + STEP_MS_PER_RUNNING * self.running.min(self.slots);
-        // A usual response takes 300 steps for its 50 events. In that time a full batch frees each
-        // of its slots once.
-        let wait = over * step * 300.0 / self.slots.max(1.0);
-        ms((BASE_FIRST_EVENT_MS + prefill + FIRST_EVENT_MS_PER_RUNNING * self.running + wait)
-            * self.slowness)
-    }
-}
-
-/// The prefill time of this many prompt tokens on an engine of usual speed.
-pub fn prefill_time(tokens: f64) -> Duration {
-    ms(tokens / PREFILL_TOKENS_PER_MS)
+/// The prefill time of this many prompt tokens on an engine of usual speed. All daemons compute the
+/// same, unlike with a [`Model`].
+pub fn usual_prefill_time(tokens: f64) -> Duration {
+    ms(tokens * INITIAL_MS_PER_TOKEN)
 }
 
 /// The time in which an engine fetches this many tokens of KV cache from another one.
--- a/crates/policy/src/local/reservation.rs
+++ b/crates/policy/src/local/reservation.rs
@@ -34,7 +34,7 @@
 
 /// Whether a request spends most of its time on decoding.
 pub fn is_decode_heavy(demand: &Demand) -> bool {
-    let prefill = latency::prefill_time(f64::from(demand.prompt_tokens));
+    let prefill = latency::usual_prefill_time(f64::from(demand.prompt_tokens));
     let decode = latency::decode_time(f64::from(demand.output_tokens));
     demand.prompt_tokens > 0 && decode > prefill.mul_f64(DECODE_HEAVY_RATIO)
 }
--- a/crates/policy/src/local/server.rs
+++ b/crates/policy/src/local/server.rs
@@ -26,11 +26,14 @@
 const MAX_FALLBACK_FAILURES: u32 = 2;
 /// The minimum weight of a new measurement in a backend server's slowness.
 const MIN_SLOWNESS_GAIN: f64 = 0.1;
-/// The number of a backend server's measurements that weigh as much as the pool's slowness.
+/// The number of a backend server's measurements that weigh as much as the speed of its pool.
 const POOL_WEIGHT_MEASUREMENTS: f64 = 3.0;
-/// The maximum number of measurements that count: older ones predict less than the pool's present
-/// slowness.
+/// The maximum number of measurements that count: older ones predict less than the present speed of
+/// the pool.
 const MAX_MEASUREMENTS: u32 = 10;
+/// The factor within which one measurement may differ from the slowness so far. A single late first
+/// event is more often the work of requests that this daemon has not observed.
+const MAX_SLOWNESS_STEP: f64 = 4.0;
 
 /// A backend server that may get requests.
 #[derive(Debug, Clone, PartialEq)]
@@ -106,6 +109,8 @@
     pub(super) overdue_at: Instant,
     /// The predicted time to the first event on a backend server of usual speed.
     pub(super) baseline: Duration,
+    /// The fraction of `baseline` that prefill takes, this request's and that of others.
+    pub(super) prefill_ratio: f64,
     pub(super) uncached_tokens: u32,
     pub(super) held_tokens: u32,
     /// Whether the first event has come.
@@ -163,20 +168,18 @@
         load
     }
 
-    /// How many times longer than predicted the backend server takes, given the slowness of its
-    /// pool.
-    pub(super) fn slowness(&self, pool_slowness: f64) -> f64 {
+    /// How many times longer than the others of its pool the backend server takes.
+    pub(super) fn slowness(&self) -> f64 {
         let own = f64::from(self.measurements);
-        (self.slowness * own + pool_slowness * POOL_WEIGHT_MEASUREMENTS)
-            / (own + POOL_WEIGHT_MEASUREMENTS)
+        (self.slowness * own + POOL_WEIGHT_MEASUREMENTS) / (own + POOL_WEIGHT_MEASUREMENTS)
     }
 
-    pub(super) fn backlog(&self, load: Load, pool_slowness: f64) -> Backlog {
+    pub(super) fn backlog(&self, load: Load) -> Backlog {
         Backlog {
             pending_tokens: f64::from(load.pending_tokens),
             running: f64::from(load.running),
             slots: f64::from(self.server.slots),
-            slowness: self.slowness(pool_slowness),
+            slowness: self.slowness(),
         }
     }
 
@@ -246,6 +249,8 @@
     /// Adds a measurement: how many times longer the first event took than predicted for a backend
     /// server of usual speed.
     pub(super) fn record_slowness(&mut self, ratio: f64) {
+        let ratio =
+            ratio.clamp(self.slowness / MAX_SLOWNESS_STEP, self.slowness * MAX_SLOWNESS_STEP);
         self.measurements = (self.measurements + 1).min(MAX_MEASUREMENTS);
         let gain = (1.0 / f64::from(self.measurements)).max(MIN_SLOWNESS_GAIN);
         self.slowness += gain * (ratio - self.slowness);
--- a/crates/policy/tests/local_servers.rs
+++ b/crates/policy/tests/local_servers.rs
@@ -10,7 +10,7 @@
 use hyssop_document::name::Backend;
 use hyssop_policy::local::{
     decider::{Decider, Decision, End, Placement, Reason},
-    demand::Demand,
+    demand::{Demand, Segment},
     server::{Load, Server},
 };
 use local::*;
@@ -217,3 +217,62 @@
     decider.set_servers(vec![Server { incarnation: 2, ..service(0) }]);
     assert!(matches!(decider.place_request(&plain_request(now), now), Decision::Send(_)));
 }
+
+/// A request with this many prompt tokens that are not cached.
+fn prompt(number: u64, uncached: u32, at: Instant) -> Demand {
+    let shared = Segment { id: 7, tokens: 100 };
+    let segments = vec![shared, Segment { id: 1_000_000 + number, tokens: uncached }];
+    Demand { segments, prompt_tokens: shared.tokens + uncached, ..prefill_heavy(0, at) }
+}
+
+/// Sends requests to one engine and reports the first event after `latency` of the uncached tokens.
+fn measure(decider: &mut Decider, from: Instant, latency: impl Fn(u64, f64) -> Duration) {
+    for index in 0..150_u64 {
+        let at = from + Duration::from_millis(200) * index as u32;
+        let unshared = 500 + 400 * (index as u32 * 7 % 20);
+        let demand = prompt(index, unshared, at);
+        let decision = decider.place_request(&demand, at);
+        let placement = expect_send(&decision).clone();
+        let send_id = decider.record_sent(&placement, &demand, at);
+        let end = at + latency(index, f64::from(placement.uncached_tokens));
+        decider.record_first_event(&placement.server, send_id, end);
+        decider.record_end(&placement.server, send_id, End::Complete, end);
+    }
+}
+
+/// Engines of other deployments prefill at half or twice the speed and have another base time. One
+/// factor for both misjudges short prompts or long ones.
+#[test]
+fn prefill_speed_and_base_time_are_learned_apart() {
+    let now = Instant::now();
+    for (base_ms, tokens_per_ms) in [(55.0, 80.0), (77.0, 40.0), (40.0, 160.0), (110.0, 80.0)] {
+        let truth = |tokens: f64| Duration::from_secs_f64((base_ms + tokens / tokens_per_ms) / 1e3);
+        let mut decider = decider("a");
+        decider.set_servers(vec![engine(0)]);
+        measure(&mut decider, now, |_, tokens| truth(tokens));
+        let at = now + Duration::from_secs(60);
+        for tokens in [500, 8_000] {
+            let decision = decider.place_request(&prompt(999_999, tokens, at), at);
+            let predicted = expect_send(&decision).predicted;
+            let ratio = predicted.div_duration_f64(truth(f64::from(tokens)));
+            assert!((0.8..1.25).contains(&ratio), "{base_ms} {tokens_per_ms} {tokens}: {ratio}");
+        }
+    }
+}
+
+/// In a burst, requests that a daemon has not observed delay some first events by far. Taken as the
+/// speed of the pool, they made daemons refuse requests that idle engines would have served.
+#[test]
+fn delays_by_unobserved_requests_do_not_slow_down_a_whole_pool() {
+    let now = Instant::now();
+    let mut decider = decider("a");
+    decider.set_servers(vec![engine(0)]);
+    measure(&mut decider, now, |index, tokens| {
+        let unobserved = if index % 3 == 0 { 900.0 } else { 0.0 };
+        Duration::from_secs_f64((55.0 + tokens / 80.0 + unobserved) / 1e3)
+    });
+    let at = now + Duration::from_secs(60);
+    let decision = decider.place_request(&prompt(999_999, 2_000, at), at);
+    let predicted = expect_send(&decision).predicted;
+    assert!(predicted < Duration::from_millis(160), "{predicted:?} instead of 80 ms");
+}
