policy: refuse the least urgent requests first

At equal load the kind with the tight target is refused and the less urgent one with the loose target begins. Notes, questions and summaries differ in the tier of their route; the tier of the workspace is the same for nearly all.

A request begins only at an engine where each more urgent kind that may use the engine would still be predicted within 0.7 of its target. A request that its cheapest engine can't serve in time goes to the cheapest one that can; it is refused if none can. Slowness of an engine is a geometric mean.

--- a/crates/gateway/src/call/builder.rs
+++ b/crates/gateway/src/call/builder.rs
@@ -101,6 +101,7 @@
         let demand = Demand {
             pool: choose_pool(&self.route.pools),
             tier,
+            route_tier: self.route.tier,
             segments: self.meta.segments.clone(),
             prompt_tokens: self.meta.prompt_tokens,
             output_tokens: expected.min(self.meta.max_output_tokens),
--- a/crates/policy/examples/replay/pattern.rs
+++ b/crates/policy/examples/replay/pattern.rs
@@ -222,6 +222,7 @@
         Demand {
             pool: Pool::new("engines"),
             tier: Tier(2),
+            route_tier: Tier(2),
             prompt_tokens: self.prompt_tokens(),
             segments: self.segments.clone(),
             output_tokens: self.output_tokens,
--- a/crates/policy/src/local.rs
+++ b/crates/policy/src/local.rs
@@ -13,4 +13,5 @@
 pub mod repeats;
 pub mod reservation;
 pub mod server;
+pub mod urgency;
 pub mod window;
--- a/crates/policy/src/local/decider.rs
+++ b/crates/policy/src/local/decider.rs
@@ -20,6 +20,7 @@
     repeats::{Bound as RepeatBound, Budget as RepeatBudget},
     reservation::{self, Reservation},
     server::{Load, Request, SendId, Server, State as ServerState},
+    urgency::Kinds,
 };
 
 /// How long a backend server that rejected a request as full gets no requests.
@@ -136,6 +137,8 @@
     peer_loads: PeerLoads,
     repeats: Map<Pool, RepeatBudget>,
     reservations: Map<Pool, Reservation>,
+    /// The kinds of requests for each pool of engines.
+    kinds: Map<Pool, Kinds>,
     /// The speed of the backend servers of each pool.
     models: Map<Pool, Model>,
     last_send_id: u64,
@@ -156,6 +159,7 @@
             peer_loads: PeerLoads::default(),
             repeats: Map::default(),
             reservations: Map::default(),
+            kinds: Map::default(),
             models: Map::default(),
             last_send_id: 0,
             refusals: 0,
--- a/crates/policy/src/local/decider/placement.rs
+++ b/crates/policy/src/local/decider/placement.rs
@@ -21,6 +21,9 @@
 /// request delays the requests after it too, while a refused request can be served when the load is
 /// lower.
 const MAX_TARGET_RATIO: f64 = 1.4;
+/// The same multiple for the targets of more urgent requests, within which an engine must still serve
+/// these after a less urgent one. Smaller, as their queues grow between two heartbeats.
+const MORE_URGENT_TARGET_RATIO: f64 = 0.7;
 /// The maximum random extension of a retry time, as a fraction: callers must not return together.
 const RETRY_JITTER_RATIO: f64 = 0.5;
 /// Added to the cost of a plain service for each recent send, so that equal servers take turns.
@@ -57,6 +60,33 @@
     overdue: bool,
     /// The load of all daemons.
     load: Load,
+    /// Whether the engine is reserved for decode-heavy requests.
+    reserved: bool,
+}
+
+impl Candidate {
+    fn has_room(&self) -> bool {
+        f64::from(self.load.running) < f64::from(self.slots) * reservation::MAX_FILL_RATIO
+    }
+}
+
+/// How engines are divided between decode-heavy and other requests.
+#[derive(Debug, Clone, Copy, Default)]
+struct Partition {
+    /// The number of engines reserved for decode-heavy requests.
+    reserved: usize,
+    /// Whether a reserved engine has room.
+    reserved_has_room: bool,
+    /// Whether one of the other engines has room.
+    unreserved_has_room: bool,
+}
+
+impl Partition {
+    /// Whether requests of a kind may use an engine. They spill over if theirs have no room.
+    fn allows(&self, decode_heavy: bool, engine_is_reserved: bool) -> bool {
+        let has_room = if decode_heavy { self.reserved_has_room } else { self.unreserved_has_room };
+        decode_heavy == engine_is_reserved || !has_room
+    }
 }
 
 /// The backend servers that may get a request, and why others may not.
@@ -88,9 +118,12 @@
     pub fn place_request(&mut self, demand: &Demand, now: Instant) -> Decision {
         let mut selection = self.select(demand, now);
         let homes = cache_choices(&selection.candidates, demand);
-        let reserved_engines = match demand.prompt_tokens {
-            0 => 0,
-            _ => self.apply_reservation(&mut selection.candidates, demand, now),
+        let partition = match demand.prompt_tokens {
+            0 => Partition::default(),
+            _ => {
+                self.kinds.entry(demand.pool.clone()).or_default().record(demand, now);
+                self.apply_reservation(&mut selection.candidates, demand, now)
+            }
         };
         if selection.candidates.is_empty() {
             return Decision::Refuse {
@@ -99,18 +132,14 @@
                 predicted: None,
             };
         }
-        let choice = self.cheapest(&selection.candidates, reserved_engines, demand, now);
-        let Some(mut placement) = choice else {
-            let (reason, retry_after) = (Reason::NoServer, MIN_RETRY_AFTER * 2);
-            return Decision::Refuse { reason, retry_after, predicted: None };
+        let mut placement = match self.cheapest(&selection.candidates, partition, demand, now) {
+            Ok(placement) => placement,
+            Err(Overload { excess, predicted }) => {
+                let retry_after = excess.max(MIN_RETRY_AFTER).mul_f64(self.retry_jitter());
+                let predicted = Some(predicted);
+                return Decision::Refuse { reason: Reason::Overload, retry_after, predicted };
+            }
         };
-        let bound = latest_first_event(demand, now);
-        if placement.predicted > bound {
-            let retry_after =
-                (placement.predicted - bound).max(MIN_RETRY_AFTER).mul_f64(self.retry_jitter());
-            let predicted = Some(placement.predicted);
-            return Decision::Refuse { reason: Reason::Overload, retry_after, predicted };
-        }
         if demand.is_repeat && !self.may_repeat(&demand.pool, now) {
             let predicted = Some(placement.predicted);
             return Decision::Refuse {
@@ -150,14 +179,18 @@
         1.0 + RETRY_JITTER_RATIO * drawn as f64 / (1_u64 << 53) as f64
     }
 
-    /// The candidate with the least cost.
+    /// The candidate with the least cost among those that serve the request and more urgent ones in
+    /// time.
     fn cheapest(
         &mut self,
         candidates: &[Candidate],
-        reserved_engines: usize,
+        partition: Partition,
         demand: &Demand,
         now: Instant,
-    ) -> Option<Placement> {
+    ) -> Result<Placement, Overload> {
+        let bound = latest_first_event(demand, now);
+        let more_urgent = self.kinds.get(&demand.pool).map(|kinds| kinds.more_urgent(demand, now));
+        let more_urgent = more_urgent.unwrap_or_default();
         let [first_choice, _] = cache_choices(candidates, demand);
         let model = self.model(demand);
         let context = Context {
@@ -169,11 +202,26 @@
             now,
         };
         let mut best: Option<(Duration, Placement)> = None;
-        for Candidate { name, hash, load, .. } in candidates {
+        let mut overload = Overload { excess: Duration::MAX, predicted: Duration::MAX };
+        for Candidate { name, hash, load, reserved, .. } in candidates {
             let Some(state) = self.servers.get(name) else { continue };
             let is_first_choice = first_choice == Some(*hash);
             let Cost { cost, predicted, uncached_tokens } =
                 cost(state, *load, is_first_choice, &context);
+            let backlog = state.backlog(*load);
+            let affected =
+                more_urgent.iter().filter(|kind| partition.allows(kind.decode_heavy, *reserved));
+            let excess = affected
+                .map(|kind| {
+                    let first_event = model.time_to_first_event(&backlog, kind.prefill_tokens);
+                    first_event.saturating_sub(kind.target.mul_f64(MORE_URGENT_TARGET_RATIO))
+                })
+                .fold(predicted.saturating_sub(bound), Duration::max);
+            if !excess.is_zero() {
+                overload.excess = overload.excess.min(excess);
+                overload.predicted = overload.predicted.min(predicted);
+                continue;
+            }
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 let placement = Placement {
                     server: name.clone(),
@@ -181,12 +229,12 @@
                     uncached_tokens,
                     cache_source: None,
                     load: *load,
-                    reserved_engines,
+                    reserved_engines: partition.reserved,
                 };
                 best = Some((cost, placement));
             }
         }
-        best.map(|(_, placement)| placement)
+        best.map(|(_, placement)| placement).ok_or(overload)
     }
 
     /// The backend servers that may get the request now.
@@ -225,7 +273,14 @@
             let load = state.own_load(now).wrapping_add(self.peer_loads.load(hash));
             let candidates = if avoided { &mut fallback } else { &mut selection.candidates };
             let overdue = state.is_overdue(now);
-            candidates.push(Candidate { name: name.clone(), hash, slots, overdue, load });
+            candidates.push(Candidate {
+                name: name.clone(),
+                hash,
+                slots,
+                overdue,
+                load,
+                reserved: false,
+            });
         }
         if selection.candidates.is_empty() {
             selection.candidates = fallback;
@@ -234,14 +289,13 @@
         selection
     }
 
-    /// Keeps only the engines for requests of this kind, if one of them has room. Returns the
-    /// number of reserved engines.
+    /// Keeps only the engines for requests of this kind, if one of them has room.
     fn apply_reservation(
         &mut self,
         engines: &mut Vec<Candidate>,
         demand: &Demand,
         now: Instant,
-    ) -> usize {
+    ) -> Partition {
         let decode_heavy = engines.iter().map(|engine| engine.load.decode_heavy);
         let decode_heavy = decode_heavy.fold(0, u32::saturating_add);
         let slots = engines.last().map_or(1, |engine| engine.slots);
@@ -253,14 +307,17 @@
         } else {
             reserved..engines.len()
         };
-        let has_room = |engine: &Candidate| {
-            f64::from(engine.load.running) < f64::from(engine.slots) * reservation::MAX_FILL_RATIO
+        engines[..reserved].iter_mut().for_each(|engine| engine.reserved = true);
+        let partition = Partition {
+            reserved,
+            reserved_has_room: engines[..reserved].iter().any(Candidate::has_room),
+            unreserved_has_room: engines[reserved..].iter().any(Candidate::has_room),
         };
-        if engines[matching.clone()].iter().any(has_room) {
+        if engines[matching.clone()].iter().any(Candidate::has_room) {
             engines.truncate(matching.end);
             engines.drain(..matching.start);
         }
-        reserved
+        partition
     }
 }
 
@@ -308,6 +365,14 @@
     }
 }
 
+/// No candidate serves a request and the more urgent ones in time.
+struct Overload {
+    /// By how much the best candidate misses a bound.
+    excess: Duration,
+    /// The shortest predicted time to the first event.
+    predicted: Duration,
+}
+
 /// The inputs of the cost that are the same for all candidates of one request.
 struct Context<'a> {
     demand: &'a Demand,
--- a/crates/policy/src/local/demand.rs
+++ b/crates/policy/src/local/demand.rs
@@ -21,8 +21,10 @@
 pub struct Demand {
     /// The pool that serves the request.
     pub pool: Pool,
-    /// The tier of the request.
+    /// The tier of the workspace, or else of the route.
     pub tier: Tier,
+    /// The tier of the route, which orders requests of the same tier.
+    pub route_tier: Tier,
     /// The segments of the prompt in order.
     pub segments: Vec<Segment>,
     /// The length of the prompt in tokens; 0 for a request to a plain service.
@@ -42,6 +44,11 @@
 }
 
 impl Demand {
+    /// Orders requests: the smallest value is the most urgent.
+    pub fn urgency(&self) -> (Tier, Tier) {
+        (self.tier, self.route_tier)
+    }
+
     /// The last segment that other requests share. It decides where the prompt is cached.
     pub fn shared_prefix(&self) -> Option<Segment> {
         match self.segments.as_slice() {
--- a/crates/policy/src/local/server.rs
+++ b/crates/policy/src/local/server.rs
@@ -33,7 +33,7 @@
 const MAX_MEASUREMENTS: u32 = 10;
 /// The factor within which one measurement may differ from the slowness so far. A single late first
 /// event is more often the work of requests that this daemon has not observed.
-const MAX_SLOWNESS_STEP: f64 = 4.0;
+const MAX_SLOWNESS_STEP: f64 = 3.0;
 
 /// A backend server that may get requests.
 #[derive(Debug, Clone, PartialEq)]
@@ -253,6 +253,7 @@
             ratio.clamp(self.slowness / MAX_SLOWNESS_STEP, self.slowness * MAX_SLOWNESS_STEP);
         self.measurements = (self.measurements + 1).min(MAX_MEASUREMENTS);
         let gain = (1.0 / f64::from(self.measurements)).max(MIN_SLOWNESS_GAIN);
-        self.slowness += gain * (ratio - self.slowness);
+        // The geometric mean: a few late first events count less than in the arithmetic one.
+        self.slowness *= (ratio / self.slowness).powf(gain);
     }
 }
--- a/crates/policy/tests/local/mod.rs
+++ b/crates/policy/tests/local/mod.rs
@@ -66,6 +66,7 @@
     Demand {
         pool: Pool::new("drafts"),
         tier: Tier(2),
+        route_tier: Tier(2),
         prompt_tokens: segments.iter().map(|segment| segment.tokens).sum(),
         segments,
         output_tokens: 54,
