policy: a request is not overdue before twice its target

A request to an engine whose queue this daemon had not observed was overdue after three times its predicted time and 500 ms; it then moved to another engine and was prefilled twice, and up to a fifth of the engines were left out.

Change: Placement::overdue_after is twice the target at least, for the decider and for the gateway. Cache sources are chosen among all engines of the pool, also those that are avoided or left out for this request. Test: a_request_is_not_overdue_before_its_target_has_passed.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -16,7 +16,7 @@
 use hyssop_backend::blame::{Fingerprint, Status};
 use hyssop_document::{name::Backend, number::Tier};
 use hyssop_policy::local::{
-    decider::{Decision, End, OVERDUE_THRESHOLD},
+    decider::{Decision, End},
     demand::Demand,
 };
 
@@ -41,13 +41,11 @@
 const MIN_TIME_LEFT: Duration = Duration::from_millis(40);
 /// The pause before the next try after a rejection or a failed connection.
 const RETRY_PAUSE: Duration = Duration::from_millis(15);
-/// A request that may be rerun moves to another backend server when its response head does not
-/// arrive within the predicted time multiplied by a factor, plus a constant. The first limit
-/// applies if the backend server has sent this daemon nothing meanwhile. The second applies if the
-/// backend server responds to other requests, since a request that leaves a moving queue has to
-/// start over in another queue.
-const SILENT_OVERDUE: (u32, Duration) = OVERDUE_THRESHOLD;
-const ACTIVE_OVERDUE: (u32, Duration) = (6, Duration::from_millis(1_500));
+/// A request that may be rerun moves to another backend server when its response head is overdue and
+/// the backend server has sent this daemon nothing meanwhile. If the backend server responds to
+/// other requests, it moves after this multiple of that time, since a request that leaves a moving
+/// queue has to start over in another queue.
+const ACTIVE_OVERDUE_FACTOR: u32 = 2;
 /// The maximum size of an error body that is kept while another backend server is tried.
 const MAX_SAVED_BODY_BYTES: usize = 64 << 10;
 /// `Retry-After` for requests that backend servers rejected.
@@ -178,7 +176,7 @@
         let source = placement.cache_source.as_ref().and_then(|name| snapshot.servers.get(name));
         let head = self.request_head(&placement.server, source.map(|source| source.address));
         exchange.send(head, self.body.bytes());
-        let result = self.wait_for_head(&mut exchange, placement.predicted, now).await;
+        let result = self.wait_for_head(&mut exchange, placement.overdue_after, now).await;
         self.on_head(exchange, result).await
     }
 
@@ -186,19 +184,19 @@
     async fn wait_for_head(
         &self,
         exchange: &mut Exchange,
-        predicted: Duration,
+        overdue_after: Duration,
         sent: Instant,
     ) -> Result<ParsedHead, Error> {
         if self.may_rerun() {
-            for (factor, slack) in [SILENT_OVERDUE, ACTIVE_OVERDUE] {
+            for factor in [1, ACTIVE_OVERDUE_FACTOR] {
                 let wait =
-                    (sent + predicted * factor + slack).saturating_duration_since(Instant::now());
+                    (sent + overdue_after * factor).saturating_duration_since(Instant::now());
                 let result = exchange
                     .receive_head(&self.method, &self.meta.id, wait.min(self.time_left()))
                     .await;
                 let plain_service = self.demand.prompt_tokens == 0;
                 let give_up = plain_service
-                    || factor == ACTIVE_OVERDUE.0
+                    || factor == ACTIVE_OVERDUE_FACTOR
                     || !exchange.server_active_since(sent);
                 match result {
                     Err(Error::Late(_)) if !give_up || !self.has_alternative(exchange) => {}
--- a/crates/gateway/tests/rights.rs
+++ b/crates/gateway/tests/rights.rs
@@ -58,6 +58,7 @@
     Demand {
         pool: Pool::new("drafts"),
         tier: Tier(1),
+        route_tier: Tier(1),
         segments: Vec::new(),
         prompt_tokens: 0,
         output_tokens: 0,
--- a/crates/policy/examples/replay/policy.rs
+++ b/crates/policy/examples/replay/policy.rs
@@ -69,6 +69,7 @@
         Decision::Send(Placement {
             server: engine.name.clone(),
             predicted: predicted.max(Duration::from_millis(1)),
+            overdue_after: demand.target * 2,
             uncached_tokens: demand.prompt_tokens,
             cache_source: None,
             load: loads(engine),
--- a/crates/policy/src/local/decider.rs
+++ b/crates/policy/src/local/decider.rs
@@ -32,7 +32,10 @@
 const MIN_BASELINE: Duration = Duration::from_millis(5);
 /// A first event that is later than this multiple of the predicted time plus this time may never
 /// come. Requests that may run again elsewhere are given up after the same time.
-pub const OVERDUE_THRESHOLD: (u32, Duration) = (3, Duration::from_millis(500));
+const OVERDUE_THRESHOLD: (u32, Duration) = (3, Duration::from_millis(500));
+/// The multiple of the target before which a request at an engine is never overdue. When all engines
+/// are behind, requests that move to another engine only add to the work.
+const MIN_OVERDUE_TARGETS: u32 = 2;
 /// The minimum time after which a refused caller is asked to retry.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(150);
 
@@ -43,6 +46,8 @@
     pub server: Backend,
     /// The predicted time to the first event.
     pub predicted: Duration,
+    /// The time after which the first event is so late that it may never come.
+    pub overdue_after: Duration,
     /// The prompt tokens that the backend server must prefill.
     pub uncached_tokens: u32,
     /// The engine from which the backend server fetches the KV cache of the shared prefix.
@@ -272,7 +277,7 @@
             let baseline = placement.predicted.div_f64(state.slowness());
             let request = Request {
                 sent: now,
-                overdue_at: now + placement.predicted * OVERDUE_THRESHOLD.0 + OVERDUE_THRESHOLD.1,
+                overdue_at: now + placement.overdue_after,
                 baseline,
                 prefill_ratio: model
                     .prefill_time(f64::from(pending))
@@ -334,6 +339,16 @@
     }
 }
 
+/// The time after which the first event of a request is overdue.
+fn overdue_after(predicted: Duration, demand: &Demand) -> Duration {
+    let (factor, slack) = OVERDUE_THRESHOLD;
+    let overdue = predicted * factor + slack;
+    match demand.prompt_tokens {
+        0 => overdue,
+        _ => overdue.max(demand.target * MIN_OVERDUE_TARGETS),
+    }
+}
+
 /// One daemon's share of the connections that a backend server accepts.
 fn connection_share(total: u32, members: usize) -> usize {
     // A tenth is left for members that other daemons have not observed yet.
--- a/crates/policy/src/local/decider/placement.rs
+++ b/crates/policy/src/local/decider/placement.rs
@@ -4,7 +4,9 @@
 
 use hyssop_document::name::{Backend, Zone};
 
-use super::{Decider, Decision, MIN_RETRY_AFTER, Placement, Reason, connection_share};
+use super::{
+    Decider, Decision, MIN_RETRY_AFTER, Placement, Reason, connection_share, overdue_after,
+};
 use crate::local::{
     affinity,
     demand::Demand,
@@ -117,7 +119,6 @@
     /// [`Self::record_sent`].
     pub fn place_request(&mut self, demand: &Demand, now: Instant) -> Decision {
         let mut selection = self.select(demand, now);
-        let homes = cache_choices(&selection.candidates, demand);
         let partition = match demand.prompt_tokens {
             0 => Partition::default(),
             _ => {
@@ -149,29 +150,48 @@
             };
         }
         placement.cache_source =
-            self.cache_source(&placement.server, &selection.candidates, homes, demand);
+            self.cache_source(&placement.server, &selection.candidates, demand);
         Decision::Send(placement)
     }
 
-    /// The engine from which `server` fetches the shared prefix of a request. `homes` are the cache
-    /// choices among all engines in service, `engines` those that may get this request.
+    /// The engine from which `server` fetches the shared prefix of a request.
     fn cache_source(
         &self,
         server: &Backend,
-        engines: &[Candidate],
-        homes: [Option<u32>; 2],
+        candidates: &[Candidate],
         demand: &Demand,
     ) -> Option<Backend> {
         let server = &self.servers.get(server)?.server;
         server.fetch_tokens_per_ms?;
-        let [first_choice, _] = cache_choices(engines, demand);
-        // The first choice itself may lack the prefix: its home is reserved for other requests now,
-        // or another engine stood in while this one was out of service.
-        let sources = [first_choice, homes[0], homes[1]];
+        let first_choice = first_choice(candidates, demand);
+        let [home, second_home] = self.homes(demand);
+        // The first choice itself may lack the prefix: its home is reserved for other requests or
+        // avoided now, or another engine stood in while this one was out of service.
+        let sources = [first_choice, home, second_home];
         let source = sources.into_iter().flatten().find(|&hash| hash != server.hash)?;
         self.by_hash.get(&source).cloned()
     }
 
+    /// The hashes of the two engines where the shared prefix is cached first, among all that can be
+    /// reached, whether they may get this request or not.
+    fn homes(&self, demand: &Demand) -> [Option<u32>; 2] {
+        let Some(prefix) = demand.shared_prefix() else { return [None, None] };
+        let mut homes = [None, None];
+        for state in self.servers.values() {
+            if state.server.pool != demand.pool || state.has_failed_often() {
+                continue;
+            }
+            let hash = state.server.hash;
+            let home = Some((affinity::weight(hash, prefix.id), hash));
+            if home > homes[0] {
+                homes = [home, homes[0]];
+            } else if home > homes[1] {
+                homes[1] = home;
+            }
+        }
+        homes.map(|home| home.map(|(_, hash)| hash))
+    }
+
     /// A factor from 1 to 1 + [`RETRY_JITTER_RATIO`] that differs in each call.
     fn retry_jitter(&mut self) -> f64 {
         self.refusals += 1;
@@ -191,7 +211,7 @@
         let bound = latest_first_event(demand, now);
         let more_urgent = self.kinds.get(&demand.pool).map(|kinds| kinds.more_urgent(demand, now));
         let more_urgent = more_urgent.unwrap_or_default();
-        let [first_choice, _] = cache_choices(candidates, demand);
+        let first_choice = first_choice(candidates, demand);
         let model = self.model(demand);
         let context = Context {
             demand,
@@ -226,6 +246,7 @@
                 let placement = Placement {
                     server: name.clone(),
                     predicted,
+                    overdue_after: overdue_after(predicted, demand),
                     uncached_tokens,
                     cache_source: None,
                     load: *load,
@@ -339,20 +360,11 @@
     pending / candidates.len().max(1) as f64
 }
 
-/// The hashes of the backend server at which all daemons expect the shared prefix to be cached, and
-/// of the one that is next if it is out of service.
-fn cache_choices(candidates: &[Candidate], demand: &Demand) -> [Option<u32>; 2] {
-    let Some(prefix) = demand.shared_prefix() else { return [None, None] };
-    let mut choices = [None, None];
-    for hash in candidates.iter().map(|candidate| candidate.hash) {
-        let choice = Some((affinity::weight(hash, prefix.id), hash));
-        if choice > choices[0] {
-            choices = [choice, choices[0]];
-        } else if choice > choices[1] {
-            choices[1] = choice;
-        }
-    }
-    choices.map(|choice| choice.map(|(_, hash)| hash))
+/// The hash of the backend server at which all daemons expect the shared prefix to be cached.
+fn first_choice(candidates: &[Candidate], demand: &Demand) -> Option<u32> {
+    let prefix = demand.shared_prefix()?.id;
+    let hashes = candidates.iter().map(|candidate| candidate.hash);
+    hashes.max_by_key(|&hash| affinity::weight(hash, prefix))
 }
 
 /// The maximum time to the first event for which a request is sent: before the caller gives up and,
--- a/crates/policy/src/local/server.rs
+++ b/crates/policy/src/local/server.rs
@@ -197,6 +197,11 @@
         self.requests.values().any(|request| !request.has_begun && now > request.overdue_at)
     }
 
+    /// Whether the backend server failed so many requests in a row that it may be down.
+    pub(super) fn has_failed_often(&self) -> bool {
+        self.failures > MAX_FALLBACK_FAILURES
+    }
+
     /// Whether the backend server failed so few requests that it is still used if all others are
     /// avoided too.
     pub(super) fn is_fallback(&self) -> bool {
--- a/crates/policy/tests/local_servers.rs
+++ b/crates/policy/tests/local_servers.rs
@@ -131,7 +131,7 @@
     };
     let soon = now + unresponsive.predicted * 2;
     assert_eq!(placement(&mut decider, soon).server, unresponsive.server, "it may still respond");
-    let late = now + unresponsive.predicted * 3 + Duration::from_millis(501);
+    let late = now + unresponsive.overdue_after + Duration::from_millis(1);
     assert_ne!(placement(&mut decider, late).server, unresponsive.server);
     // A caller that gives up on an overdue request counts as a failure.
     decider.record_end(&unresponsive.server, send_id, End::Abandoned, late);
@@ -276,3 +276,16 @@
     let predicted = expect_send(&decision).predicted;
     assert!(predicted < Duration::from_millis(160), "{predicted:?} instead of 80 ms");
 }
+
+/// In a burst all engines are behind, also those whose queues a daemon has not observed. A request
+/// that moves to another engine before its target has passed is prefilled twice.
+#[test]
+fn a_request_is_not_overdue_before_its_target_has_passed() {
+    let now = Instant::now();
+    let mut decider = decider("a");
+    decider.set_servers(vec![engine(0)]);
+    let demand = Demand { target: Duration::from_secs(2), ..prefill_heavy(7, now) };
+    let placement = expect_send(&decider.place_request(&demand, now)).clone();
+    assert!(placement.predicted * 3 + Duration::from_millis(500) < demand.target);
+    assert!(placement.overdue_after >= demand.target * 2, "{:?}", placement.overdue_after);
+}
