gateway: rejections with 421 count as repeats

Also: a request may be predicted up to 2.8 times its target while less urgent ones arrive, which are refused before it; the first measurements of a pool weigh more, since two platform tests showed that a server which was never tried stayed the dearer one.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -246,7 +246,7 @@
         );
         exchange.finish(end);
         self.demand.excluded.push(server);
-        self.demand.is_repeat |= end == End::Rejected;
+        self.demand.is_repeat |= matches!(error, Error::Rejected(_));
         if self.tries >= MAX_TRIES || self.time_left() < MIN_TIME_LEFT {
             return TryResult::Failed(self.refusal(Reason::Rejected, REJECTED_RETRY_AFTER));
         }
--- a/crates/policy/src/local/decider.rs
+++ b/crates/policy/src/local/decider.rs
@@ -308,10 +308,9 @@
         let ratio = actual.div_duration_f64(baseline).clamp(MIN_SLOWNESS, MAX_SLOWNESS);
         let prefill_ratio = request.prefill_ratio;
         state.failures = 0;
-        state.record_slowness(ratio);
-        if let Some(model) = self.models.get_mut(&state.server.pool) {
-            model.record(ratio, prefill_ratio);
-        }
+        let model = self.models.get_mut(&state.server.pool);
+        let correction = model.map_or(1.0, |model| model.record(ratio, prefill_ratio));
+        state.record_slowness(ratio / correction);
     }
 
     /// The model of the pool that serves a request.
--- a/crates/policy/src/local/decider/placement.rs
+++ b/crates/policy/src/local/decider/placement.rs
@@ -23,6 +23,9 @@
 /// request delays the requests after it too, while a refused request can be served when the load is
 /// lower.
 const MAX_TARGET_RATIO: f64 = 1.4;
+/// The same multiple while less urgent requests arrive too. These are refused first, and engines
+/// admit the more urgent ones before them.
+const MAX_URGENT_TARGET_RATIO: f64 = 2.8;
 /// The same multiple for the targets of more urgent requests, within which an engine must still serve
 /// these after a less urgent one. Smaller, as their queues grow between two heartbeats.
 const MORE_URGENT_TARGET_RATIO: f64 = 0.7;
@@ -208,9 +211,10 @@
         demand: &Demand,
         now: Instant,
     ) -> Result<Placement, Overload> {
-        let bound = latest_first_event(demand, now);
-        let more_urgent = self.kinds.get(&demand.pool).map(|kinds| kinds.more_urgent(demand, now));
-        let more_urgent = more_urgent.unwrap_or_default();
+        let kinds = self.kinds.get(&demand.pool);
+        let more_urgent = kinds.map(|kinds| kinds.more_urgent(demand, now)).unwrap_or_default();
+        let has_less_urgent = kinds.is_some_and(|kinds| kinds.has_less_urgent(demand, now));
+        let bound = latest_first_event(demand, has_less_urgent, now);
         let first_choice = first_choice(candidates, demand);
         let model = self.model(demand);
         let context = Context {
@@ -369,11 +373,12 @@
 
 /// The maximum time to the first event for which a request is sent: before the caller gives up and,
 /// for a model engine, not long after the target.
-fn latest_first_event(demand: &Demand, now: Instant) -> Duration {
+fn latest_first_event(demand: &Demand, has_less_urgent: bool, now: Instant) -> Duration {
+    let ratio = if has_less_urgent { MAX_URGENT_TARGET_RATIO } else { MAX_TARGET_RATIO };
     let usable = demand.deadline.saturating_duration_since(now).mul_f64(USABLE_TIME_RATIO);
     match demand.prompt_tokens {
         0 => usable,
-        _ => usable.min(demand.target.mul_f64(MAX_TARGET_RATIO)),
+        _ => usable.min(demand.target.mul_f64(ratio)),
     }
 }
 
--- a/crates/policy/src/local/latency.rs
+++ b/crates/policy/src/local/latency.rs
@@ -18,11 +18,12 @@
 /// Time that each further request in the batch adds to a step.
 const STEP_MS_PER_RUNNING: f64 = 0.05;
 
-/// The part of a relative error by which one measurement corrects a model.
-const MODEL_GAIN: f64 = 0.1;
-/// The maximum relative error that counts. Requests that a daemon has not observed only ever delay
-/// a first event, so that the mean of all errors overstates how slow a pool is.
-const MAX_MODEL_ERROR: f64 = 0.5;
+/// The minimum weight of a new measurement in a model. The first ones weigh more.
+const MIN_MODEL_GAIN: f64 = 0.1;
+/// The factor within which one measurement may differ from the prediction. Requests that a daemon
+/// has not observed only ever delay a first event, so that the mean of all measurements overstates
+/// how slow a pool is.
+const MAX_MODEL_STEP: f64 = 2.0;
 /// The bounds on a model's base time, in ms, and on its time per token.
 const BASE_MS: (f64, f64) = (2.0, 2_000.0);
 const MS_PER_TOKEN: (f64, f64) = (0.001, 0.2);
@@ -37,17 +38,22 @@
     base_ms: f64,
     /// Prefill time of one prompt token, in ms.
     ms_per_token: f64,
+    measurements: u32,
 }
 
 impl Model {
     /// The model of model engines before the first measurement.
     pub fn of_engines() -> Self {
-        Self { base_ms: INITIAL_ENGINE_BASE_MS, ms_per_token: INITIAL_MS_PER_TOKEN }
+        Self {
+            base_ms: INITIAL_ENGINE_BASE_MS,
+            ms_per_token: INITIAL_MS_PER_TOKEN,
+            measurements: 0,
+        }
     }
 
     /// The model of plain services before the first measurement.
     pub fn of_services() -> Self {
-        Self { base_ms: INITIAL_SERVICE_BASE_MS, ms_per_token: 0.0 }
+        Self { base_ms: INITIAL_SERVICE_BASE_MS, ms_per_token: 0.0, measurements: 0 }
     }
 
     /// Predicts the time to the first event of a request with this many uncached prompt tokens.
@@ -73,14 +79,19 @@
     }
 
     /// Corrects the model by a measurement. `ratio` is the actual time to a first event divided by
-    /// the predicted one, of which prefill took `prefill_ratio`.
-    pub fn record(&mut self, ratio: f64, prefill_ratio: f64) {
-        let error = MODEL_GAIN * (ratio - 1.0).clamp(-MAX_MODEL_ERROR, MAX_MODEL_ERROR);
+    /// the predicted one, of which prefill took `prefill_ratio`. Returns the factor by which this
+    /// changes the prediction.
+    pub fn record(&mut self, ratio: f64, prefill_ratio: f64) -> f64 {
+        self.measurements = self.measurements.saturating_add(1);
+        let gain = (1.0 / f64::from(self.measurements)).max(MIN_MODEL_GAIN);
+        let step = ratio.clamp(1.0 / MAX_MODEL_STEP, MAX_MODEL_STEP);
+        let base_factor = step.powf(gain * (1.0 - prefill_ratio));
+        let token_factor = step.powf(gain * prefill_ratio);
         let (least, most) = BASE_MS;
-        self.base_ms = (self.base_ms * (1.0 + error * (1.0 - prefill_ratio))).clamp(least, most);
+        self.base_ms = (self.base_ms * base_factor).clamp(least, most);
         let (least, most) = MS_PER_TOKEN;
-        let ms_per_token = self.ms_per_token * (1.0 + error * prefill_ratio);
-        self.ms_per_token = ms_per_token.clamp(least, most);
+        self.ms_per_token = (self.ms_per_token * token_factor).clamp(least, most);
+        base_factor * (1.0 - prefill_ratio) + token_factor * prefill_ratio
     }
 }
 
--- a/crates/policy/src/local/urgency.rs
+++ b/crates/policy/src/local/urgency.rs
@@ -35,6 +35,12 @@
     last_seen: Instant,
 }
 
+impl Kind {
+    fn is_recent(&self, now: Instant) -> bool {
+        now.duration_since(self.last_seen) <= KIND_TTL
+    }
+}
+
 /// The kinds of requests that a daemon has received for one pool.
 #[derive(Debug, Default)]
 pub struct Kinds {
@@ -55,10 +61,15 @@
         kind.last_seen = now;
     }
 
+    /// Whether requests that are less urgent than this one have been received recently.
+    pub fn has_less_urgent(&self, demand: &Demand, now: Instant) -> bool {
+        let mut less_urgent = self.kinds.iter().filter(|(key, _)| key.urgency > demand.urgency());
+        less_urgent.any(|(_, kind)| kind.is_recent(now))
+    }
+
     /// The kinds that are more urgent than a request and have been received recently.
     pub fn more_urgent(&self, demand: &Demand, now: Instant) -> Vec<Kind> {
-        let recent = |kind: &Kind| now.duration_since(kind.last_seen) <= KIND_TTL;
         let more_urgent = self.kinds.iter().filter(|(key, _)| key.urgency < demand.urgency());
-        more_urgent.map(|(_, kind)| *kind).filter(recent).collect()
+        more_urgent.map(|(_, kind)| *kind).filter(|kind| kind.is_recent(now)).collect()
     }
 }
--- a/crates/policy/tests/local_urgency.rs
+++ b/crates/policy/tests/local_urgency.rs
@@ -76,7 +76,7 @@
     let now = Instant::now();
     let mut decider = decider("a");
     decider.set_servers((0..6).map(engine).collect());
-    let load = Load { running: 5, pending_tokens: 100_000, ..Load::default() };
+    let load = Load { running: 5, pending_tokens: 150_000, ..Load::default() };
     let loads: Vec<_> = (0..6).map(|i| (engine(i).hash, load, Duration::ZERO)).collect();
     decider.record_peer(PEER, &loads, now);
     assert!(is_sent(&decider.place_request(&summary(0, now), now)));
