policy: daemons share which backend servers they can't reach

Each daemon found each crashed engine by itself.

Change: Load::unreachable in heartbeats, used while a minority of the engines is reported and unless the engine has responded in the last second. Eight unreachable backend servers are tried before a request is refused, apart from the four that may reject it. Steps of the speed model are 1.5 at most.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -35,8 +35,11 @@
 pub use builder::Builder;
 pub use exchange::{Error, Exchange, ParsedHead};
 
-/// The maximum number of backend servers tried for one request, including those that reject it.
+/// The maximum number of backend servers that receive one request, including those that reject it.
 const MAX_TRIES: u32 = 4;
+/// The maximum number of backend servers that can't be reached for one request. When many have
+/// crashed, a request may meet several of them before a sound one.
+const MAX_UNREACHED_TRIES: u32 = 8;
 /// Another backend server is tried only if more time than this is left.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(40);
 /// The pause before the next try after a rejection or a failed connection.
@@ -67,7 +70,10 @@
     pub(crate) arrived: Instant,
     pub(crate) deadline: Instant,
     demand: Demand,
+    /// The number of backend servers that the request was sent to, or that could not be reached.
     tries: u32,
+    /// The number of backend servers that could not be reached.
+    unreached: u32,
     /// The number of backend servers that may have run the request.
     runs: u32,
     pub(crate) last_event_id: Option<u64>,
@@ -124,10 +130,14 @@
     pub(crate) fn may_rerun(&self) -> bool {
         self.route.retry_policy.allows_rerun()
             && self.runs < self.route.max_attempts.max(1)
-            && self.tries < MAX_TRIES
+            && !self.has_used_all_tries()
             && self.time_left() > MIN_TIME_LEFT
     }
 
+    fn has_used_all_tries(&self) -> bool {
+        self.tries - self.unreached >= MAX_TRIES || self.unreached >= MAX_UNREACHED_TRIES
+    }
+
     fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
@@ -247,7 +257,10 @@
         exchange.finish(end);
         self.demand.excluded.push(server);
         self.demand.is_repeat |= matches!(error, Error::Rejected(_));
-        if self.tries >= MAX_TRIES || self.time_left() < MIN_TIME_LEFT {
+        if end == End::Unreachable && !matches!(error, Error::Rejected(_)) {
+            self.unreached += 1;
+        }
+        if self.has_used_all_tries() || self.time_left() < MIN_TIME_LEFT {
             return TryResult::Failed(self.refusal(Reason::Rejected, REJECTED_RETRY_AFTER));
         }
         tokio::time::sleep(RETRY_PAUSE).await;
--- a/crates/gateway/src/call/builder.rs
+++ b/crates/gateway/src/call/builder.rs
@@ -127,6 +127,7 @@
             deadline: self.deadline,
             demand,
             tries: 0,
+            unreached: 0,
             runs: 0,
             version: self.version,
             saved_response: None,
--- a/crates/policy/src/local/decider.rs
+++ b/crates/policy/src/local/decider.rs
@@ -307,7 +307,7 @@
             (request.baseline.max(MIN_BASELINE), now.duration_since(request.sent));
         let ratio = actual.div_duration_f64(baseline).clamp(MIN_SLOWNESS, MAX_SLOWNESS);
         let prefill_ratio = request.prefill_ratio;
-        state.failures = 0;
+        state.record_response(now);
         let model = self.models.get_mut(&state.server.pool);
         let correction = model.map_or(1.0, |model| model.record(ratio, prefill_ratio));
         state.record_slowness(ratio / correction);
@@ -333,7 +333,8 @@
             End::Complete => state.failures = 0,
             End::Unsent | End::Abandoned => {}
             End::Rejected => state.avoid_until = Some(now + REJECTION_BACKOFF),
-            End::Failed | End::Unreachable => state.record_failure(now),
+            End::Failed => state.record_failure(now),
+            End::Unreachable => state.record_unreachable(now),
         }
     }
 }
--- a/crates/policy/src/local/decider/placement.rs
+++ b/crates/policy/src/local/decider/placement.rs
@@ -65,6 +65,8 @@
     overdue: bool,
     /// The load of all daemons.
     load: Load,
+    /// Whether other daemons can't reach it.
+    unreachable: bool,
     /// Whether the engine is reserved for decode-heavy requests.
     reserved: bool,
 }
@@ -153,7 +155,7 @@
             };
         }
         placement.cache_source =
-            self.cache_source(&placement.server, &selection.candidates, demand);
+            self.cache_source(&placement.server, &selection.candidates, demand, now);
         Decision::Send(placement)
     }
 
@@ -163,11 +165,12 @@
         server: &Backend,
         candidates: &[Candidate],
         demand: &Demand,
+        now: Instant,
     ) -> Option<Backend> {
         let server = &self.servers.get(server)?.server;
         server.fetch_tokens_per_ms?;
         let first_choice = first_choice(candidates, demand);
-        let [home, second_home] = self.homes(demand);
+        let [home, second_home] = self.homes(demand, now);
         // The first choice itself may lack the prefix: its home is reserved for other requests or
         // avoided now, or another engine stood in while this one was out of service.
         let sources = [first_choice, home, second_home];
@@ -177,11 +180,11 @@
 
     /// The hashes of the two engines where the shared prefix is cached first, among all that can be
     /// reached, whether they may get this request or not.
-    fn homes(&self, demand: &Demand) -> [Option<u32>; 2] {
+    fn homes(&self, demand: &Demand, now: Instant) -> [Option<u32>; 2] {
         let Some(prefix) = demand.shared_prefix() else { return [None, None] };
         let mut homes = [None, None];
         for state in self.servers.values() {
-            if state.server.pool != demand.pool || state.has_failed_often() {
+            if state.server.pool != demand.pool || state.may_be_down(now) {
                 continue;
             }
             let hash = state.server.hash;
@@ -297,12 +300,14 @@
             let (hash, slots) = (server.hash, server.slots);
             let load = state.own_load(now).wrapping_add(self.peer_loads.load(hash));
             let candidates = if avoided { &mut fallback } else { &mut selection.candidates };
-            let overdue = state.is_overdue(now);
+            let (overdue, unreachable) =
+                (state.is_overdue(now), state.is_reported_unreachable(load, now));
             candidates.push(Candidate {
                 name: name.clone(),
                 hash,
                 slots,
                 overdue,
+                unreachable,
                 load,
                 reserved: false,
             });
@@ -310,6 +315,7 @@
         if selection.candidates.is_empty() {
             selection.candidates = fallback;
         }
+        exclude_unreachable(&mut selection.candidates);
         exclude_overdue(&mut selection.candidates);
         selection
     }
@@ -346,6 +352,17 @@
     }
 }
 
+/// Excludes backend servers that other daemons can't reach, as long as they are the minority.
+///
+/// For crashes of many backend servers at once: each daemon would otherwise find out by itself. If
+/// most are reported, the peers that report them are cut off, and not the backend servers.
+fn exclude_unreachable(candidates: &mut Vec<Candidate>) {
+    let unreachable = candidates.iter().filter(|candidate| candidate.unreachable).count();
+    if unreachable * 2 < candidates.len() {
+        candidates.retain(|candidate| !candidate.unreachable);
+    }
+}
+
 /// Excludes backend servers with overdue requests, as long as they are few.
 ///
 /// For engines that don't respond to some of their requests while their health checks pass. If many
--- a/crates/policy/src/local/latency.rs
+++ b/crates/policy/src/local/latency.rs
@@ -23,7 +23,7 @@
 /// The factor within which one measurement may differ from the prediction. Requests that a daemon
 /// has not observed only ever delay a first event, so that the mean of all measurements overstates
 /// how slow a pool is.
-const MAX_MODEL_STEP: f64 = 2.0;
+const MAX_MODEL_STEP: f64 = 1.5;
 /// The bounds on a model's base time, in ms, and on its time per token.
 const BASE_MS: (f64, f64) = (2.0, 2_000.0);
 const MS_PER_TOKEN: (f64, f64) = (0.001, 0.2);
--- a/crates/policy/src/local/server.rs
+++ b/crates/policy/src/local/server.rs
@@ -18,6 +18,11 @@
 const SEGMENT_TTL: Duration = Duration::from_secs(15);
 /// The number of recorded segments of one backend server above which expired ones are removed.
 const MAX_SEGMENTS: usize = 1_024;
+/// How long a backend server counts as unreachable after a connection failed. A crashed one is
+/// removed from the published list seconds after its crash.
+const UNREACHABLE_TTL: Duration = Duration::from_secs(2);
+/// How long a response outweighs the reports of peers that can't reach its backend server.
+const RESPONSE_TTL: Duration = Duration::from_secs(1);
 /// The window in which sends to cold backend servers are counted.
 const SEND_RATE_WINDOW: Duration = Duration::from_millis(1_100);
 /// Failures in a row up to which an avoided backend server is still used if there is no other. A
@@ -73,6 +78,8 @@
     pub recent_sends: u32,
     /// Running requests that are decode-heavy.
     pub decode_heavy: u32,
+    /// Daemons that could not reach the backend server in the last seconds.
+    pub unreachable: u32,
 }
 
 impl Load {
@@ -93,6 +100,7 @@
             held_tokens: with(self.held_tokens, other.held_tokens),
             recent_sends: with(self.recent_sends, other.recent_sends),
             decode_heavy: with(self.decode_heavy, other.decode_heavy),
+            unreachable: with(self.unreachable, other.unreachable),
         }
     }
 }
@@ -131,6 +139,10 @@
     pub(super) avoid_until: Option<Instant>,
     /// Failures in a row.
     pub(super) failures: u32,
+    /// Until when the backend server counts as unreachable, because a connection failed.
+    unreachable_until: Option<Instant>,
+    /// The last first event of a response.
+    last_response: Option<Instant>,
     /// How many times longer than predicted the backend server took, by this daemon's measurements.
     slowness: f64,
     measurements: u32,
@@ -148,6 +160,8 @@
             peer_cold_until: None,
             avoid_until: None,
             failures: 0,
+            unreachable_until: None,
+            last_response: None,
             slowness: 1.0,
             measurements: 0,
             segments: Map::default(),
@@ -156,7 +170,11 @@
 
     /// The load of this daemon at the backend server.
     pub fn own_load(&mut self, now: Instant) -> Load {
-        let mut load = Load { recent_sends: self.sends.count(now) as u32, ..Load::default() };
+        let mut load = Load {
+            recent_sends: self.sends.count(now) as u32,
+            unreachable: u32::from(self.unreachable_until.is_some_and(|until| until > now)),
+            ..Load::default()
+        };
         for request in self.requests.values() {
             load.running += 1;
             load.decode_heavy += u32::from(request.decode_heavy);
@@ -192,14 +210,35 @@
         self.avoid_until.is_some_and(|until| until > now)
     }
 
+    /// Records the first event of a response.
+    pub(super) fn record_response(&mut self, now: Instant) {
+        self.failures = 0;
+        self.unreachable_until = None;
+        self.last_response = Some(now);
+    }
+
+    /// Records that no connection to the backend server could be used.
+    pub(super) fn record_unreachable(&mut self, now: Instant) {
+        self.unreachable_until = Some(now + UNREACHABLE_TTL);
+        self.record_failure(now);
+    }
+
+    /// Whether other daemons can't reach the backend server and this one has had no response
+    /// recently.
+    pub(super) fn is_reported_unreachable(&self, load: Load, now: Instant) -> bool {
+        let responded = self.last_response.is_some_and(|at| now.duration_since(at) <= RESPONSE_TTL);
+        load.unreachable > 0 && !responded
+    }
+
     /// Whether a request waits for its first event far longer than was predicted.
     pub(super) fn is_overdue(&self, now: Instant) -> bool {
         self.requests.values().any(|request| !request.has_begun && now > request.overdue_at)
     }
 
-    /// Whether the backend server failed so many requests in a row that it may be down.
-    pub(super) fn has_failed_often(&self) -> bool {
+    /// Whether the backend server can't be reached, or failed many requests in a row.
+    pub(super) fn may_be_down(&self, now: Instant) -> bool {
         self.failures > MAX_FALLBACK_FAILURES
+            || self.unreachable_until.is_some_and(|until| until > now)
     }
 
     /// Whether the backend server failed so few requests that it is still used if all others are
--- a/crates/policy/tests/local_servers.rs
+++ b/crates/policy/tests/local_servers.rs
@@ -289,3 +289,46 @@
     assert!(placement.predicted * 3 + Duration::from_millis(500) < demand.target);
     assert!(placement.overdue_after >= demand.target * 2, "{:?}", placement.overdue_after);
 }
+
+/// When a rack of engines crashes, every daemon of a large fleet would try the crashed ones until it
+/// has met each of them. One daemon that can't reach an engine spares the others the try.
+#[test]
+fn an_engine_that_a_peer_cannot_reach_gets_no_requests() {
+    let now = Instant::now();
+    let (mut first, mut second) = (decider("a"), decider("a"));
+    for decider in [&mut first, &mut second] {
+        decider.set_servers((0..10).map(engine).collect());
+    }
+    let demand = prefill_heavy(7, now);
+    let crashed = expect_send(&first.place_request(&demand, now)).clone();
+    let send_id = first.record_sent(&crashed, &demand, now);
+    first.record_end(&crashed.server, send_id, End::Unreachable, now);
+    second.record_peer(PEER, &first.own_loads(now), now);
+    let elsewhere = expect_send(&second.place_request(&demand, now)).clone();
+    assert_ne!(elsewhere.server, crashed.server);
+    assert_ne!(elsewhere.cache_source.as_ref(), Some(&crashed.server));
+
+    // A response outweighs what the peer reports, which may be cut off itself.
+    let others = (0..10).map(|index| engine(index).name).filter(|name| *name != crashed.server);
+    let only = Demand { excluded: others.collect(), ..demand.clone() };
+    let placement = expect_send(&second.place_request(&only, now)).clone();
+    let send_id = second.record_sent(&placement, &only, now);
+    second.record_first_event(&placement.server, send_id, now + placement.predicted);
+    assert_eq!(expect_send(&second.place_request(&demand, now)).server, crashed.server);
+    let later = now + Duration::from_secs(3);
+    second.expire_peers(later);
+    assert_eq!(expect_send(&second.place_request(&demand, later)).server, crashed.server);
+}
+
+/// A peer that is cut off can reach no engine at all.
+#[test]
+fn reports_that_most_engines_are_unreachable_are_ignored() {
+    let now = Instant::now();
+    let mut decider = decider("a");
+    decider.set_servers((0..10).map(engine).collect());
+    let usual = expect_send(&decider.place_request(&prefill_heavy(7, now), now)).server.clone();
+    let load = Load { unreachable: 1, ..Load::default() };
+    let loads: Vec<_> = (0..6).map(|index| (engine(index).hash, load, Duration::ZERO)).collect();
+    decider.record_peer(PEER, &loads, now);
+    assert_eq!(expect_send(&decider.place_request(&prefill_heavy(7, now), now)).server, usual);
+}
--- a/crates/view/tests/view.rs
+++ b/crates/view/tests/view.rs
@@ -45,6 +45,7 @@
         held_tokens: 400_000,
         recent_sends: 30,
         decode_heavy: 40,
+        unreachable: 1,
     };
     heartbeat.loads = vec![LoadEntry { backend_hash: u32::MAX, load, cold_left_ms: 3_000 }; 48];
     heartbeat.blames = vec![Blame { fingerprint: u64::MAX, crashes: 3, expires_in_ms: 60_000 }; 12];
