policy: a shared prefix is cached at four engines at most

Daemons with different views sent one prefix to many engines, and the home that they fetch from had never read it.

Change: prefill-heavy requests choose among the first four engines by rendezvous on their shared prefix.

--- a/crates/policy/src/local/decider/placement.rs
+++ b/crates/policy/src/local/decider/placement.rs
@@ -1,6 +1,9 @@
 //! Chooses the backend server for a request.
 
-use std::time::{Duration, Instant};
+use std::{
+    cmp::Reverse,
+    time::{Duration, Instant},
+};
 
 use hyssop_document::name::{Backend, Zone};
 
@@ -44,6 +47,8 @@
 /// another engine's cache instead. A fetch costs little by itself, but prefixes that move often are
 /// no longer cached where daemons expect them.
 const FETCH_RATIO: f64 = 0.5;
+/// The maximum number of engines that may cache one shared prefix.
+const MAX_CACHE_CHOICES: usize = 4;
 /// The number of members above which [`REPEATED_PREFILL_WEIGHT_PER_S`] is scaled up with their
 /// number. The more daemons place requests, the less each has observed of the others' requests, and
 /// a queue that looks shorter often is not.
@@ -230,6 +235,9 @@
         };
         let mut best: Option<(Duration, Placement)> = None;
         let mut overload = Overload { excess: Duration::MAX, predicted: Duration::MAX };
+        let choices = cache_choices(candidates, demand);
+        let is_choice = |hash| choices.as_ref().is_none_or(|choices| choices.contains(&hash));
+        let candidates = candidates.iter().filter(|candidate| is_choice(candidate.hash));
         for Candidate { name, hash, load, reserved, .. } in candidates {
             let Some(state) = self.servers.get(name) else { continue };
             let is_first_choice = first_choice == Some(*hash);
@@ -388,6 +396,21 @@
     hashes.max_by_key(|&hash| affinity::weight(hash, prefix))
 }
 
+/// The hashes of the candidates that may cache the shared prefix of a prefill-heavy request.
+///
+/// For bursts that exceed what engines can prefill: if a prefix could move to any engine, daemons
+/// with different views would have it prefilled at many of them.
+fn cache_choices(candidates: &[Candidate], demand: &Demand) -> Option<Vec<u32>> {
+    let prefix = demand.shared_prefix()?;
+    if reservation::is_decode_heavy(demand) {
+        return None;
+    }
+    let mut hashes: Vec<u32> = candidates.iter().map(|candidate| candidate.hash).collect();
+    hashes.sort_by_cached_key(|&hash| Reverse(affinity::weight(hash, prefix.id)));
+    hashes.truncate(MAX_CACHE_CHOICES);
+    Some(hashes)
+}
+
 /// The maximum time to the first event for which a request is sent: before the caller gives up and,
 /// for a model engine, not long after the target.
 fn latest_first_event(demand: &Demand, has_less_urgent: bool, now: Instant) -> Duration {
