gateway: requests that may have run are not refused, paused streams go on

Change: Demand::may_have_run lifts the bounds by target and by more urgent requests. A stream that pauses moves only if another engine would take it, with the budget of repeats counted.

--- a/crates/gateway/src/call/builder.rs
+++ b/crates/gateway/src/call/builder.rs
@@ -110,6 +110,7 @@
             deadline: self.deadline,
             excluded: Vec::new(),
             is_repeat: false,
+            may_have_run: false,
         };
         Call {
             fingerprint: self.fingerprint(),
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -57,7 +57,6 @@
     }
 
     async fn read(&mut self) -> Result<Step, Error> {
-        let left = self.call.deadline.saturating_duration_since(Instant::now());
         let resume_timeout = match (&self.event_filter, self.call.may_rerun()) {
             (Some(_), true) => self
                 .call
@@ -66,9 +65,17 @@
                 .map_or(DEFAULT_RESUME_GAP, |gap| gap * RESUME_GAP_FACTOR),
             _ => Duration::MAX,
         };
-        let limit = left.min(resume_timeout);
-        let read = self.exchange.read_body(&mut self.framing);
-        timeout(limit, read).await.unwrap_or(Err(Error::Late(limit)))
+        loop {
+            let left = self.call.deadline.saturating_duration_since(Instant::now());
+            let limit = left.min(resume_timeout);
+            let read = self.exchange.read_body(&mut self.framing);
+            match timeout(limit, read).await {
+                Ok(result) => return result,
+                // A stream that pauses is not given up unless another backend server continues it.
+                Err(_) if limit < left && !self.call.has_alternative(&self.exchange) => {}
+                Err(_) => return Err(Error::Late(limit)),
+            }
+        }
     }
 
     /// Returns the bytes to pass on, if any, and counts them.
--- a/crates/gateway/tests/rights.rs
+++ b/crates/gateway/tests/rights.rs
@@ -67,6 +67,7 @@
         deadline: now + Duration::from_secs(3_600),
         excluded: Vec::new(),
         is_repeat,
+        may_have_run: false,
     }
 }
 
--- a/crates/policy/examples/replay/pattern.rs
+++ b/crates/policy/examples/replay/pattern.rs
@@ -231,6 +231,7 @@
             deadline: start + deadline,
             excluded: Vec::new(),
             is_repeat: false,
+            may_have_run: false,
         }
     }
 }
--- a/crates/policy/src/local/decider/placement.rs
+++ b/crates/policy/src/local/decider/placement.rs
@@ -220,7 +220,10 @@
         now: Instant,
     ) -> Result<Placement, Overload> {
         let kinds = self.kinds.get(&demand.pool);
-        let more_urgent = kinds.map(|kinds| kinds.more_urgent(demand, now)).unwrap_or_default();
+        let more_urgent = match kinds {
+            Some(kinds) if !demand.may_have_run => kinds.more_urgent(demand, now),
+            _ => Vec::new(),
+        };
         let has_less_urgent = kinds.is_some_and(|kinds| kinds.has_less_urgent(demand, now));
         let bound = latest_first_event(demand, has_less_urgent, now);
         let first_choice = first_choice(candidates, demand);
@@ -402,7 +405,7 @@
 /// with different views would have it prefilled at many of them.
 fn cache_choices(candidates: &[Candidate], demand: &Demand) -> Option<Vec<u32>> {
     let prefix = demand.shared_prefix()?;
-    if reservation::is_decode_heavy(demand) {
+    if demand.may_have_run || reservation::is_decode_heavy(demand) {
         return None;
     }
     let mut hashes: Vec<u32> = candidates.iter().map(|candidate| candidate.hash).collect();
@@ -418,6 +421,7 @@
     let usable = demand.deadline.saturating_duration_since(now).mul_f64(USABLE_TIME_RATIO);
     match demand.prompt_tokens {
         0 => usable,
+        _ if demand.may_have_run => usable,
         _ => usable.min(demand.target.mul_f64(ratio)),
     }
 }
--- a/crates/policy/src/local/demand.rs
+++ b/crates/policy/src/local/demand.rs
@@ -41,6 +41,9 @@
     pub excluded: Vec<Backend>,
     /// Whether a backend server has had the request before, so that a send counts as a repeat.
     pub is_repeat: bool,
+    /// Whether a backend server may have run the request, or part of it. Then it can't be refused any
+    /// more, only fail.
+    pub may_have_run: bool,
 }
 
 impl Demand {
--- a/crates/policy/tests/local/mod.rs
+++ b/crates/policy/tests/local/mod.rs
@@ -75,6 +75,7 @@
         deadline: now + Duration::from_secs(4),
         excluded: Vec::new(),
         is_repeat: false,
+        may_have_run: false,
     }
 }
 
--- a/crates/policy/tests/local_placement.rs
+++ b/crates/policy/tests/local_placement.rs
@@ -228,6 +228,23 @@
     }
 }
 
+/// A request that a backend server may have run can't be refused any more. If it fails instead, its
+/// caller waits for nothing.
+#[test]
+fn a_request_that_may_have_run_is_sent_while_time_is_left() {
+    let now = Instant::now();
+    let mut decider = decider("a");
+    decider.set_servers(vec![engine(0)]);
+    let load = Load { running: 10, pending_tokens: 150_000, ..Load::default() };
+    decider.record_peer(PEER, &[(engine(0).hash, load, Duration::ZERO)], now);
+    let demand = prefill_heavy(1, now);
+    assert!(matches!(decider.place_request(&demand, now), Decision::Refuse { .. }));
+    let demand = Demand { is_repeat: true, may_have_run: true, ..demand };
+    assert!(matches!(decider.place_request(&demand, now), Decision::Send(_)));
+    let late = now + Duration::from_secs(3);
+    assert!(matches!(decider.place_request(&demand, late), Decision::Refuse { .. }));
+}
+
 /// In a burst a request that is sent although it will miss its target delays those after it too,
 /// and callers with the same retry time return together.
 #[test]
--- a/crates/policy/tests/local_urgency.rs
+++ b/crates/policy/tests/local_urgency.rs
@@ -17,8 +17,10 @@
 
 /// An urgent question with a tight target.
 fn question(number: u64, now: Instant) -> Demand {
-    let segments =
-        vec![Segment { id: 1, tokens: 3_800 }, Segment { id: 2_000_000 + number, tokens: 2_900 }];
+    let segments = vec![
+        Segment { id: 10_000 + number % 80, tokens: 3_800 },
+        Segment { id: 2_000_000 + number, tokens: 2_900 },
+    ];
     Demand {
         route_tier: Tier(1),
         prompt_tokens: 6_700,
@@ -31,8 +33,10 @@
 
 /// A less urgent and much larger summary with a loose target.
 fn summary(number: u64, now: Instant) -> Demand {
-    let segments =
-        vec![Segment { id: 3, tokens: 9_000 }, Segment { id: 4_000_000 + number, tokens: 8_000 }];
+    let segments = vec![
+        Segment { id: 20_000 + number % 80, tokens: 9_000 },
+        Segment { id: 4_000_000 + number, tokens: 8_000 },
+    ];
     Demand {
         route_tier: Tier(3),
         prompt_tokens: 17_000,
