--- a/crates/policy/src/local/decider.rs
+++ b/crates/policy/src/local/decider.rs
@@ -1,6 +1,8 @@
 //! Placement decisions of one daemon, from the state of backend servers and the daemon's shares.
 
+mod cost;
 mod placement;
+mod prefix;
 
 use std::{
     net::IpAddr,
--- a/crates/policy/src/local/decider/placement.rs
+++ b/crates/policy/src/local/decider/placement.rs
@@ -1,25 +1,17 @@
 //! Chooses the backend server for a request.
 
-use std::{
-    cmp::Reverse,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
-use hyssop_document::name::{Backend, Zone};
+use hyssop_document::name::Backend;
 
 use super::{
-    Decider, Decision, MIN_RETRY_AFTER, Placement, Reason, connection_share, overdue_after,
-};
-use crate::local::{
-    affinity,
-    demand::Demand,
-    latency::{self, Model},
-    reservation,
-    server::{Load, State as ServerState},
+    Decider, Decision, MIN_RETRY_AFTER, Placement, Reason, connection_share,
+    cost::{Context, Cost, SMALL_FLEET_MEMBERS, cost},
+    overdue_after,
+    prefix::{cache_choices, first_choice},
 };
+use crate::local::{affinity, demand::Demand, reservation, server::Load};
 
-/// Added to the cost of a backend server in another zone, because traffic between zones is charged.
-const CROSS_ZONE_PENALTY: Duration = Duration::from_millis(4);
 /// The fraction of the time left before the deadline after which a first event is of no use.
 const USABLE_TIME_RATIO: f64 = 0.85;
 /// The multiple of its target within which a first event must be predicted. Under overload a late
@@ -34,37 +26,15 @@
 const MORE_URGENT_TARGET_RATIO: f64 = 0.7;
 /// The maximum random extension of a retry time, as a fraction: callers must not return together.
 const RETRY_JITTER_RATIO: f64 = 0.5;
-/// Added to the cost of a plain service for each recent send, so that equal servers take turns.
-const RECENT_SEND_PENALTY: Duration = Duration::from_millis(1);
-/// The cost of a repeated prefill, for a shared segment that is cached elsewhere, as a multiple of
-/// its duration.
-const REPEATED_PREFILL_WEIGHT: f64 = 3.0;
-/// How much [`REPEATED_PREFILL_WEIGHT`] grows for each second that prompts wait for prefill. When
-/// all engines are behind, a repeated prefill only adds work, and the queue that it avoids grows at
-/// every engine.
-const REPEATED_PREFILL_WEIGHT_PER_S: f64 = 30.0;
-/// The part of [`REPEATED_PREFILL_WEIGHT_PER_S`] that applies to a segment which is fetched from
-/// another engine's cache instead. A fetch costs little by itself, but prefixes that move often are
-/// no longer cached where daemons expect them.
-const FETCH_RATIO: f64 = 0.5;
-/// The maximum number of engines that may cache one shared prefix.
-const MAX_CACHE_CHOICES: usize = 4;
-/// The number of members above which [`REPEATED_PREFILL_WEIGHT_PER_S`] is scaled up with their
-/// number. The more daemons place requests, the less each has observed of the others' requests, and
-/// a queue that looks shorter often is not.
-const SMALL_FLEET_MEMBERS: f64 = 9.0;
 /// The maximum fraction of the candidates that is excluded because of overdue requests. One rack,
 /// or the servers with a faulty release, are about 15 %.
 const MAX_OVERDUE_RATIO: f64 = 0.2;
-/// Running requests per slot up to which daemons fill the queue of a plain service. The rest of the
-/// queue absorbs requests that they have not observed yet.
-const MAX_QUEUE_FILL: f64 = 2.5;
 
 /// A backend server that may get a request.
 #[derive(Debug)]
-struct Candidate {
+pub(super) struct Candidate {
     name: Backend,
-    hash: u32,
+    pub(super) hash: u32,
     slots: u32,
     /// Whether the first event of a request of this daemon is overdue.
     overdue: bool,
@@ -164,45 +134,6 @@
         Decision::Send(placement)
     }
 
-    /// The engine from which `server` fetches the shared prefix of a request.
-    fn cache_source(
-        &self,
-        server: &Backend,
-        candidates: &[Candidate],
-        demand: &Demand,
-        now: Instant,
-    ) -> Option<Backend> {
-        let server = &self.servers.get(server)?.server;
-        server.fetch_tokens_per_ms?;
-        let first_choice = first_choice(candidates, demand);
-        let [home, second_home] = self.homes(demand, now);
-        // The first choice itself may lack the prefix: its home is reserved for other requests or
-        // avoided now, or another engine stood in while this one was out of service.
-        let sources = [first_choice, home, second_home];
-        let source = sources.into_iter().flatten().find(|&hash| hash != server.hash)?;
-        self.by_hash.get(&source).cloned()
-    }
-
-    /// The hashes of the two engines where the shared prefix is cached first, among all that can be
-    /// reached, whether they may get this request or not.
-    fn homes(&self, demand: &Demand, now: Instant) -> [Option<u32>; 2] {
-        let Some(prefix) = demand.shared_prefix() else { return [None, None] };
-        let mut homes = [None, None];
-        for state in self.servers.values() {
-            if state.server.pool != demand.pool || state.may_be_down(now) {
-                continue;
-            }
-            let hash = state.server.hash;
-            let home = Some((affinity::weight(hash, prefix.id), hash));
-            if home > homes[0] {
-                homes = [home, homes[0]];
-            } else if home > homes[1] {
-                homes[1] = home;
-            }
-        }
-        homes.map(|home| home.map(|(_, hash)| hash))
-    }
-
     /// A factor from 1 to 1 + [`RETRY_JITTER_RATIO`] that differs in each call.
     fn retry_jitter(&mut self) -> f64 {
         self.refusals += 1;
@@ -392,28 +323,6 @@
     pending / candidates.len().max(1) as f64
 }
 
-/// The hash of the backend server at which all daemons expect the shared prefix to be cached.
-fn first_choice(candidates: &[Candidate], demand: &Demand) -> Option<u32> {
-    let prefix = demand.shared_prefix()?.id;
-    let hashes = candidates.iter().map(|candidate| candidate.hash);
-    hashes.max_by_key(|&hash| affinity::weight(hash, prefix))
-}
-
-/// The hashes of the candidates that may cache the shared prefix of a prefill-heavy request.
-///
-/// For bursts that exceed what engines can prefill: if a prefix could move to any engine, daemons
-/// with different views would have it prefilled at many of them.
-fn cache_choices(candidates: &[Candidate], demand: &Demand) -> Option<Vec<u32>> {
-    let prefix = demand.shared_prefix()?;
-    if demand.may_have_run || reservation::is_decode_heavy(demand) {
-        return None;
-    }
-    let mut hashes: Vec<u32> = candidates.iter().map(|candidate| candidate.hash).collect();
-    hashes.sort_by_cached_key(|&hash| Reverse(affinity::weight(hash, prefix.id)));
-    hashes.truncate(MAX_CACHE_CHOICES);
-    Some(hashes)
-}
-
 /// The maximum time to the first event for which a request is sent: before the caller gives up and,
 /// for a model engine, not long after the target.
 fn latest_first_event(demand: &Demand, has_less_urgent: bool, now: Instant) -> Duration {
@@ -433,79 +342,3 @@
     /// The shortest predicted time to the first event.
     predicted: Duration,
 }
-
-/// The inputs of the cost that are the same for all candidates of one request.
-struct Context<'a> {
-    demand: &'a Demand,
-    /// The daemon's zone.
-    zone: &'a Zone,
-    /// The mean time that prompts wait for prefill.
-    prefill_wait: Duration,
-    model: Model,
-    /// How incomplete the observed load of other daemons is: 1 in a small fleet, else more.
-    staleness: f64,
-    now: Instant,
-}
-
-/// What placing a request at a candidate costs.
-struct Cost {
-    cost: Duration,
-    /// The predicted time to the first event.
-    predicted: Duration,
-    /// The prompt tokens to prefill.
-    uncached_tokens: u32,
-}
-
-fn cost(state: &ServerState, load: Load, is_first_choice: bool, context: &Context<'_>) -> Cost {
-    let &Context { demand, zone, prefill_wait, model, staleness, now } = context;
-    let zone_penalty = if state.server.zone == *zone { Duration::ZERO } else { CROSS_ZONE_PENALTY };
-    let Some(cache_tokens) = state.server.cache_tokens else {
-        return service_cost(state, load, zone_penalty, model);
-    };
-    let cached_here = state.uncached_tokens(demand, is_first_choice, now);
-    let (uncached, fetched) = match state.server.fetch_tokens_per_ms {
-        Some(_) => {
-            let uncached = state.uncached_tokens(demand, true, now);
-            (uncached, cached_here.saturating_sub(uncached))
-        }
-        None => (cached_here, 0),
-    };
-    let fetch_time = latency::transfer_time(
-        f64::from(fetched),
-        state.server.fetch_tokens_per_ms.unwrap_or(f64::INFINITY),
-    );
-    let predicted =
-        fetch_time + model.time_to_first_event(&state.backlog(load), f64::from(uncached));
-    // A repeated prefill delays all requests of that engine, not only this one.
-    let repeated = uncached.saturating_sub(demand.unshared_tokens());
-    let wait_weight = REPEATED_PREFILL_WEIGHT_PER_S * staleness * prefill_wait.as_secs_f64();
-    let repeated_prefill =
-        model.prefill_time(f64::from(repeated)).mul_f64(REPEATED_PREFILL_WEIGHT + wait_weight)
-            + model
-                .prefill_time(f64::from(fetched))
-                .mul_f64(REPEATED_PREFILL_WEIGHT + FETCH_RATIO * wait_weight);
-    let held = u64::from(load.held_tokens) + u64::from(demand.held_tokens());
-    // A request that does not fit into memory preempts another one or waits for it.
-    let memory_wait =
-        if held > cache_tokens { model.prefill_time(held as f64) } else { Duration::ZERO };
-    Cost {
-        cost: predicted + repeated_prefill + zone_penalty + memory_wait,
-        predicted: predicted + memory_wait,
-        uncached_tokens: uncached,
-    }
-}
-
-/// The same figures as [`cost`] for a plain service, which runs one request in each slot and queues
-/// the rest.
-fn service_cost(state: &ServerState, load: Load, zone_penalty: Duration, model: Model) -> Cost {
-    let slots = f64::from(state.server.slots.max(1));
-    let fill = f64::from(load.running) / slots;
-    let predicted = model.service_time(fill, state.slowness());
-    let overflow = if fill > MAX_QUEUE_FILL { Duration::from_secs(1) } else { Duration::ZERO };
-    let send_penalty = RECENT_SEND_PENALTY * load.recent_sends;
-    Cost {
-        cost: predicted + zone_penalty + send_penalty + overflow,
-        predicted: predicted + overflow,
-        uncached_tokens: 0,
-    }
-}
--- /dev/null
+++ b/crates/policy/src/local/decider/prefix.rs
@@ -0,0 +1,77 @@
+//! Where the shared prefix of a prompt is cached.
+//!
+//! For loads with many prompts for few shared prefixes. All daemons expect a prefix at the same few
+//! engines, by rendezvous hashing, and engines fetch its KV cache from each other.
+
+use std::{cmp::Reverse, time::Instant};
+
+use hyssop_document::name::Backend;
+
+use super::{Decider, placement::Candidate};
+use crate::local::{affinity, demand::Demand, reservation};
+
+/// The maximum number of engines that may cache one shared prefix.
+const MAX_CACHE_CHOICES: usize = 4;
+
+impl Decider {
+    /// The engine from which `server` fetches the shared prefix of a request.
+    pub(super) fn cache_source(
+        &self,
+        server: &Backend,
+        candidates: &[Candidate],
+        demand: &Demand,
+        now: Instant,
+    ) -> Option<Backend> {
+        let server = &self.servers.get(server)?.server;
+        server.fetch_tokens_per_ms?;
+        let first_choice = first_choice(candidates, demand);
+        let [home, second_home] = self.homes(demand, now);
+        // The first choice itself may lack the prefix: its home is reserved for other requests or
+        // avoided now, or another engine stood in while this one was out of service.
+        let sources = [first_choice, home, second_home];
+        let source = sources.into_iter().flatten().find(|&hash| hash != server.hash)?;
+        self.by_hash.get(&source).cloned()
+    }
+
+    /// The hashes of the two engines where the shared prefix is cached first, among all that can be
+    /// reached, whether they may get this request or not.
+    fn homes(&self, demand: &Demand, now: Instant) -> [Option<u32>; 2] {
+        let Some(prefix) = demand.shared_prefix() else { return [None, None] };
+        let mut homes = [None, None];
+        for state in self.servers.values() {
+            if state.server.pool != demand.pool || state.may_be_down(now) {
+                continue;
+            }
+            let hash = state.server.hash;
+            let home = Some((affinity::weight(hash, prefix.id), hash));
+            if home > homes[0] {
+                homes = [home, homes[0]];
+            } else if home > homes[1] {
+                homes[1] = home;
+            }
+        }
+        homes.map(|home| home.map(|(_, hash)| hash))
+    }
+}
+
+/// The hash of the backend server at which all daemons expect the shared prefix to be cached.
+pub(super) fn first_choice(candidates: &[Candidate], demand: &Demand) -> Option<u32> {
+    let prefix = demand.shared_prefix()?.id;
+    let hashes = candidates.iter().map(|candidate| candidate.hash);
+    hashes.max_by_key(|&hash| affinity::weight(hash, prefix))
+}
+
+/// The hashes of the candidates that may cache the shared prefix of a prefill-heavy request.
+///
+/// For bursts that exceed what engines can prefill: if a prefix could move to any engine, daemons
+/// with different views would have it prefilled at many of them.
+pub(super) fn cache_choices(candidates: &[Candidate], demand: &Demand) -> Option<Vec<u32>> {
+    let prefix = demand.shared_prefix()?;
+    if demand.may_have_run || reservation::is_decode_heavy(demand) {
+        return None;
+    }
+    let mut hashes: Vec<u32> = candidates.iter().map(|candidate| candidate.hash).collect();
+    hashes.sort_by_cached_key(|&hash| Reverse(affinity::weight(hash, prefix.id)));
+    hashes.truncate(MAX_CACHE_CHOICES);
+    Some(hashes)
+}
--- a/crates/policy/tests/local_placement.rs
+++ b/crates/policy/tests/local_placement.rs
@@ -228,6 +228,31 @@
     }
 }
 
+/// Daemons with different views of a burst would have one prefix prefilled at many engines.
+#[test]
+fn a_prefix_is_cached_at_few_engines_whatever_daemons_observe() {
+    let now = Instant::now();
+    let fetching = |index| Server { fetch_tokens_per_ms: Some(1_428.0), ..engine(index) };
+    let engines: Vec<Server> = (0..40).map(fetching).collect();
+    let mut used: Vec<Backend> = Vec::new();
+    for view in 0..60_u32 {
+        let mut decider = decider("a");
+        decider.set_servers(engines.clone());
+        let loads = engines.iter().enumerate().map(|(index, server)| {
+            let pending_tokens = 15_000 * ((index as u32 * 7 + view * 13) % 5);
+            (server.hash, Load { running: 5, pending_tokens, ..Load::default() }, Duration::ZERO)
+        });
+        decider.record_peer(PEER, &loads.collect::<Vec<_>>(), now);
+        if let Decision::Send(placement) = decider.place_request(&prefill_heavy(7, now), now) {
+            used.push(placement.server);
+        }
+    }
+    assert!(used.len() > 40, "{} of 60 were sent", used.len());
+    used.sort();
+    used.dedup();
+    assert!((2..=4).contains(&used.len()), "{used:?}");
+}
+
 /// A request that a backend server may have run can't be refused any more. If it fails instead, its
 /// caller waits for nothing.
 #[test]
