--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -24,11 +24,10 @@
 const WATCH_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// How often an idle daemon checks whether it must read the source, unless its role changes before.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
-/// How long a daemon that starts waits for the records of a peer before it reads the source itself.
-/// Seeds read it at once. When a whole fleet starts, its reads would exceed the rate of the source.
+/// How long after its start a daemon first reads the source, unless it is idle by then and a peer has
+/// sent its records. Seeds read it at once. If a whole fleet did, its reads would exceed the rate of
+/// the source. Longer than a turn of heartbeats in a fleet of 200 daemons.
 const START_DELAY: Duration = Duration::from_millis(1_500);
-/// How often a daemon that starts checks whether a peer has sent its records.
-const START_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// The delay after the first failure.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// The maximum delay of a watcher.
@@ -77,15 +76,6 @@
     stop.run_until_cancelled(watch_source(&gateway, &*source)).await;
 }
 
-/// Waits until a peer has sent its records, for [`START_DELAY`] at most.
-async fn wait_for_peers(gateway: &Gateway) {
-    let jitter = rand::rng().random_range(0.7..1.0);
-    let give_up = Instant::now() + START_DELAY.mul_f64(jitter);
-    while !has_records(gateway) && Instant::now() < give_up {
-        tokio::time::sleep(START_CHECK_INTERVAL).await;
-    }
-}
-
 /// Whether the daemon has applied records, from the source or a peer.
 fn has_records(gateway: &Gateway) -> bool {
     gateway.cache.snapshot().environment.is_some()
@@ -95,7 +85,8 @@
     let mut position = None;
     let mut delay = MIN_RETRY_DELAY;
     if !gateway.settings.is_seed {
-        wait_for_peers(gateway).await;
+        let jitter = rand::rng().random_range(0.8..1.0);
+        tokio::time::sleep(START_DELAY.mul_f64(jitter)).await;
     }
     loop {
         let suspended = gateway.cache.is_suspended();
