policy: reserve more engines while no prompt waits for prefill

The other engines had little to prefill.

Change: a reserved engine counts as full at 75% of its slots while no prompt waits for prefill, at all of them when prompts wait 60 ms or longer.

--- a/crates/policy/src/local/decider/placement.rs
+++ b/crates/policy/src/local/decider/placement.rs
@@ -272,8 +272,9 @@
         let decode_heavy = engines.iter().map(|engine| engine.load.decode_heavy);
         let decode_heavy = decode_heavy.fold(0, u32::saturating_add);
         let slots = engines.last().map_or(1, |engine| engine.slots);
+        let prefill_wait = self.model(demand).prefill_time(mean_pending_tokens(engines));
         let reservation = self.reservations.entry(demand.pool.clone()).or_default();
-        let reserved = reservation.update(decode_heavy, slots, engines.len(), now);
+        let reserved = reservation.update(decode_heavy, slots, engines.len(), prefill_wait, now);
         engines.sort_by_cached_key(|engine| reservation::rank(engine.hash));
         let matching = if reservation::is_decode_heavy(demand) {
             0..reserved
--- a/crates/policy/src/local/reservation.rs
+++ b/crates/policy/src/local/reservation.rs
@@ -16,8 +16,11 @@
 /// whole prompt.
 const DECODE_HEAVY_RATIO: f64 = 12.0;
 /// The fraction of an engine's slots that decode-heavy requests fill before another engine is
-/// reserved.
-const FILL_RATIO: f64 = 1.0;
+/// reserved: while prompts don't wait for prefill at the other engines, and while they wait for
+/// [`BUSY_PREFILL_WAIT`] or longer. With few slots, a request waits for one at a nearly full engine.
+const FILL_RATIOS: [f64; 2] = [0.75, 1.0];
+/// The mean wait for prefill at which the engines that are not reserved are needed for prefill.
+const BUSY_PREFILL_WAIT: Duration = Duration::from_millis(60);
 /// Upper limit on decode-heavy requests per reserved engine. With more, each token gets slower, and
 /// more arrive at once than an engine that has turned cold sustains.
 const MAX_REQUESTS_PER_ENGINE: f64 = 45.0;
@@ -50,15 +53,24 @@
 
 impl Reservation {
     /// Returns how many of `engines` are reserved, for the number of decode-heavy requests that run
-    /// over all daemons, and the slots of an engine.
-    pub fn update(&mut self, running: u32, slots: u32, engines: usize, now: Instant) -> usize {
+    /// over all daemons, the slots of an engine, and the mean time that prompts wait for prefill.
+    pub fn update(
+        &mut self,
+        running: u32,
+        slots: u32,
+        engines: usize,
+        prefill_wait: Duration,
+        now: Instant,
+    ) -> usize {
         let elapsed =
             self.updated.map_or(SMOOTHING_INTERVAL, |updated| now.duration_since(updated));
         self.updated = Some(now);
         let gain = (elapsed.as_secs_f64() / SMOOTHING_INTERVAL.as_secs_f64()).min(1.0);
         let running = f64::from(running);
         self.running = running.max(self.running + gain * (running - self.running));
-        let per_engine = (f64::from(slots) * FILL_RATIO).clamp(1.0, MAX_REQUESTS_PER_ENGINE);
+        let [idle, busy] = FILL_RATIOS;
+        let fill = idle + (busy - idle) * prefill_wait.div_duration_f64(BUSY_PREFILL_WAIT).min(1.0);
+        let per_engine = (f64::from(slots) * fill).clamp(1.0, MAX_REQUESTS_PER_ENGINE);
         let needed = (self.running / per_engine).ceil() as usize;
         let release_below = self.engines.saturating_sub(1) as f64 * per_engine * RELEASE_RATIO;
         if needed > self.engines || self.running < release_below {
--- a/crates/policy/tests/local_placement.rs
+++ b/crates/policy/tests/local_placement.rs
@@ -184,18 +184,37 @@
 #[test]
 fn the_number_of_reserved_engines_falls_slowly() {
     let now = Instant::now();
+    let busy = Duration::from_millis(60);
     let mut reservation = Reservation::default();
-    assert_eq!(reservation.update(200, 48, 18, now), 5);
-    assert_eq!(reservation.update(20, 48, 18, now + Duration::from_millis(100)), 5);
-    assert_eq!(reservation.update(20, 48, 18, now + Duration::from_secs(20)), 1);
-    assert_eq!(reservation.update(2_000, 48, 18, now + Duration::from_secs(21)), 9, "at most half");
-    assert_eq!(reservation.update(2_000, 48, 1, now + Duration::from_secs(22)), 0, "none of one");
+    assert_eq!(reservation.update(200, 48, 18, busy, now), 5);
+    assert_eq!(reservation.update(20, 48, 18, busy, now + Duration::from_millis(100)), 5);
+    assert_eq!(reservation.update(20, 48, 18, busy, now + Duration::from_secs(20)), 1);
+    assert_eq!(
+        reservation.update(2_000, 48, 18, busy, now + Duration::from_secs(21)),
+        9,
+        "at most half"
+    );
+    assert_eq!(
+        reservation.update(2_000, 48, 1, busy, now + Duration::from_secs(22)),
+        0,
+        "none of one"
+    );
     assert!(
         reservation::is_decode_heavy(&decode_heavy(1, now))
             && !reservation::is_decode_heavy(&prefill_heavy(1, now))
     );
 }
 
+/// With few slots an engine is soon full, and a request waits for a slot although other engines
+/// have nothing to prefill.
+#[test]
+fn more_engines_are_reserved_while_no_prompt_waits_for_prefill() {
+    let now = Instant::now();
+    let reserved = |prefill_wait| Reservation::default().update(96, 16, 40, prefill_wait, now);
+    assert_eq!(reserved(Duration::from_millis(200)), 6);
+    assert_eq!(reserved(Duration::ZERO), 8);
+}
+
 #[test]
 fn a_full_reserved_engine_spills_over() {
     let now = Instant::now();
