policy: bound the retry time of a refusal by overload

Read in the diff: the predicted excess was unbounded, and a time near the largest Duration would panic when it is extended at random.

--- a/crates/policy/src/local/decider.rs
+++ b/crates/policy/src/local/decider.rs
@@ -40,6 +40,8 @@
 const MIN_OVERDUE_TARGETS: u32 = 2;
 /// The minimum time after which a refused caller is asked to retry.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(150);
+/// The maximum of that time, before it is extended at random.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(10);
 
 /// The backend server for a request, with the figures behind the choice.
 #[derive(Debug, Clone, PartialEq)]
--- a/crates/policy/src/local/decider/placement.rs
+++ b/crates/policy/src/local/decider/placement.rs
@@ -5,7 +5,7 @@
 use hyssop_document::name::Backend;
 
 use super::{
-    Decider, Decision, MIN_RETRY_AFTER, Placement, Reason, connection_share,
+    Decider, Decision, MAX_RETRY_AFTER, MIN_RETRY_AFTER, Placement, Reason, connection_share,
     cost::{Context, Cost, SMALL_FLEET_MEMBERS, cost},
     overdue_after,
     prefix::{cache_choices, first_choice},
@@ -116,7 +116,8 @@
         let mut placement = match self.cheapest(&selection.candidates, partition, demand, now) {
             Ok(placement) => placement,
             Err(Overload { excess, predicted }) => {
-                let retry_after = excess.max(MIN_RETRY_AFTER).mul_f64(self.retry_jitter());
+                let retry_after = excess.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
+                let retry_after = retry_after.mul_f64(self.retry_jitter());
                 let predicted = Some(predicted);
                 return Decision::Refuse { reason: Reason::Overload, retry_after, predicted };
             }
