policy: keep engines open for more urgent routes, not for urgent workspaces

A few workspaces have a tier of their own; one request of theirs in 5 s kept every engine from all other reads that were predicted after 0.7 of the same target. So did the few letters whose expected output is short, as a kind of their own.

Change: room is kept for routes with a more urgent tier; a kind is decode-heavy if most of its requests are; engines that a kind uses only when it spills over are kept open up to 1.4 of its target instead of 0.7.

Test: a_few_urgent_workspaces_do_not_keep_engines_from_the_others (seen failing).

--- a/crates/policy/src/local/decider/placement.rs
+++ b/crates/policy/src/local/decider/placement.rs
@@ -179,12 +179,17 @@
             let Cost { cost, predicted, uncached_tokens } =
                 cost(state, *load, is_first_choice, &context);
             let backlog = state.backlog(*load);
-            let affected =
-                more_urgent.iter().filter(|kind| partition.allows(kind.decode_heavy, *reserved));
+            let affected = more_urgent
+                .iter()
+                .filter(|kind| partition.allows(kind.is_decode_heavy(), *reserved));
             let excess = affected
                 .map(|kind| {
+                    let ratio = match kind.is_decode_heavy() == *reserved {
+                        true => MORE_URGENT_TARGET_RATIO,
+                        false => MAX_TARGET_RATIO,
+                    };
                     let first_event = model.time_to_first_event(&backlog, kind.prefill_tokens);
-                    first_event.saturating_sub(kind.target.mul_f64(MORE_URGENT_TARGET_RATIO))
+                    first_event.saturating_sub(kind.target.mul_f64(ratio))
                 })
                 .fold(predicted.saturating_sub(bound), Duration::max);
             if !excess.is_zero() {
--- a/crates/policy/tests/local_urgency.rs
+++ b/crates/policy/tests/local_urgency.rs
@@ -213,3 +213,26 @@
         );
     }
 }
+
+/// Workspaces may have a tier of their own. Engines admit their requests first; they must not keep
+/// the engines from all other requests of the route, and a response of unusual length must not count
+/// as a kind of its own.
+#[test]
+fn a_few_urgent_workspaces_do_not_keep_engines_from_the_others() {
+    let now = Instant::now();
+    let mut decider = decider("a");
+    decider.set_servers((0..6).map(engine).collect());
+    let load = Load { running: 5, pending_tokens: 25_000, ..Load::default() };
+    let loads: Vec<_> = (0..6).map(|i| (engine(i).hash, load, Duration::ZERO)).collect();
+    decider.record_peer(PEER, &loads, now);
+    let urgent = Demand { tier: Tier(1), ..question(0, now) };
+    assert!(is_sent(&decider.place_request(&urgent, now)));
+    for number in 0..20 {
+        let letter = Demand { route_tier: Tier(0), ..decode_heavy(number, now) };
+        assert!(is_sent(&decider.place_request(&letter, now)));
+    }
+    let short_letter = Demand { output_tokens: 1, route_tier: Tier(0), ..decode_heavy(99, now) };
+    assert!(is_sent(&decider.place_request(&short_letter, now)));
+    let decision = decider.place_request(&question(1, now), now);
+    assert!(is_sent(&decision), "{decision:?}");
+}
