--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -221,7 +221,7 @@
     pub(crate) fn has_alternative(&self, exchange: &Exchange) -> bool {
         let mut demand = self.demand.clone();
         demand.excluded.push(exchange.server.name.clone());
-        (demand.is_repeat, demand.may_have_run) = (true, true);
+        demand.record_run();
         let decision = self.gateway.decider.lock().place_request(&demand, Instant::now());
         matches!(decision, Decision::Send(_))
     }
@@ -314,7 +314,7 @@
                 exchange.finish(End::Complete);
                 self.saved_response = Some((head, body));
                 self.demand.excluded.push(server);
-                (self.demand.is_repeat, self.demand.may_have_run) = (true, true);
+                self.demand.record_run();
                 TryResult::Retry
             }
             Err(error) => {
@@ -349,7 +349,7 @@
             End::Failed
         });
         self.demand.excluded.push(server.name.clone());
-        (self.demand.is_repeat, self.demand.may_have_run) = (true, true);
+        self.demand.record_run();
         if error.may_be_crash() {
             let now = Instant::now();
             self.gateway.suspects.lock().record_failure(&server.name, self.fingerprint, now);
--- a/crates/policy/src/local/decider/cost.rs
+++ b/crates/policy/src/local/decider/cost.rs
@@ -55,6 +55,7 @@
     pub(super) uncached_tokens: u32,
 }
 
+/// The cost of a candidate. `is_first_choice` means that all daemons expect the shared prefix there.
 pub(super) fn cost(
     state: &ServerState,
     load: Load,
--- a/crates/policy/src/local/decider/placement.rs
+++ b/crates/policy/src/local/decider/placement.rs
@@ -10,7 +10,14 @@
     overdue_after,
     prefix::{cache_choices, first_choice},
 };
-use crate::local::{affinity, demand::Demand, reservation, server::Load};
+use crate::local::{
+    affinity,
+    demand::Demand,
+    latency::{Backlog, Model},
+    reservation,
+    server::Load,
+    urgency::{Kind, Kinds},
+};
 
 /// The fraction of the time left before the deadline after which a first event is of no use.
 const USABLE_TIME_RATIO: f64 = 0.85;
@@ -21,8 +28,8 @@
 /// The same multiple while less urgent requests arrive too. These are refused first, and engines
 /// admit the more urgent ones before them.
 const MAX_URGENT_TARGET_RATIO: f64 = 2.8;
-/// The same multiple for the targets of more urgent requests, within which an engine must still serve
-/// these after a less urgent one. Smaller, as their queues grow between two heartbeats.
+/// The multiple of the targets of more urgent requests within which an engine must still serve these
+/// after a less urgent one. Smaller, as their queues grow between two heartbeats.
 const MORE_URGENT_TARGET_RATIO: f64 = 0.7;
 /// The maximum random extension of a retry time, as a fraction: callers must not return together.
 const RETRY_JITTER_RATIO: f64 = 0.5;
@@ -151,13 +158,7 @@
         demand: &Demand,
         now: Instant,
     ) -> Result<Placement, Overload> {
-        let kinds = self.kinds.get(&demand.pool);
-        let more_urgent = match kinds {
-            Some(kinds) if !demand.may_have_run => kinds.more_urgent(demand, now),
-            _ => Vec::new(),
-        };
-        let has_less_urgent = kinds.is_some_and(|kinds| kinds.has_less_urgent(demand, now));
-        let bound = latest_first_event(demand, has_less_urgent, now);
+        let limits = Limits::new(self.kinds.get(&demand.pool), partition, demand, now);
         let first_choice = first_choice(candidates, demand);
         let model = self.model(demand);
         let context = Context {
@@ -178,20 +179,7 @@
             let is_first_choice = first_choice == Some(*hash);
             let Cost { cost, predicted, uncached_tokens } =
                 cost(state, *load, is_first_choice, &context);
-            let backlog = state.backlog(*load);
-            let affected = more_urgent
-                .iter()
-                .filter(|kind| partition.allows(kind.is_decode_heavy(), *reserved));
-            let excess = affected
-                .map(|kind| {
-                    let ratio = match kind.is_decode_heavy() == *reserved {
-                        true => MORE_URGENT_TARGET_RATIO,
-                        false => MAX_TARGET_RATIO,
-                    };
-                    let first_event = model.time_to_first_event(&backlog, kind.prefill_tokens);
-                    first_event.saturating_sub(kind.target.mul_f64(ratio))
-                })
-                .fold(predicted.saturating_sub(bound), Duration::max);
+            let excess = limits.excess(predicted, &model, &state.backlog(*load), *reserved);
             if !excess.is_zero() {
                 overload.excess = overload.excess.min(excess);
                 overload.predicted = overload.predicted.min(predicted);
@@ -342,6 +330,50 @@
     }
 }
 
+/// The times within which engines must be able to serve a request, and more urgent ones after it.
+struct Limits {
+    /// The maximum predicted time to the first event of the request.
+    first_event: Duration,
+    /// The more urgent kinds of requests that still have to be served in time.
+    more_urgent: Vec<Kind>,
+    partition: Partition,
+}
+
+impl Limits {
+    /// The limits of a request. One that may have run can't be refused for the sake of others.
+    fn new(kinds: Option<&Kinds>, partition: Partition, demand: &Demand, now: Instant) -> Self {
+        let more_urgent = match kinds {
+            Some(kinds) if !demand.may_have_run => kinds.more_urgent(demand, now),
+            _ => Vec::new(),
+        };
+        let has_less_urgent = kinds.is_some_and(|kinds| kinds.has_less_urgent(demand, now));
+        let first_event = latest_first_event(demand, has_less_urgent, now);
+        Self { first_event, more_urgent, partition }
+    }
+
+    /// By how much the first event of the request, or of a more urgent one after it, would be too
+    /// late at an engine. Zero if all are in time.
+    fn excess(
+        &self,
+        predicted: Duration,
+        model: &Model,
+        backlog: &Backlog,
+        engine_is_reserved: bool,
+    ) -> Duration {
+        let users = self
+            .more_urgent
+            .iter()
+            .filter(|kind| self.partition.allows(kind.is_decode_heavy(), engine_is_reserved));
+        let excesses = users.map(|kind| {
+            let spills_over = kind.is_decode_heavy() != engine_is_reserved;
+            let ratio = if spills_over { MAX_TARGET_RATIO } else { MORE_URGENT_TARGET_RATIO };
+            let first_event = model.time_to_first_event(backlog, kind.prefill_tokens);
+            first_event.saturating_sub(kind.target.mul_f64(ratio))
+        });
+        excesses.fold(predicted.saturating_sub(self.first_event), Duration::max)
+    }
+}
+
 /// No candidate serves a request and the more urgent ones in time.
 struct Overload {
     /// By how much the best candidate misses a bound.
--- a/crates/policy/src/local/demand.rs
+++ b/crates/policy/src/local/demand.rs
@@ -47,6 +47,12 @@
 }
 
 impl Demand {
+    /// Records that a backend server may have run the request, or part of it.
+    pub fn record_run(&mut self) {
+        self.is_repeat = true;
+        self.may_have_run = true;
+    }
+
     /// Orders requests: the smallest value is the most urgent.
     pub fn urgency(&self) -> (Tier, Tier) {
         (self.tier, self.route_tier)
