gateway: daemons that start read the source at once again

The wait for a peer's records saved calls to the store, which are priced; callers had nothing of it.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -47,8 +47,6 @@
     pub incarnation: u64,
     /// Whether the whole fleet starts for the first time, so that there are no earlier members.
     pub first_start: bool,
-    /// Whether the daemon is one of those from which the others discover the fleet.
-    pub is_seed: bool,
     /// The host's capacity, in requests per second.
     pub weight: u16,
     /// The maximum number of bytes of request bodies held at once.
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -24,10 +24,6 @@
 const WATCH_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// How often an idle daemon checks whether it must read the source, unless its role changes before.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
-/// How long after its start a daemon first reads the source, unless it is idle by then and a peer has
-/// sent its records. Seeds read it at once. If a whole fleet did, its reads would exceed the rate of
-/// the source. Longer than a turn of heartbeats in a fleet of 200 daemons.
-const START_DELAY: Duration = Duration::from_millis(1_500);
 /// The delay after the first failure.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// The maximum delay of a watcher.
@@ -76,21 +72,12 @@
     stop.run_until_cancelled(watch_source(&gateway, &*source)).await;
 }
 
-/// Whether the daemon has applied records, from the source or a peer.
-fn has_records(gateway: &Gateway) -> bool {
-    gateway.cache.snapshot().environment.is_some()
-}
-
 async fn watch_source(gateway: &Gateway, source: &dyn Source) {
     let mut position = None;
     let mut delay = MIN_RETRY_DELAY;
-    if !gateway.settings.is_seed {
-        let jitter = rand::rng().random_range(0.8..1.0);
-        tokio::time::sleep(START_DELAY.mul_f64(jitter)).await;
-    }
     loop {
         let suspended = gateway.cache.is_suspended();
-        if has_records(gateway) && !suspended && gateway.role() == Role::Idle {
+        if position.is_some() && !suspended && gateway.role() == Role::Idle {
             // Peers provide the changes. The position stays, so a later watch reads them once more.
             gateway.set_watches_source(false);
             timeout(IDLE_CHECK_INTERVAL, gateway.role_changed.notified()).await.ok();
