gateway: the log of a response tells how its body was delimited

It now has `delimiter` (none, length, chunks, close) and `partial_bytes`. No decision changes: the filter that completes events runs on streams that may not be resumed too, but its output is used on the others only.

--- a/crates/gateway/src/http/framing.rs
+++ b/crates/gateway/src/http/framing.rs
@@ -28,6 +28,23 @@
     End,
 }
 
+/// What marks the end of a body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum Delimiter {
+    /// There is no body.
+    #[display("none")]
+    None,
+    /// The length that the head declares.
+    #[display("length")]
+    Length,
+    /// The last chunk.
+    #[display("chunks")]
+    Chunks,
+    /// The end of the connection.
+    #[display("close")]
+    Close,
+}
+
 /// The decoder's position in a body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Framing {
@@ -48,6 +65,18 @@
 }
 
 impl Framing {
+    /// What marks the end of the body, for a body of which nothing has been read.
+    pub fn delimiter(self) -> Delimiter {
+        match self {
+            Self::Done => Delimiter::None,
+            Self::Length(_) => Delimiter::Length,
+            Self::ChunkSize | Self::ChunkData(_) | Self::ChunkEnd | Self::Trailers => {
+                Delimiter::Chunks
+            }
+            Self::UntilClose => Delimiter::Close,
+        }
+    }
+
     /// Decodes and removes the next bytes of `buffer`.
     ///
     /// # Errors
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -11,7 +11,7 @@
     call::{Call, Error, Exchange, Failure},
     events::EventFilter,
     http::{
-        framing::{Framing, Step},
+        framing::{Delimiter, Framing, Step},
         head::Head,
     },
     intake::elapsed_ms,
@@ -29,9 +29,12 @@
     call: Call,
     exchange: Exchange,
     framing: Framing,
+    delimiter: Delimiter,
     status: u16,
-    /// Present for streams that may be resumed.
+    /// Present for streams.
     event_filter: Option<EventFilter>,
+    /// Whether the body is a stream that may be resumed.
+    resumable: bool,
     first_event_at: Option<Instant>,
     chunks: u32,
     bytes: u64,
@@ -42,13 +45,15 @@
     /// Creates a relay for the body after `head`. `streams` states that it is an event stream.
     pub fn new(call: Call, exchange: Exchange, head: &Head, streams: bool) -> Self {
         let resumable = streams && call.route.retry_policy.allows_rerun();
-        let event_filter = resumable.then(|| EventFilter::after(call.last_event_id));
+        let event_filter = streams.then(|| EventFilter::after(call.last_event_id));
         Self {
             framing: head.framing,
+            delimiter: head.framing.delimiter(),
             status: head.status.as_u16(),
             call,
             exchange,
             event_filter,
+            resumable,
             first_event_at: None,
             chunks: 0,
             bytes: 0,
@@ -57,13 +62,11 @@
     }
 
     async fn read(&mut self) -> Result<Step, Error> {
-        let resume_timeout = match (&self.event_filter, self.call.may_rerun()) {
-            (Some(_), true) => self
-                .call
-                .route
-                .max_event_gap
-                .map_or(DEFAULT_RESUME_GAP, |gap| gap * RESUME_GAP_FACTOR),
-            _ => Duration::MAX,
+        let resume_timeout = if self.resumable && self.call.may_rerun() {
+            let max_gap = self.call.route.max_event_gap;
+            max_gap.map_or(DEFAULT_RESUME_GAP, |gap| gap * RESUME_GAP_FACTOR)
+        } else {
+            Duration::MAX
         };
         loop {
             let left = self.call.deadline.saturating_duration_since(Instant::now());
@@ -87,10 +90,8 @@
             let after = now.duration_since(self.call.arrived);
             self.call.gateway.metrics.observe_first_event(&self.call.route.name, after);
         }
-        let data = match &mut self.event_filter {
-            Some(event_filter) => event_filter.push(&data),
-            None => data,
-        };
+        let complete_events = self.event_filter.as_mut().map(|filter| filter.push(&data));
+        let data = complete_events.filter(|_| self.resumable).unwrap_or(data);
         if data.is_empty() {
             return None;
         }
@@ -102,14 +103,18 @@
     /// Finishes along with the last data if the end of the body has been received: `hyper` does not
     /// poll a body beyond the announced length, so the end would go unnoticed.
     fn finish_at_end(&mut self) {
-        let events_complete =
-            self.event_filter.as_ref().is_none_or(|event_filter| event_filter.partial().is_empty());
+        let events_complete = !self.resumable || self.partial_bytes() == 0;
         if events_complete && self.exchange.take_end(&mut self.framing) {
             self.exchange.finish(End::Complete);
             self.record_end("");
         }
     }
 
+    /// The size of the incomplete event at the end of what has been received.
+    fn partial_bytes(&self) -> usize {
+        self.event_filter.as_ref().map_or(0, |event_filter| event_filter.partial().len())
+    }
+
     /// Logs and counts the end of the response. An empty `reason` means that it is complete.
     fn record_end(&mut self, reason: &str) {
         self.done = true;
@@ -120,6 +125,7 @@
             event = "answered", id = %call.meta.id, route = %call.route.name, status = self.status,
             reason, server = %self.exchange.server.name, first_ms,
             after_ms = elapsed_ms(call.arrived), parts = self.chunks, bytes = self.bytes,
+            delimiter = %self.delimiter, partial_bytes = self.partial_bytes(),
             version = call.version
         );
         call.gateway.metrics.count_response(&call.route.name, self.status, reason);
@@ -128,7 +134,7 @@
 
     /// Resumes the stream at another backend server after the last complete event.
     async fn resume(&mut self, error: Error) -> Result<(), Failure> {
-        let Some(event_filter) = &mut self.event_filter else {
+        let Some(event_filter) = self.event_filter.as_mut().filter(|_| self.resumable) else {
             self.call.record_failure(&mut self.exchange, &error);
             return Err(Failure::Broken(error));
         };
@@ -145,6 +151,7 @@
         }
         self.exchange = exchange;
         self.framing = head.framing;
+        self.delimiter = head.framing.delimiter();
         Ok(())
     }
 }
@@ -163,9 +170,7 @@
                     }
                     None => continue,
                 },
-                Ok(Step::End)
-                    if self.event_filter.as_ref().is_none_or(|s| s.partial().is_empty()) =>
-                {
+                Ok(Step::End) if !self.resumable || self.partial_bytes() == 0 => {
                     self.exchange.finish(End::Complete);
                     self.record_end("");
                     return None;
