gateway: events that arrive with the break of their stream are passed on

What callers saw: when the last events of a stream and the end of the connection from its engine arrived in one read, the caller's connection was closed without the response head and without these events.

Cause: `hyper` writes what it has buffered when it waits for the body. The body returned the events and, on the next poll, the error; on an error `hyper` drops its buffer. The body now waits once before the error.

Evidence: events_that_arrive_with_the_break_of_their_stream_are_passed_on got status 0 before, 20 of 20 runs pass after. Events that the caller's socket has no room for at that moment are still dropped.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -181,6 +181,9 @@
             if let Err(failure) = self.resume(error).await {
                 tracing::info!(event = "broken_off", id = %self.call.meta.id, failure = ?failure);
                 self.record_end("broken_off");
+                // On an error `hyper` drops what it has not written, and it writes when it waits
+                // for the body.
+                tokio::task::yield_now().await;
                 return Some(Err(Aborted));
             }
         }
