gateway: a stream that ends inside an event is broken off, whatever its framing

Cause: the filter that passes on complete events ran only on streams that may be resumed. On the others the end of the framing counted as the end of the stream. A body that ends with its connection has no other mark of its end, so the close of the engine's connection inside an event looked like the end.

Change: the filter runs on all streams. Where they may not be resumed it holds back an incomplete event and drops nothing.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -1,29 +1,30 @@
-//! Filter for event streams that passes on complete events only, each once.
+//! Filter for event streams that passes on complete events only.
 
 use bytes::{Bytes, BytesMut};
 
-/// Holds back incomplete events of a stream and drops repeated ones.
+/// Holds back incomplete events of a stream, and drops repeated ones if the stream may be resumed.
 #[derive(Debug, Default)]
 pub struct EventFilter {
     /// The bytes of an incomplete event.
     partial: BytesMut,
     /// The id of the last event passed on.
     pub last_event_id: Option<u64>,
+    drops_repeated: bool,
 }
 
 impl EventFilter {
-    /// Creates a filter that drops events up to `last_event_id`.
+    /// Creates a filter that drops events up to `last_event_id`, and later events that are repeated.
     pub fn after(last_event_id: Option<u64>) -> Self {
-        Self { partial: BytesMut::new(), last_event_id }
+        Self { partial: BytesMut::new(), last_event_id, drops_repeated: true }
     }
 
-    /// Adds bytes of the stream and returns the events that are now complete and not repeated.
+    /// Adds bytes of the stream and returns the events that are now complete, without those to drop.
     pub fn push(&mut self, data: &Bytes) -> Bytes {
         self.partial.extend_from_slice(data);
         let Some(end) = last_end(&self.partial) else { return Bytes::new() };
         let complete = self.partial.split_to(end).freeze();
         let mut from = 0;
-        while from < complete.len() {
+        while self.drops_repeated && from < complete.len() {
             let length = first_end(&complete[from..]).unwrap_or(complete.len() - from);
             match event_id(&complete[from..from + length]) {
                 Some(id) if self.last_event_id.is_some_and(|last| id <= last) => from += length,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -45,7 +45,10 @@
     /// Creates a relay for the body after `head`. `streams` states that it is an event stream.
     pub fn new(call: Call, exchange: Exchange, head: &Head, streams: bool) -> Self {
         let resumable = streams && call.route.retry_policy.allows_rerun();
-        let event_filter = streams.then(|| EventFilter::after(call.last_event_id));
+        let event_filter = streams.then(|| match resumable {
+            true => EventFilter::after(call.last_event_id),
+            false => EventFilter::default(),
+        });
         Self {
             framing: head.framing,
             delimiter: head.framing.delimiter(),
@@ -90,8 +93,10 @@
             let after = now.duration_since(self.call.arrived);
             self.call.gateway.metrics.observe_first_event(&self.call.route.name, after);
         }
-        let complete_events = self.event_filter.as_mut().map(|filter| filter.push(&data));
-        let data = complete_events.filter(|_| self.resumable).unwrap_or(data);
+        let data = match &mut self.event_filter {
+            Some(event_filter) => event_filter.push(&data),
+            None => data,
+        };
         if data.is_empty() {
             return None;
         }
@@ -103,8 +108,7 @@
     /// Finishes along with the last data if the end of the body has been received: `hyper` does not
     /// poll a body beyond the announced length, so the end would go unnoticed.
     fn finish_at_end(&mut self) {
-        let events_complete = !self.resumable || self.partial_bytes() == 0;
-        if events_complete && self.exchange.take_end(&mut self.framing) {
+        if self.partial_bytes() == 0 && self.exchange.take_end(&mut self.framing) {
             self.exchange.finish(End::Complete);
             self.record_end("");
         }
@@ -170,7 +174,8 @@
                     }
                     None => continue,
                 },
-                Ok(Step::End) if !self.resumable || self.partial_bytes() == 0 => {
+                // Whatever the framing says, a stream that ends inside an event is incomplete.
+                Ok(Step::End) if self.partial_bytes() == 0 => {
                     self.exchange.finish(End::Complete);
                     self.record_end("");
                     return None;
--- a/crates/gateway/tests/events.rs
+++ b/crates/gateway/tests/events.rs
@@ -1,4 +1,4 @@
-//! The event filter passes on complete events only, each once.
+//! The event filter passes on complete events only, and each once if the stream may be resumed.
 
 use bytes::Bytes;
 use hyssop_gateway::events::EventFilter;
@@ -48,6 +48,13 @@
     }
 }
 
+#[test]
+fn events_of_a_stream_that_may_not_resume_are_not_dropped() {
+    let text = stream(1..=3) + &stream(2..=4);
+    let mut event_filter = EventFilter::default();
+    assert_eq!(push_in_chunks(&mut event_filter, &text, 7), text);
+}
+
 #[test]
 fn lines_before_the_id_belong_to_their_event() {
     let text = "weight-versions: 2\nid: 4\ndata: x\n\n";
