gateway: a broken response to an HTTP/1.0 caller ends with a reset

A response to HTTP/1.0 has no length and no chunks, so the close of the connection is its only end mark, and `hyper` closes it in the same way after an error.

Change: if the body failed, a connection whose last request was HTTP/1.0 is reset. Others are closed as before: the missing last chunk shows that the body is incomplete, and a reset would discard events on their way to the caller.

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -1,9 +1,17 @@
 //! HTTP listeners for callers' requests, the directory, readiness and metrics.
 
-use std::{convert::Infallible, future::Future, pin::pin, sync::Arc, time::Duration};
+use std::{
+    convert::Infallible,
+    future::Future,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use hyper::{
-    Request, Response, StatusCode,
+    Request, Response, StatusCode, Version,
     body::Incoming,
     header::{CONNECTION, CONTENT_TYPE, HeaderValue},
     server::conn::http1,
@@ -11,6 +19,7 @@
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyssop_view::heartbeat::Phase;
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::{
@@ -57,31 +66,43 @@
     let limits = gateway.cache.snapshot().environment.as_ref().map(|env| env.limits);
     let idle = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout + IDLE_SLACK);
     let head_bytes = limits.map_or(0, |limits| limits.max_head_bytes).max(MIN_HEAD_BUFFER_BYTES);
+    // Whether the close of the connection may be what marks the end of the response.
+    let delimited_by_close = AtomicBool::new(false);
     let service = service_fn(|request| {
         let gateway = Arc::clone(&gateway);
+        delimited_by_close.store(request.version() == Version::HTTP_10, Ordering::Relaxed);
         async move { Ok::<_, Infallible>(intake::handle(gateway, request).await) }
     });
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         // This timeout covers both a head that arrives slowly and an idle connection.
         .header_read_timeout(idle)
         .max_buf_size(head_bytes)
         .serve_connection(TokioIo::new(stream), service);
-    let mut connection = pin!(connection);
     let served = tokio::select! {
-        served = connection.as_mut() => served,
+        served = &mut connection => served,
         () = gateway.closing.cancelled() => {
             // Closes an idle connection at once, and a connection in use after its response.
-            connection.as_mut().graceful_shutdown();
-            connection.await
+            Pin::new(&mut connection).graceful_shutdown();
+            (&mut connection).await
         }
     };
     if let Err(error) = served {
         tracing::debug!(event = "connection_ended", %error);
+        if error.is_user() && delimited_by_close.load(Ordering::Relaxed) {
+            reset_on_close(connection.into_parts().io.inner());
+        }
     }
     gateway.metrics.connections.dec();
 }
 
+/// Makes the close of a connection a reset, which the caller can tell from the end of a response.
+fn reset_on_close(stream: &TcpStream) {
+    if let Err(error) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
+        tracing::warn!(event = "connection_not_reset", %error);
+    }
+}
+
 /// Handles a request to the directory, readiness or metrics listener. The adapter of each platform
 /// defines the paths.
 pub type Responder = Arc<dyn Fn(&Request<Incoming>) -> Response<Body> + Send + Sync>;
