gateway: logs tell the build of backend servers and the stream that a caller takes up

`server` and `sent` now have `build`, the version of the backend server's software, and `sent` has `resumes`, the request that brought the first event of a stream that its caller takes up. No decision changes.

--- a/crates/document/src/lib.rs
+++ b/crates/document/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`model::Document`] or returns every fault; [`catalog::Catalog`] indexes the result.
 
 pub mod advice;
+pub mod build;
 pub mod catalog;
 pub mod collections;
 pub mod difference;
--- a/crates/gateway/src/cache.rs
+++ b/crates/gateway/src/cache.rs
@@ -289,6 +289,7 @@
         Value::Server(server) => {
             tracing::info!(
                 event = "server", server = %server.name, pool = %server.pool, zone = %server.zone,
+                build = %server.build,
                 state = %server.state, address = %server.address,
                 cold_ms = server.cold_for.as_millis() as u64, %revision, %origin
             );
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -176,7 +176,8 @@
             applied = %snapshot.applied,
             source_age_ms = self.gateway.cache.source_age_ms(now),
             left_ms = self.time_left().as_millis() as u64,
-            waited_ms = elapsed_ms(self.arrived), after_event = self.last_event_id
+            waited_ms = elapsed_ms(self.arrived), after_event = self.last_event_id,
+            build = %exchange.server.build, resumes = self.meta.resumes.as_deref()
         );
         let non_idempotent = self.route.retry_policy == RetryPolicy::AtMostOnce;
         if let Err(error) = exchange.connect(non_idempotent).await {
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -22,6 +22,8 @@
     pub deadline: Option<Duration>,
     /// The id of the last event that the caller has received.
     pub last_event_id: Option<u64>,
+    /// The id of the request that brought the first event, if the caller takes up a stream.
+    pub resumes: Option<CompactString>,
     /// The segments of the prompt in order.
     pub segments: Vec<Segment>,
     /// The number of tokens in the prompt, 0 if the caller states none, as for plain services.
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -3,7 +3,10 @@
 use std::{net::SocketAddr, time::Duration};
 
 use compact_str::CompactString;
-use hyssop_document::name::{Backend, Pool, Zone};
+use hyssop_document::{
+    build::Build,
+    name::{Backend, Pool, Zone},
+};
 
 use crate::environment::Environment;
 
@@ -32,6 +35,8 @@
     pub address: SocketAddr,
     /// The availability zone.
     pub zone: Zone,
+    /// The version of the server's software.
+    pub build: Build,
     /// The number of requests that the server runs at a time, or 0 if it is not declared.
     pub slots: u32,
     /// Whether the server accepts requests.
