policy: a broken stream is continued only at the build that began it

Change: a request carries the build of the first backend server whose events its caller got, and is placed only there. Without such a backend server the stream is broken off. How engines are reserved is still computed over the whole pool.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -27,6 +27,7 @@
     gateway::Gateway,
     http::head::Head,
     intake::elapsed_ms,
+    record::Server,
     refusal::{Reason, Refusal},
     relay::Relay,
 };
@@ -218,6 +219,12 @@
         exchange.receive_head(&self.method, &self.meta.id, self.time_left()).await
     }
 
+    /// Records that the caller gets the first event of a stream from `server`. If the stream may be
+    /// continued, then only by backend servers of the same build.
+    pub(crate) fn begin_stream(&mut self, server: &Server) {
+        self.demand.build.get_or_insert_with(|| server.build.clone());
+    }
+
     /// Whether another backend server would accept the request now.
     pub(crate) fn has_alternative(&self, exchange: &Exchange) -> bool {
         let mut demand = self.demand.clone();
--- a/crates/gateway/src/call/builder.rs
+++ b/crates/gateway/src/call/builder.rs
@@ -108,6 +108,7 @@
             arrived: self.arrived,
             target: self.route.target_latency,
             deadline: self.deadline,
+            build: None,
             excluded: Vec::new(),
             is_repeat: false,
             may_have_run: false,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -203,6 +203,7 @@
         hash: name_hash(server.name.as_str()),
         pool: server.pool.clone(),
         zone: server.zone.clone(),
+        build: server.build.clone(),
         slots: if slots == 0 { DEFAULT_SLOTS } else { slots },
         cache_tokens: pool.engine.map(|engine| engine.cache_tokens),
         fetch_tokens_per_ms: pool.engine.and_then(|engine| engine.fetch_tokens_per_ms),
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -36,6 +36,10 @@
     /// No backend server of the pool is in service.
     #[display("no_server")]
     NoServer,
+    /// The request continues a stream, and no backend server of the build that began it is in
+    /// service.
+    #[display("other_build")]
+    OtherBuild,
     /// All backend servers are cold, and this daemon's share of their capacity is used up.
     #[display("cold")]
     Cold,
@@ -75,6 +79,7 @@
             Self::NotReady
             | Self::Memory
             | Self::NoServer
+            | Self::OtherBuild
             | Self::Cold
             | Self::Connections
             | Self::Overload
@@ -91,6 +96,7 @@
         use hyssop_policy::local::decider::Reason as Refusal;
         match reason {
             Refusal::NoServer => Self::NoServer,
+            Refusal::OtherBuild => Self::OtherBuild,
             Refusal::Cold => Self::Cold,
             Refusal::Connections => Self::Connections,
             Refusal::Overload => Self::Overload,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -100,6 +100,9 @@
         if data.is_empty() {
             return None;
         }
+        if self.event_filter.is_some() {
+            self.call.begin_stream(&self.exchange.server);
+        }
         self.chunks += 1;
         self.bytes += data.len() as u64;
         Some(data)
--- a/crates/gateway/tests/rights.rs
+++ b/crates/gateway/tests/rights.rs
@@ -9,6 +9,7 @@
 
 use hyssop_backend::blame::{Fingerprint, Status};
 use hyssop_document::{
+    build::Build,
     name::{Backend, Host, Pool, Zone},
     number::Tier,
 };
@@ -45,6 +46,7 @@
         hash: name_hash("engine-1"),
         pool: Pool::new("drafts"),
         zone: Zone::new("a"),
+        build: Build::default(),
         slots: 1_000,
         cache_tokens: None,
         fetch_tokens_per_ms: None,
@@ -65,6 +67,7 @@
         arrived: now,
         target: Duration::from_secs(60),
         deadline: now + Duration::from_secs(3_600),
+        build: None,
         excluded: Vec::new(),
         is_repeat,
         may_have_run: false,
--- a/crates/policy/examples/replay/fleet.rs
+++ b/crates/policy/examples/replay/fleet.rs
@@ -6,7 +6,10 @@
     time::{Duration, Instant},
 };
 
-use hyssop_document::name::{Backend, Pool, Zone};
+use hyssop_document::{
+    build::Build,
+    name::{Backend, Pool, Zone},
+};
 use hyssop_policy::local::{
     cold,
     decider::{Decider, Decision, End, Settings},
@@ -132,6 +135,7 @@
         name: Backend::new(&name),
         pool: Pool::new("engines"),
         zone: zone(index % pattern.zones),
+        build: Build::default(),
         slots: pattern.spec.slots as u32,
         cache_tokens: Some(u64::from(pattern.spec.cache_tokens)),
         fetch_tokens_per_ms: pattern.spec.fetch_tokens_per_ms,
--- a/crates/policy/examples/replay/pattern.rs
+++ b/crates/policy/examples/replay/pattern.rs
@@ -229,6 +229,7 @@
             arrived: start + arrived,
             target: self.class.target,
             deadline: start + deadline,
+            build: None,
             excluded: Vec::new(),
             is_repeat: false,
             may_have_run: false,
--- a/crates/policy/src/local/decider.rs
+++ b/crates/policy/src/local/decider.rs
@@ -84,6 +84,10 @@
     /// No backend server of the pool is in service.
     #[display("no_server")]
     NoServer,
+    /// The request continues a stream, and no backend server of the build that began it is in
+    /// service.
+    #[display("other_build")]
+    OtherBuild,
     /// All usable backend servers are cold, and this daemon's share of their rate is used.
     #[display("cold")]
     Cold,
--- a/crates/policy/src/local/decider/placement.rs
+++ b/crates/policy/src/local/decider/placement.rs
@@ -51,6 +51,8 @@
     unreachable: bool,
     /// Whether the engine is reserved for decode-heavy requests.
     reserved: bool,
+    /// Whether its build may get the request.
+    of_build: bool,
 }
 
 impl Candidate {
@@ -82,6 +84,8 @@
 #[derive(Debug, Default)]
 struct Selection {
     candidates: Vec<Candidate>,
+    /// Whether the pool has backend servers, but none of the build that began the stream.
+    other_builds_only: bool,
     /// Whether some are left out because they are cold, and this daemon's share is used.
     cold_share_used: bool,
     /// Whether some are left out because this daemon's connections to them are all in use.
@@ -95,6 +99,8 @@
             Reason::Connections
         } else if self.cold_share_used {
             Reason::Cold
+        } else if self.other_builds_only {
+            Reason::OtherBuild
         } else {
             Reason::NoServer
         }
@@ -107,7 +113,10 @@
     pub fn place_request(&mut self, demand: &Demand, now: Instant) -> Decision {
         let mut selection = self.select(demand, now);
         let partition = match demand.prompt_tokens {
-            0 => Partition::default(),
+            0 => {
+                selection.candidates.retain(|candidate| candidate.of_build);
+                Partition::default()
+            }
             _ => {
                 self.kinds.entry(demand.pool.clone()).or_default().record(demand, now);
                 self.apply_reservation(&mut selection.candidates, demand, now)
@@ -201,15 +210,23 @@
         best.map(|(_, placement)| placement).ok_or(overload)
     }
 
-    /// The backend servers that may get the request now.
+    /// The backend servers that may get the request now, and those of other builds that may get
+    /// requests like it.
     fn select(&mut self, demand: &Demand, now: Instant) -> Selection {
         let mut selection = Selection::default();
         // Used only if all other backend servers are avoided too: a backend server that fails some
         // of its requests still responds to most of them.
         let mut fallback = Vec::new();
+        let (mut servers, mut servers_of_build) = (0, 0);
         for (name, state) in &mut self.servers {
             let server = &state.server;
-            if server.pool != demand.pool || demand.excluded.contains(name) {
+            if server.pool != demand.pool {
+                continue;
+            }
+            let of_build = demand.build.as_ref().is_none_or(|build| *build == server.build);
+            servers += 1;
+            servers_of_build += usize::from(of_build);
+            if demand.excluded.contains(name) {
                 continue;
             }
             let avoided = state.is_avoided(now);
@@ -218,7 +235,7 @@
             }
             let limit = connection_share(server.max_connections, self.members.len());
             if state.requests.len() >= limit {
-                selection.connections_used = true;
+                selection.connections_used |= of_build;
                 continue;
             }
             if state.is_cold(now) {
@@ -229,7 +246,7 @@
                     false => 0,
                 };
                 if state.sends.count(now) >= share {
-                    selection.cold_share_used = true;
+                    selection.cold_share_used |= of_build;
                     continue;
                 }
             }
@@ -246,17 +263,20 @@
                 unreachable,
                 load,
                 reserved: false,
+                of_build,
             });
         }
-        if selection.candidates.is_empty() {
-            selection.candidates = fallback;
+        selection.other_builds_only = servers > 0 && servers_of_build == 0;
+        if !selection.candidates.iter().any(|candidate| candidate.of_build) {
+            selection.candidates.append(&mut fallback);
         }
         exclude_unreachable(&mut selection.candidates);
         exclude_overdue(&mut selection.candidates);
         selection
     }
 
-    /// Keeps only the engines for requests of this kind, if one of them has room.
+    /// Keeps only the engines whose build may get the request, and of these only the engines for
+    /// requests of this kind, if one of them has room.
     fn apply_reservation(
         &mut self,
         engines: &mut Vec<Candidate>,
@@ -270,20 +290,16 @@
         let reservation = self.reservations.entry(demand.pool.clone()).or_default();
         let reserved = reservation.update(decode_heavy, slots, engines.len(), prefill_wait, now);
         engines.sort_by_cached_key(|engine| reservation::rank(engine.hash));
-        let matching = if reservation::is_decode_heavy(demand) {
-            0..reserved
-        } else {
-            reserved..engines.len()
-        };
         engines[..reserved].iter_mut().for_each(|engine| engine.reserved = true);
         let partition = Partition {
             reserved,
             reserved_has_room: engines[..reserved].iter().any(Candidate::has_room),
             unreserved_has_room: engines[reserved..].iter().any(Candidate::has_room),
         };
-        if engines[matching.clone()].iter().any(Candidate::has_room) {
-            engines.truncate(matching.end);
-            engines.drain(..matching.start);
+        engines.retain(|engine| engine.of_build);
+        let decode_heavy = reservation::is_decode_heavy(demand);
+        if engines.iter().any(|engine| engine.reserved == decode_heavy && engine.has_room()) {
+            engines.retain(|engine| engine.reserved == decode_heavy);
         }
         partition
     }
--- a/crates/policy/src/local/demand.rs
+++ b/crates/policy/src/local/demand.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use hyssop_document::{
+    build::Build,
     name::{Backend, Pool},
     number::Tier,
 };
@@ -37,6 +38,9 @@
     pub target: Duration,
     /// When the caller or the route gives up.
     pub deadline: Instant,
+    /// The build that began the stream, if the request continues one. Only backend servers of this
+    /// build may get the request.
+    pub build: Option<Build>,
     /// Backend servers that must not get the request again.
     pub excluded: Vec<Backend>,
     /// Whether a backend server has had the request before, so that a send counts as a repeat.
--- a/crates/policy/src/local/server.rs
+++ b/crates/policy/src/local/server.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use hyssop_document::{
+    build::Build,
     collections::Map,
     name::{Backend, Pool, Zone},
 };
@@ -51,6 +52,8 @@
     pub pool: Pool,
     /// The availability zone.
     pub zone: Zone,
+    /// The version of the software.
+    pub build: Build,
     /// The number of requests that the backend server runs at once.
     pub slots: u32,
     /// The tokens of KV cache, for a model engine.
--- a/crates/policy/tests/local/mod.rs
+++ b/crates/policy/tests/local/mod.rs
@@ -7,6 +7,7 @@
 };
 
 use hyssop_document::{
+    build::Build,
     name::{Backend, Pool, Zone},
     number::Tier,
 };
@@ -37,6 +38,7 @@
         hash: index.wrapping_mul(0x9e37_79b1),
         pool: Pool::new("drafts"),
         zone: Zone::new("a"),
+        build: Build::default(),
         slots: 48,
         cache_tokens: Some(457_270),
         fetch_tokens_per_ms: None,
@@ -73,6 +75,7 @@
         arrived: now,
         target: Duration::from_millis(400),
         deadline: now + Duration::from_secs(4),
+        build: None,
         excluded: Vec::new(),
         is_repeat: false,
         may_have_run: false,
