gateway: a stream that its caller takes up goes on at the build that began it

The reported case began at v1 as on one host and went on at v1.2 as on another.

Cause: the host that a caller turns to can't know which build began the stream, and did not look at Resumes, in which the caller names the request that brought its first event.

Change: the daemon that passes on the first event of a stream that may be resumed records the build at three peers, one in its own zone and the others in other zones, by rendezvous hashing of the request's id (view::origin). A daemon whose caller takes up a stream asks the peers that may have been chosen. Without an answer the only build that the pool has had since the stream can have begun is taken, if the source is reachable; else the request is refused as not run (unknown_build). Callers that send no Resumes are served as long as the pool has had one build.

Ways weighed: the build in heartbeats reaches all daemons, but 100 ms or more after the first event, when a third of a stream is over, and its bytes grow with the fleet. Asking all daemons finds nothing when the host that began the stream is dead. Neither the ids of events nor the request's id can carry the build, as they are the backend server's and the caller's.

Evidence: the three tests of streams that are taken up failed and pass; tests of view::origin over loopback: loss of the daemon and a zone, forged replies, bounds.

--- a/crates/gateway/src/cache.rs
+++ b/crates/gateway/src/cache.rs
@@ -11,13 +11,15 @@
 use arc_swap::ArcSwap;
 use compact_str::CompactString;
 use hyssop_document::{
+    build::Build,
     collections::{Map, Set},
-    name::{Backend, Zone},
+    name::{Backend, Pool, Zone},
 };
 use hyssop_view::sync::RecordProvider;
 use parking_lot::Mutex;
 
 use crate::{
+    builds::DepartedBuilds,
     environment::Environment,
     record::{Decoder, Key, Record, Revision, Server, State, Value},
 };
@@ -81,6 +83,9 @@
     records: Map<CompactString, CachedRecord>,
     environment: Option<Arc<Environment>>,
     servers: Map<Backend, CachedServer>,
+    departed_builds: DepartedBuilds,
+    /// When the first record arrived.
+    known_since: Option<Instant>,
     zones_out: Set<Zone>,
     applied: Revision,
     source_lost_at: Option<Instant>,
@@ -134,6 +139,24 @@
         self.apply(records, Origin::Read, now)
     }
 
+    /// The build of all backend servers that were in a pool at `since` or later, draining ones
+    /// included, if they have the same.
+    pub fn only_build(&self, pool: &Pool, since: Instant) -> Option<Build> {
+        let inner = self.inner.lock();
+        let servers = inner.servers.values().map(|cached| &cached.server);
+        let builds = servers.filter(|server| server.pool == *pool).map(|server| &server.build);
+        let mut builds = builds.chain(inner.departed_builds.since(pool, since));
+        let first = builds.next()?;
+        builds.all(|build| build == first).then(|| first.clone())
+    }
+
+    /// Whether this daemon knew the published state at `since`, and the source is reachable since
+    /// its last outage.
+    pub fn is_current_since(&self, since: Instant) -> bool {
+        let inner = self.inner.lock();
+        inner.source_lost_at.is_none() && inner.known_since.is_some_and(|known| known <= since)
+    }
+
     /// Records that the source can't be reached or refuses calls.
     pub fn on_source_lost(&self, now: Instant) {
         let mut inner = self.inner.lock();
@@ -186,15 +209,18 @@
         if inner.source_lost_at.is_some() {
             return false;
         }
-        let before = inner.servers.len();
-        inner.servers.retain(|name, cached| {
-            let keep = cached.expires_at.is_none_or(|until| until > now);
+        let Inner { servers, departed_builds, .. } = &mut *inner;
+        let before = servers.len();
+        servers.retain(|name, CachedServer { server, expires_at, .. }| {
+            let keep = expires_at.is_none_or(|until| until > now);
             if !keep {
                 tracing::info!(event = "server_gone", server = %name, reason = "lapsed");
+                departed_builds.record(&server.pool, &server.build, now);
             }
             keep
         });
-        let changed = inner.servers.len() < before;
+        departed_builds.expire(now);
+        let changed = servers.len() < before;
         if changed {
             self.publish(&inner);
         }
@@ -218,6 +244,7 @@
             return false;
         }
         inner.applied = inner.applied.max(record.revision);
+        inner.known_since.get_or_insert(now);
         let (key, revision) = (record.key.clone(), record.revision);
         let changed = match &record.value {
             None => remove(inner, &parsed_key, revision, origin, now),
@@ -297,7 +324,9 @@
             let cold_until =
                 (!server.cold_for.is_zero()).then(|| now + server.cold_for.min(MAX_COLD_TIME));
             let cached = CachedServer { server: Arc::new(server), cold_until, expires_at: None };
-            inner.servers.insert(name, cached);
+            if let Some(CachedServer { server, .. }) = inner.servers.insert(name, cached) {
+                inner.departed_builds.record(&server.pool, &server.build, now);
+            }
         }
         Value::ZoneOut(zone) => {
             tracing::info!(event = "zone_out", %zone, %revision, %origin);
@@ -332,7 +361,11 @@
             tracing::info!(
                 event = "server_gone", server = %name, reason = "deleted", %revision, %origin
             );
-            inner.servers.remove(name).is_some()
+            let removed = inner.servers.remove(name);
+            if let Some(CachedServer { server, .. }) = &removed {
+                inner.departed_builds.record(&server.pool, &server.build, now);
+            }
+            removed.is_some()
         }
     }
 }
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -2,6 +2,7 @@
 
 mod buffered;
 mod builder;
+mod continuation;
 mod exchange;
 
 use std::{
@@ -27,7 +28,6 @@
     gateway::Gateway,
     http::head::Head,
     intake::elapsed_ms,
-    record::Server,
     refusal::{Reason, Refusal},
     relay::Relay,
 };
@@ -110,6 +110,9 @@
 
     /// Serves the call and returns the response for the caller.
     pub async fn run(mut self) -> Response<Body> {
+        if let Err(failure) = self.find_build().await {
+            return self.failure_response(failure);
+        }
         match self.open().await {
             Ok((exchange, head)) => self.relay(exchange, &head),
             Err(failure) => self.failure_response(failure),
@@ -219,12 +222,6 @@
         exchange.receive_head(&self.method, &self.meta.id, self.time_left()).await
     }
 
-    /// Records that the caller gets the first event of a stream from `server`. If the stream may be
-    /// continued, then only by backend servers of the same build.
-    pub(crate) fn begin_stream(&mut self, server: &Server) {
-        self.demand.build.get_or_insert_with(|| server.build.clone());
-    }
-
     /// Whether another backend server would accept the request now.
     pub(crate) fn has_alternative(&self, exchange: &Exchange) -> bool {
         let mut demand = self.demand.clone();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -17,6 +17,7 @@
 use hyssop_view::{
     heartbeat::{Phase, name_hash},
     member::{Role, Table},
+    origin::Origins,
 };
 use parking_lot::Mutex;
 use tokio::sync::Notify;
@@ -73,6 +74,8 @@
     pub suspects: Mutex<Suspects>,
     /// The other daemons.
     pub members: Arc<Mutex<Table>>,
+    /// The builds that began streams.
+    pub origins: Origins,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// The bytes of request bodies currently held.
@@ -92,13 +95,16 @@
     /// A gateway with an empty cache of published records.
     pub fn new(settings: Settings, decoder: Box<dyn Decoder>, dialect: Box<dyn Dialect>) -> Self {
         let decider = Decider::new(settings.decider.clone());
+        let members = Arc::new(Mutex::new(Table::new(Instant::now(), settings.first_start)));
+        let origins = Origins::new(settings.zone.clone(), Arc::clone(&members));
         Self {
             cache: Arc::new(Cache::new(decoder)),
             dialect,
             decider: Mutex::new(decider),
             connections: Connections::default(),
             suspects: Mutex::default(),
-            members: Arc::new(Mutex::new(Table::new(Instant::now(), settings.first_start))),
+            members,
+            origins,
             metrics: Metrics::default(),
             body_bytes: AtomicUsize::new(0),
             closing: CancellationToken::new(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! failures.
 
 pub mod body;
+pub mod builds;
 pub mod cache;
 pub mod call;
 pub mod dialect;
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -40,6 +40,9 @@
     /// service.
     #[display("other_build")]
     OtherBuild,
+    /// The request continues a stream, and it is not known which build began it.
+    #[display("unknown_build")]
+    UnknownBuild,
     /// All backend servers are cold, and this daemon's share of their capacity is used up.
     #[display("cold")]
     Cold,
@@ -80,6 +83,7 @@
             | Self::Memory
             | Self::NoServer
             | Self::OtherBuild
+            | Self::UnknownBuild
             | Self::Cold
             | Self::Connections
             | Self::Overload
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -100,7 +100,7 @@
         if data.is_empty() {
             return None;
         }
-        if self.event_filter.is_some() {
+        if self.chunks == 0 && self.event_filter.is_some() {
             self.call.begin_stream(&self.exchange.server);
         }
         self.chunks += 1;
--- a/crates/view/src/lib.rs
+++ b/crates/view/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod gossip;
 pub mod heartbeat;
 pub mod member;
+pub mod origin;
 pub mod record;
 pub mod sync;
