--- a/crates/policy/tests/local_builds.rs
+++ b/crates/policy/tests/local_builds.rs
@@ -4,11 +4,11 @@
 
 use std::time::{Duration, Instant};
 
-use hyssop_document::build::Build;
+use hyssop_document::{build::Build, number::Tier};
 use hyssop_policy::local::{
     decider::{Decider, Decision, End, Reason},
     demand::Demand,
-    server::Server,
+    server::{Load, Server},
 };
 use local::*;
 
@@ -134,3 +134,25 @@
     let decision = decider.place_request(&continued(prefill_heavy(1, now), "v1"), now);
     assert!([engine(0).name, engine(1).name].contains(&expect_send(&decision).server));
 }
+
+/// A release leaves few engines of the old build, so that the streams which only these can finish
+/// meet an overload there.
+#[test]
+fn a_stream_that_only_busy_engines_can_finish_is_not_refused() {
+    let now = Instant::now();
+    let mut decider = released();
+    let busy = Load { running: 30, pending_tokens: 60_000, ..Load::default() };
+    let loads = [0, 1].map(|index| (engine(index).hash, busy, Duration::ZERO));
+    decider.record_peer(PEER, &loads, now);
+    // More urgent requests arrive too, and would be late behind another one.
+    for _ in 0..20 {
+        let urgent = Demand { tier: Tier(1), ..prefill_heavy(1, now) };
+        decider.place_request(&urgent, now);
+    }
+    let new = (2..10).map(|index| engine(index).name).collect();
+    let begins = Demand { excluded: new, ..prefill_heavy(1, now) };
+    assert_eq!(refusal(&decider.place_request(&begins, now)), Reason::Overload);
+    let decision = decider.place_request(&continued(prefill_heavy(1, now), "v1"), now);
+    let placement = expect_send(&decision);
+    assert!(placement.predicted < Duration::from_secs(4), "{placement:?}");
+}
