policy: a stream that has begun is not refused for the sake of others

What callers would see: in a release the engines of one build are few, so the streams that only these can finish were refused by overload, while streams that begin went to the other build. The events that the caller has are wasted then.

Change: a request that continues a stream is limited by its deadline only, like one that may have run.

Evidence: a_stream_that_only_busy_engines_can_finish_is_not_refused failed and passes.

--- a/crates/policy/src/local/decider/placement.rs
+++ b/crates/policy/src/local/decider/placement.rs
@@ -341,7 +341,7 @@
     let usable = demand.deadline.saturating_duration_since(now).mul_f64(USABLE_TIME_RATIO);
     match demand.prompt_tokens {
         0 => usable,
-        _ if demand.may_have_run => usable,
+        _ if demand.has_begun() => usable,
         _ => usable.min(demand.target.mul_f64(ratio)),
     }
 }
@@ -356,10 +356,10 @@
 }
 
 impl Limits {
-    /// The limits of a request. One that may have run can't be refused for the sake of others.
+    /// The limits of a request. One that has begun is not refused for the sake of others.
     fn new(kinds: Option<&Kinds>, partition: Partition, demand: &Demand, now: Instant) -> Self {
         let more_urgent = match kinds {
-            Some(kinds) if !demand.may_have_run => kinds.more_urgent(demand, now),
+            Some(kinds) if !demand.has_begun() => kinds.more_urgent(demand, now),
             _ => Vec::new(),
         };
         let has_less_urgent = kinds.is_some_and(|kinds| kinds.has_less_urgent(demand, now));
--- a/crates/policy/src/local/decider/prefix.rs
+++ b/crates/policy/src/local/decider/prefix.rs
@@ -67,7 +67,7 @@
 /// with different views would have it prefilled at many of them.
 pub(super) fn cache_choices(candidates: &[Candidate], demand: &Demand) -> Option<Vec<u32>> {
     let prefix = demand.shared_prefix()?;
-    if demand.may_have_run || reservation::is_decode_heavy(demand) {
+    if demand.has_begun() || reservation::is_decode_heavy(demand) {
         return None;
     }
     let mut hashes: Vec<u32> = candidates.iter().map(|candidate| candidate.hash).collect();
--- a/crates/policy/src/local/demand.rs
+++ b/crates/policy/src/local/demand.rs
@@ -57,6 +57,11 @@
         self.may_have_run = true;
     }
 
+    /// Whether part of the work is done, so that a refusal would waste it.
+    pub fn has_begun(&self) -> bool {
+        self.may_have_run || self.build.is_some()
+    }
+
     /// Orders requests: the smallest value is the most urgent.
     pub fn urgency(&self) -> (Tier, Tier) {
         (self.tier, self.route_tier)
