--- a/crates/view/tests/origin.rs
+++ b/crates/view/tests/origin.rs
@@ -29,58 +29,66 @@
 static NEXT_FLEET: AtomicU8 = AtomicU8::new(1);
 
 struct Daemon {
+    fleet: u8,
+    ip: IpAddr,
+    zone: Zone,
+    members: Arc<Mutex<Table>>,
     origins: Arc<Origins>,
     task: JoinHandle<()>,
 }
 
 impl Daemon {
+    /// Starts a daemon that knows no others.
+    async fn start(fleet: u8, index: usize, zone: &str) -> Self {
+        let [.., process] = std::process::id().to_be_bytes();
+        let ip = IpAddr::V4(Ipv4Addr::new(127, 90, process, fleet * 16 + index as u8));
+        let zone = Zone::new(zone);
+        let members = Arc::new(Mutex::new(Table::new(Instant::now(), false)));
+        let origins = Arc::new(Origins::new(zone.clone(), Arc::clone(&members)));
+        let socket = UdpSocket::bind((ip, PORT)).await.expect("a free address");
+        let runner = Arc::clone(&origins);
+        let task = tokio::spawn(async move {
+            runner.run(socket, CancellationToken::new()).await.expect("it runs once");
+        });
+        Self { fleet, ip, zone, members, origins, task }
+    }
+
+    /// Records a heartbeat of another daemon.
+    fn discover(&self, other: &Self) {
+        let heartbeat = Heartbeat {
+            host: Host::new(&format!("h-{}", other.ip)),
+            zone: other.zone.clone(),
+            incarnation: 1,
+            caller_address: SocketAddr::new(other.ip, 1),
+            phase: Phase::Ready,
+            weight: 100,
+            applied: Revision(1),
+            watches_source: false,
+            converged: true,
+            members: Vec::new(),
+            loads: Vec::new(),
+            blames: Vec::new(),
+        };
+        self.members.lock().record_heartbeat(other.ip, heartbeat, Instant::now());
+    }
+
     /// Stops to receive and to send, as a host that lost its power.
     fn kill(&self) {
         self.task.abort();
     }
 }
 
-fn heartbeat(host: &str, zone: &str, ip: IpAddr) -> Heartbeat {
-    Heartbeat {
-        host: Host::new(host),
-        zone: Zone::new(zone),
-        incarnation: 1,
-        caller_address: SocketAddr::new(ip, 1),
-        phase: Phase::Ready,
-        weight: 100,
-        applied: Revision(1),
-        watches_source: false,
-        converged: true,
-        members: Vec::new(),
-        loads: Vec::new(),
-        blames: Vec::new(),
-    }
-}
-
 /// Starts daemons that know each other, one in each of `zones`.
 async fn start(zones: &[&str]) -> Vec<Daemon> {
     let fleet = NEXT_FLEET.fetch_add(1, Ordering::Relaxed);
-    let [.., process] = std::process::id().to_be_bytes();
-    let ip = |index: usize| IpAddr::V4(Ipv4Addr::new(127, 90, process, fleet * 16 + index as u8));
-    let now = Instant::now();
     let mut daemons = Vec::new();
-    for (own, zone) in zones.iter().enumerate() {
-        let mut table = Table::new(now, true);
-        for (index, zone) in zones.iter().enumerate().filter(|&(index, _)| index != own) {
-            table.record_heartbeat(
-                ip(index),
-                heartbeat(&format!("h{index}"), zone, ip(index)),
-                now,
-            );
+    for (index, zone) in zones.iter().enumerate() {
+        daemons.push(Daemon::start(fleet, index, zone).await);
+    }
+    for daemon in &daemons {
+        for other in daemons.iter().filter(|other| other.ip != daemon.ip) {
+            daemon.discover(other);
         }
-        let origins = Origins::new(Zone::new(zone), Arc::new(Mutex::new(table)));
-        let origins = Arc::new(origins);
-        let socket = UdpSocket::bind((ip(own), PORT)).await.expect("a free address");
-        let runner = Arc::clone(&origins);
-        let task = tokio::spawn(async move {
-            runner.run(socket, CancellationToken::new()).await.expect("it runs once");
-        });
-        daemons.push(Daemon { origins, task });
     }
     tokio::task::yield_now().await;
     daemons
@@ -161,6 +169,22 @@
     }
 }
 
+/// A daemon that has just started serves callers before it has discovered its peers.
+#[tokio::test]
+async fn a_daemon_that_starts_asks_the_peers_that_it_discovers_meanwhile() {
+    let daemons = start(&["a", "a", "b"]).await;
+    daemons[1].origins.record(stream(1), &build(1), TTL, Instant::now());
+    holders(&daemons, stream(1), 3).await;
+    let started = Daemon::start(daemons[0].fleet, daemons.len(), "a").await;
+    let finding = tokio::spawn({
+        let origins = Arc::clone(&started.origins);
+        async move { origins.find(stream(1)).await }
+    });
+    tokio::task::yield_now().await;
+    daemons.iter().for_each(|daemon| started.discover(daemon));
+    assert_eq!(finding.await.expect("the query ends"), Some(build(1)));
+}
+
 /// Whether the peers reply that they don't know it, or some don't reply.
 #[tokio::test]
 async fn an_unknown_stream_is_not_found() {
