view: a daemon that starts asks the peers that it discovers meanwhile

What callers would see: a stream that is taken up at a host which has just started is refused (unknown_build), though its peers know the build.

Cause: the peers to ask were chosen once, when the table of members was empty. They are now chosen anew for each round of the query, and an incomplete table does not end it early.

Evidence: a_daemon_that_starts_asks_the_peers_that_it_discovers_meanwhile failed and passes.

--- a/crates/view/src/origin.rs
+++ b/crates/view/src/origin.rs
@@ -82,12 +82,19 @@
 #[derive(Debug)]
 struct Query {
     stream: StreamId,
-    /// The peers that have not replied.
-    pending: Mutex<Set<IpAddr>>,
-    /// Notified when a peer knows the stream, or none does.
+    replies: Mutex<Replies>,
+    /// Notified when a peer knows the stream, or all that were asked have replied.
     done: Notify,
 }
 
+#[derive(Debug, Default)]
+struct Replies {
+    /// The peers that were asked and have not replied.
+    pending: Set<IpAddr>,
+    /// The peers that don't know the stream.
+    negative: Set<IpAddr>,
+}
+
 /// One daemon's part of the knowledge of all daemons about the builds of streams.
 #[derive(Debug)]
 pub struct Origins {
@@ -134,19 +141,17 @@
         if let Some(build) = self.find_own(stream, now) {
             return Some(build);
         }
-        let ranked = ranked(&self.members.lock(), &self.zone, stream, now);
-        let pending = ranked.iter().filter(|ranked| ranked.rank < QUERIED_PER_ZONE);
-        let pending: Set<IpAddr> = pending.map(|ranked| ranked.address).collect();
-        let (pending, done) = (Mutex::new(pending), Notify::new());
-        let query = self.register(Query { stream, pending, done });
+        let replies = Mutex::default();
+        let query = self.register(Query { stream, replies, done: Notify::new() });
         let end = now + QUERY_TIMEOUT;
         loop {
-            let pending: Vec<IpAddr> = query.query.pending.lock().iter().copied().collect();
-            if pending.is_empty() || Instant::now() >= end {
+            let (targets, converged) = self.peers_to_ask(&query.query, Instant::now());
+            if targets.is_empty() && converged || Instant::now() >= end {
                 return None;
             }
-            self.send(&Message::Query { query: query.id, stream }, pending);
-            // Without a notification the peers that have not replied are asked again.
+            self.send(&Message::Query { query: query.id, stream }, targets);
+            // Without a notification the peers that have not replied are asked again, and those
+            // that were discovered meanwhile for the first time.
             drop(timeout(QUERY_INTERVAL, query.query.done.notified()).await);
             if let Some(build) = self.find_own(stream, Instant::now()) {
                 return Some(build);
@@ -177,6 +182,18 @@
         }
     }
 
+    /// The peers that may know a stream and have not replied, and whether these are all members.
+    fn peers_to_ask(&self, query: &Query, now: Instant) -> (Vec<IpAddr>, bool) {
+        let members = self.members.lock();
+        let ranked = ranked(&members, &self.zone, query.stream, now);
+        let asked = ranked.into_iter().filter(|ranked| ranked.rank < QUERIED_PER_ZONE);
+        let mut replies = query.replies.lock();
+        let asked = asked.map(|ranked| ranked.address);
+        let targets: Vec<IpAddr> = asked.filter(|ip| !replies.negative.contains(ip)).collect();
+        replies.pending = targets.iter().copied().collect();
+        (targets, members.has_converged(now))
+    }
+
     fn register(&self, query: Query) -> RegisteredQuery<'_> {
         let id = self.next_query.fetch_add(1, Ordering::Relaxed);
         let query = Arc::new(query);
@@ -218,13 +235,16 @@
         if query.stream != stream {
             return;
         }
-        let mut pending = query.pending.lock();
-        pending.remove(&from);
         if let Some((build, ttl_ms)) = origin {
             let expires_at = now + Duration::from_millis(u64::from(ttl_ms));
             self.registry.lock().record(stream, build, expires_at, now);
             query.done.notify_one();
-        } else if pending.is_empty() {
+            return;
+        }
+        let mut replies = query.replies.lock();
+        replies.pending.remove(&from);
+        replies.negative.insert(from);
+        if replies.pending.is_empty() {
             query.done.notify_one();
         }
     }
