gateway: reading from a backend server lets other tasks run

A backend server that sends trailers, or a response to another request, faster than the daemon reads kept the daemon's only thread: nobody was served, and no timeout ran.

Cause: a read that finds data never waits, so the task never yields. Each read now consumes the task's budget.

Evidence: trailers_without_end and a_response_to_another_request_without_end failed (the readiness address did not respond for 20 s) and pass, 3 of 3 each.

--- a/crates/gateway/src/http/connection.rs
+++ b/crates/gateway/src/http/connection.rs
@@ -164,6 +164,9 @@
     /// Returns the I/O error. A failed write is reported only when nothing can be read, since the
     /// response may have arrived before the failure.
     pub async fn fill(&mut self) -> io::Result<usize> {
+        // A peer that sends faster than this daemon reads would never let the task wait, and so
+        // neither other tasks nor timeouts run.
+        tokio::task::coop::consume_budget().await;
         loop {
             if self.is_writing() {
                 self.write();
