gateway: the body of a response to another request is not kept in memory

What callers would see: a daemon that runs out of memory, when backend servers send responses to other requests without end.

Cause: such a body was collected, with no limit, only to be discarded.

--- a/crates/gateway/src/call/exchange.rs
+++ b/crates/gateway/src/call/exchange.rs
@@ -203,7 +203,7 @@
             if stray > MAX_STRAY_RESPONSES || !head.reusable {
                 return Err(Error::Stray);
             }
-            self.read_all(head.framing, usize::MAX).await?;
+            self.skip_body(head.framing).await?;
         }
     }
 
@@ -237,6 +237,12 @@
         framing.take_end(&mut self.connection_mut().buffer)
     }
 
+    /// Reads a body to its end and discards it.
+    async fn skip_body(&mut self, mut framing: Framing) -> Result<(), Error> {
+        while self.read_body(&mut framing).await? != Step::End {}
+        Ok(())
+    }
+
     async fn read_all(&mut self, mut framing: Framing, max_bytes: usize) -> Result<Bytes, Error> {
         let mut all = BytesMut::new();
         loop {
