gateway: an event has a maximum size

What callers would see: a daemon without memory or time, when an engine sends one event without end.

Cause: an incomplete event was held back whatever its size, and searched from its end to its beginning for each chunk that arrived.

Change: an event has 256 KiB at most, as on the product's own interface; a larger one ends the exchange. Only new bytes are searched.

--- a/crates/gateway/src/call/exchange.rs
+++ b/crates/gateway/src/call/exchange.rs
@@ -14,6 +14,7 @@
 
 use crate::{
     dialect::ResponseMeta,
+    events,
     gateway::Gateway,
     http::{
         connection::Connection,
@@ -70,6 +71,9 @@
     /// An earlier backend server may have run the request, and no other one can be used.
     #[display("no other backend server can be used")]
     Elsewhere,
+    /// A stream has an event that is too large.
+    #[display("{_0}")]
+    Event(events::TooLong),
     /// The body exceeds the limit.
     #[display("the response body is too large")]
     TooLong,
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -1,6 +1,15 @@
 //! Filter for event streams that passes on complete events only.
 
 use bytes::{Bytes, BytesMut};
+use derive_more::derive::{Display, Error};
+
+/// The maximum size of one event.
+const MAX_EVENT_BYTES: usize = 256 << 10;
+
+/// The error for a stream with an event that is too large.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
+#[display("an event is larger than {MAX_EVENT_BYTES} bytes")]
+pub struct TooLong;
 
 /// Holds back incomplete events of a stream, and drops repeated ones if the stream may be resumed.
 #[derive(Debug, Default)]
@@ -19,9 +28,17 @@
     }
 
     /// Adds bytes of the stream and returns the events that are now complete, without those to drop.
-    pub fn push(&mut self, data: &Bytes) -> Bytes {
+    ///
+    /// # Errors
+    ///
+    /// Fails if the incomplete event is too large.
+    pub fn push(&mut self, data: &Bytes) -> Result<Bytes, TooLong> {
+        let searched = self.partial.len();
         self.partial.extend_from_slice(data);
-        let Some(end) = last_end(&self.partial) else { return Bytes::new() };
+        let Some(end) = last_end(&self.partial, searched) else {
+            let fits = self.partial.len() <= MAX_EVENT_BYTES;
+            return if fits { Ok(Bytes::new()) } else { Err(TooLong) };
+        };
         let complete = self.partial.split_to(end).freeze();
         let mut from = 0;
         while self.drops_repeated && from < complete.len() {
@@ -33,7 +50,7 @@
         }
         let new = complete.slice(from..);
         self.last_event_id = last_id(&new).or(self.last_event_id);
-        new
+        Ok(new)
     }
 
     /// The bytes of an incomplete event.
@@ -53,8 +70,9 @@
     ends.next().map(|at| at + 1)
 }
 
-fn last_end(bytes: &[u8]) -> Option<usize> {
-    (0..bytes.len()).rev().find(|&at| ends_event(bytes, at)).map(|at| at + 1)
+/// The end of the last complete event, if it ends at `from` or later.
+fn last_end(bytes: &[u8], from: usize) -> Option<usize> {
+    (from..bytes.len()).rev().find(|&at| ends_event(bytes, at)).map(|at| at + 1)
 }
 
 fn ends_event(bytes: &[u8], at: usize) -> bool {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -85,7 +85,7 @@
     }
 
     /// Returns the bytes to pass on, if any, and counts them.
-    fn filter(&mut self, data: Bytes) -> Option<Bytes> {
+    fn filter(&mut self, data: Bytes) -> Result<Option<Bytes>, Error> {
         if self.first_event_at.is_none() {
             let now = Instant::now();
             self.first_event_at = Some(now);
@@ -94,18 +94,18 @@
             self.call.gateway.metrics.observe_first_event(&self.call.route.name, after);
         }
         let data = match &mut self.event_filter {
-            Some(event_filter) => event_filter.push(&data),
+            Some(event_filter) => event_filter.push(&data)?,
             None => data,
         };
         if data.is_empty() {
-            return None;
+            return Ok(None);
         }
         if self.chunks == 0 && self.event_filter.is_some() {
             self.call.begin_stream(&self.exchange.server);
         }
         self.chunks += 1;
         self.bytes += data.len() as u64;
-        Some(data)
+        Ok(Some(data))
     }
 
     /// Finishes along with the last data if the end of the body has been received: `hyper` does not
@@ -171,11 +171,12 @@
             }
             let error = match self.read().await {
                 Ok(Step::Data(data)) => match self.filter(data) {
-                    Some(data) => {
+                    Ok(Some(data)) => {
                         self.finish_at_end();
                         return Some(Ok(data));
                     }
-                    None => continue,
+                    Ok(None) => continue,
+                    Err(error) => error,
                 },
                 // Whatever the framing says, a stream that ends inside an event is incomplete.
                 Ok(Step::End) if self.partial_bytes() == 0 => {
--- a/crates/gateway/tests/events.rs
+++ b/crates/gateway/tests/events.rs
@@ -10,7 +10,8 @@
 /// Pushes `text` in chunks of `size` bytes and returns the events passed on.
 fn push_in_chunks(event_filter: &mut EventFilter, text: &str, size: usize) -> String {
     let chunks = text.as_bytes().chunks(size);
-    let passed = chunks.flat_map(|chunk| event_filter.push(&Bytes::copy_from_slice(chunk)));
+    let passed = chunks
+        .flat_map(|chunk| event_filter.push(&Bytes::copy_from_slice(chunk)).expect("small events"));
     String::from_utf8(passed.collect()).expect("complete events are text")
 }
 
@@ -76,15 +77,36 @@
 fn output_does_not_depend_on_the_chunk_size() {
     let inputs = bolero::check!().with_type::<(Vec<u8>, u8)>();
     inputs.with_iterations(5_000).for_each(|(bytes, size)| {
-        let whole = EventFilter::default().push(&Bytes::copy_from_slice(bytes));
+        let push = |filter: &mut EventFilter, bytes: &[u8]| {
+            filter.push(&Bytes::copy_from_slice(bytes)).expect("small events")
+        };
+        let whole = push(&mut EventFilter::default(), bytes);
         let mut event_filter = EventFilter::default();
         let size = usize::from(*size).max(1);
-        let passed =
-            bytes.chunks(size).flat_map(|chunk| event_filter.push(&Bytes::copy_from_slice(chunk)));
-        let chunked: Vec<u8> = passed.collect();
+        let chunked: Vec<u8> =
+            bytes.chunks(size).flat_map(|chunk| push(&mut event_filter, chunk)).collect();
         // Events without ids are never treated as repeated.
         if !bytes.windows(3).any(|window| window == b"id:") {
             assert_eq!(whole, chunked);
         }
     });
 }
+
+/// An engine that sends one event without end must not fill the daemon's memory, nor have it search
+/// all that it has received for each chunk.
+#[test]
+fn an_event_without_end_is_an_error() {
+    let chunk = Bytes::from(vec![b'a'; 4 << 10]);
+    for mut event_filter in [EventFilter::default(), EventFilter::after(Some(1))] {
+        let accepted = (0..1_000).take_while(|_| event_filter.push(&chunk).is_ok()).count();
+        assert_eq!(accepted, 64, "chunks of 4 KiB");
+    }
+}
+
+#[test]
+fn a_large_event_passes() {
+    let event = format!("id: 1\ndata: {}\n\n", "a".repeat(200 << 10));
+    for size in [1_000, 100_000, event.len()] {
+        assert_eq!(push_in_chunks(&mut EventFilter::default(), &event, size), event);
+    }
+}
