gateway: a response has 32 informational responses ahead of it at most

What callers would see: a daemon that serves nobody, when a backend server sends informational responses without end. They are small, so that thousands of them were parsed for each read, and their number had no bound.

--- a/crates/gateway/src/call/exchange.rs
+++ b/crates/gateway/src/call/exchange.rs
@@ -27,6 +27,8 @@
 
 /// The maximum number of responses to other requests that are skipped on one connection.
 const MAX_STRAY_RESPONSES: u32 = 4;
+/// The maximum number of informational responses ahead of a response.
+const MAX_INFORMATIONAL_RESPONSES: u32 = 32;
 /// The maximum size of a body that is read only to reuse its connection.
 const MAX_DRAIN_BYTES: usize = 16 << 10;
 /// The maximum time for reading a body only to reuse its connection.
@@ -65,6 +67,9 @@
     /// No data arrived within this time.
     #[display("no data received for {} ms", _0.as_millis())]
     Late(Duration),
+    /// Only informational responses arrived.
+    #[display("only informational responses were received")]
+    Informational,
     /// Only responses to other requests arrived.
     #[display("only responses to other requests were received")]
     Stray,
@@ -181,7 +186,7 @@
     }
 
     async fn read_head(&mut self, method: &Method, id: &str) -> Result<ParsedHead, Error> {
-        let mut stray = 0;
+        let (mut stray, mut informational) = (0, 0);
         loop {
             let Some(head) = head::parse(&mut self.connection_mut().buffer, method)? else {
                 if self.connection_mut().fill().await? == 0 {
@@ -190,6 +195,10 @@
                 continue;
             };
             if head.status.is_informational() {
+                informational += 1;
+                if informational > MAX_INFORMATIONAL_RESPONSES {
+                    return Err(Error::Informational);
+                }
                 continue;
             }
             let meta = self.gateway.dialect.parse_response(&head.headers);
