gateway: a body has 64 trailers at most

A backend server that sends trailers without end held the exchange until the request's deadline.

Evidence: trailers_without_end_are_an_error failed (no end after 10,000) and passes.

--- a/crates/gateway/src/http/framing.rs
+++ b/crates/gateway/src/http/framing.rs
@@ -5,11 +5,14 @@
 
 /// The maximum length of a chunk size line with its extensions, and of a trailer line.
 const MAX_LINE_BYTES: usize = 4 << 10;
+/// The maximum number of trailers.
+const MAX_TRAILERS: u32 = 64;
 
 /// The error for a body that violates its framing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
 pub enum Error {
-    /// A chunk size is not a number, a line end is missing, or a line is too long.
+    /// A chunk size is not a number, a line end is missing, a line is too long, or there are too
+    /// many trailers.
     #[display("a chunk is malformed")]
     Chunk,
     /// The connection was closed before the end of the body.
@@ -56,8 +59,8 @@
     ChunkData(u64),
     /// The line end after a chunk's data is next.
     ChunkEnd,
-    /// Trailers are next.
-    Trailers,
+    /// Trailers are next, after this many.
+    Trailers(u32),
     /// The body ends with the connection.
     UntilClose,
     /// The body has been read to its end.
@@ -70,7 +73,7 @@
         match self {
             Self::Done => Delimiter::None,
             Self::Length(_) => Delimiter::Length,
-            Self::ChunkSize | Self::ChunkData(_) | Self::ChunkEnd | Self::Trailers => {
+            Self::ChunkSize | Self::ChunkData(_) | Self::ChunkEnd | Self::Trailers(_) => {
                 Delimiter::Chunks
             }
             Self::UntilClose => Delimiter::Close,
@@ -106,7 +109,7 @@
                 Self::ChunkSize => {
                     let Some(line) = take_line(buffer)? else { return Ok(Step::More) };
                     *self = match parse_chunk_size(&line)? {
-                        0 => Self::Trailers,
+                        0 => Self::Trailers(0),
                         size => Self::ChunkData(size),
                     };
                 }
@@ -115,10 +118,11 @@
                     Some(line) if line.is_empty() => *self = Self::ChunkSize,
                     Some(_) => return Err(Error::Chunk),
                 },
-                Self::Trailers => match take_line(buffer)? {
+                Self::Trailers(count) => match take_line(buffer)? {
                     None => return Ok(Step::More),
                     Some(line) if line.is_empty() => *self = Self::Done,
-                    Some(_) => {}
+                    Some(_) if count == MAX_TRAILERS => return Err(Error::Chunk),
+                    Some(_) => *self = Self::Trailers(count + 1),
                 },
             }
         }
@@ -130,7 +134,7 @@
             Self::Done | Self::Length(0) => b"",
             Self::ChunkData(0) | Self::ChunkEnd => b"\r\n0\r\n\r\n",
             Self::ChunkSize => b"0\r\n\r\n",
-            Self::Length(_) | Self::ChunkData(_) | Self::Trailers | Self::UntilClose => {
+            Self::Length(_) | Self::ChunkData(_) | Self::Trailers(_) | Self::UntilClose => {
                 return false;
             }
         };
--- a/crates/gateway/tests/framing.rs
+++ b/crates/gateway/tests/framing.rs
@@ -1,6 +1,6 @@
 //! Body framing and response heads, for any split of the bytes into reads.
 
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use hyper::Method;
 use hyssop_gateway::http::{
     framing::{Error, Framing, Step},
@@ -61,7 +61,7 @@
 fn closing_the_connection_truncates_an_incomplete_body() {
     assert_eq!(Framing::Length(1).on_close(), Err(Error::Truncated));
     assert_eq!(Framing::ChunkSize.on_close(), Err(Error::Truncated));
-    assert_eq!(Framing::Trailers.on_close(), Err(Error::Truncated));
+    assert_eq!(Framing::Trailers(0).on_close(), Err(Error::Truncated));
     assert_eq!(Framing::Length(0).on_close(), Ok(()));
     assert_eq!(Framing::UntilClose.on_close(), Ok(()));
 }
@@ -143,3 +143,22 @@
         assert_eq!(whole, split);
     });
 }
+
+/// A backend server that sends trailers without end ends the exchange soon, not at its deadline.
+#[test]
+fn trailers_without_end_are_an_error() {
+    let mut framing = Framing::ChunkSize;
+    let mut buffer = BytesMut::from(&b"1\r\na\r\n0\r\n"[..]);
+    assert_eq!(framing.step(&mut buffer), Ok(Step::Data(Bytes::from_static(b"a"))));
+    let mut count = 0;
+    let error = loop {
+        buffer.extend_from_slice(b"X-A: a\r\n");
+        match framing.step(&mut buffer) {
+            Ok(step) => assert_eq!(step, Step::More),
+            Err(error) => break error,
+        }
+        count += 1;
+        assert!(count < 10_000, "no end after {count} trailers");
+    };
+    assert_eq!(error, Error::Chunk);
+}
