gateway: a body whose data keeps arriving ends soon after its deadline

What callers would see: a response without end, beyond the route's timeout, when a backend server sends a body without end.

Cause: the deadline was a timeout on each read, and a timeout does not end a read whose data has arrived already.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -23,6 +23,9 @@
 /// The pause after which a stream is resumed on routes without a maximum gap.
 const DEFAULT_RESUME_GAP: Duration = Duration::from_secs(2);
 
+/// How long a body whose data keeps arriving goes on after the deadline of its request.
+const LATE_DATA_GRACE: Duration = Duration::from_millis(200);
+
 /// Passes a body on to the caller. After a failure, resumes a stream at another backend server if
 /// the route allows that.
 pub struct Relay {
@@ -72,7 +75,12 @@
             Duration::MAX
         };
         loop {
-            let left = self.call.deadline.saturating_duration_since(Instant::now());
+            let now = Instant::now();
+            // A timeout does not end a read whose data has arrived already.
+            if now > self.call.deadline + LATE_DATA_GRACE {
+                return Err(Error::Late(now.duration_since(self.call.deadline)));
+            }
+            let left = self.call.deadline.saturating_duration_since(now);
             let limit = left.min(resume_timeout);
             let read = self.exchange.read_body(&mut self.framing);
             match timeout(limit, read).await {
