gateway: an empty line or a comment after the last event ends no stream inside an event

What callers would see: a whole stream that is broken off, where its backend server sends another line end or a comment after the last event, in a packet of its own.

Cause: whatever followed an event counted as the beginning of another one.

Change: lines that are empty or comments belong to no event; at the end of the stream they are passed on.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -58,6 +58,17 @@
         &self.partial
     }
 
+    /// Whether the stream so far ends inside an event. Empty lines and comments belong to none.
+    pub fn is_inside_event(&self) -> bool {
+        let mut lines = self.partial().split(|&byte| byte == b'\n');
+        lines.any(|line| !matches!(line, [] | [b'\r'] | [b':', ..]))
+    }
+
+    /// Removes and returns the bytes after the last event.
+    pub fn take_rest(&mut self) -> Bytes {
+        self.partial.split().freeze()
+    }
+
     /// Discards the incomplete event, as when another backend server resumes the stream.
     pub fn discard_partial(&mut self) {
         self.partial.clear();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -125,6 +125,11 @@
         }
     }
 
+    /// Whether what has been received ends inside an event of a stream.
+    fn is_inside_event(&self) -> bool {
+        self.event_filter.as_ref().is_some_and(EventFilter::is_inside_event)
+    }
+
     /// The size of the incomplete event at the end of what has been received.
     fn partial_bytes(&self) -> usize {
         self.event_filter.as_ref().map_or(0, |event_filter| event_filter.partial().len())
@@ -187,10 +192,11 @@
                     Err(error) => error,
                 },
                 // Whatever the framing says, a stream that ends inside an event is incomplete.
-                Ok(Step::End) if self.partial_bytes() == 0 => {
+                Ok(Step::End) if !self.is_inside_event() => {
                     self.exchange.finish(End::Complete);
+                    let rest = self.event_filter.as_mut().map(EventFilter::take_rest);
                     self.record_end("");
-                    return None;
+                    return rest.filter(|rest| !rest.is_empty()).map(Ok);
                 }
                 Ok(_) => Error::Closed,
                 Err(error) => error,
--- a/crates/gateway/tests/events.rs
+++ b/crates/gateway/tests/events.rs
@@ -110,3 +110,23 @@
         assert_eq!(push_in_chunks(&mut EventFilter::default(), &event, size), event);
     }
 }
+
+/// A stream may end with an empty line or a comment, in whatever chunks these arrive.
+#[test]
+fn comments_and_empty_lines_at_the_end_are_no_event() {
+    for rest in ["\n", "\r\n", "\n\n", ": bye\n", ":\r\n", "\n: bye\n\n"] {
+        let text = stream(1..=2) + rest;
+        for size in 1..=text.len() {
+            let mut event_filter = EventFilter::default();
+            let passed = push_in_chunks(&mut event_filter, &text, size);
+            assert!(!event_filter.is_inside_event(), "{rest:?} in chunks of {size} bytes");
+            let all = passed.into_bytes().into_iter().chain(event_filter.take_rest());
+            assert_eq!(String::from_utf8(all.collect()).as_deref(), Ok(text.as_str()));
+        }
+    }
+    for rest in ["d", "data: x", "data: x\n", "data: x\r\n\r", ": bye\ndata: x\n"] {
+        let mut event_filter = EventFilter::default();
+        push_in_chunks(&mut event_filter, &(stream(1..=2) + rest), 4);
+        assert!(event_filter.is_inside_event(), "{rest:?}");
+    }
+}
