gateway: an empty response ends with its head

What callers saw: nothing; each empty response cost its backend server a new connection, and logs and metrics said that the caller had left.

Cause: `hyper` does not poll the body of a response with a length of 0, so the relay never reached its end.

Evidence: an_empty_response_leaves_its_connection_for_the_next_request failed and passes.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -52,7 +52,7 @@
             true => EventFilter::after(call.last_event_id),
             false => EventFilter::default(),
         });
-        Self {
+        let mut relay = Self {
             framing: head.framing,
             delimiter: head.framing.delimiter(),
             status: head.status.as_u16(),
@@ -64,7 +64,9 @@
             chunks: 0,
             bytes: 0,
             done: false,
-        }
+        };
+        relay.finish_at_end();
+        relay
     }
 
     async fn read(&mut self) -> Result<Step, Error> {
@@ -116,8 +118,9 @@
         Ok(Some(data))
     }
 
-    /// Finishes along with the last data if the end of the body has been received: `hyper` does not
-    /// poll a body beyond the announced length, so the end would go unnoticed.
+    /// Finishes along with the last data, or at the beginning of an empty body, if the end has been
+    /// received: `hyper` does not poll a body beyond the announced length, so the end would go
+    /// unnoticed.
     fn finish_at_end(&mut self) {
         if self.partial_bytes() == 0 && self.exchange.take_end(&mut self.framing) {
             self.exchange.finish(End::Complete);
