gateway: a leaving host refuses what it can't finish

Cause: a leaving host took every request for 4 s, however long it runs and however much of the grace time is left.

Change: a leaving host takes a request only if it is expected to be finished in time: by the longest of the last 256 responses of its route and a margin of a quarter, or by its deadline where that is sooner or few responses are known. Others get 503 with the reason 'leaving', at once, and may return at once if another host is ready, else when this one is back (policy::local::departure). Short requests are taken until shortly before the end.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -3,7 +3,7 @@
 use std::{
     net::SocketAddr,
     sync::{
-        Arc,
+        Arc, OnceLock,
         atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::{Duration, Instant},
@@ -12,6 +12,7 @@
 use hyssop_document::name::{Backend, Host, Zone};
 use hyssop_policy::local::{
     decider::{Decider, Settings as DeciderSettings},
+    departure::Durations,
     server::Server as Candidate,
 };
 use hyssop_view::{
@@ -26,6 +27,7 @@
 use crate::{
     cache::{Cache, Snapshot},
     dialect::Dialect,
+    environment::Route,
     http::pool::{Error, Pool as Connections},
     metrics::Metrics,
     record::{Decoder, Server},
@@ -82,7 +84,10 @@
     pub body_bytes: AtomicUsize,
     /// Cancelled when the connections of callers are to be closed, after the current responses.
     pub closing: CancellationToken,
-    leaving: AtomicBool,
+    /// How long responses take, by route.
+    pub durations: Mutex<Durations>,
+    /// When the process ends, once it has begun to leave.
+    leaves_at: OnceLock<Instant>,
     /// Whether this daemon is to watch the source.
     role: Mutex<Role>,
     /// Whether this daemon receives changes from the source itself.
@@ -108,7 +113,8 @@
             metrics: Metrics::default(),
             body_bytes: AtomicUsize::new(0),
             closing: CancellationToken::new(),
-            leaving: AtomicBool::new(false),
+            durations: Mutex::default(),
+            leaves_at: OnceLock::new(),
             role: Mutex::new(Role::Watcher),
             watches_source: AtomicBool::new(false),
             role_changed: Notify::new(),
@@ -128,13 +134,27 @@
 
     /// Whether the daemon is about to stop.
     pub fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Relaxed)
+        self.leaves_at.get().is_some()
     }
 
-    /// Begins to leave: the daemon is not ready any more, and so not in the directory, and
-    /// connections of callers are closed after the current responses.
-    pub fn leave(&self) {
-        self.leaving.store(true, Ordering::Relaxed);
+    /// When the process ends, if the daemon is about to stop.
+    pub fn leaves_at(&self) -> Option<Instant> {
+        self.leaves_at.get().copied()
+    }
+
+    /// Begins to leave: the daemon is not ready any more, and so not in the directory, connections
+    /// of callers are closed after the current responses, and requests that would not be finished
+    /// at `end` are refused. Further calls have no effect.
+    pub fn leave(&self, end: Instant) {
+        self.leaves_at.get_or_init(|| end);
+    }
+
+    /// Whether a request of `route` with this deadline is expected to be finished before the daemon
+    /// stops.
+    pub fn can_finish(&self, route: &Route, deadline: Instant, now: Instant) -> bool {
+        let Some(end) = self.leaves_at() else { return true };
+        let left = |until: Instant| until.saturating_duration_since(now);
+        self.durations.lock().can_finish(&route.name, left(deadline), left(end))
     }
 
     /// Whether this daemon is to watch the source.
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -28,6 +28,8 @@
 /// `Retry-After` of a daemon that is not ready while the source of published records is
 /// unreachable: other daemons lack the records as well.
 const SOURCE_DOWN_RETRY_AFTER: Duration = Duration::from_millis(1_200);
+/// The time from the end of a process until its successor accepts callers.
+const RESTART_TIME: Duration = Duration::from_secs(1);
 /// The maximum time for reading the body of a caller that sends no deadline.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -116,6 +118,13 @@
         Ok(body) => body.map_err(refused)?,
         Err(_) => return Err(refused(Refusal::new(Reason::SlowBody))),
     };
+    let now = Instant::now();
+    if !gateway.can_finish(&route, deadline, now) {
+        return Err(refused(Refusal::temporary(
+            Reason::Leaving,
+            leaving_retry_after(gateway, now),
+        )));
+    }
     let mut shared_headers = BytesMut::with_capacity(512);
     gateway.dialect.write_shared(&head.headers, &mut shared_headers);
     let target = head.uri.path_and_query().map_or("/", |target| target.as_str());
@@ -128,6 +137,16 @@
         .build())
 }
 
+/// When the caller of a leaving daemon may retry: at once if another daemon accepts callers, else
+/// when this one is back.
+fn leaving_retry_after(gateway: &Gateway, now: Instant) -> Duration {
+    if gateway.members.lock().ready(now).next().is_some() {
+        return Duration::ZERO;
+    }
+    let left = gateway.leaves_at().map_or(Duration::ZERO, |end| end.saturating_duration_since(now));
+    left + RESTART_TIME
+}
+
 /// Finds the route of a request and, unless the route is public, the workspace of its key.
 fn admit(
     environment: &Environment,
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -26,8 +26,8 @@
 pub async fn leave(gateway: &Gateway, grace: Duration) {
     let begun = Instant::now();
     tracing::info!(event = "leaving", running = gateway.metrics.running.get());
-    gateway.leave();
     let end = begun + grace.saturating_sub(SHUTDOWN_MARGIN);
+    gateway.leave(end);
     tokio::time::sleep(CALLER_MOVE_TIME.min(end - begun)).await;
     // Idle connections are closed at once, connections in use after the current response.
     gateway.closing.cancel();
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -30,6 +30,9 @@
     /// The environment has not been loaded yet, or the process was suspended.
     #[display("not_ready")]
     NotReady,
+    /// The daemon is about to stop, and could not finish the request.
+    #[display("leaving")]
+    Leaving,
     /// The memory for request bodies is full.
     #[display("memory")]
     Memory,
@@ -80,6 +83,7 @@
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
             Self::NotReady
+            | Self::Leaving
             | Self::Memory
             | Self::NoServer
             | Self::OtherBuild
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -152,7 +152,11 @@
             version = call.version
         );
         call.gateway.metrics.count_response(&call.route.name, self.status, reason);
-        call.gateway.metrics.observe_response_time(&call.route.name, call.arrived.elapsed());
+        let duration = call.arrived.elapsed();
+        call.gateway.metrics.observe_response_time(&call.route.name, duration);
+        if reason.is_empty() {
+            call.gateway.durations.lock().record(&call.route.name, duration);
+        }
     }
 
     /// Resumes the stream at another backend server after the last complete event.
--- a/crates/policy/src/local.rs
+++ b/crates/policy/src/local.rs
@@ -8,6 +8,7 @@
 pub mod cold;
 pub mod decider;
 pub mod demand;
+pub mod departure;
 pub mod latency;
 pub mod peer_loads;
 pub mod repeats;
--- /dev/null
+++ b/crates/policy/tests/local_departure.rs
@@ -0,0 +1,85 @@
+//! Which requests a daemon that is about to stop still takes.
+
+use std::time::Duration;
+
+use hyssop_policy::local::departure::Durations;
+
+const SHORT: &str = "booking";
+const LONG: &str = "letter";
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Bookings take up to 80 ms, letters 0.5 to 4 s.
+fn recorded() -> Durations {
+    let mut durations = Durations::default();
+    for index in 0..300 {
+        durations.record(SHORT, ms(20 + index % 61));
+        durations.record(LONG, ms(500 + (index * 37) % 3_501));
+    }
+    durations
+}
+
+/// For each grace time, the last moment after SIGTERM at which a request is taken.
+#[test]
+fn short_requests_are_taken_for_longer_than_long_ones() {
+    let mut table = String::new();
+    for grace_s in [3, 8, 30] {
+        let grace = Duration::from_secs(grace_s);
+        let last = |route: &str, deadline: Duration| {
+            let durations = recorded();
+            let times = (0..=grace_s * 100).map(|step| ms(step * 10));
+            times.filter(|&at| durations.can_finish(route, deadline, grace - at)).max()
+        };
+        table += &format!(
+            "{grace_s:>2} s: booking {:?}, letter {:?}, letter with a deadline of 2 s {:?}, unknown route \
+             with a deadline of 6 s {:?}\n",
+            last(SHORT, ms(1_500)),
+            last(LONG, ms(12_000)),
+            last(LONG, ms(2_000)),
+            last("unknown", ms(6_000)),
+        );
+    }
+    expect_test::expect![[r#"
+         3 s: booking Some(2.9s), letter None, letter with a deadline of 2 s Some(1s), unknown route with a deadline of 6 s None
+         8 s: booking Some(7.9s), letter Some(3.01s), letter with a deadline of 2 s Some(6s), unknown route with a deadline of 6 s Some(2s)
+        30 s: booking Some(29.9s), letter Some(25.01s), letter with a deadline of 2 s Some(28s), unknown route with a deadline of 6 s Some(24s)
+    "#]].assert_eq(&table);
+}
+
+#[test]
+fn few_responses_say_nothing_about_a_route() {
+    let mut durations = Durations::default();
+    for _ in 0..31 {
+        durations.record(LONG, ms(100));
+        assert_eq!(durations.expected(LONG), None);
+    }
+    durations.record(LONG, ms(100));
+    assert_eq!(durations.expected(LONG), Some(ms(125)));
+}
+
+/// A slow spell must not keep a host from taking requests for good.
+#[test]
+fn old_responses_are_forgotten() {
+    let mut durations = Durations::default();
+    durations.record(LONG, ms(60_000));
+    for _ in 0..255 {
+        durations.record(LONG, ms(100));
+    }
+    assert_eq!(durations.expected(LONG), Some(ms(75_000)));
+    durations.record(LONG, ms(100));
+    assert_eq!(durations.expected(LONG), Some(ms(125)));
+}
+
+#[test]
+fn the_number_of_routes_is_bounded() {
+    let mut durations = Durations::default();
+    for index in 0..100_000 {
+        durations.record(&format!("route-{index}"), ms(100));
+    }
+    for _ in 0..32 {
+        durations.record(LONG, ms(100));
+    }
+    assert_eq!(durations.expected(LONG), Some(ms(125)));
+}
