gateway: a request runs until the end of its response

What operators saw: 'cut=0' in the log of a stop that cut streams, since a request counted as running only until its response head. The gauge hyssop_running counts streams to their end now.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -28,6 +28,7 @@
     gateway::Gateway,
     http::head::Head,
     intake::elapsed_ms,
+    metrics::Running,
     refusal::{Reason, Refusal},
     relay::Relay,
 };
@@ -83,6 +84,8 @@
     saved_response: Option<(Head, Bytes)>,
     /// The predicted time to the first event at the time of a refusal.
     predicted: Option<Duration>,
+    /// Counts the request as running, once it is being served.
+    running: Option<Running>,
 }
 
 /// Why no response can be passed on, after one try or after all.
@@ -108,8 +111,10 @@
         Builder::new(gateway, meta, route)
     }
 
-    /// Serves the call and returns the response for the caller.
-    pub async fn run(mut self) -> Response<Body> {
+    /// Serves the call and returns the response for the caller. `running` is dropped at the end of the
+    /// response.
+    pub async fn run(mut self, running: Running) -> Response<Body> {
+        self.running = Some(running);
         if let Err(failure) = self.find_build().await {
             return self.failure_response(failure);
         }
--- a/crates/gateway/src/call/builder.rs
+++ b/crates/gateway/src/call/builder.rs
@@ -134,6 +134,7 @@
             version: self.version,
             saved_response: None,
             predicted: None,
+            running: None,
         }
     }
 
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -20,6 +20,7 @@
     dialect::RequestMeta,
     environment::{Environment, Limits, Route, Workspace},
     gateway::Gateway,
+    metrics::Running,
     refusal::{Reason, Refusal},
 };
 
@@ -35,10 +36,10 @@
 
 /// Serves a caller's request.
 pub async fn handle(gateway: Arc<Gateway>, request: Request<Incoming>) -> Response<Body> {
-    gateway.metrics.running.inc();
+    let running = gateway.metrics.start_request();
     let arrived = Instant::now();
     let mut response = match gateway.dialect.parse_request(request.headers()) {
-        Ok(meta) => respond(&gateway, meta, request, arrived).await,
+        Ok(meta) => respond(&gateway, meta, request, arrived, running).await,
         Err(malformed) => {
             tracing::info!(event = "answered", reason = %Reason::Malformed, %malformed);
             gateway.metrics.count_response("", 400, "malformed");
@@ -48,7 +49,6 @@
     if gateway.is_leaving() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    gateway.metrics.running.dec();
     response
 }
 
@@ -57,10 +57,11 @@
     meta: RequestMeta,
     request: Request<Incoming>,
     arrived: Instant,
+    running: Running,
 ) -> Response<Body> {
     let id = meta.id.clone();
     match accept(gateway, meta, request, arrived).await {
-        Ok(call) => call.run().await,
+        Ok(call) => call.run(running).await,
         Err(refused) => {
             let RefusedRequest { refusal, version } = refused;
             tracing::info!(
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -84,7 +84,23 @@
     }
 }
 
+/// Counts a request in [`Metrics::running`] until it is dropped, after the end of its response.
+#[derive(Debug)]
+pub struct Running(Gauge);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.dec();
+    }
+}
+
 impl Metrics {
+    /// Counts a request as running.
+    pub fn start_request(&self) -> Running {
+        self.running.inc();
+        Running(self.running.clone())
+    }
+
     /// Counts a response to a caller. `reason` is empty for the complete response of a backend
     /// server.
     pub fn count_response(&self, route: &str, status: u16, reason: &str) {
