gateway: callers that can't know that a host leaves are refused only if a cut is likely

A refusal costs a caller one of its tries.

Change: while responses of the directory that list the host may still be in use (three times their TTL, from the settings) a request is taken if nine in ten of the recent responses of its route, and a quarter more, end in time; after that by the longest, as before. 16 responses make a route known instead of 32.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -12,7 +12,7 @@
 use hyssop_document::name::{Backend, Host, Zone};
 use hyssop_policy::local::{
     decider::{Decider, Settings as DeciderSettings},
-    departure::Durations,
+    departure::{Durations, Stage},
     server::Server as Candidate,
 };
 use hyssop_view::{
@@ -60,6 +60,15 @@
     pub decider: DeciderSettings,
 }
 
+/// The course of a daemon's stop.
+#[derive(Debug, Clone, Copy)]
+pub struct Departure {
+    /// When all responses of the directory that list the daemon have expired.
+    pub announced: Instant,
+    /// When the process ends.
+    pub end: Instant,
+}
+
 /// One daemon's gateway.
 pub struct Gateway {
     /// The daemon's identity, resources and bounds.
@@ -86,8 +95,8 @@
     pub closing: CancellationToken,
     /// How long responses take, by route.
     pub durations: Mutex<Durations>,
-    /// When the process ends, once it has begun to leave.
-    leaves_at: OnceLock<Instant>,
+    /// Set once the daemon has begun to leave.
+    departure: OnceLock<Departure>,
     /// Whether this daemon is to watch the source.
     role: Mutex<Role>,
     /// Whether this daemon receives changes from the source itself.
@@ -114,7 +123,7 @@
             body_bytes: AtomicUsize::new(0),
             closing: CancellationToken::new(),
             durations: Mutex::default(),
-            leaves_at: OnceLock::new(),
+            departure: OnceLock::new(),
             role: Mutex::new(Role::Watcher),
             watches_source: AtomicBool::new(false),
             role_changed: Notify::new(),
@@ -134,27 +143,28 @@
 
     /// Whether the daemon is about to stop.
     pub fn is_leaving(&self) -> bool {
-        self.leaves_at.get().is_some()
+        self.departure.get().is_some()
     }
 
     /// When the process ends, if the daemon is about to stop.
     pub fn leaves_at(&self) -> Option<Instant> {
-        self.leaves_at.get().copied()
+        self.departure.get().map(|departure| departure.end)
     }
 
     /// Begins to leave: the daemon is not ready any more, and so not in the directory, connections
     /// of callers are closed after the current responses, and requests that would not be finished
-    /// at `end` are refused. Further calls have no effect.
-    pub fn leave(&self, end: Instant) {
-        self.leaves_at.get_or_init(|| end);
+    /// in time are refused. Further calls have no effect.
+    pub fn leave(&self, departure: Departure) {
+        self.departure.get_or_init(|| departure);
     }
 
-    /// Whether a request of `route` with this deadline is expected to be finished before the daemon
-    /// stops.
-    pub fn can_finish(&self, route: &Route, deadline: Instant, now: Instant) -> bool {
-        let Some(end) = self.leaves_at() else { return true };
+    /// Whether the daemon takes a request of `route` with this deadline, although it may be about to
+    /// stop.
+    pub fn takes(&self, route: &Route, deadline: Instant, now: Instant) -> bool {
+        let Some(departure) = self.departure.get() else { return true };
+        let stage = if now < departure.announced { Stage::Announcing } else { Stage::Announced };
         let left = |until: Instant| until.saturating_duration_since(now);
-        self.durations.lock().can_finish(&route.name, left(deadline), left(end))
+        self.durations.lock().takes(&route.name, stage, left(deadline), left(departure.end))
     }
 
     /// Whether this daemon is to watch the source.
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -120,7 +120,7 @@
         Err(_) => return Err(refused(Refusal::new(Reason::SlowBody))),
     };
     let now = Instant::now();
-    if !gateway.can_finish(&route, deadline, now) {
+    if !gateway.takes(&route, deadline, now) {
         return Err(refused(Refusal::temporary(
             Reason::Leaving,
             leaving_retry_after(gateway, now),
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -7,11 +7,12 @@
 
 use rustix::time::{ClockId, clock_gettime};
 
-use crate::gateway::Gateway;
+use crate::gateway::{Departure, Gateway};
 
-/// How long a leaving daemon still accepts requests: callers use a response of the directory for at
-/// most three times its TTL.
-const CALLER_MOVE_TIME: Duration = Duration::from_millis(4_000);
+/// Callers use a response of the directory for at most this many times its TTL.
+const DIRECTORY_USE_FACTOR: u32 = 3;
+/// How long after that a leaving daemon keeps idle connections open.
+const MOVE_MARGIN: Duration = Duration::from_secs(1);
 /// The time at the end of the grace time that is reserved for an orderly exit.
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(400);
 /// How often a leaving daemon checks whether callers are still connected.
@@ -27,8 +28,9 @@
     let begun = Instant::now();
     tracing::info!(event = "leaving", running = gateway.metrics.running.get());
     let end = begun + grace.saturating_sub(SHUTDOWN_MARGIN);
-    gateway.leave(end);
-    tokio::time::sleep(CALLER_MOVE_TIME.min(end - begun)).await;
+    let announced = begun + gateway.settings.directory_ttl * DIRECTORY_USE_FACTOR;
+    gateway.leave(Departure { announced, end });
+    tokio::time::sleep_until((announced + MOVE_MARGIN).min(end).into()).await;
     // Idle connections are closed at once, connections in use after the current response.
     gateway.closing.cancel();
     while Instant::now() < end && gateway.metrics.connections.get() > 0 {
--- a/crates/policy/src/local/departure.rs
+++ b/crates/policy/src/local/departure.rs
@@ -2,6 +2,8 @@
 //!
 //! For rolling restarts under long streams: a request that would be cut at the end of the grace time
 //! is refused, so that its caller turns to another host at once, and short ones are still served.
+//! Callers that could not know of the departure are refused only if a cut is likely, since a refusal
+//! costs them a try, and other hosts that they know of may be leaving too.
 
 use std::{collections::VecDeque, time::Duration};
 
@@ -11,11 +13,25 @@
 /// The number of recent responses of a route that are taken into account.
 const MAX_DURATIONS: usize = 256;
 /// The number of responses below which a route's durations are not known.
-const MIN_DURATIONS: usize = 32;
+const MIN_DURATIONS: usize = 16;
 /// The maximum number of routes. Beyond it all are forgotten.
 const MAX_ROUTES: usize = 1_024;
-/// How much longer than the longest recent response of its route a response may take.
-const DURATION_MARGIN_RATIO: f64 = 1.25;
+/// The fraction of the recent responses of a route within whose durations another one is likely to
+/// end.
+const LIKELY_QUANTILE: f64 = 0.9;
+/// How much longer than recent responses another one may take.
+const MARGIN_RATIO: f64 = 1.25;
+
+/// Whether callers can know that the daemon leaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+pub enum Stage {
+    /// Callers may still use a response of the directory that lists the daemon.
+    #[display("announcing")]
+    Announcing,
+    /// All responses of the directory that list the daemon have expired.
+    #[display("announced")]
+    Announced,
+}
 
 /// How long the recent responses of each route took.
 #[derive(Debug, Default)]
@@ -39,17 +55,37 @@
         durations.push_back(duration);
     }
 
-    /// The maximum time that a response of a route is expected to take, if enough are recorded.
-    pub fn expected(&self, route: &str) -> Option<Duration> {
-        let durations = self.by_route.get(route)?;
-        let longest = durations.iter().max()?;
-        (durations.len() >= MIN_DURATIONS).then(|| longest.mul_f64(DURATION_MARGIN_RATIO))
+    /// The time within which another response of a route is likely to end, if enough are recorded.
+    pub fn likely(&self, route: &str) -> Option<Duration> {
+        let mut durations: Vec<Duration> = self.known(route)?.iter().copied().collect();
+        let rank = (durations.len() as f64 * LIKELY_QUANTILE) as usize;
+        let (_, &mut likely, _) = durations.select_nth_unstable(rank);
+        Some(likely.mul_f64(MARGIN_RATIO))
+    }
+
+    /// The time beyond which no response of a route is expected to take, if enough are recorded.
+    pub fn longest(&self, route: &str) -> Option<Duration> {
+        let longest = self.known(route)?.iter().max()?;
+        Some(longest.mul_f64(MARGIN_RATIO))
+    }
+
+    fn known(&self, route: &str) -> Option<&VecDeque<Duration>> {
+        self.by_route.get(route).filter(|durations| durations.len() >= MIN_DURATIONS)
     }
 
-    /// Whether a request that ends by its deadline, `request_left` from now, is finished when the
-    /// daemon stops, `daemon_left` from now.
-    pub fn can_finish(&self, route: &str, request_left: Duration, daemon_left: Duration) -> bool {
-        let expected = self.expected(route).unwrap_or(Duration::MAX);
-        expected.min(request_left) <= daemon_left
+    /// Whether a daemon that stops `daemon_left` from now takes a request that ends by its deadline,
+    /// `request_left` from now.
+    pub fn takes(
+        &self,
+        route: &str,
+        stage: Stage,
+        request_left: Duration,
+        daemon_left: Duration,
+    ) -> bool {
+        let expected = match stage {
+            Stage::Announcing => self.likely(route),
+            Stage::Announced => self.longest(route),
+        };
+        expected.unwrap_or(Duration::MAX).min(request_left) <= daemon_left
     }
 }
