gateway: records that change nothing count as applied

What operators saw: records_from_peer with changed=false every 250 ms, where a daemon had got a record that changes nothing, such as the deletion of a server that it did not know.

Cause: the position that a daemon states was published with changes only.

Evidence: records_that_change_nothing_are_applied_too failed (0 instead of 7) and passes.

--- a/crates/gateway/src/cache.rs
+++ b/crates/gateway/src/cache.rs
@@ -116,11 +116,12 @@
     /// Applies records. Returns whether the state changed.
     pub fn apply(&self, records: Vec<Record>, origin: Origin, now: Instant) -> bool {
         let mut inner = self.inner.lock();
+        let before = inner.applied;
         let mut changed = false;
         for record in records {
             changed |= self.apply_record(&mut inner, record, origin, now);
         }
-        if changed {
+        if changed || inner.applied > before {
             self.publish(&inner);
         }
         changed
