gateway: a store that comes back from an older copy is noticed and followed

Revisions go back and are given out again, and the header Store-Era rises.

What callers would see: hosts that don't take over any change until the store's revision has passed its old one; servers that the restored store lacks stay in use for good.

Cause: records were ordered by revision alone, by daemons and among peers.

Change: records, heartbeats and fetches carry positions, era before revision. The client judges each response by its era. A peer that has read the store in full after the asking daemon's position sends all keys along, since it has no records of deletions before its read.

--- a/crates/gateway/src/cache.rs
+++ b/crates/gateway/src/cache.rs
@@ -1,7 +1,7 @@
 //! The cache of published records, and the state that is derived from them.
 //!
-//! Records arrive from the source and from peers, each with its revision. The highest revision of a
-//! key wins, whatever its origin, so the state never goes back to an older one within a process.
+//! Records arrive from the source and from peers, each with its position. The last position of a key
+//! wins, whatever its origin, so the state never goes back to an older one within a process.
 
 use std::{
     sync::Arc,
@@ -21,7 +21,8 @@
 use crate::{
     builds::DepartedBuilds,
     environment::Environment,
-    record::{Decoder, Key, Record, Revision, Server, State, Value},
+    record::{Changes, Decoder, Era, Key, Listing, Position, Record, Server, State, Value},
+    restore::{self, Restore},
 };
 
 /// How long backend servers whose records were deleted while the source was unreachable are kept
@@ -59,8 +60,8 @@
     pub cold: Map<Backend, Instant>,
     /// The availability zones that are out of service.
     pub zones_out: Set<Zone>,
-    /// The highest revision applied.
-    pub applied: Revision,
+    /// The last position applied.
+    pub applied: Position,
 }
 
 #[derive(Debug)]
@@ -87,7 +88,12 @@
     /// When the first record arrived.
     known_since: Option<Instant>,
     zones_out: Set<Zone>,
-    applied: Revision,
+    applied: Position,
+    /// The position of the last full read. It contains the effect of all earlier records.
+    complete_at: Position,
+    /// The era of the record of the environment in force.
+    environment_era: Era,
+    restore: Restore,
     source_lost_at: Option<Instant>,
     /// The end of the grace time of servers after the last return of the source.
     grace_until: Option<Instant>,
@@ -127,17 +133,42 @@
         changed
     }
 
-    /// Applies a full read as of `revision`: records that are missing in it were deleted. Returns
+    /// Applies a full read as of `position`: records that are missing in it were deleted. Returns
     /// whether the state changed.
-    pub fn replace_all(&self, mut records: Vec<Record>, revision: Revision, now: Instant) -> bool {
-        let keys: Set<CompactString> = records.iter().map(|record| record.key.clone()).collect();
+    pub fn replace_all(&self, records: Vec<Record>, position: Position, now: Instant) -> bool {
+        let keys = records.iter().map(|record| record.key.clone()).collect();
+        self.apply_listing(records, &keys, position, Origin::Read, now)
+    }
+
+    /// Applies what a peer sent. Returns whether the state changed.
+    pub fn apply_changes(&self, changes: Changes, now: Instant) -> bool {
+        let Changes { records, listing } = changes;
+        let Some(Listing { position, keys }) = listing else {
+            return self.apply(records, Origin::Peer, now);
+        };
+        let keys = keys.into_iter().collect();
+        self.apply_listing(records, &keys, position, Origin::Peer, now)
+    }
+
+    /// Applies records, and deletes what is missing in `keys`, which existed at `position`.
+    fn apply_listing(
+        &self,
+        mut records: Vec<Record>,
+        keys: &Set<CompactString>,
+        position: Position,
+        origin: Origin,
+        now: Instant,
+    ) -> bool {
         for (key, cached) in &self.inner.lock().records {
             let record = &cached.record;
-            if record.value.is_some() && record.revision <= revision && !keys.contains(key) {
-                records.push(Record { key: key.clone(), revision, value: None });
+            if record.value.is_some() && record.position <= position && !keys.contains(key) {
+                records.push(Record { key: key.clone(), position, value: None });
             }
         }
-        self.apply(records, Origin::Read, now)
+        let changed = self.apply(records, origin, now);
+        let mut inner = self.inner.lock();
+        inner.complete_at = inner.complete_at.max(position);
+        changed
     }
 
     /// The build of all backend servers that were in a pool at `since` or later, draining ones
@@ -158,6 +189,11 @@
         inner.source_lost_at.is_none() && inner.known_since.is_some_and(|known| known <= since)
     }
 
+    /// How often the source was restored from an older copy since the daemon started.
+    pub fn restore_count(&self) -> u64 {
+        self.inner.lock().restore.count()
+    }
+
     /// Records that the source can't be reached or refuses calls.
     pub fn on_source_lost(&self, now: Instant) {
         let mut inner = self.inner.lock();
@@ -229,7 +265,18 @@
             cached.record.value.is_some() || now.duration_since(cached.received) < DELETION_TTL
         };
         inner.records.retain(|_, cached| keep(cached));
-        changed
+        let mut rewritten = false;
+        for key in inner.restore.expire(now) {
+            let Some(record) = inner.records.get(&key).map(|cached| cached.record.clone()) else {
+                continue;
+            };
+            let Some(parsed_key) = self.decoder.parse_key(&key) else { continue };
+            rewritten |= self.apply_value(&mut inner, &parsed_key, &record, Origin::Read, now);
+        }
+        if rewritten {
+            self.publish(&inner);
+        }
+        changed || rewritten
     }
 
     fn apply_record(
@@ -240,30 +287,72 @@
         now: Instant,
     ) -> bool {
         let Some(parsed_key) = self.decoder.parse_key(&record.key) else { return false };
-        let cached = inner.records.get(&record.key);
-        if cached.is_some_and(|cached| cached.record.revision >= record.revision) {
+        let previous = inner.records.get(&record.key).map(|cached| cached.record.position);
+        let known = previous.unwrap_or_default().max(inner.complete_at);
+        if known >= record.position && known != Position::default() {
             return false;
         }
-        inner.applied = inner.applied.max(record.revision);
+        if inner.is_restored_by(record.position) {
+            tracing::warn!(
+                event = "source_restored", applied = %inner.applied, position = %record.position,
+                %origin
+            );
+            inner.restore.begin(now);
+            inner.grace_until = inner.grace_until.max(Some(now + LAPSED_SERVER_GRACE));
+        }
+        inner.applied = inner.applied.max(record.position);
         inner.known_since.get_or_insert(now);
-        let (key, revision) = (record.key.clone(), record.revision);
-        let changed = match &record.value {
-            None => remove(inner, &parsed_key, revision, origin, now),
-            Some(value) => match self.decoder.decode(&parsed_key, value) {
-                Ok(decoded) => insert(inner, decoded, revision, origin, now),
-                Err(error) => {
-                    tracing::warn!(
-                        event = "record_refused", %key, %revision, %origin, fault = %error
-                    );
-                    matches!(parsed_key, Key::Server(_))
-                        && remove(inner, &parsed_key, revision, origin, now)
-                }
-            },
+        let is_restored = previous
+            .is_some_and(|previous| inner.restore.is_restored(previous, record.position, now));
+        let changed = if is_restored && self.goes_back(inner, &parsed_key, &record) {
+            tracing::info!(event = "record_held", key = %record.key, position = %record.position);
+            inner.restore.hold(record.key.clone());
+            false
+        } else {
+            inner.restore.release(&record.key);
+            self.apply_value(inner, &parsed_key, &record, origin, now)
         };
-        inner.records.insert(key, CachedRecord { record, received: now });
+        inner.records.insert(record.key.clone(), CachedRecord { record, received: now });
         changed
     }
 
+    /// Whether a restored record goes back on what this daemon knows.
+    fn goes_back(&self, inner: &Inner, key: &Key, record: &Record) -> bool {
+        let restored = match (key, &record.value) {
+            (Key::Environment, _) => return false,
+            (Key::ZoneOut(zone), value) => {
+                return inner.zones_out.contains(zone) != value.is_some();
+            }
+            (Key::Server(_), None) => return false,
+            (Key::Server(_), Some(value)) => self.decoder.decode(key, value),
+        };
+        let Ok(Value::Server(restored)) = restored else { return false };
+        let known = inner.servers.get(&restored.name).map(|cached| &*cached.server);
+        inner.restore.is_departed(&restored, known)
+    }
+
+    fn apply_value(
+        &self,
+        inner: &mut Inner,
+        parsed_key: &Key,
+        record: &Record,
+        origin: Origin,
+        now: Instant,
+    ) -> bool {
+        let Record { key, position, value } = record;
+        let Some(value) = value else { return remove(inner, parsed_key, *position, origin, now) };
+        match self.decoder.decode(parsed_key, value) {
+            Ok(decoded) => insert(inner, decoded, *position, origin, now),
+            Err(error) => {
+                tracing::warn!(
+                    event = "record_refused", %key, revision = %position, %origin, fault = %error
+                );
+                matches!(parsed_key, Key::Server(_))
+                    && remove(inner, parsed_key, *position, origin, now)
+            }
+        }
+    }
+
     fn publish(&self, inner: &Inner) {
         let environment = inner.environment.clone();
         let has_pool = |server: &Server| {
@@ -289,27 +378,47 @@
 }
 
 impl RecordProvider for Cache {
-    fn records_after(&self, after: Revision) -> Option<Vec<Record>> {
+    fn changes_after(&self, after: Position) -> Option<Changes> {
         let inner = self.inner.lock();
         if inner.suspended {
             return None;
         }
-        let records = inner.records.values().map(|cached| &cached.record);
-        Some(records.filter(|record| record.revision > after).cloned().collect())
+        let records = || inner.records.values().map(|cached| &cached.record);
+        let existing = || records().filter(|record| record.value.is_some());
+        let listing = (after < inner.complete_at).then(|| Listing {
+            position: inner.complete_at,
+            keys: existing().map(|record| record.key.clone()).collect(),
+        });
+        let records = records().filter(|record| record.position > after).cloned().collect();
+        Some(Changes { records, listing })
+    }
+}
+
+impl Inner {
+    /// Whether a position shows that the source was restored, for a daemon that has records.
+    fn is_restored_by(&self, position: Position) -> bool {
+        position.era > self.applied.era && self.applied != Position::default()
     }
 }
 
 fn insert(
     inner: &mut Inner,
     value: Value,
-    revision: Revision,
+    position: Position,
     origin: Origin,
     now: Instant,
 ) -> bool {
     match value {
         Value::Environment(environment) => {
+            let in_force = inner.environment.as_ref().map_or(0, |environment| environment.version);
+            let (version, applied) = (environment.version, inner.environment_era);
+            if restore::is_older_version(version, in_force, position.era, applied) {
+                tracing::warn!(event = "environment_kept", version, in_force, revision = %position, %origin);
+                return false;
+            }
+            inner.environment_era = position.era;
             tracing::info!(
-                event = "environment", version = environment.version, %revision, %origin,
+                event = "environment", version = environment.version, revision = %position, %origin,
                 routes = environment.route_count()
             );
             inner.environment = Some(Arc::new(*environment));
@@ -319,7 +428,7 @@
                 event = "server", server = %server.name, pool = %server.pool, zone = %server.zone,
                 build = %server.build,
                 state = %server.state, address = %server.address,
-                cold_ms = server.cold_for.as_millis() as u64, %revision, %origin
+                cold_ms = server.cold_for.as_millis() as u64, revision = %position, %origin
             );
             let name = server.name.clone();
             let cold_until =
@@ -330,19 +439,19 @@
             }
         }
         Value::ZoneOut(zone) => {
-            tracing::info!(event = "zone_out", %zone, %revision, %origin);
+            tracing::info!(event = "zone_out", %zone, revision = %position, %origin);
             inner.zones_out.insert(zone);
         }
     }
     true
 }
 
-fn remove(inner: &mut Inner, key: &Key, revision: Revision, origin: Origin, now: Instant) -> bool {
+fn remove(inner: &mut Inner, key: &Key, position: Position, origin: Origin, now: Instant) -> bool {
     match key {
         // Operators replace the environment and never delete it, so a deletion leaves it in force.
         Key::Environment => false,
         Key::ZoneOut(zone) => {
-            tracing::info!(event = "zone_back", %zone, %revision, %origin);
+            tracing::info!(event = "zone_back", %zone, revision = %position, %origin);
             inner.zones_out.remove(zone)
         }
         Key::Server(name) => {
@@ -353,18 +462,19 @@
             if !leaving && (source_lost || grace_until.is_some()) {
                 let until = grace_until.unwrap_or(now + LAPSED_SERVER_GRACE);
                 tracing::info!(
-                    event = "server_lapsed", server = %name, %revision, %origin,
+                    event = "server_lapsed", server = %name, revision = %position, %origin,
                     trouble = source_lost
                 );
                 cached.expires_at = Some(until);
                 return false;
             }
             tracing::info!(
-                event = "server_gone", server = %name, reason = "deleted", %revision, %origin
+                event = "server_gone", server = %name, reason = "deleted", revision = %position, %origin
             );
             let removed = inner.servers.remove(name);
             if let Some(CachedServer { server, .. }) = &removed {
                 inner.departed_builds.record(&server.pool, &server.build, now);
+                inner.restore.record_departure(server, now);
             }
             removed.is_some()
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod record;
 pub mod refusal;
 pub mod relay;
+pub mod restore;
 pub mod server;
 pub mod source;
 pub mod suspects;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -51,6 +51,8 @@
     pub connections: Gauge,
     /// The number of log lines that did not fit into the buffer.
     pub log_lines_dropped: Gauge,
+    /// How often the source was restored from an older copy.
+    pub source_restores: Gauge,
 }
 
 impl Default for Metrics {
@@ -61,7 +63,7 @@
         let first_event = Family::new_with_constructor(histogram as fn() -> Histogram);
         let response_time = Family::new_with_constructor(histogram as fn() -> Histogram);
         let (running, connections) = (Gauge::default(), Gauge::default());
-        let log_lines_dropped = Gauge::default();
+        let (log_lines_dropped, source_restores) = (Gauge::default(), Gauge::default());
         registry.register("answers", "Answers to callers", responses.clone());
         registry.register("attempts", "Requests sent to backend servers", attempts.clone());
         registry.register("first_event_seconds", "Time to the first event", first_event.clone());
@@ -70,6 +72,8 @@
         registry.register("caller_connections", "Connections of callers", connections.clone());
         let help = "Log lines that did not fit into the buffer";
         registry.register("log_lines_dropped", help, log_lines_dropped.clone());
+        let help = "Restores of the source from an older copy";
+        registry.register("source_restores", help, source_restores.clone());
         let registry = Mutex::new(registry);
         Self {
             registry,
@@ -80,6 +84,7 @@
             running,
             connections,
             log_lines_dropped,
+            source_restores,
         }
     }
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -11,18 +11,15 @@
     gossip::LocalState,
     heartbeat::{Heartbeat, LoadEntry, Phase, name_hash},
     member::WatcherCandidate,
-    record::Revision,
+    record::Position,
     sync,
 };
 
 use parking_lot::Mutex;
 
-use crate::{
-    cache::Origin,
-    gateway::{Gateway, Settings},
-};
+use crate::gateway::{Gateway, Settings};
 
-/// How long a peer may have a higher revision before its records are fetched. The source usually
+/// How long a peer may have a later position before its records are fetched. The source usually
 /// reports a change to all its watchers within this time.
 const CATCH_UP_DELAY: Duration = Duration::from_millis(250);
 /// The maximum number of loads in one heartbeat, so that it fits into a datagram.
@@ -85,7 +82,7 @@
         // cheaper to fetch from than a remote one. While the source is lost there is nothing to
         // wait for.
         let near = heartbeat.zone == self.gateway.settings.zone;
-        let expected = applied != Revision::default()
+        let expected = applied != Position::default()
             && !suspended
             && (self.gateway.watches_source() || cache.is_source_up() && !near);
         let first = since == now && !expected;
@@ -101,17 +98,17 @@
     }
 }
 
-/// How long peers have had a higher revision than this daemon.
+/// How long peers have had a later position than this daemon.
 #[derive(Debug, Clone, Copy)]
 struct Lag {
-    applied: Revision,
+    applied: Position,
     since: Instant,
 }
 
 struct Fetch {
     gateway: Arc<Gateway>,
     address: SocketAddr,
-    after: Revision,
+    after: Position,
     /// Whether the state was marked as out of date, after a suspension, when the fetch began.
     suspended: bool,
 }
@@ -120,12 +117,11 @@
     async fn run(&self) {
         let peer = self.address.ip();
         match sync::fetch(self.address, self.after).await {
-            Ok(records) => {
-                let count = records.len();
-                let now = Instant::now();
-                let changed = self.gateway.cache.apply(records, Origin::Peer, now);
+            Ok(changes) => {
+                let (count, listed) = (changes.records.len(), changes.listing.is_some());
+                let changed = self.gateway.cache.apply_changes(changes, Instant::now());
                 tracing::info!(
-                    event = "records_from_peer", %peer, after = %self.after, count, changed
+                    event = "records_from_peer", %peer, after = %self.after, count, listed, changed
                 );
                 // The peer sent these records after this process resumed, so they are current.
                 if self.suspended && self.gateway.cache.is_suspended() {
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -10,7 +10,7 @@
 
 use crate::environment::Environment;
 
-pub use hyssop_view::record::{Record, Revision};
+pub use hyssop_view::record::{Changes, Era, Listing, Position, Record, Revision};
 
 /// Whether a backend server accepts requests, by its own record.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -16,7 +16,7 @@
 use crate::{
     cache::Origin,
     gateway::Gateway,
-    record::{Record, Revision},
+    record::{Position, Record},
 };
 
 /// The maximum wait of one watch. Short, so that a connection that has gone silent is detected
@@ -37,16 +37,19 @@
 pub struct Batch {
     /// The records, in any order.
     pub records: Vec<Record>,
-    /// The revision from which the next watch continues.
-    pub revision: Revision,
+    /// The position from which the next watch continues.
+    pub position: Position,
 }
 
 /// Why a call of the source failed.
 #[derive(Debug, Clone, PartialEq, Eq, derive_more::Display, derive_more::Error)]
 pub enum Error {
-    /// The source has no history from the revision on, so a full read is needed.
-    #[display("the source has no history from the revision on")]
+    /// The source has no history from the position on, so a full read is needed.
+    #[display("the source has no history from the position on")]
     Compacted,
+    /// The source was restored from an older copy, so a full read is needed.
+    #[display("the source was restored from an older copy")]
+    Restored,
     /// The source refused the call with this HTTP status.
     #[display("refused with status {_0}")]
     Refused(#[error(not(source))] u16),
@@ -63,8 +66,9 @@
     /// Reads all records.
     fn read(&self) -> BatchFuture<'_>;
 
-    /// Waits for changes after a revision. Returns an empty batch if there are none within `wait`.
-    fn watch(&self, after: Revision, wait: Duration) -> BatchFuture<'_>;
+    /// Waits for changes after a position of the present era. Returns an empty batch if there are
+    /// none within `wait`.
+    fn watch(&self, after: Position, wait: Duration) -> BatchFuture<'_>;
 }
 
 /// Reads and watches `source` until `stop` is cancelled, as the daemon's role requires.
@@ -101,13 +105,13 @@
                     let gone_ms = outage.map(|outage| outage.as_millis() as u64);
                     tracing::info!(event = "source_back", gone_ms);
                 }
-                position = Some(batch.revision);
+                position = Some(batch.position);
                 // Only a read that began after the suspension is current.
                 if suspended {
                     gateway.cache.set_suspended(false);
                 }
                 let changed = if full {
-                    gateway.cache.replace_all(batch.records, batch.revision, now)
+                    gateway.cache.replace_all(batch.records, batch.position, now)
                 } else {
                     gateway.cache.apply(batch.records, Origin::Watch, now)
                 };
@@ -115,9 +119,9 @@
                     gateway.reconfigure();
                 }
             }
-            Err(Error::Compacted) => {
-                tracing::info!(event = "history_gone", position = ?position);
-                position = None;
+            Err(error @ (Error::Compacted | Error::Restored)) => {
+                let position = position.take().map(tracing::field::display);
+                tracing::info!(event = "history_gone", position, fault = %error);
             }
             Err(error) => {
                 on_failure(gateway, &error, position, now);
@@ -135,11 +139,12 @@
 
 /// Handles a failed call of the source. While other daemons watch the source, it is not lost for
 /// the fleet; once they stop, `PeerSync::tick` marks it as lost.
-fn on_failure(gateway: &Gateway, error: &Error, position: Option<Revision>, now: Instant) {
+fn on_failure(gateway: &Gateway, error: &Error, position: Option<Position>, now: Instant) {
     let watched = gateway.members.lock().is_source_watched(now);
     if gateway.set_watches_source(false) || gateway.cache.is_source_up() && !watched {
         tracing::warn!(
-            event = "source_lost", fault = %error, position = ?position, followed = watched
+            event = "source_lost", fault = %error,
+            position = position.map(tracing::field::display), followed = watched
         );
     }
     if !watched {
--- a/crates/gateway/tests/applied.rs
+++ b/crates/gateway/tests/applied.rs
@@ -4,7 +4,7 @@
 
 use hyssop_gateway::{
     cache::{Cache, Origin},
-    record::{Decoder, Error, Key, Record, Revision, Value},
+    record::{Decoder, Error, Key, Position, Record, Revision, Value},
 };
 
 struct ZoneDecoder;
@@ -25,8 +25,9 @@
 fn records_that_change_nothing_are_applied_too() {
     let cache = Cache::new(Box::new(ZoneDecoder));
     for (revision, value) in [(7, None), (8, Some("refused".into()))] {
-        let record = Record { key: "zone".into(), revision: Revision(revision), value };
+        let position = Position { revision: Revision(revision), ..Position::default() };
+        let record = Record { key: "zone".into(), position, value };
         assert!(!cache.apply(vec![record], Origin::Peer, Instant::now()));
-        assert_eq!(cache.snapshot().applied, Revision(revision));
+        assert_eq!(cache.snapshot().applied, position);
     }
 }
--- a/crates/gateway/tests/rights.rs
+++ b/crates/gateway/tests/rights.rs
@@ -24,7 +24,7 @@
 use hyssop_view::{
     heartbeat::{Heartbeat, LoadEntry, Phase, name_hash},
     member::{CONVERGENCE_DELAY, Table},
-    record::Revision,
+    record::{Position, Revision},
 };
 use rand::{RngExt as _, SeedableRng as _, rngs::StdRng, seq::SliceRandom as _};
 
@@ -118,7 +118,7 @@
             caller_address: SocketAddr::new(address(self.index), 1),
             phase: Phase::Ready,
             weight: 250,
-            applied: Revision(1),
+            applied: Position { revision: Revision(1), ..Position::default() },
             watches_source: false,
             converged: self.table.has_converged(now),
             members,
--- a/crates/view/src/heartbeat.rs
+++ b/crates/view/src/heartbeat.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     member::{MIN_LIVENESS_TIMEOUT, SHARE_TTL},
-    record::Revision,
+    record::Position,
 };
 
 /// The maximum size of a datagram: one packet of an Ethernet link.
@@ -91,8 +91,8 @@
     pub phase: Phase,
     /// The capacity of the sender's host, in requests per second.
     pub weight: u16,
-    /// The highest revision that the sender has applied.
-    pub applied: Revision,
+    /// The last position that the sender has applied.
+    pub applied: Position,
     /// Whether the sender receives changes from the source itself.
     pub watches_source: bool,
     /// Whether the sender's membership has converged, see [`crate::member::Table::has_converged`].
--- a/crates/view/src/member.rs
+++ b/crates/view/src/member.rs
@@ -243,7 +243,7 @@
 
     /// Whether this daemon watches the source on behalf of the fleet: the daemons of the largest
     /// capacity in each zone do, and the next ones in place of daemons that can't. The load on the
-    /// source would otherwise grow with the fleet; the others see the new revision in heartbeats
+    /// source would otherwise grow with the fleet; the others see the new position in heartbeats
     /// and fetch the changes from a peer.
     pub fn role(&self, own: &WatcherCandidate<'_>, now: Instant) -> Role {
         let others = || self.alive(now).map(|(_, member)| member);
--- a/crates/view/src/sync.rs
+++ b/crates/view/src/sync.rs
@@ -11,24 +11,24 @@
 };
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-use crate::record::{Record, Revision};
+use crate::record::{Changes, Position};
 
 /// The maximum size of a response: a few of the largest values that the store holds.
 const MAX_FRAME_BYTES: usize = 8 << 20;
 /// The timeout of one exchange. Peers are milliseconds away, and another peer is tried afterwards.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// Requests the records newer than a revision.
+/// Requests the records after a position.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 struct Request {
-    after: Revision,
+    after: Position,
 }
 
 /// Provides the records that peers fetch.
 pub trait RecordProvider: Send + Sync + 'static {
     /// The records newer than `after`, deletions included, or `None` while this daemon's state may
     /// be out of date.
-    fn records_after(&self, after: Revision) -> Option<Vec<Record>>;
+    fn changes_after(&self, after: Position) -> Option<Changes>;
 }
 
 /// Why records could not be fetched.
@@ -54,7 +54,7 @@
 /// # Errors
 ///
 /// See [`Error`].
-pub async fn fetch(address: SocketAddr, after: Revision) -> Result<Vec<Record>, Error> {
+pub async fn fetch(address: SocketAddr, after: Position) -> Result<Changes, Error> {
     let exchange = async {
         let mut frames = framed(TcpStream::connect(address).await?);
         frames.send(Bytes::from(postcard::to_allocvec(&Request { after })?)).await?;
@@ -89,7 +89,7 @@
     let mut frames = framed(stream);
     let request = frames.next().await.ok_or(Error::NoResponse)??;
     let request: Request = postcard::from_bytes(&request)?;
-    let Some(records) = provider.records_after(request.after) else { return Ok(()) };
-    frames.send(Bytes::from(postcard::to_allocvec(&records)?)).await?;
+    let Some(changes) = provider.changes_after(request.after) else { return Ok(()) };
+    frames.send(Bytes::from(postcard::to_allocvec(&changes)?)).await?;
     Ok(())
 }
--- a/crates/view/tests/origin.rs
+++ b/crates/view/tests/origin.rs
@@ -17,7 +17,7 @@
     heartbeat::{Heartbeat, Phase},
     member::Table,
     origin::{Message, Origins, Registry, StreamId},
-    record::Revision,
+    record::{Position, Revision},
 };
 use parking_lot::Mutex;
 use tokio::{net::UdpSocket, task::JoinHandle};
@@ -62,7 +62,7 @@
             caller_address: SocketAddr::new(other.ip, 1),
             phase: Phase::Ready,
             weight: 100,
-            applied: Revision(1),
+            applied: Position { revision: Revision(1), ..Position::default() },
             watches_source: false,
             converged: true,
             members: Vec::new(),
--- a/crates/view/tests/view.rs
+++ b/crates/view/tests/view.rs
@@ -12,7 +12,7 @@
         Change, HEARTBEAT_INTERVAL, MAX_FANOUT, MIN_LIVENESS_TIMEOUT, Role, SHARE_TTL, Table,
         WatcherCandidate,
     },
-    record::Revision,
+    record::{Position, Revision},
 };
 
 fn heartbeat(incarnation: u64, phase: Phase) -> Heartbeat {
@@ -23,7 +23,7 @@
         caller_address: "10.1.0.19:8740".parse().expect("an address"),
         phase,
         weight: 250,
-        applied: Revision(7),
+        applied: Position { revision: Revision(7), ..Position::default() },
         watches_source: false,
         converged: false,
         members: Vec::new(),
