gateway: logs of failed exchanges tell reused connections and silent servers

The logs could not tell whether a request was lost on a kept connection or whether its server had overdue requests. `broken` and `not_run` have `reused` and `silent_ms` now.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -263,7 +263,8 @@
         let server = exchange.server.name.clone();
         tracing::info!(
             event = "not_run", id = %self.meta.id, %server, attempt = self.tries,
-            fault = %error, %end
+            fault = %error, %end, reused = exchange.is_reused(),
+            silent_ms = exchange.server_silent_ms()
         );
         exchange.finish(end);
         self.demand.excluded.push(server);
@@ -350,7 +351,8 @@
         let server = Arc::clone(&exchange.server);
         tracing::info!(
             event = "broken", id = %self.meta.id, server = %server.name, attempt = self.tries,
-            fault = %error, after_ms = elapsed_ms(self.arrived), last_event = self.last_event_id
+            fault = %error, after_ms = elapsed_ms(self.arrived), last_event = self.last_event_id,
+            reused = exchange.is_reused(), silent_ms = exchange.server_silent_ms()
         );
         let timeout = matches!(error, Error::Late(_));
         exchange.finish(if timeout && self.time_left() < MIN_TIME_LEFT {
--- a/crates/gateway/src/call/exchange.rs
+++ b/crates/gateway/src/call/exchange.rs
@@ -174,6 +174,17 @@
         self.connection.as_ref().is_some_and(|connection| connection.server_active_since(since))
     }
 
+    /// Whether an earlier request used the connection, if there is one.
+    pub(super) fn is_reused(&self) -> Option<bool> {
+        self.connection.as_ref().map(|connection| connection.reused)
+    }
+
+    /// How long the backend server has sent this daemon nothing, if there is a connection.
+    pub(super) fn server_silent_ms(&self) -> Option<u64> {
+        let connection = self.connection.as_ref()?;
+        Some(connection.server_silent_for(Instant::now()).as_millis() as u64)
+    }
+
     /// Waits for the head of the response to request `id`.
     pub(super) async fn receive_head(
         &mut self,
--- a/crates/gateway/src/http/connection.rs
+++ b/crates/gateway/src/http/connection.rs
@@ -53,6 +53,13 @@
         self.last_received_ms.load(Ordering::Relaxed) > since_ms
     }
 
+    /// How long ago the backend server last sent anything, or since this record exists if it never
+    /// did.
+    pub fn silent_for(&self, now: Instant) -> Duration {
+        let last_received = Duration::from_millis(self.last_received_ms.load(Ordering::Relaxed));
+        now.duration_since(self.started).saturating_sub(last_received)
+    }
+
     fn record_received(&self) {
         self.last_received_ms.store(self.started.elapsed().as_millis() as u64, Ordering::Relaxed);
     }
@@ -195,6 +202,11 @@
         self.guard.0.received_since(since)
     }
 
+    /// How long the backend server has sent nothing on any connection.
+    pub fn server_silent_for(&self, now: Instant) -> Duration {
+        self.guard.0.silent_for(now)
+    }
+
     fn write(&mut self) {
         while self.is_writing() {
             let slices = [io::IoSlice::new(&self.head), io::IoSlice::new(&self.body)];
