gateway: a request that may run once is not written to a server that may be gone

What callers saw (tier1): while all servers of an availability zone were silent, urgent requests that may run once got nothing.

Cause: a kept connection was used as long as nothing had failed on it. A host that loses power closes nothing; TCP keepalive ends the connection 3 s after the last sign of life, and the request is lost with it.

Change: if a backend server has neither sent anything nor accepted a connection within 150 ms, such a request gets a new connection. If that fails nothing has been sent, so another server takes the request. At the limit of connections an idle one is closed for it.

Evidence: a_request_that_may_run_once_is_not_lost_on_a_kept_connection... failed and passes.

--- a/crates/gateway/src/http/connection.rs
+++ b/crates/gateway/src/http/connection.rs
@@ -37,12 +37,19 @@
     started: Instant,
     /// When data was last received, in ms since `started`.
     last_received_ms: AtomicU64,
+    /// When a connection was last accepted, in ms since `started`.
+    last_accepted_ms: AtomicU64,
 }
 
 impl Default for Activity {
     fn default() -> Self {
         let started = Instant::now();
-        Self { open_connections: AtomicUsize::new(0), started, last_received_ms: AtomicU64::new(0) }
+        Self {
+            open_connections: AtomicUsize::new(0),
+            started,
+            last_received_ms: AtomicU64::new(0),
+            last_accepted_ms: AtomicU64::new(0),
+        }
     }
 }
 
@@ -53,15 +60,25 @@
         self.last_received_ms.load(Ordering::Relaxed) > since_ms
     }
 
-    /// How long ago the backend server last sent anything, or since this record exists if it never
-    /// did.
+    /// How long ago the backend server last sent anything or accepted a connection. If it never
+    /// did, how long ago this record was created.
     pub fn silent_for(&self, now: Instant) -> Duration {
-        let last_received = Duration::from_millis(self.last_received_ms.load(Ordering::Relaxed));
-        now.duration_since(self.started).saturating_sub(last_received)
+        let last = [&self.last_received_ms, &self.last_accepted_ms];
+        let last_ms = last.map(|at_ms| at_ms.load(Ordering::Relaxed)).into_iter().max();
+        let last = Duration::from_millis(last_ms.unwrap_or(0));
+        now.duration_since(self.started).saturating_sub(last)
     }
 
     fn record_received(&self) {
-        self.last_received_ms.store(self.started.elapsed().as_millis() as u64, Ordering::Relaxed);
+        self.last_received_ms.store(self.elapsed_ms(), Ordering::Relaxed);
+    }
+
+    fn record_accepted(&self) {
+        self.last_accepted_ms.store(self.elapsed_ms(), Ordering::Relaxed);
+    }
+
+    fn elapsed_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
     }
 }
 
@@ -115,6 +132,7 @@
         let connect = timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
         let stream =
             connect.await.map_err(|_: Elapsed| io::Error::from(io::ErrorKind::TimedOut))??;
+        guard.0.record_accepted();
         stream.set_nodelay(true)?;
         let socket = SockRef::from(&stream);
         socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))?;
@@ -202,7 +220,7 @@
         self.guard.0.received_since(since)
     }
 
-    /// How long the backend server has sent nothing on any connection.
+    /// How long the backend server has sent nothing and accepted no connection.
     pub fn server_silent_for(&self, now: Instant) -> Duration {
         self.guard.0.silent_for(now)
     }
--- a/crates/gateway/src/http/pool.rs
+++ b/crates/gateway/src/http/pool.rs
@@ -20,6 +20,9 @@
 const REUSE_RATIO: f64 = 0.7;
 /// The fraction for requests that must not be sent twice.
 const NON_IDEMPOTENT_REUSE_RATIO: f64 = 0.4;
+/// How long a backend server may have been silent before a request that must not be sent twice gets
+/// a new connection. A kept connection does not show that the backend server has lost power.
+const NON_IDEMPOTENT_SILENCE_LIMIT: Duration = Duration::from_millis(150);
 
 /// Why no connection is available. Nothing was sent.
 #[derive(Debug, Display, Error, From)]
@@ -40,6 +43,19 @@
     activity: Arc<Activity>,
 }
 
+impl ServerConnections {
+    /// Counts a new connection. If `max_connections` are open, closes an idle one for it.
+    fn guard(&mut self, max_connections: usize) -> Result<OpenGuard, Error> {
+        let activity = &self.activity;
+        OpenGuard::acquire(activity, max_connections)
+            .or_else(|| {
+                self.idle.pop()?;
+                OpenGuard::acquire(activity, max_connections)
+            })
+            .ok_or(Error::Share)
+    }
+}
+
 /// A daemon's connections to all backend servers.
 #[derive(Debug, Default)]
 pub struct Pool {
@@ -66,13 +82,15 @@
                 connections.idle.clear();
                 connections.address = Some(address);
             }
-            while let Some(mut connection) = connections.idle.pop() {
+            let silent_for = connections.activity.silent_for(Instant::now());
+            let is_in_doubt = non_idempotent && silent_for > NON_IDEMPOTENT_SILENCE_LIMIT;
+            while !is_in_doubt && let Some(mut connection) = connections.idle.pop() {
                 if is_reusable(&connection, non_idempotent) && connection.is_clean() {
                     connection.reused = true;
                     return Ok(connection);
                 }
             }
-            OpenGuard::acquire(&connections.activity, max_connections).ok_or(Error::Share)?
+            connections.guard(max_connections)?
         };
         Ok(Connection::open(address, guard).await?)
     }
