policy: backend servers that fall silent while requests wait are examined

What callers saw (tier1): for two seconds after the servers of an availability zone had fallen silent, daemons went on choosing them.

Cause: a daemon doubted a server only when a request was overdue, for engines after at least two targets (1 s), and the rule that leaves out servers with overdue requests holds for a fifth of the candidates at most, since load is the cause if there are more. Here it was a third.

Change: a server that has sent nothing for 250 ms while a request waits for it is examined by an attempt to connect, and gets no requests until one succeeds, unless there are no others. A server that is only slow accepts connections, so the number of silent servers doesn't matter. A failed attempt is repeated after the backoff, and peers learn of it with the loads.

--- a/crates/gateway/src/http/pool.rs
+++ b/crates/gateway/src/http/pool.rs
@@ -95,6 +95,33 @@
         Ok(Connection::open(address, guard).await?)
     }
 
+    /// Opens a connection to `server` and keeps it as an idle one.
+    ///
+    /// # Errors
+    ///
+    /// See [`Error`].
+    pub async fn add(
+        &self,
+        server: &Backend,
+        address: SocketAddr,
+        max_connections: usize,
+    ) -> Result<(), Error> {
+        let guard = {
+            let mut servers = self.servers.lock();
+            servers.entry(server.clone()).or_default().guard(max_connections)?
+        };
+        let connection = Connection::open(address, guard).await?;
+        self.release(server, connection);
+        Ok(())
+    }
+
+    /// How long `server` has sent nothing and accepted no connection, or zero if this daemon has
+    /// not connected to it.
+    pub fn silent_for(&self, server: &Backend, now: Instant) -> Duration {
+        let servers = self.servers.lock();
+        servers.get(server).map_or(Duration::ZERO, |server| server.activity.silent_for(now))
+    }
+
     /// Returns a connection to the pool after its exchange.
     pub fn release(&self, server: &Backend, mut connection: Connection) {
         connection.idle_since = Instant::now();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,5 +24,6 @@
 pub mod relay;
 pub mod restore;
 pub mod server;
+mod silence;
 pub mod source;
 pub mod suspects;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -17,7 +17,10 @@
 
 use parking_lot::Mutex;
 
-use crate::gateway::{Gateway, Settings};
+use crate::{
+    gateway::{Gateway, Settings},
+    silence,
+};
 
 /// How long a peer may have a later position before its records are fetched. The source usually
 /// reports a change to all its watchers within this time.
@@ -194,5 +197,7 @@
         let mut decider = gateway.decider.lock();
         decider.set_members(members, converged);
         decider.expire_peers(now);
+        drop(decider);
+        silence::examine_silent_servers(gateway, now);
     }
 }
--- a/crates/policy/src/local.rs
+++ b/crates/policy/src/local.rs
@@ -14,5 +14,6 @@
 pub mod repeats;
 pub mod reservation;
 pub mod server;
+pub mod silence;
 pub mod urgency;
 pub mod window;
--- a/crates/policy/src/local/decider.rs
+++ b/crates/policy/src/local/decider.rs
@@ -22,6 +22,7 @@
     repeats::{Bound as RepeatBound, Budget as RepeatBudget},
     reservation::{self, Reservation},
     server::{Load, Request, SendId, Server, State as ServerState},
+    silence::Examination,
     urgency::Kinds,
 };
 
@@ -241,6 +242,44 @@
         self.peer_loads.expire(now);
     }
 
+    /// Returns the backend servers that an attempt to connect must examine now, because they are
+    /// silent. `silent_for` tells how long a server has sent nothing. The result of each attempt
+    /// must be reported with [`Self::record_examined`].
+    pub fn begin_examinations(
+        &mut self,
+        silent_for: impl Fn(&Backend) -> Duration,
+        now: Instant,
+    ) -> Vec<Backend> {
+        let due = self.servers.iter_mut().filter_map(|(name, state)| {
+            let waiting_since = state.waiting_since();
+            let is_due = state.examination.is_due(
+                waiting_since,
+                || silent_for(name),
+                state.avoid_until,
+                now,
+            );
+            is_due.then(|| {
+                state.examination = Examination::Running;
+                name.clone()
+            })
+        });
+        due.collect()
+    }
+
+    /// Records whether a silent backend server accepted a connection.
+    pub fn record_examined(&mut self, server: &Backend, reachable: bool, now: Instant) {
+        let Some(state) = self.servers.get_mut(server) else { return };
+        if state.examination != Examination::Running {
+            return;
+        }
+        if reachable {
+            state.record_reachable();
+        } else {
+            state.examination = Examination::Failed;
+            state.record_unreachable(now);
+        }
+    }
+
     /// The daemon's load at each backend server, and how long that server stays cold by what it
     /// publishes. Cold times reported by peers are not passed on: each hop would extend them.
     pub fn own_loads(&mut self, now: Instant) -> Vec<(u32, Load, Duration)> {
--- a/crates/policy/src/local/server.rs
+++ b/crates/policy/src/local/server.rs
@@ -8,7 +8,7 @@
     name::{Backend, Pool, Zone},
 };
 
-use super::{demand::Demand, latency::Backlog, window::Window};
+use super::{demand::Demand, latency::Backlog, silence::Examination, window::Window};
 
 /// How long a backend server gets no requests after it could not be reached or a response failed.
 /// Doubles with each further failure.
@@ -144,6 +144,7 @@
     pub(super) failures: u32,
     /// Until when the backend server counts as unreachable, because a connection failed.
     unreachable_until: Option<Instant>,
+    pub(super) examination: Examination,
     /// The last first event of a response.
     last_response: Option<Instant>,
     /// How many times longer than predicted the backend server took, by this daemon's measurements.
@@ -164,6 +165,7 @@
             avoid_until: None,
             failures: 0,
             unreachable_until: None,
+            examination: Examination::None,
             last_response: None,
             slowness: 1.0,
             measurements: 0,
@@ -210,13 +212,19 @@
     }
 
     pub(super) fn is_avoided(&self, now: Instant) -> bool {
-        self.avoid_until.is_some_and(|until| until > now)
+        self.examination != Examination::None || self.avoid_until.is_some_and(|until| until > now)
+    }
+
+    /// When the oldest request in flight was sent.
+    pub(super) fn waiting_since(&self) -> Option<Instant> {
+        self.requests.values().map(|request| request.sent).min()
     }
 
     /// Records the first event of a response.
     pub(super) fn record_response(&mut self, now: Instant) {
         self.failures = 0;
         self.unreachable_until = None;
+        self.examination = Examination::None;
         self.last_response = Some(now);
     }
 
@@ -226,6 +234,13 @@
         self.record_failure(now);
     }
 
+    /// Records that the backend server accepted a connection after it had been silent. That says
+    /// nothing about how its requests end.
+    pub(super) fn record_reachable(&mut self) {
+        self.examination = Examination::None;
+        self.unreachable_until = None;
+    }
+
     /// Whether other daemons can't reach the backend server and this one has had no response
     /// recently.
     pub(super) fn is_reported_unreachable(&self, load: Load, now: Instant) -> bool {
@@ -247,7 +262,8 @@
     /// Whether the backend server failed so few requests that it is still used if all others are
     /// avoided too.
     pub(super) fn is_fallback(&self) -> bool {
-        (1..=MAX_FALLBACK_FAILURES).contains(&self.failures)
+        let examined = self.examination != Examination::None && self.failures == 0;
+        examined || (1..=MAX_FALLBACK_FAILURES).contains(&self.failures)
     }
 
     /// The prompt tokens that must be prefilled on this backend server. `is_first_choice` means
