gateway: logs tell the shared segments of prompts and how long a broken response had run

The logs of second1 could not tell which parts of their prompts the requests at a crashed engine had, nor for how long these had been running. `sent` has `shared`, `broken` has `begun_ms`.

The first event of a stream that goes on at another server is recorded as well. Before, such a request counted as one that waits for its first event until its end, and so as overdue.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -18,7 +18,7 @@
 use hyssop_document::{name::Backend, number::Tier};
 use hyssop_policy::local::{
     decider::{Decision, End},
-    demand::Demand,
+    demand::{Demand, SegmentIds},
 };
 
 use crate::{
@@ -186,7 +186,8 @@
             source_age_ms = self.gateway.cache.source_age_ms(now),
             left_ms = self.time_left().as_millis() as u64,
             waited_ms = elapsed_ms(self.arrived), after_event = self.last_event_id,
-            build = %exchange.server.build, resumes = self.meta.resumes.as_deref()
+            build = %exchange.server.build, resumes = self.meta.resumes.as_deref(),
+            shared = %SegmentIds(self.demand.shared_segments())
         );
         let non_idempotent = self.route.retry_policy == RetryPolicy::AtMostOnce;
         if let Err(error) = exchange.connect(non_idempotent).await {
@@ -352,7 +353,8 @@
         tracing::info!(
             event = "broken", id = %self.meta.id, server = %server.name, attempt = self.tries,
             fault = %error, after_ms = elapsed_ms(self.arrived), last_event = self.last_event_id,
-            reused = exchange.is_reused(), silent_ms = exchange.server_silent_ms()
+            reused = exchange.is_reused(), silent_ms = exchange.server_silent_ms(),
+            begun_ms = exchange.begun_for().map(|begun| begun.as_millis() as u64)
         );
         let timeout = matches!(error, Error::Late(_));
         exchange.finish(if timeout && self.time_left() < MIN_TIME_LEFT {
--- a/crates/gateway/src/call/exchange.rs
+++ b/crates/gateway/src/call/exchange.rs
@@ -117,6 +117,7 @@
     /// The request's fingerprint if it is a crash suspect.
     suspect: Option<Fingerprint>,
     connection: Option<Connection>,
+    first_event_at: Option<Instant>,
     reusable: bool,
     finished: bool,
 }
@@ -138,6 +139,7 @@
             send_id,
             suspect,
             connection: None,
+            first_event_at: None,
             reusable: false,
             finished: false,
         }
@@ -298,13 +300,19 @@
         }
     }
 
-    /// Records the arrival of the first event.
-    pub(crate) fn record_first_event(&self) {
-        self.gateway.decider.lock().record_first_event(
-            &self.server.name,
-            self.send_id,
-            Instant::now(),
-        );
+    /// Records the arrival of the first event. Further calls have no effect.
+    pub(crate) fn record_first_event(&mut self) {
+        if self.first_event_at.is_some() {
+            return;
+        }
+        let now = Instant::now();
+        self.first_event_at = Some(now);
+        self.gateway.decider.lock().record_first_event(&self.server.name, self.send_id, now);
+    }
+
+    /// How long ago the first event arrived, if one has.
+    pub(super) fn begun_for(&self) -> Option<Duration> {
+        self.first_event_at.map(|at| at.elapsed())
     }
 
     /// Records the end of the exchange. The connection returns to the pool if it can be reused.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -96,10 +96,10 @@
 
     /// Returns the bytes to pass on, if any, and counts them.
     fn filter(&mut self, data: Bytes) -> Result<Option<Bytes>, Error> {
+        self.exchange.record_first_event();
         if self.first_event_at.is_none() {
             let now = Instant::now();
             self.first_event_at = Some(now);
-            self.exchange.record_first_event();
             let after = now.duration_since(self.call.arrived);
             self.call.gateway.metrics.observe_first_event(&self.call.route.name, after);
         }
--- a/crates/policy/src/local/demand.rs
+++ b/crates/policy/src/local/demand.rs
@@ -1,6 +1,9 @@
 //! The properties of a request that placement depends on.
 
-use std::time::{Duration, Instant};
+use std::{
+    fmt,
+    time::{Duration, Instant},
+};
 
 use hyssop_document::{
     build::Build,
@@ -17,6 +20,19 @@
     pub tokens: u32,
 }
 
+/// The ids of segments for logs: hexadecimal, separated by commas.
+pub struct SegmentIds<'a>(pub &'a [Segment]);
+
+impl fmt::Display for SegmentIds<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, segment) in self.0.iter().enumerate() {
+            let separator = if index == 0 { "" } else { "," };
+            write!(f, "{separator}{:x}", segment.id)?;
+        }
+        Ok(())
+    }
+}
+
 /// What a request needs.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Demand {
@@ -76,12 +92,14 @@
         }
     }
 
+    /// The segments that other requests may share: all but the last one.
+    pub fn shared_segments(&self) -> &[Segment] {
+        self.segments.split_last().map_or(&[], |(_own, shared)| shared)
+    }
+
     /// The prompt tokens that no other request has.
     pub fn unshared_tokens(&self) -> u32 {
-        let shared: u32 = match self.segments.as_slice() {
-            [] => 0,
-            [shared @ .., _own] => shared.iter().map(|segment| segment.tokens).sum(),
-        };
+        let shared: u32 = self.shared_segments().iter().map(|segment| segment.tokens).sum();
         self.prompt_tokens.saturating_sub(shared)
     }
 
