gateway: a segment of prompts that crashes engines is quarantined

Cause: blame was attached to whole requests, by a hash of path, caller and body. Each crash was also seen by another daemon, and records of several daemons were merged by the larger count, so their crashes would not have added up either.

Change (hyssop_backend::evidence): at a crash, all shared segments of the requests that had just begun there are suspects. A sound one soon belongs to a request that survives, which exonerates it. Three crashes at least 300 ms apart without a survivor in between quarantine a segment in all daemons: heartbeats carry crashes by their ids and the last survivor, and are merged by union. Half a second passes before it takes effect, so that peers can report survivors. After 10, 30, 90 and 270 s one daemon of the fleet lets a single request through, since a rare segment may be quarantined by chance.

Why it works: a segment at fault has no survivors, so it is found by its third or fourth crash whatever else its requests hold and wherever they arrive; one that others share is never found guilty, since they survive meanwhile.

--- a/crates/backend/src/lib.rs
+++ b/crates/backend/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod chunk;
 pub mod client;
 pub mod connection;
+pub mod evidence;
 pub mod failure;
 pub mod load;
 pub mod metrics;
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -1,5 +1,6 @@
 //! A caller's request, from the choice of a backend server to the response head.
 
+mod blame;
 mod buffered;
 mod builder;
 mod continuation;
@@ -69,6 +70,8 @@
     shared_headers: Bytes,
     body: BufferedBody,
     fingerprint: Fingerprint,
+    /// The segments of the prompt that other requests may share.
+    segments: Vec<Fingerprint>,
     pub(crate) arrived: Instant,
     pub(crate) deadline: Instant,
     demand: Demand,
@@ -153,10 +156,9 @@
 
     async fn try_once(&mut self) -> TryResult {
         let now = Instant::now();
-        let status = self.gateway.suspects.lock().status(self.fingerprint, now);
-        if status == Status::Quarantined {
+        let Some(status) = self.blame_status(now) else {
             return TryResult::Failed(Failure::Refused(Refusal::new(Reason::Quarantined)));
-        }
+        };
         let suspect = status == Status::Suspect;
         let placement = match self.choose_server(suspect, now) {
             Decision::Send(placement) => placement,
@@ -346,32 +348,6 @@
         if self.may_rerun() { TryResult::Retry } else { TryResult::Failed(Failure::Broken(error)) }
     }
 
-    /// Records a failed exchange in the log, the decider and the records of crash suspects, and
-    /// excludes its backend server for this call.
-    pub(crate) fn record_failure(&mut self, exchange: &mut Exchange, error: &Error) {
-        let server = Arc::clone(&exchange.server);
-        tracing::info!(
-            event = "broken", id = %self.meta.id, server = %server.name, attempt = self.tries,
-            fault = %error, after_ms = elapsed_ms(self.arrived), last_event = self.last_event_id,
-            reused = exchange.is_reused(), silent_ms = exchange.server_silent_ms(),
-            begun_ms = exchange.begun_for().map(|begun| begun.as_millis() as u64)
-        );
-        let timeout = matches!(error, Error::Late(_));
-        exchange.finish(if timeout && self.time_left() < MIN_TIME_LEFT {
-            End::Abandoned
-        } else {
-            End::Failed
-        });
-        self.demand.excluded.push(server.name.clone());
-        self.demand.record_run();
-        if error.may_be_crash() {
-            let now = Instant::now();
-            self.gateway.suspects.lock().record_failure(&server.name, self.fingerprint, now);
-            let gateway = Arc::clone(&self.gateway);
-            tokio::spawn(async move { gateway.probe_server(&server.name, server.address).await });
-        }
-    }
-
     fn request_head(&self, server: &Backend, cache_source: Option<SocketAddr>) -> Bytes {
         let mut out = BytesMut::with_capacity(self.shared_headers.len() + self.target.len() + 256);
         out.put_slice(self.method.as_str().as_bytes());
--- a/crates/gateway/src/call/builder.rs
+++ b/crates/gateway/src/call/builder.rs
@@ -11,7 +11,7 @@
 use hyper::Method;
 use hyssop_backend::blame::Fingerprint;
 use hyssop_document::name::Pool;
-use hyssop_policy::local::demand::Demand;
+use hyssop_policy::local::demand::{Demand, Segment};
 use rand::RngExt as _;
 
 use super::{BufferedBody, Call};
@@ -115,6 +115,7 @@
         };
         Call {
             fingerprint: self.fingerprint(),
+            segments: segment_fingerprints(&demand),
             last_event_id: self.meta.last_event_id,
             gateway: self.gateway,
             meta: self.meta,
@@ -148,6 +149,17 @@
     }
 }
 
+/// Hashes the segments that other requests may share, each with the pool that runs it.
+fn segment_fingerprints(demand: &Demand) -> Vec<Fingerprint> {
+    let fingerprint = |segment: &Segment| {
+        let mut hasher = foldhash::quality::FixedState::with_seed(FINGERPRINT_SEED).build_hasher();
+        hasher.write(demand.pool.as_str().as_bytes());
+        hasher.write_u64(segment.id);
+        Fingerprint(hasher.finish())
+    };
+    demand.shared_segments().iter().map(fingerprint).collect()
+}
+
 /// Chooses a pool at random by weight.
 fn choose_pool(pools: &[(Pool, u32)]) -> Pool {
     let total: u32 = pools.iter().map(|(_, weight)| weight).sum();
--- a/crates/gateway/src/call/exchange.rs
+++ b/crates/gateway/src/call/exchange.rs
@@ -311,7 +311,7 @@
     }
 
     /// How long ago the first event arrived, if one has.
-    pub(super) fn begun_for(&self) -> Option<Duration> {
+    pub(crate) fn begun_for(&self) -> Option<Duration> {
         self.first_event_at.map(|at| at.elapsed())
     }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -220,7 +220,13 @@
                 tracing::info!(event = "not_examined", %server, %fault);
             }
             Err(fault) => {
-                let blamed = self.suspects.lock().record_crash(server, Instant::now());
+                let (blamed, segments) = {
+                    let (mut suspects, now) = (self.suspects.lock(), Instant::now());
+                    (suspects.record_crash(server, now), suspects.record_segment_crash(server, now))
+                };
+                for (segment, crashes) in segments {
+                    tracing::warn!(event = "segment_blamed", %server, segment = %segment, crashes);
+                }
                 for (fingerprint, status) in blamed {
                     tracing::warn!(
                         event = "blamed", %server, %fingerprint, standing = %status, %fault
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -27,6 +27,8 @@
 const CATCH_UP_DELAY: Duration = Duration::from_millis(250);
 /// The maximum number of loads in one heartbeat, so that it fits into a datagram.
 const MAX_LOAD_ENTRIES: usize = 48;
+/// The number of loads that take as much room as one entry of [`Heartbeat::evidence`].
+const LOADS_PER_EVIDENCE_ENTRY: usize = 4;
 
 /// Publishes the daemon's state in heartbeats, and applies the state of peers.
 pub struct PeerSync {
@@ -145,10 +147,15 @@
         let gateway = &self.gateway;
         let now = Instant::now();
         let mut loads = gateway.decider.lock().own_loads(now);
-        if loads.len() > MAX_LOAD_ENTRIES {
+        let (blames, evidence) = {
+            let suspects = gateway.suspects.lock();
+            (suspects.blames(now), suspects.evidence(now))
+        };
+        let max_loads = MAX_LOAD_ENTRIES - LOADS_PER_EVIDENCE_ENTRY * evidence.len();
+        if loads.len() > max_loads {
             // Peers count a load that is left out as 0, so the smallest ones are left out.
             loads.sort_by_key(|(_, load, cold)| Reverse((*cold, load.running)));
-            loads.truncate(MAX_LOAD_ENTRIES);
+            loads.truncate(max_loads);
         }
         Heartbeat {
             host: gateway.settings.host.clone(),
@@ -162,15 +169,18 @@
             converged: false,
             members: Vec::new(),
             loads: loads.into_iter().map(LoadEntry::from).collect(),
-            blames: gateway.suspects.lock().blames(now),
+            blames,
+            evidence,
         }
     }
 
     fn on_heartbeat(&self, from: IpAddr, heartbeat: &Heartbeat, now: Instant) {
         let loads: Vec<_> = heartbeat.loads.iter().copied().map(Into::into).collect();
         self.gateway.decider.lock().record_peer(from, &loads, now);
-        if !heartbeat.blames.is_empty() {
-            self.gateway.suspects.lock().merge(&heartbeat.blames, now);
+        if !heartbeat.blames.is_empty() || !heartbeat.evidence.is_empty() {
+            let mut suspects = self.gateway.suspects.lock();
+            suspects.merge(&heartbeat.blames, now);
+            suspects.merge_evidence(&heartbeat.evidence, now);
         }
         self.catch_up(from, heartbeat, now);
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use hyssop_backend::evidence::SURVIVAL_TIME;
 use hyssop_policy::local::decider::End;
 use tokio::time::timeout;
 
@@ -39,6 +40,8 @@
     /// Whether the body is a stream that may be resumed.
     resumable: bool,
     first_event_at: Option<Instant>,
+    /// Whether the present run lasted long enough not to be the cause of a crash.
+    survived: bool,
     chunks: u32,
     bytes: u64,
     done: bool,
@@ -61,6 +64,7 @@
             event_filter,
             resumable,
             first_event_at: None,
+            survived: false,
             chunks: 0,
             bytes: 0,
             done: false,
@@ -97,6 +101,9 @@
     /// Returns the bytes to pass on, if any, and counts them.
     fn filter(&mut self, data: Bytes) -> Result<Option<Bytes>, Error> {
         self.exchange.record_first_event();
+        if self.exchange.begun_for().is_some_and(|begun| begun >= SURVIVAL_TIME) {
+            self.record_survival();
+        }
         if self.first_event_at.is_none() {
             let now = Instant::now();
             self.first_event_at = Some(now);
@@ -138,9 +145,18 @@
         self.event_filter.as_ref().map_or(0, |event_filter| event_filter.partial().len())
     }
 
+    fn record_survival(&mut self) {
+        if !std::mem::replace(&mut self.survived, true) {
+            self.call.record_survival();
+        }
+    }
+
     /// Logs and counts the end of the response. An empty `reason` means that it is complete.
     fn record_end(&mut self, reason: &str) {
         self.done = true;
+        if reason.is_empty() && (200..300).contains(&self.status) {
+            self.record_survival();
+        }
         let call = &self.call;
         let first_ms =
             self.first_event_at.map(|first| first.duration_since(call.arrived).as_millis() as u64);
@@ -177,6 +193,7 @@
             return Err(Failure::Broken(Error::Status(head.status)));
         }
         self.exchange = exchange;
+        self.survived = false;
         self.framing = head.framing;
         self.delimiter = head.framing.delimiter();
         Ok(())
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -1,10 +1,13 @@
-//! Requests that ran on a backend server when it crashed.
+//! Requests that ran on a backend server when it crashed, and the segments of their prompts.
 
 use std::time::{Duration, Instant};
 
-use hyssop_backend::blame::{Fingerprint, Record, Registry, Status};
+use hyssop_backend::{
+    blame::{Fingerprint, Record, Registry, Status},
+    evidence::{Crash, CrashId, Evidence, Registry as SegmentRegistry},
+};
 use hyssop_document::{collections::Map, name::Backend};
-use hyssop_view::heartbeat::Blame;
+use hyssop_view::heartbeat::{Blame, CrashEntry, EvidenceEntry};
 
 /// How long a blamed request is recorded. Callers repeat a request only within their deadlines.
 const BLAME_TTL: Duration = Duration::from_secs(60);
@@ -13,6 +16,8 @@
 const CRASH_WINDOW: Duration = Duration::from_millis(600);
 /// The maximum number of blames in one heartbeat.
 const MAX_BLAME_ENTRIES: usize = 12;
+/// The maximum number of segments in one heartbeat.
+const MAX_EVIDENCE_ENTRIES: usize = 6;
 
 #[derive(Debug, Clone, Copy)]
 struct FailedExchange {
@@ -20,6 +25,14 @@
     at: Instant,
 }
 
+/// A segment of a request that had just begun when its exchange failed.
+#[derive(Debug, Clone, Copy)]
+struct FailedSegment {
+    segment: Fingerprint,
+    crash: CrashId,
+    at: Instant,
+}
+
 /// A daemon's records of requests that may have crashed backend servers.
 #[derive(Debug)]
 pub struct Suspects {
@@ -27,6 +40,8 @@
     failures: Map<Backend, Vec<FailedExchange>>,
     /// The suspects of this daemon that run at each backend server.
     running: Map<Backend, Vec<Fingerprint>>,
+    segments: SegmentRegistry,
+    failed_segments: Map<Backend, Vec<FailedSegment>>,
 }
 
 impl Default for Suspects {
@@ -35,6 +50,8 @@
             registry: Registry::new(BLAME_TTL),
             failures: Map::default(),
             running: Map::default(),
+            segments: SegmentRegistry::default(),
+            failed_segments: Map::default(),
         }
     }
 }
@@ -97,6 +114,89 @@
         statuses
     }
 
+    /// The first of the segments whose requests must not run, if there is one.
+    pub fn quarantined_segment(
+        &self,
+        segments: &[Fingerprint],
+        now: Instant,
+    ) -> Option<Fingerprint> {
+        segments.iter().copied().find(|&segment| self.segments.is_quarantined(segment, now))
+    }
+
+    /// Whether one request with a quarantined segment may run now. See
+    /// [`SegmentRegistry::begin_trial`].
+    pub fn begin_trial(&mut self, segment: Fingerprint, now: Instant) -> bool {
+        self.segments.begin_trial(segment, now)
+    }
+
+    /// Records a failed exchange with `server` of a request that had just begun. `crash` identifies
+    /// the crash of the server, if that is the cause.
+    pub fn record_failed_segments(
+        &mut self,
+        server: &Backend,
+        crash: CrashId,
+        segments: &[Fingerprint],
+        now: Instant,
+    ) {
+        let failed = self.failed_segments.entry(server.clone()).or_default();
+        failed.retain(|failed| now.duration_since(failed.at) <= CRASH_WINDOW);
+        failed.extend(segments.iter().map(|&segment| FailedSegment { segment, crash, at: now }));
+    }
+
+    /// Records a crash of `server` for the segments of the requests that had just begun there.
+    /// Returns these segments, each with the number of crashes that count.
+    pub fn record_segment_crash(
+        &mut self,
+        server: &Backend,
+        now: Instant,
+    ) -> Vec<(Fingerprint, usize)> {
+        let failed = self.failed_segments.remove(server).unwrap_or_default();
+        let recent = failed.iter().filter(|failed| now.duration_since(failed.at) <= CRASH_WINDOW);
+        let mut crashes: Vec<_> = recent.map(|failed| (failed.segment, failed.crash)).collect();
+        crashes.sort_unstable();
+        crashes.dedup();
+        let crashes = crashes.into_iter().map(|(segment, id)| {
+            let evidence = self.segments.record_crash(segment, Crash { id, at: now }, now);
+            (segment, evidence.crashes.len())
+        });
+        crashes.collect()
+    }
+
+    /// Records that a request with these segments ran long enough not to be the cause of a crash.
+    pub fn record_survival(&mut self, segments: &[Fingerprint], now: Instant) {
+        for &segment in segments {
+            self.segments.record_survival(segment, now);
+        }
+    }
+
+    /// Applies the evidence of a peer's heartbeat.
+    pub fn merge_evidence(&mut self, entries: &[EvidenceEntry], now: Instant) {
+        let at = |ms_ago| now.checked_sub(Duration::from_millis(u64::from(ms_ago))).unwrap_or(now);
+        for entry in entries {
+            let crashes = entry.crashes.iter();
+            let crashes =
+                crashes.map(|crash| Crash { id: CrashId(crash.id), at: at(crash.ms_ago) });
+            let evidence = Evidence::new(crashes.collect(), entry.survived_ms_ago.map(at));
+            self.segments.merge(Fingerprint(entry.segment), &evidence, now);
+        }
+    }
+
+    /// The evidence to send to peers.
+    pub fn evidence(&self, now: Instant) -> Vec<EvidenceEntry> {
+        let ms_ago = |at: Instant| now.saturating_duration_since(at).as_millis() as u32;
+        let sample = self.segments.sample(MAX_EVIDENCE_ENTRIES, &mut rand::rng(), now);
+        let entries = sample.into_iter().map(|(segment, evidence)| EvidenceEntry {
+            segment: segment.0,
+            crashes: evidence
+                .crashes
+                .iter()
+                .map(|crash| CrashEntry { id: crash.id.0, ms_ago: ms_ago(crash.at) })
+                .collect(),
+            survived_ms_ago: evidence.survived_at.map(ms_ago),
+        });
+        entries.collect()
+    }
+
     /// Applies the blames of a peer's heartbeat.
     pub fn merge(&mut self, blames: &[Blame], now: Instant) {
         for blame in blames {
--- a/crates/gateway/tests/rights.rs
+++ b/crates/gateway/tests/rights.rs
@@ -124,6 +124,7 @@
             members,
             loads: self.decider.own_loads(now).into_iter().map(LoadEntry::from).collect(),
             blames: Vec::new(),
+            evidence: Vec::new(),
         }
     }
 
--- a/crates/policy/src/local/decider.rs
+++ b/crates/policy/src/local/decider.rs
@@ -15,6 +15,7 @@
 };
 
 use super::{
+    affinity,
     cold::Bound as ColdBound,
     demand::Demand,
     latency::Model,
@@ -197,6 +198,14 @@
         self.converged = converged;
     }
 
+    /// Whether this daemon, of all share holders, decides alone what concerns the item with this
+    /// hash.
+    pub fn is_responsible_for(&self, item: u64) -> bool {
+        let weight = |member: u32| (affinity::weight(member, item), member);
+        let own = self.settings.own_hash;
+        self.converged && self.members.iter().all(|&member| weight(member) <= weight(own))
+    }
+
     /// Replaces the backend servers that may get requests. The state of those that stay is kept,
     /// unless their incarnation has changed.
     pub fn set_servers(&mut self, servers: Vec<Server>) {
--- a/crates/view/src/heartbeat.rs
+++ b/crates/view/src/heartbeat.rs
@@ -65,6 +65,26 @@
     pub expires_in_ms: u32,
 }
 
+/// What the sender knows about a segment of prompts that may crash backend servers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvidenceEntry {
+    /// The fingerprint of the segment.
+    pub segment: u64,
+    /// The crashes at which requests with the segment had just begun.
+    pub crashes: Vec<CrashEntry>,
+    /// How long ago a request with the segment last survived, in ms.
+    pub survived_ms_ago: Option<u32>,
+}
+
+/// The crash of a backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashEntry {
+    /// Identifies the incarnation of the backend server.
+    pub id: u32,
+    /// How long ago the crash was noticed, in ms.
+    pub ms_ago: u32,
+}
+
 /// A member of the sender's table.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberEntry {
@@ -103,6 +123,8 @@
     pub loads: Vec<LoadEntry>,
     /// Requests that crashed backend servers.
     pub blames: Vec<Blame>,
+    /// Segments of prompts that may crash backend servers.
+    pub evidence: Vec<EvidenceEntry>,
 }
 
 impl MemberEntry {
--- a/crates/view/tests/origin.rs
+++ b/crates/view/tests/origin.rs
@@ -68,6 +68,7 @@
             members: Vec::new(),
             loads: Vec::new(),
             blames: Vec::new(),
+            evidence: Vec::new(),
         };
         self.members.lock().record_heartbeat(other.ip, heartbeat, Instant::now());
     }
--- a/crates/view/tests/view.rs
+++ b/crates/view/tests/view.rs
@@ -7,7 +7,10 @@
 
 use hyssop_document::name::{Host, Zone};
 use hyssop_view::{
-    heartbeat::{Blame, Heartbeat, Load, LoadEntry, MAX_DATAGRAM_BYTES, MemberEntry, Phase},
+    heartbeat::{
+        Blame, CrashEntry, EvidenceEntry, Heartbeat, Load, LoadEntry, MAX_DATAGRAM_BYTES,
+        MemberEntry, Phase,
+    },
     member::{
         Change, HEARTBEAT_INTERVAL, MAX_FANOUT, MIN_LIVENESS_TIMEOUT, Role, SHARE_TTL, Table,
         WatcherCandidate,
@@ -29,6 +32,7 @@
         members: Vec::new(),
         loads: Vec::new(),
         blames: Vec::new(),
+        evidence: Vec::new(),
     }
 }
 
@@ -51,6 +55,16 @@
     heartbeat.blames = vec![Blame { fingerprint: u64::MAX, crashes: 3, expires_in_ms: 60_000 }; 12];
     let bytes = heartbeat.encode().expect("a heartbeat can be encoded");
     assert!(bytes.len() <= MAX_DATAGRAM_BYTES, "{}", bytes.len());
+    assert_eq!(Heartbeat::decode(&bytes), Ok(heartbeat.clone()));
+
+    // Each piece of evidence takes the place of four loads.
+    let crash = CrashEntry { id: u32::MAX, ms_ago: 600_000 };
+    let evidence =
+        EvidenceEntry { segment: u64::MAX, crashes: vec![crash; 6], survived_ms_ago: Some(60_000) };
+    heartbeat.evidence = vec![evidence; 6];
+    heartbeat.loads.truncate(48 - 4 * 6);
+    let bytes = heartbeat.encode().expect("a heartbeat can be encoded");
+    assert!(bytes.len() <= MAX_DATAGRAM_BYTES, "{}", bytes.len());
     assert_eq!(Heartbeat::decode(&bytes), Ok(heartbeat));
 }
 
