policy: a backend server that says that it leaves gets no new requests

Change: any response, also an error or one to another request, is read for the notice. The placement leaves out servers that leave, for all kinds of requests, streams that go on and cache sources; what runs there goes on. Peers learn of it with heartbeats, in which an entry takes the place of a load. A notice holds for the incarnation that gave it, whatever its record or a late response says.

--- a/crates/gateway/src/cache.rs
+++ b/crates/gateway/src/cache.rs
@@ -189,6 +189,11 @@
         inner.source_lost_at.is_none() && inner.known_since.is_some_and(|known| known <= since)
     }
 
+    /// Whether a backend server is published, whatever its state.
+    pub fn has_server(&self, server: &Backend) -> bool {
+        self.inner.lock().servers.contains_key(server)
+    }
+
     /// How often the source was restored from an older copy since the daemon started.
     pub fn restore_count(&self) -> u64 {
         self.inner.lock().restore.count()
--- a/crates/gateway/src/call/exchange.rs
+++ b/crates/gateway/src/call/exchange.rs
@@ -215,6 +215,7 @@
                 continue;
             }
             let meta = self.gateway.dialect.parse_response(&head.headers);
+            self.record_notices(&meta);
             // A backend server that cannot parse the request id responds without it.
             let without_id = meta.id.is_none() && meta.not_run;
             if meta.id.as_deref() == Some(id) || without_id {
@@ -233,6 +234,15 @@
         }
     }
 
+    /// Records what the backend server asks for in a response, to whichever request that is.
+    fn record_notices(&self, meta: &ResponseMeta) {
+        let (name, now) = (&self.server.name, Instant::now());
+        let incarnation = self.server.started_ms.unwrap_or(0);
+        if meta.leaving && self.gateway.decider.lock().record_leaving(name, incarnation, now) {
+            self.gateway.report_leaving(name, incarnation, &"response");
+        }
+    }
+
     fn apply_keep_alive(&mut self, head: &Head) {
         self.reusable = head.reusable;
         self.connection_mut().keep_alive = keep_alive(&head.headers);
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -67,6 +67,8 @@
     pub signed: bool,
     /// Whether the backend server states that it has not run the request.
     pub not_run: bool,
+    /// Whether the backend server states that it is about to stop.
+    pub leaving: bool,
 }
 
 /// Parses and writes the headers of one platform.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -205,6 +205,17 @@
         self.connections.expire(|server| snapshot.servers.contains_key(server));
     }
 
+    /// Logs and counts that a backend server leaves. `origin` is what reported it.
+    pub(crate) fn report_leaving(
+        &self,
+        server: &Backend,
+        incarnation: u64,
+        origin: &dyn std::fmt::Display,
+    ) {
+        tracing::info!(event = "server_leaving", %server, incarnation, %origin);
+        self.metrics.count_notice("leaving");
+    }
+
     /// Probes a backend server after a failed exchange, by a connection attempt. If it can't be
     /// reached, the requests that failed at it are blamed for a crash.
     pub async fn probe_server(&self, server: &Backend, address: SocketAddr) {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -27,6 +27,11 @@
     route: String,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct NoticeLabels {
+    notice: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct AttemptLabels {
     end: String,
@@ -43,6 +48,7 @@
     registry: Mutex<Registry>,
     responses: Family<ResponseLabels, Counter>,
     attempts: Family<AttemptLabels, Counter>,
+    notices: Family<NoticeLabels, Counter>,
     first_event: Family<RouteLabels, Histogram, fn() -> Histogram>,
     response_time: Family<RouteLabels, Histogram, fn() -> Histogram>,
     /// The number of requests being served.
@@ -60,12 +66,14 @@
         let mut registry = Registry::with_prefix("hyssop");
         let responses = Family::default();
         let attempts = Family::default();
+        let notices = Family::default();
         let first_event = Family::new_with_constructor(histogram as fn() -> Histogram);
         let response_time = Family::new_with_constructor(histogram as fn() -> Histogram);
         let (running, connections) = (Gauge::default(), Gauge::default());
         let (log_lines_dropped, source_restores) = (Gauge::default(), Gauge::default());
         registry.register("answers", "Answers to callers", responses.clone());
         registry.register("attempts", "Requests sent to backend servers", attempts.clone());
+        registry.register("server_notices", "Notices of backend servers", notices.clone());
         registry.register("first_event_seconds", "Time to the first event", first_event.clone());
         registry.register("answer_seconds", "Time to the end of the answer", response_time.clone());
         registry.register("running", "Requests being served", running.clone());
@@ -79,6 +87,7 @@
             registry,
             responses,
             attempts,
+            notices,
             first_event,
             response_time,
             running,
@@ -118,6 +127,11 @@
         self.attempts.get_or_create(&AttemptLabels { end: end.to_string() }).inc();
     }
 
+    /// Counts a notice of a backend server: `leaving` or `pause`.
+    pub fn count_notice(&self, notice: &'static str) {
+        self.notices.get_or_create(&NoticeLabels { notice }).inc();
+    }
+
     /// Observes the time from a request's arrival to its first event.
     pub fn observe_first_event(&self, route: &str, after: Duration) {
         let labels = RouteLabels { route: route.into() };
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -9,7 +9,7 @@
 
 use hyssop_view::{
     gossip::LocalState,
-    heartbeat::{Heartbeat, LoadEntry, Phase, name_hash},
+    heartbeat::{Heartbeat, LeavingEntry, LoadEntry, Phase, name_hash},
     member::WatcherCandidate,
     record::Position,
     sync,
@@ -29,6 +29,8 @@
 const MAX_LOAD_ENTRIES: usize = 48;
 /// The number of loads that take as much room as one entry of [`Heartbeat::evidence`].
 const LOADS_PER_EVIDENCE_ENTRY: usize = 4;
+/// The maximum number of backend servers that leave in one heartbeat.
+const MAX_LEAVING_ENTRIES: usize = 8;
 
 /// Publishes the daemon's state in heartbeats, and applies the state of peers.
 pub struct PeerSync {
@@ -146,12 +148,21 @@
     fn heartbeat(&self) -> Heartbeat {
         let gateway = &self.gateway;
         let now = Instant::now();
-        let mut loads = gateway.decider.lock().own_loads(now);
         let (blames, evidence) = {
             let suspects = gateway.suspects.lock();
             (suspects.blames(now), suspects.evidence(now))
         };
-        let max_loads = MAX_LOAD_ENTRIES - LOADS_PER_EVIDENCE_ENTRY * evidence.len();
+        let (mut loads, leaving) = {
+            let mut decider = gateway.decider.lock();
+            let leaving = decider.leaving().take(MAX_LEAVING_ENTRIES);
+            let leaving: Vec<LeavingEntry> = leaving
+                .map(|(backend_hash, incarnation)| LeavingEntry { backend_hash, incarnation })
+                .collect();
+            (decider.own_loads(now), leaving)
+        };
+        // An entry of `leaving` takes at most as much room as a load.
+        let max_loads =
+            MAX_LOAD_ENTRIES - LOADS_PER_EVIDENCE_ENTRY * evidence.len() - leaving.len();
         if loads.len() > max_loads {
             // Peers count a load that is left out as 0, so the smallest ones are left out.
             loads.sort_by_key(|(_, load, cold)| Reverse((*cold, load.running)));
@@ -171,12 +182,21 @@
             loads: loads.into_iter().map(LoadEntry::from).collect(),
             blames,
             evidence,
+            leaving,
         }
     }
 
     fn on_heartbeat(&self, from: IpAddr, heartbeat: &Heartbeat, now: Instant) {
         let loads: Vec<_> = heartbeat.loads.iter().copied().map(Into::into).collect();
         self.gateway.decider.lock().record_peer(from, &loads, now);
+        for &LeavingEntry { backend_hash, incarnation } in &heartbeat.leaving {
+            let mut decider = self.gateway.decider.lock();
+            let server = decider.record_leaving_of_peer(backend_hash, incarnation, now);
+            drop(decider);
+            if let Some(server) = server {
+                self.gateway.report_leaving(&server, incarnation, &from);
+            }
+        }
         if !heartbeat.blames.is_empty() || !heartbeat.evidence.is_empty() {
             let mut suspects = self.gateway.suspects.lock();
             suspects.merge(&heartbeat.blames, now);
@@ -207,6 +227,7 @@
         let mut decider = gateway.decider.lock();
         decider.set_members(members, converged);
         decider.expire_peers(now);
+        decider.expire_notices(|server| gateway.cache.has_server(server), now);
         drop(decider);
         silence::examine_silent_servers(gateway, now);
     }
--- a/crates/gateway/tests/rights.rs
+++ b/crates/gateway/tests/rights.rs
@@ -125,6 +125,7 @@
             loads: self.decider.own_loads(now).into_iter().map(LoadEntry::from).collect(),
             blames: Vec::new(),
             evidence: Vec::new(),
+            leaving: Vec::new(),
         }
     }
 
--- a/crates/policy/src/local/decider.rs
+++ b/crates/policy/src/local/decider.rs
@@ -19,6 +19,7 @@
     cold::Bound as ColdBound,
     demand::Demand,
     latency::Model,
+    notice::Notices,
     peer_loads::PeerLoads,
     repeats::{Bound as RepeatBound, Budget as RepeatBudget},
     reservation::{self, Reservation},
@@ -150,6 +151,7 @@
     servers: Map<Backend, ServerState>,
     by_hash: Map<u32, Backend>,
     peer_loads: PeerLoads,
+    notices: Notices,
     repeats: Map<Pool, RepeatBudget>,
     reservations: Map<Pool, Reservation>,
     /// The kinds of requests for each pool of engines.
@@ -172,6 +174,7 @@
             servers: Map::default(),
             by_hash: Map::default(),
             peer_loads: PeerLoads::default(),
+            notices: Notices::default(),
             repeats: Map::default(),
             reservations: Map::default(),
             kinds: Map::default(),
@@ -232,6 +235,38 @@
         }
     }
 
+    /// Records that a backend server says that it leaves. Returns whether that is new.
+    pub fn record_leaving(&mut self, server: &Backend, incarnation: u64, now: Instant) -> bool {
+        self.notices.record_leaving(server, incarnation, now)
+    }
+
+    /// Records what a peer reports: an incarnation of the backend server with this hash leaves.
+    /// Returns the backend server if that is new.
+    pub fn record_leaving_of_peer(
+        &mut self,
+        hash: u32,
+        incarnation: u64,
+        now: Instant,
+    ) -> Option<Backend> {
+        let server = self.by_hash.get(&hash)?;
+        let is_same = self.servers.get(server)?.server.incarnation == incarnation;
+        (is_same && self.notices.record_leaving(server, incarnation, now)).then(|| server.clone())
+    }
+
+    /// The backend servers that leave although their records say that they may get requests: the
+    /// hash and the incarnation of each.
+    pub fn leaving(&self) -> impl Iterator<Item = (u32, u64)> {
+        let servers = self.servers.values().map(|state| &state.server);
+        let leaving =
+            servers.filter(|server| self.notices.is_leaving(&server.name, server.incarnation));
+        leaving.map(|server| (server.hash, server.incarnation))
+    }
+
+    /// Forgets what backend servers asked for long ago. `is_known` tells which are published.
+    pub fn expire_notices(&mut self, is_known: impl Fn(&Backend) -> bool, now: Instant) {
+        self.notices.expire(is_known, now);
+    }
+
     /// Records all loads of a peer, and how long the peer expects each backend server to stay cold.
     pub fn record_peer(&mut self, peer: IpAddr, loads: &[(u32, Load, Duration)], now: Instant) {
         for &(hash, _, cold) in loads.iter().filter(|(.., cold)| !cold.is_zero()) {
--- a/crates/policy/src/local/decider/placement.rs
+++ b/crates/policy/src/local/decider/placement.rs
@@ -226,7 +226,8 @@
             let of_build = demand.build.as_ref().is_none_or(|build| *build == server.build);
             servers += 1;
             servers_of_build += usize::from(of_build);
-            if demand.excluded.contains(name) {
+            let leaving = self.notices.is_leaving(name, server.incarnation);
+            if leaving || demand.excluded.contains(name) {
                 continue;
             }
             let avoided = state.is_avoided(now);
--- a/crates/policy/src/local/decider/prefix.rs
+++ b/crates/policy/src/local/decider/prefix.rs
@@ -39,10 +39,12 @@
         let Some(prefix) = demand.shared_prefix() else { return [None, None] };
         let mut homes = [None, None];
         for state in self.servers.values() {
-            if state.server.pool != demand.pool || state.may_be_down(now) {
+            let server = &state.server;
+            let leaving = self.notices.is_leaving(&server.name, server.incarnation);
+            if server.pool != demand.pool || leaving || state.may_be_down(now) {
                 continue;
             }
-            let hash = state.server.hash;
+            let hash = server.hash;
             let home = Some((affinity::weight(hash, prefix.id), hash));
             if home > homes[0] {
                 homes = [home, homes[0]];
--- a/crates/view/src/heartbeat.rs
+++ b/crates/view/src/heartbeat.rs
@@ -85,6 +85,15 @@
     pub ms_ago: u32,
 }
 
+/// A backend server that said that it leaves, although its published record does not.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeavingEntry {
+    /// The [`name_hash`] of the backend server.
+    pub backend_hash: u32,
+    /// The start of its incarnation in ms since 1970, or 0 if it publishes none.
+    pub incarnation: u64,
+}
+
 /// A member of the sender's table.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberEntry {
@@ -125,6 +134,8 @@
     pub blames: Vec<Blame>,
     /// Segments of prompts that may crash backend servers.
     pub evidence: Vec<EvidenceEntry>,
+    /// Backend servers that said that they leave.
+    pub leaving: Vec<LeavingEntry>,
 }
 
 impl MemberEntry {
--- a/crates/view/tests/origin.rs
+++ b/crates/view/tests/origin.rs
@@ -69,6 +69,7 @@
             loads: Vec::new(),
             blames: Vec::new(),
             evidence: Vec::new(),
+            leaving: Vec::new(),
         };
         self.members.lock().record_heartbeat(other.ip, heartbeat, Instant::now());
     }
--- a/crates/view/tests/view.rs
+++ b/crates/view/tests/view.rs
@@ -8,8 +8,8 @@
 use hyssop_document::name::{Host, Zone};
 use hyssop_view::{
     heartbeat::{
-        Blame, CrashEntry, EvidenceEntry, Heartbeat, Load, LoadEntry, MAX_DATAGRAM_BYTES,
-        MemberEntry, Phase,
+        Blame, CrashEntry, EvidenceEntry, Heartbeat, LeavingEntry, Load, LoadEntry,
+        MAX_DATAGRAM_BYTES, MemberEntry, Phase,
     },
     member::{
         Change, HEARTBEAT_INTERVAL, MAX_FANOUT, MIN_LIVENESS_TIMEOUT, Role, SHARE_TTL, Table,
@@ -33,6 +33,7 @@
         loads: Vec::new(),
         blames: Vec::new(),
         evidence: Vec::new(),
+        leaving: Vec::new(),
     }
 }
 
@@ -65,6 +66,13 @@
     heartbeat.loads.truncate(48 - 4 * 6);
     let bytes = heartbeat.encode().expect("a heartbeat can be encoded");
     assert!(bytes.len() <= MAX_DATAGRAM_BYTES, "{}", bytes.len());
+
+    // Each server that leaves takes the place of one load.
+    let leaving = LeavingEntry { backend_hash: u32::MAX, incarnation: 1_700_000_000_000 };
+    heartbeat.leaving = vec![leaving; 8];
+    heartbeat.loads.truncate(48 - 4 * 6 - 8);
+    let bytes = heartbeat.encode().expect("a heartbeat can be encoded");
+    assert!(bytes.len() <= MAX_DATAGRAM_BYTES, "{}", bytes.len());
     assert_eq!(Heartbeat::decode(&bytes), Ok(heartbeat));
 }
 
