policy: a backend server that asks for a pause gets one

Change: nothing is sent to it from this daemon until the time has passed, probes and repeats included, since the placement decides; then the number of requests there may grow from one to its slots over two seconds. Other daemons are not bound. If all servers of a pool ask for a pause, requests are refused at once with the end of the first one, extended at random.

--- a/crates/gateway/src/call/exchange.rs
+++ b/crates/gateway/src/call/exchange.rs
@@ -215,7 +215,7 @@
                 continue;
             }
             let meta = self.gateway.dialect.parse_response(&head.headers);
-            self.record_notices(&meta);
+            self.record_notices(&meta, head.status);
             // A backend server that cannot parse the request id responds without it.
             let without_id = meta.id.is_none() && meta.not_run;
             if meta.id.as_deref() == Some(id) || without_id {
@@ -235,12 +235,20 @@
     }
 
     /// Records what the backend server asks for in a response, to whichever request that is.
-    fn record_notices(&self, meta: &ResponseMeta) {
+    fn record_notices(&self, meta: &ResponseMeta, status: StatusCode) {
         let (name, now) = (&self.server.name, Instant::now());
         let incarnation = self.server.started_ms.unwrap_or(0);
         if meta.leaving && self.gateway.decider.lock().record_leaving(name, incarnation, now) {
             self.gateway.report_leaving(name, incarnation, &"response");
         }
+        if let Some(pause) = meta.pause.filter(|_| status == StatusCode::SERVICE_UNAVAILABLE) {
+            let kept = self.gateway.decider.lock().record_pause(name, incarnation, pause, now);
+            tracing::info!(
+                event = "server_paused", server = %name, incarnation,
+                asked_ms = pause.as_millis() as u64, pause_ms = kept.as_millis() as u64
+            );
+            self.gateway.metrics.count_notice("pause");
+        }
     }
 
     fn apply_keep_alive(&mut self, head: &Head) {
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -69,6 +69,9 @@
     pub not_run: bool,
     /// Whether the backend server states that it is about to stop.
     pub leaving: bool,
+    /// How long the backend server wants no requests from this daemon, if it asks for that and the
+    /// response is a rejection.
+    pub pause: Option<Duration>,
 }
 
 /// Parses and writes the headers of one platform.
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -49,6 +49,9 @@
     /// All backend servers are cold, and this daemon's share of their capacity is used up.
     #[display("cold")]
     Cold,
+    /// All backend servers have asked this daemon for a pause.
+    #[display("paused")]
+    Paused,
     /// All connections of this daemon to the backend servers are in use.
     #[display("connections")]
     Connections,
@@ -89,6 +92,7 @@
             | Self::OtherBuild
             | Self::UnknownBuild
             | Self::Cold
+            | Self::Paused
             | Self::Connections
             | Self::Overload
             | Self::Repeats
@@ -106,6 +110,7 @@
             Refusal::NoServer => Self::NoServer,
             Refusal::OtherBuild => Self::OtherBuild,
             Refusal::Cold => Self::Cold,
+            Refusal::Paused => Self::Paused,
             Refusal::Connections => Self::Connections,
             Refusal::Overload => Self::Overload,
             Refusal::Repeats => Self::Repeats,
--- a/crates/policy/src/local/decider.rs
+++ b/crates/policy/src/local/decider.rs
@@ -94,6 +94,9 @@
     /// All usable backend servers are cold, and this daemon's share of their rate is used.
     #[display("cold")]
     Cold,
+    /// All backend servers have asked this daemon for a pause.
+    #[display("paused")]
+    Paused,
     /// All connections of this daemon to the backend servers are in use.
     #[display("connections")]
     Connections,
@@ -240,6 +243,18 @@
         self.notices.record_leaving(server, incarnation, now)
     }
 
+    /// Records that an incarnation of a backend server asks this daemon for a pause. Returns the pause
+    /// that is kept.
+    pub fn record_pause(
+        &mut self,
+        server: &Backend,
+        incarnation: u64,
+        pause: Duration,
+        now: Instant,
+    ) -> Duration {
+        self.notices.record_pause(server, incarnation, pause, now)
+    }
+
     /// Records what a peer reports: an incarnation of the backend server with this hash leaves.
     /// Returns the backend server if that is new.
     pub fn record_leaving_of_peer(
--- a/crates/policy/src/local/decider/placement.rs
+++ b/crates/policy/src/local/decider/placement.rs
@@ -14,6 +14,7 @@
     affinity,
     demand::Demand,
     latency::{Backlog, Model},
+    notice::PauseStage,
     reservation,
     server::Load,
     urgency::{Kind, Kinds},
@@ -90,6 +91,8 @@
     cold_share_used: bool,
     /// Whether some are left out because this daemon's connections to them are all in use.
     connections_used: bool,
+    /// When the first pause ends of those that are left out because they asked for one.
+    paused_until: Option<Instant>,
 }
 
 impl Selection {
@@ -99,6 +102,8 @@
             Reason::Connections
         } else if self.cold_share_used {
             Reason::Cold
+        } else if self.paused_until.is_some() {
+            Reason::Paused
         } else if self.other_builds_only {
             Reason::OtherBuild
         } else {
@@ -123,11 +128,16 @@
             }
         };
         if selection.candidates.is_empty() {
-            return Decision::Refuse {
-                reason: selection.refusal(),
-                retry_after: MIN_RETRY_AFTER * 2,
-                predicted: None,
+            let reason = selection.refusal();
+            let retry_after = match selection.paused_until {
+                Some(until) if reason == Reason::Paused => {
+                    let left = until.saturating_duration_since(now);
+                    let left = left.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
+                    left.mul_f64(self.retry_jitter())
+                }
+                _ => MIN_RETRY_AFTER * 2,
             };
+            return Decision::Refuse { reason, retry_after, predicted: None };
         }
         let mut placement = match self.cheapest(&selection.candidates, partition, demand, now) {
             Ok(placement) => placement,
@@ -230,6 +240,21 @@
             if leaving || demand.excluded.contains(name) {
                 continue;
             }
+            let stage = self.notices.pause_stage(name, server.incarnation, server.slots, now);
+            match stage {
+                PauseStage::None => {}
+                PauseStage::Paused(until) => {
+                    let earliest = selection.paused_until.map_or(until, |other| other.min(until));
+                    selection.paused_until =
+                        of_build.then_some(earliest).or(selection.paused_until);
+                    continue;
+                }
+                PauseStage::Ramp(limit) if state.requests.len() >= limit => {
+                    selection.paused_until = of_build.then_some(now).or(selection.paused_until);
+                    continue;
+                }
+                PauseStage::Ramp(_) => {}
+            }
             let avoided = state.is_avoided(now);
             if avoided && !state.is_fallback() {
                 continue;
