policy: a plain service that was never tried is expected to be as fast as the fastest

What was seen: an_idempotent_request_is_retried_when_a_server_hangs failed in 2 of 8 runs, since the other server was never chosen in three requests.

Cause: the first response of a fast service makes it cheaper than the usual speed of its pool, at which one that was never measured is rated, by more than the penalty for a recent send. Where requests are few, a server that is as good or better is never tried.

Change: a plain service without a measurement is rated like the fastest one that has been measured, so that it gets one of the next requests.

--- a/crates/policy/src/local/decider/cost.rs
+++ b/crates/policy/src/local/decider/cost.rs
@@ -41,6 +41,9 @@
     /// The mean time that prompts wait for prefill.
     pub(super) prefill_wait: Duration,
     pub(super) model: Model,
+    /// The least slowness of a measured candidate. A plain service that has not been measured is
+    /// expected to be as fast, so that it is tried at all where requests are few.
+    pub(super) least_slowness: f64,
     /// How incomplete the observed load of other daemons is: 1 in a small fleet, else more.
     pub(super) staleness: f64,
     pub(super) now: Instant,
@@ -62,10 +65,10 @@
     is_first_choice: bool,
     context: &Context<'_>,
 ) -> Cost {
-    let &Context { demand, zone, prefill_wait, model, staleness, now } = context;
+    let &Context { demand, zone, prefill_wait, model, staleness, now, .. } = context;
     let zone_penalty = if state.server.zone == *zone { Duration::ZERO } else { CROSS_ZONE_PENALTY };
     let Some(cache_tokens) = state.server.cache_tokens else {
-        return service_cost(state, load, zone_penalty, model);
+        return service_cost(state, load, zone_penalty, context);
     };
     let cached_here = state.uncached_tokens(demand, is_first_choice, now);
     let (uncached, fetched) = match state.server.fetch_tokens_per_ms {
@@ -102,10 +105,16 @@
 
 /// The same figures as [`cost`] for a plain service, which runs one request in each slot and queues
 /// the rest.
-fn service_cost(state: &ServerState, load: Load, zone_penalty: Duration, model: Model) -> Cost {
+fn service_cost(
+    state: &ServerState,
+    load: Load,
+    zone_penalty: Duration,
+    context: &Context<'_>,
+) -> Cost {
     let slots = f64::from(state.server.slots.max(1));
     let fill = f64::from(load.running) / slots;
-    let predicted = model.service_time(fill, state.slowness());
+    let slowness = if state.is_measured() { state.slowness() } else { context.least_slowness };
+    let predicted = context.model.service_time(fill, slowness);
     let overflow = if fill > MAX_QUEUE_FILL { Duration::from_secs(1) } else { Duration::ZERO };
     let send_penalty = RECENT_SEND_PENALTY * load.recent_sends;
     Cost {
--- a/crates/policy/src/local/decider/placement.rs
+++ b/crates/policy/src/local/decider/placement.rs
@@ -16,7 +16,7 @@
     latency::{Backlog, Model},
     notice::PauseStage,
     reservation,
-    server::Load,
+    server::{Load, State as ServerState},
     urgency::{Kind, Kinds},
 };
 
@@ -180,11 +180,15 @@
         let limits = Limits::new(self.kinds.get(&demand.pool), partition, demand, now);
         let first_choice = first_choice(candidates, demand);
         let model = self.model(demand);
+        let measured = candidates.iter().filter_map(|candidate| self.servers.get(&candidate.name));
+        let measured = measured.filter(|state| state.is_measured()).map(ServerState::slowness);
+        let least_slowness = measured.fold(1.0, f64::min);
         let context = Context {
             demand,
             zone: &self.settings.zone,
             prefill_wait: model.prefill_time(mean_pending_tokens(candidates)),
             model,
+            least_slowness,
             staleness: (self.members.len() as f64 / SMALL_FLEET_MEMBERS).max(1.0),
             now,
         };
--- a/crates/policy/src/local/server.rs
+++ b/crates/policy/src/local/server.rs
@@ -197,6 +197,11 @@
         (self.slowness * own + POOL_WEIGHT_MEASUREMENTS) / (own + POOL_WEIGHT_MEASUREMENTS)
     }
 
+    /// Whether a response of the backend server has been measured.
+    pub(super) fn is_measured(&self) -> bool {
+        self.measurements > 0
+    }
+
     pub(super) fn backlog(&self, load: Load) -> Backlog {
         Backlog {
             pending_tokens: f64::from(load.pending_tokens),
--- a/crates/policy/tests/local_servers.rs
+++ b/crates/policy/tests/local_servers.rs
@@ -332,3 +332,24 @@
     decider.record_peer(PEER, &loads, now);
     assert_eq!(expect_send(&decider.place_request(&prefill_heavy(7, now), now)).server, usual);
 }
+
+/// A server that was found fast is not preferred for ever to one that was never tried, as it was
+/// where requests are few.
+#[test]
+fn a_service_that_was_never_tried_is_chosen_next() {
+    let now = Instant::now();
+    let mut decider = decider("a");
+    decider.set_servers(vec![service(0), service(1)]);
+    let mut chosen = Vec::new();
+    for round in 0..2 {
+        let at = now + Duration::from_millis(round * 100);
+        let demand = plain_request(at);
+        let placement = expect_send(&decider.place_request(&demand, at)).clone();
+        let send_id = decider.record_sent(&placement, &demand, at);
+        let end = at + Duration::from_millis(1);
+        decider.record_first_event(&placement.server, send_id, end);
+        decider.record_end(&placement.server, send_id, End::Complete, end);
+        chosen.push(placement.server);
+    }
+    assert_ne!(chosen[0], chosen[1]);
+}
