--- a/crates/backend/src/evidence.rs
+++ b/crates/backend/src/evidence.rs
@@ -29,7 +29,7 @@
 /// How long a response runs before its request has survived. A request that had run for less is a
 /// suspect when its backend server crashes.
 pub const SURVIVAL_TIME: Duration = Duration::from_secs(1);
-/// How long a segment that is not quarantined is recorded after the last crash.
+/// How long a segment that is not quarantined is recorded after the last crash or survivor.
 const SUSPECT_TTL: Duration = Duration::from_secs(60);
 /// How long a quarantined segment is recorded after the last crash.
 const QUARANTINE_TTL: Duration = Duration::from_secs(900);
@@ -48,7 +48,8 @@
 const NEWS_TTL: Duration = Duration::from_secs(10);
 /// The maximum number of quarantined segments in one sample for peers.
 const MAX_QUARANTINED_SAMPLES: usize = 2;
-/// The maximum number of segments with the most crashes, exonerated or not, in one sample for peers.
+/// The maximum number of other segments that one sample for peers has because of their crashes,
+/// exonerated or not.
 const MAX_SUSPECT_SAMPLES: usize = 3;
 
 /// Identifies the crash of one incarnation of a backend server, the same in all daemons.
--- a/crates/policy/src/local/silence.rs
+++ b/crates/policy/src/local/silence.rs
@@ -9,7 +9,7 @@
 /// How long a backend server may send nothing while a request waits for it before it is examined.
 const SILENCE_LIMIT: Duration = Duration::from_millis(250);
 
-/// Whether a backend server is examined by an attempt to connect to it.
+/// The examination of a backend server by an attempt to connect to it.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum Examination {
     /// Nothing suggests that it can't be reached.
