--- a/crates/policy/tests/local_silence.rs
+++ b/crates/policy/tests/local_silence.rs
@@ -13,7 +13,7 @@
 };
 use local::*;
 
-const SILENT: Duration = Duration::from_secs(1);
+const SILENT_TIME: Duration = Duration::from_secs(1);
 
 /// Sends a request to the only server that is not excluded.
 fn send_to(decider: &mut Decider, servers: &[Server], index: usize, now: Instant) {
@@ -41,7 +41,7 @@
     }
     let silent: Vec<Backend> = servers[..5].iter().map(|server| server.name.clone()).collect();
     let silent_for =
-        |server: &Backend| if silent.contains(server) { SILENT } else { Duration::ZERO };
+        |server: &Backend| if silent.contains(server) { SILENT_TIME } else { Duration::ZERO };
     assert!(decider.begin_examinations(silent_for, now).is_empty(), "no request has waited");
 
     let at = now + Duration::from_millis(300);
@@ -80,6 +80,6 @@
     let placement = expect_send(&decider.place_request(&demand, now)).clone();
     decider.record_sent(&placement, &demand, now);
     let at = now + Duration::from_millis(300);
-    assert_eq!(decider.begin_examinations(|_| SILENT, at), [service(0).name]);
+    assert_eq!(decider.begin_examinations(|_| SILENT_TIME, at), [service(0).name]);
     assert!(matches!(decider.place_request(&plain_request(at), at), Decision::Send(_)));
 }
