gateway: logs and metrics tell how far a fetch of records came

It has the bytes received, the duration and the number of fetches at that time now; the other side logs the size of the response. A gauge shows for how long a daemon has lacked records that a peer has.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Counters and histograms in the OpenMetrics text format.
 
-use std::time::Duration;
+use std::{sync::atomic::AtomicU64, time::Duration};
 
 use compact_str::CompactString;
 use parking_lot::Mutex;
@@ -59,6 +59,10 @@
     pub log_lines_dropped: Gauge,
     /// How often the source was restored from an older copy.
     pub source_restores: Gauge,
+    /// For how long peers have had published records that this daemon lacks, in seconds.
+    pub records_behind: Gauge<f64, AtomicU64>,
+    /// The number of fetches of records that are running.
+    pub record_fetches: Gauge,
 }
 
 impl Default for Metrics {
@@ -82,6 +86,11 @@
         registry.register("log_lines_dropped", help, log_lines_dropped.clone());
         let help = "Restores of the source from an older copy";
         registry.register("source_restores", help, source_restores.clone());
+        let (records_behind, record_fetches) = (Gauge::default(), Gauge::default());
+        let help = "Time for which peers have had records that this daemon lacks";
+        registry.register("records_behind_seconds", help, records_behind.clone());
+        let help = "Fetches of records from peers that are running";
+        registry.register("record_fetches", help, record_fetches.clone());
         let registry = Mutex::new(registry);
         Self {
             registry,
@@ -94,6 +103,8 @@
             connections,
             log_lines_dropped,
             source_restores,
+            records_behind,
+            record_fetches,
         }
     }
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -12,7 +12,7 @@
     heartbeat::{Heartbeat, LeavingEntry, LoadEntry, Phase, name_hash},
     member::WatcherCandidate,
     record::Position,
-    sync,
+    sync::{self, Response},
 };
 
 use parking_lot::Mutex;
@@ -38,12 +38,27 @@
     /// The port at which peers serve records.
     port: u16,
     lag: Mutex<Option<Lag>>,
+    missing: Mutex<Option<Missing>>,
 }
 
 impl PeerSync {
     /// The state exchange of `gateway`, whose peers serve records on `port`.
     pub fn new(gateway: Arc<Gateway>, port: u16) -> Arc<Self> {
-        Arc::new(Self { gateway, port, lag: Mutex::default() })
+        Arc::new(Self { gateway, port, lag: Mutex::default(), missing: Mutex::default() })
+    }
+
+    /// Measures for how long a peer has had a position that this daemon has not reached.
+    fn update_records_behind(&self, known: Position, now: Instant) {
+        let applied = self.gateway.cache.snapshot().applied;
+        let mut missing = self.missing.lock();
+        if missing.is_some_and(|missing| applied >= missing.position) {
+            *missing = None;
+        }
+        if known > applied {
+            missing.get_or_insert(Missing { position: known, since: now });
+        }
+        let behind = missing.map_or(Duration::ZERO, |missing| now.duration_since(missing.since));
+        self.gateway.metrics.records_behind.set(behind.as_secs_f64());
     }
 
     /// Derives the source's state while this daemon does not watch it: the source is lost when no
@@ -112,6 +127,13 @@
     since: Instant,
 }
 
+/// A position of a peer that this daemon has not reached.
+#[derive(Debug, Clone, Copy)]
+struct Missing {
+    position: Position,
+    since: Instant,
+}
+
 struct Fetch {
     gateway: Arc<Gateway>,
     address: SocketAddr,
@@ -123,12 +145,18 @@
 impl Fetch {
     async fn run(&self) {
         let peer = self.address.ip();
-        match sync::fetch(self.address, self.after).await {
-            Ok(changes) => {
+        let (began, running) = (Instant::now(), &self.gateway.metrics.record_fetches);
+        let concurrent = running.inc() + 1;
+        let result = sync::fetch(self.address, self.after).await;
+        running.dec();
+        let after_ms = began.elapsed().as_millis() as u64;
+        match result {
+            Ok(Response { changes, bytes }) => {
                 let (count, listed) = (changes.records.len(), changes.listing.is_some());
                 let changed = self.gateway.cache.apply_changes(changes, Instant::now());
                 tracing::info!(
-                    event = "records_from_peer", %peer, after = %self.after, count, listed, changed
+                    event = "records_from_peer", %peer, after = %self.after, count, listed, changed,
+                    bytes, after_ms, concurrent
                 );
                 // The peer sent these records after this process resumed, so they are current.
                 if self.suspended && self.gateway.cache.is_suspended() {
@@ -139,7 +167,10 @@
                     self.gateway.reconfigure();
                 }
             }
-            Err(error) => tracing::warn!(event = "records_not_fetched", %peer, %error),
+            Err(error) => tracing::warn!(
+                event = "records_not_fetched", %peer, %error, after = %self.after, after_ms,
+                received_bytes = error.received_bytes(), concurrent
+            ),
         }
     }
 }
@@ -203,6 +234,7 @@
             suspects.merge_evidence(&heartbeat.evidence, now);
         }
         self.catch_up(from, heartbeat, now);
+        self.update_records_behind(heartbeat.applied, now);
     }
 
     fn tick(&self, now: Instant) {
--- a/crates/view/src/sync.rs
+++ b/crates/view/src/sync.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::{
     net::{TcpListener, TcpStream},
-    time::timeout,
+    time::{Instant, timeout, timeout_at},
 };
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
@@ -40,9 +40,32 @@
     /// The frame can't be decoded.
     #[display("the frame is malformed: {_0}")]
     Codec(postcard::Error),
-    /// The exchange timed out, or the peer closed the connection.
-    #[display("no response within {} ms", EXCHANGE_TIMEOUT.as_millis())]
+    /// The peer closed the connection without a response: its state may be out of date.
+    #[display("the peer closed the connection without a response")]
     NoResponse,
+    /// The exchange timed out. Holds the number of bytes that had arrived.
+    #[display("no response within {} ms", EXCHANGE_TIMEOUT.as_millis())]
+    #[from(skip)]
+    Timeout(#[error(not(source))] usize),
+}
+
+impl Error {
+    /// The number of bytes of the response that arrived before the exchange timed out.
+    pub fn received_bytes(&self) -> Option<usize> {
+        match self {
+            Self::Timeout(bytes) => Some(*bytes),
+            _ => None,
+        }
+    }
+}
+
+/// The changes that a peer sent.
+#[derive(Debug)]
+pub struct Response {
+    /// The changes.
+    pub changes: Changes,
+    /// Their size as sent.
+    pub bytes: usize,
 }
 
 fn framed(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
@@ -54,14 +77,19 @@
 /// # Errors
 ///
 /// See [`Error`].
-pub async fn fetch(address: SocketAddr, after: Position) -> Result<Changes, Error> {
+pub async fn fetch(address: SocketAddr, after: Position) -> Result<Response, Error> {
+    let deadline = Instant::now() + EXCHANGE_TIMEOUT;
+    let connect = timeout_at(deadline, TcpStream::connect(address));
+    let mut frames = framed(connect.await.map_err(|_| Error::Timeout(0))??);
     let exchange = async {
-        let mut frames = framed(TcpStream::connect(address).await?);
         frames.send(Bytes::from(postcard::to_allocvec(&Request { after })?)).await?;
         let response = frames.next().await.ok_or(Error::NoResponse)??;
-        Ok(postcard::from_bytes(&response)?)
+        Ok(Response { changes: postcard::from_bytes(&response)?, bytes: response.len() })
     };
-    timeout(EXCHANGE_TIMEOUT, exchange).await.map_err(|_| Error::NoResponse)?
+    match timeout_at(deadline, exchange).await {
+        Ok(result) => result,
+        Err(_) => Err(Error::Timeout(frames.read_buffer().len())),
+    }
 }
 
 /// Serves records to peers. Never returns: a failed accept is logged and retried.
@@ -71,9 +99,11 @@
             Ok((stream, peer)) => {
                 let provider = Arc::clone(&provider);
                 tokio::spawn(async move {
-                    let served = timeout(EXCHANGE_TIMEOUT, respond(stream, &*provider)).await;
-                    if let Err(error) = served.unwrap_or(Err(Error::NoResponse)) {
-                        tracing::info!(event = "records_not_sent", %peer, %error);
+                    let mut bytes = 0;
+                    let respond = respond(stream, &*provider, &mut bytes);
+                    let served = timeout(EXCHANGE_TIMEOUT, respond).await;
+                    if let Err(error) = served.unwrap_or(Err(Error::Timeout(0))) {
+                        tracing::info!(event = "records_not_sent", %peer, %error, bytes);
                     }
                 });
             }
@@ -85,11 +115,18 @@
     }
 }
 
-async fn respond(stream: TcpStream, provider: &dyn RecordProvider) -> Result<(), Error> {
+/// Responds to one request. `bytes` is set to the size of the response.
+async fn respond(
+    stream: TcpStream,
+    provider: &dyn RecordProvider,
+    bytes: &mut usize,
+) -> Result<(), Error> {
     let mut frames = framed(stream);
     let request = frames.next().await.ok_or(Error::NoResponse)??;
     let request: Request = postcard::from_bytes(&request)?;
     let Some(changes) = provider.changes_after(request.after) else { return Ok(()) };
-    frames.send(Bytes::from(postcard::to_allocvec(&changes)?)).await?;
+    let response = Bytes::from(postcard::to_allocvec(&changes)?);
+    *bytes = response.len();
+    frames.send(response).await?;
     Ok(())
 }
