gateway: large records are fetched apart, and an exchange may take as long as its link needs

Cause: an exchange of records between daemons had 800 ms for all of them, and a daemon that lagged began another one every 250 ms. A configuration that takes more than 200 ms of the link never arrived, nor did the small records beside it, and the link stayed full. Class: a fixed time limit on work of unbounded size, with retries that start over and compete with each other.

Change: responses hold small records and references to large ones, which are fetched by themselves, one at a time, from a daemon that watches the source or later from any peer. What arrives is applied even if a later version is known, so that a storm of changes can't starve it.

--- a/crates/gateway/src/cache.rs
+++ b/crates/gateway/src/cache.rs
@@ -3,6 +3,8 @@
 //! Records arrive from the source and from peers, each with its position. The last position of a key
 //! wins, whatever its origin, so the state never goes back to an older one within a process.
 
+mod transfer;
+
 use std::{
     sync::Arc,
     time::{Duration, Instant},
@@ -15,7 +17,7 @@
     collections::{Map, Set},
     name::{Backend, Pool, Zone},
 };
-use hyssop_view::sync::RecordProvider;
+use hyssop_view::record::Reference;
 use parking_lot::Mutex;
 
 use crate::{
@@ -82,6 +84,8 @@
 #[derive(Debug, Default)]
 struct Inner {
     records: Map<CompactString, CachedRecord>,
+    /// Large records that peers have and this daemon lacks, with their positions there.
+    awaited: Map<CompactString, Position>,
     environment: Option<Arc<Environment>>,
     servers: Map<Backend, CachedServer>,
     departed_builds: DepartedBuilds,
@@ -121,12 +125,26 @@
 
     /// Applies records. Returns whether the state changed.
     pub fn apply(&self, records: Vec<Record>, origin: Origin, now: Instant) -> bool {
+        self.apply_all(records, Vec::new(), origin, now)
+    }
+
+    fn apply_all(
+        &self,
+        records: Vec<Record>,
+        references: Vec<Reference>,
+        origin: Origin,
+        now: Instant,
+    ) -> bool {
         let mut inner = self.inner.lock();
         let before = inner.applied;
         let mut changed = false;
         for record in records {
             changed |= self.apply_record(&mut inner, record, origin, now);
         }
+        for reference in references {
+            inner.advance(reference.position, origin, now);
+            inner.await_record(reference);
+        }
         if changed || inner.applied > before {
             self.publish(&inner);
         }
@@ -137,23 +155,24 @@
     /// whether the state changed.
     pub fn replace_all(&self, records: Vec<Record>, position: Position, now: Instant) -> bool {
         let keys = records.iter().map(|record| record.key.clone()).collect();
-        self.apply_listing(records, &keys, position, Origin::Read, now)
+        self.apply_listing(records, Vec::new(), &keys, position, Origin::Read, now)
     }
 
     /// Applies what a peer sent. Returns whether the state changed.
     pub fn apply_changes(&self, changes: Changes, now: Instant) -> bool {
-        let Changes { records, listing } = changes;
+        let Changes { records, references, listing } = changes;
         let Some(Listing { position, keys }) = listing else {
-            return self.apply(records, Origin::Peer, now);
+            return self.apply_all(records, references, Origin::Peer, now);
         };
         let keys = keys.into_iter().collect();
-        self.apply_listing(records, &keys, position, Origin::Peer, now)
+        self.apply_listing(records, references, &keys, position, Origin::Peer, now)
     }
 
     /// Applies records, and deletes what is missing in `keys`, which existed at `position`.
     fn apply_listing(
         &self,
         mut records: Vec<Record>,
+        references: Vec<Reference>,
         keys: &Set<CompactString>,
         position: Position,
         origin: Origin,
@@ -165,8 +184,9 @@
                 records.push(Record { key: key.clone(), position, value: None });
             }
         }
-        let changed = self.apply(records, origin, now);
+        let changed = self.apply_all(records, references, origin, now);
         let mut inner = self.inner.lock();
+        inner.awaited.retain(|key, awaited| *awaited > position || keys.contains(key));
         inner.complete_at = inner.complete_at.max(position);
         changed
     }
@@ -293,20 +313,12 @@
     ) -> bool {
         let Some(parsed_key) = self.decoder.parse_key(&record.key) else { return false };
         let previous = inner.records.get(&record.key).map(|cached| cached.record.position);
-        let known = previous.unwrap_or_default().max(inner.complete_at);
+        let known = inner.known_position(&record.key);
         if known >= record.position && known != Position::default() {
             return false;
         }
-        if inner.is_restored_by(record.position) {
-            tracing::warn!(
-                event = "source_restored", applied = %inner.applied, position = %record.position,
-                %origin
-            );
-            inner.restore.begin(now);
-            inner.grace_until = inner.grace_until.max(Some(now + LAPSED_SERVER_GRACE));
-        }
-        inner.applied = inner.applied.max(record.position);
-        inner.known_since.get_or_insert(now);
+        inner.advance(record.position, origin, now);
+        inner.end_wait(&record.key, record.position);
         let is_restored = previous
             .is_some_and(|previous| inner.restore.is_restored(previous, record.position, now));
         let changed = if is_restored && self.goes_back(inner, &parsed_key, &record) {
@@ -382,28 +394,24 @@
     }
 }
 
-impl RecordProvider for Cache {
-    fn changes_after(&self, after: Position) -> Option<Changes> {
-        let inner = self.inner.lock();
-        if inner.suspended {
-            return None;
-        }
-        let records = || inner.records.values().map(|cached| &cached.record);
-        let existing = || records().filter(|record| record.value.is_some());
-        let listing = (after < inner.complete_at).then(|| Listing {
-            position: inner.complete_at,
-            keys: existing().map(|record| record.key.clone()).collect(),
-        });
-        let records = records().filter(|record| record.position > after).cloned().collect();
-        Some(Changes { records, listing })
-    }
-}
-
 impl Inner {
     /// Whether a position shows that the source was restored, for a daemon that has records.
     fn is_restored_by(&self, position: Position) -> bool {
         position.era > self.applied.era && self.applied != Position::default()
     }
+
+    /// Records that this daemon knows of a change at a position.
+    fn advance(&mut self, position: Position, origin: Origin, now: Instant) {
+        if self.is_restored_by(position) {
+            tracing::warn!(
+                event = "source_restored", applied = %self.applied, %position, %origin
+            );
+            self.restore.begin(now);
+            self.grace_until = self.grace_until.max(Some(now + LAPSED_SERVER_GRACE));
+        }
+        self.applied = self.applied.max(position);
+        self.known_since.get_or_insert(now);
+    }
 }
 
 fn insert(
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,30 +1,21 @@
 //! The state that the daemon sends to its peers, and how the daemon applies the state of peers.
 
-use std::{
-    cmp::Reverse,
-    net::{IpAddr, SocketAddr},
-    sync::Arc,
-    time::{Duration, Instant},
-};
+mod catch_up;
+
+use std::{cmp::Reverse, net::IpAddr, sync::Arc, time::Instant};
 
 use hyssop_view::{
     gossip::LocalState,
-    heartbeat::{Heartbeat, LeavingEntry, LoadEntry, Phase, name_hash},
+    heartbeat::{Heartbeat, LeavingEntry, LoadEntry, name_hash},
     member::WatcherCandidate,
-    record::Position,
-    sync::{self, Response},
 };
 
-use parking_lot::Mutex;
-
+use self::catch_up::CatchUp;
 use crate::{
     gateway::{Gateway, Settings},
     silence,
 };
 
-/// How long a peer may have a later position before its records are fetched. The source usually
-/// reports a change to all its watchers within this time.
-const CATCH_UP_DELAY: Duration = Duration::from_millis(250);
 /// The maximum number of loads in one heartbeat, so that it fits into a datagram.
 const MAX_LOAD_ENTRIES: usize = 48;
 /// The number of loads that take as much room as one entry of [`Heartbeat::evidence`].
@@ -35,30 +26,14 @@
 /// Publishes the daemon's state in heartbeats, and applies the state of peers.
 pub struct PeerSync {
     gateway: Arc<Gateway>,
-    /// The port at which peers serve records.
-    port: u16,
-    lag: Mutex<Option<Lag>>,
-    missing: Mutex<Option<Missing>>,
+    catch_up: CatchUp,
 }
 
 impl PeerSync {
     /// The state exchange of `gateway`, whose peers serve records on `port`.
     pub fn new(gateway: Arc<Gateway>, port: u16) -> Arc<Self> {
-        Arc::new(Self { gateway, port, lag: Mutex::default(), missing: Mutex::default() })
-    }
-
-    /// Measures for how long a peer has had a position that this daemon has not reached.
-    fn update_records_behind(&self, known: Position, now: Instant) {
-        let applied = self.gateway.cache.snapshot().applied;
-        let mut missing = self.missing.lock();
-        if missing.is_some_and(|missing| applied >= missing.position) {
-            *missing = None;
-        }
-        if known > applied {
-            missing.get_or_insert(Missing { position: known, since: now });
-        }
-        let behind = missing.map_or(Duration::ZERO, |missing| now.duration_since(missing.since));
-        self.gateway.metrics.records_behind.set(behind.as_secs_f64());
+        let catch_up = CatchUp::new(Arc::clone(&gateway), port);
+        Arc::new(Self { gateway, catch_up })
     }
 
     /// Derives the source's state while this daemon does not watch it: the source is lost when no
@@ -79,100 +54,6 @@
             cache.on_source_lost(now);
         }
     }
-
-    /// Fetches the records of a peer that has had newer ones than this daemon for a while, or,
-    /// after a suspension of this process, the records of a ready peer.
-    fn catch_up(&self, from: IpAddr, heartbeat: &Heartbeat, now: Instant) {
-        let cache = &self.gateway.cache;
-        let applied = cache.snapshot().applied;
-        let suspended = cache.is_suspended();
-        let useful =
-            if suspended { heartbeat.phase == Phase::Ready } else { heartbeat.applied > applied };
-        if !useful {
-            return;
-        }
-        let mut lag = self.lag.lock();
-        let since = match *lag {
-            Some(lag) if lag.applied == applied => lag.since,
-            _ => {
-                *lag = Some(Lag { applied, since: now });
-                now
-            }
-        };
-        // A daemon that watches the source waits for the source to report the change, as watchers
-        // receive changes at about the same time. Others wait for a peer of the own zone, which is
-        // cheaper to fetch from than a remote one. While the source is lost there is nothing to
-        // wait for.
-        let near = heartbeat.zone == self.gateway.settings.zone;
-        let expected = applied != Position::default()
-            && !suspended
-            && (self.gateway.watches_source() || cache.is_source_up() && !near);
-        let first = since == now && !expected;
-        if !first && now.duration_since(since) < CATCH_UP_DELAY {
-            return;
-        }
-        // Restarts the delay, so that few fetches run at a time.
-        *lag = Some(Lag { applied, since: now });
-        let gateway = Arc::clone(&self.gateway);
-        let address = SocketAddr::new(from, self.port);
-        let fetch = Fetch { gateway, address, after: applied, suspended };
-        tokio::spawn(async move { fetch.run().await });
-    }
-}
-
-/// How long peers have had a later position than this daemon.
-#[derive(Debug, Clone, Copy)]
-struct Lag {
-    applied: Position,
-    since: Instant,
-}
-
-/// A position of a peer that this daemon has not reached.
-#[derive(Debug, Clone, Copy)]
-struct Missing {
-    position: Position,
-    since: Instant,
-}
-
-struct Fetch {
-    gateway: Arc<Gateway>,
-    address: SocketAddr,
-    after: Position,
-    /// Whether the state was marked as out of date, after a suspension, when the fetch began.
-    suspended: bool,
-}
-
-impl Fetch {
-    async fn run(&self) {
-        let peer = self.address.ip();
-        let (began, running) = (Instant::now(), &self.gateway.metrics.record_fetches);
-        let concurrent = running.inc() + 1;
-        let result = sync::fetch(self.address, self.after).await;
-        running.dec();
-        let after_ms = began.elapsed().as_millis() as u64;
-        match result {
-            Ok(Response { changes, bytes }) => {
-                let (count, listed) = (changes.records.len(), changes.listing.is_some());
-                let changed = self.gateway.cache.apply_changes(changes, Instant::now());
-                tracing::info!(
-                    event = "records_from_peer", %peer, after = %self.after, count, listed, changed,
-                    bytes, after_ms, concurrent
-                );
-                // The peer sent these records after this process resumed, so they are current.
-                if self.suspended && self.gateway.cache.is_suspended() {
-                    self.gateway.cache.set_suspended(false);
-                    tracing::info!(event = "resumed", %peer);
-                }
-                if changed {
-                    self.gateway.reconfigure();
-                }
-            }
-            Err(error) => tracing::warn!(
-                event = "records_not_fetched", %peer, %error, after = %self.after, after_ms,
-                received_bytes = error.received_bytes(), concurrent
-            ),
-        }
-    }
 }
 
 impl LocalState for PeerSync {
@@ -233,8 +114,7 @@
             suspects.merge(&heartbeat.blames, now);
             suspects.merge_evidence(&heartbeat.evidence, now);
         }
-        self.catch_up(from, heartbeat, now);
-        self.update_records_behind(heartbeat.applied, now);
+        self.catch_up.on_heartbeat(from, heartbeat, now);
     }
 
     fn tick(&self, now: Instant) {
--- a/crates/gateway/tests/applied.rs
+++ b/crates/gateway/tests/applied.rs
@@ -6,6 +6,7 @@
     cache::{Cache, Origin},
     record::{Decoder, Error, Key, Position, Record, Revision, Value},
 };
+use hyssop_view::sync::{MAX_INLINE_BYTES, RecordProvider as _};
 
 struct ZoneDecoder;
 
@@ -19,15 +20,49 @@
     }
 }
 
+fn position(revision: u64) -> Position {
+    Position { revision: Revision(revision), ..Position::default() }
+}
+
+fn record(key: &str, revision: u64, bytes: usize) -> Record {
+    Record { key: key.into(), position: position(revision), value: Some(vec![b'x'; bytes].into()) }
+}
+
 /// Records that change nothing were fetched from peers again and again, since the daemon did not
 /// state that it has applied them.
 #[test]
 fn records_that_change_nothing_are_applied_too() {
     let cache = Cache::new(Box::new(ZoneDecoder));
     for (revision, value) in [(7, None), (8, Some("refused".into()))] {
-        let position = Position { revision: Revision(revision), ..Position::default() };
+        let position = position(revision);
         let record = Record { key: "zone".into(), position, value };
         assert!(!cache.apply(vec![record], Origin::Peer, Instant::now()));
         assert_eq!(cache.snapshot().applied, position);
     }
 }
+
+/// A large record that was fetched by itself is later than changes which the daemon has not fetched
+/// yet. Peers that fetch from it must not take these for applied.
+#[test]
+fn a_large_record_hides_no_earlier_changes() {
+    const LARGE: usize = MAX_INLINE_BYTES + 1;
+    let now = Instant::now();
+    let [first, second, third] = [(); 3].map(|()| Cache::new(Box::new(ZoneDecoder)));
+    first.apply(vec![record("large", 4, LARGE), record("a", 5, 1)], Origin::Watch, now);
+    second.apply_changes(first.changes_after(Position::default()).expect("current"), now);
+    assert_eq!(second.awaited(), Some(("large".into(), position(4), Position::default())));
+
+    let later = vec![record("b", 7, 1), record("large", 9, LARGE)];
+    first.apply(later, Origin::Watch, now);
+    let large = first.record_after("large", Position::default()).expect("a later record");
+    second.apply_awaited(large, now);
+    assert_eq!((second.awaited(), second.snapshot().applied), (None, position(5)));
+
+    third.apply_changes(second.changes_after(Position::default()).expect("current"), now);
+    assert_eq!(third.snapshot().applied, position(5));
+    let large = second.record_after("large", Position::default()).expect("the record");
+    third.apply_awaited(large, now);
+    third.apply_changes(first.changes_after(position(5)).expect("current"), now);
+    assert_eq!((third.awaited(), third.snapshot().applied), (None, position(9)));
+    assert!(third.record_after("b", Position::default()).is_some(), "the earlier change");
+}
--- a/crates/gateway/tests/restores.rs
+++ b/crates/gateway/tests/restores.rs
@@ -1,5 +1,6 @@
 //! Daemons that share records converge to what the source says, however often it is restored from
-//! older copies and however late the messages of peers are.
+//! older copies, however late the messages of peers are, and whichever values are so large that they
+//! are fetched by themselves.
 
 use std::{
     collections::BTreeMap,
@@ -18,7 +19,7 @@
     record::{Changes, Decoder, Era, Error, Key, Position, Record, Revision, Server, State, Value},
     restore::REWRITE_TIME,
 };
-use hyssop_view::sync::RecordProvider as _;
+use hyssop_view::sync::{MAX_INLINE_BYTES, RecordProvider as _};
 use rand::{RngExt as _, SeedableRng as _, rngs::StdRng};
 
 const DAEMONS: usize = 4;
@@ -40,6 +41,7 @@
 
     fn decode(&self, key: &Key, value: &[u8]) -> Result<Value, Error> {
         let text = std::str::from_utf8(value).map_err(|error| Error(format_compact!("{error}")))?;
+        let text = text.lines().next().unwrap_or_default();
         Ok(match key {
             Key::ZoneOut(zone) => Value::ZoneOut(zone.clone()),
             Key::Environment => {
@@ -90,6 +92,13 @@
         self.items.insert(key.into(), (value, self.revision));
     }
 
+    /// Appends a long line to a value, so that it is not sent together with others.
+    fn enlarge(&mut self, key: &str) {
+        if let Some((Some(value), _)) = self.items.get_mut(key) {
+            *value = format_compact!("{value}\n{}", " ".repeat(MAX_INLINE_BYTES));
+        }
+    }
+
     fn position(&self) -> Position {
         Position { era: Era(self.era), revision: Revision(self.revision) }
     }
@@ -186,17 +195,23 @@
         self.position = Some(source.position());
     }
 
+    /// Asks a peer for a large record that the daemon awaits.
+    fn request_awaited(&self, peer: &Self) -> Option<Record> {
+        let (key, _, own) = self.cache.awaited()?;
+        peer.cache.record_after(&key, own)
+    }
+
     /// Records which backend servers the daemon knows to leave. Returns those that it uses although
     /// it knew that they leave, and whose records may still be those of the copy.
     fn check_departures(&mut self, now: Instant) -> Vec<usize> {
         let snapshot = self.cache.snapshot();
-        let records = self.cache.changes_after(Position::default()).unwrap_or_default().records;
         let mut used = Vec::new();
         for (index, left) in self.left.iter_mut().enumerate() {
             let key = format!("server/s{index}");
-            let record = records.iter().find(|record| record.key == key);
-            let text = record.and_then(|record| record.value.as_deref()).unwrap_or_default();
-            let text = std::str::from_utf8(text).expect("values are text");
+            let record = self.cache.record_after(&key, Position::default());
+            let value = record.and_then(|record| record.value).unwrap_or_default();
+            let text = std::str::from_utf8(&value).expect("values are text");
+            let text = text.lines().next().unwrap_or_default();
             let is_rewritten = self.restored_at.is_none_or(|at| now >= at + REWRITE_TIME);
             match text.split_once(' ') {
                 Some(("draining", incarnation)) => *left = incarnation.parse().ok(),
@@ -239,13 +254,24 @@
     let mut daemons: Vec<Daemon> = (0..DAEMONS).map(|_| new_daemon()).collect();
     let mut copy = source.clone();
     let mut in_flight: Vec<(usize, Changes)> = Vec::new();
+    let mut large_in_flight: Vec<(usize, Record)> = Vec::new();
     for _ in 0..STEPS {
         now += Duration::from_millis(random.random_range(0..400));
         let daemon = random.random_range(0..DAEMONS);
         let before: Vec<(Position, u64)> =
             daemons.iter().map(|daemon| (daemon.applied(), daemon.version())).collect();
         let mut restarted = None;
-        match random.random_range(0..16) {
+        match random.random_range(0..20) {
+            16 | 17 => {
+                let peer = random.random_range(0..DAEMONS);
+                let record = daemons[daemon].request_awaited(&daemons[peer]);
+                large_in_flight.extend(record.map(|record| (daemon, record)));
+            }
+            18 | 19 if !large_in_flight.is_empty() => {
+                let index = random.random_range(0..large_in_flight.len());
+                let (to, record) = large_in_flight.swap_remove(index);
+                daemons[to].cache.apply_awaited(record, now);
+            }
             0..5 => daemons[daemon].follow(&source, now),
             5..8 => {
                 // Records of a peer, which may arrive late.
@@ -263,6 +289,9 @@
             10 => {
                 truth.version += 1;
                 truth.write_version(&mut source);
+                if random.random_ratio(1, 2) {
+                    source.enlarge("env");
+                }
             }
             11 | 12 => {
                 let index = random.random_range(0..SERVERS);
@@ -273,6 +302,9 @@
                     None => Some((truth.incarnations, "ready")),
                 };
                 truth.write_server(&mut source, index);
+                if random.random_ratio(1, 4) {
+                    source.enlarge(&format!("server/s{index}"));
+                }
             }
             13 => {
                 truth.zone_out = !truth.zone_out;
@@ -286,6 +318,7 @@
             _ if random.random_ratio(1, 10) => {
                 daemons[daemon] = new_daemon();
                 in_flight.retain(|(to, _)| *to != daemon);
+                large_in_flight.retain(|(to, _)| *to != daemon);
                 restarted = Some(daemon);
             }
             _ => {}
@@ -309,16 +342,28 @@
     truth.write_version(&mut source);
     truth.write_zone(&mut source);
     (0..SERVERS).for_each(|index| truth.write_server(&mut source, index));
+    source.enlarge("env");
+    source.enlarge("server/s0");
     for (index, daemon) in daemons.iter_mut().enumerate().take(2) {
         daemon.follow(&source, now + Duration::from_millis(index as u64));
     }
     for (to, changes) in in_flight {
         daemons[to].cache.apply_changes(changes, now);
     }
+    for (to, record) in large_in_flight {
+        daemons[to].cache.apply_awaited(record, now);
+    }
     for index in 2..DAEMONS {
         let changes = daemons[0].cache.changes_after(daemons[index].applied());
         daemons[index].cache.on_source_response(now);
         daemons[index].cache.apply_changes(changes.expect("the peer is current"), now);
+        // The environment and one backend server are large.
+        for _ in 0..2 {
+            if let Some(record) = daemons[index].request_awaited(&daemons[0]) {
+                daemons[index].cache.apply_awaited(record, now);
+            }
+        }
+        assert_eq!(daemons[index].cache.awaited(), None, "seed {seed}, daemon {index}");
     }
     now += REWRITE_TIME + Duration::from_secs(1);
     for (index, daemon) in daemons.iter().enumerate() {
--- a/crates/view/src/record.rs
+++ b/crates/view/src/record.rs
@@ -57,11 +57,23 @@
     pub value: Option<Bytes>,
 }
 
+/// A record whose value is not sent along, as it is large. It is fetched separately, so that other
+/// records do not wait for it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Reference {
+    /// The item's key in the source.
+    pub key: CompactString,
+    /// The position of the last change.
+    pub position: Position,
+}
+
 /// What a daemon sends to a peer that lacks some of its records.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Changes {
-    /// The records after the peer's position, deletions included.
+    /// The records after the peer's position, deletions included and large ones left out.
     pub records: Vec<Record>,
+    /// The large records after the peer's position. The daemon itself may lack their values.
+    pub references: Vec<Reference>,
     /// All keys, if the daemon has read the source in full after the peer's position: it has no
     /// records of deletions before that read.
     pub listing: Option<Listing>,
