published: a value may arrive slowly

The limit applies to the head and to each part now.

a_value_may_arrive_slowly failed before (timeout after 700 ms of 1.2 s) and passes; a_value_that_stops_arriving_times_out passed before and does now.

--- a/crates/published/src/client.rs
+++ b/crates/published/src/client.rs
@@ -2,14 +2,15 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use compact_str::CompactString;
 use http_body_util::{BodyExt, Empty, LengthLimitError, Limited};
-use hyper::{HeaderMap, Request, StatusCode, Uri, header};
+use hyper::{HeaderMap, Request, StatusCode, Uri, body::Incoming, header};
 use hyper_util::{
     client::legacy::{Client as Http, connect::HttpConnector},
     rt::{TokioExecutor, TokioTimer},
 };
+use tokio::time::timeout;
 
 use crate::Key;
 
@@ -54,7 +55,7 @@
     /// The connection or the exchange failed.
     #[display("the platform cannot be reached: {_0}")]
     Unreachable(#[error(not(source))] CompactString),
-    /// No response arrived within this time.
+    /// No response, or no further part of it, arrived within this time.
     #[display("the platform did not respond within {} ms", _0.as_millis())]
     Timeout(#[error(not(source))] Duration),
     /// The call limit is exceeded. Holds the delay of the `Retry-After` header, if there is one.
@@ -83,7 +84,8 @@
 impl Client {
     /// A client of the service at `address`, with all keys below `prefix`.
     ///
-    /// `timeout` bounds each exchange, on top of the time that a watch waits.
+    /// `timeout` bounds the time to the head of a response, on top of the time that a watch waits, and
+    /// the time to each part of its body.
     pub fn new(address: SocketAddr, prefix: &str, timeout: Duration) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(timeout));
@@ -121,21 +123,16 @@
         self.get(&uri, wait + self.timeout).await
     }
 
-    async fn get(&self, uri: &str, timeout: Duration) -> Result<Value, Error> {
-        let exchange = tokio::time::timeout(timeout, self.exchange(uri));
-        exchange.await.map_err(|_| Error::Timeout(timeout))?
-    }
-
-    async fn exchange(&self, uri: &str) -> Result<Value, Error> {
+    async fn get(&self, uri: &str, head_timeout: Duration) -> Result<Value, Error> {
         let uri: Uri = uri.parse().map_err(unreachable)?;
         let request = Request::get(uri).body(Empty::new()).map_err(unreachable)?;
-        let response = self.http.request(request).await.map_err(unreachable)?;
+        let response = timeout(head_timeout, self.http.request(request)).await;
+        let response = response.map_err(|_| Error::Timeout(head_timeout))?.map_err(unreachable)?;
         let (head, body) = response.into_parts();
         match head.status {
             StatusCode::OK => {
                 let index = index(&head.headers)?;
-                let body = Limited::new(body, MAX_VALUE_BYTES).collect().await;
-                let bytes = body.map_err(|error| body_error(&*error))?.to_bytes();
+                let bytes = self.collect(body).await?;
                 Ok(Value { index, bytes: Some(bytes) })
             }
             StatusCode::NOT_FOUND => {
@@ -146,6 +143,21 @@
             status => Err(Error::Status(status)),
         }
     }
+
+    /// Reads a body to its end, as long as its parts arrive in time.
+    async fn collect(&self, body: Incoming) -> Result<Bytes, Error> {
+        let mut body = Limited::new(body, MAX_VALUE_BYTES);
+        let mut collected = BytesMut::new();
+        loop {
+            let frame = timeout(self.timeout, body.frame()).await;
+            let Some(frame) = frame.map_err(|_| Error::Timeout(self.timeout))? else {
+                return Ok(collected.freeze());
+            };
+            if let Ok(data) = frame.map_err(|error| body_error(&*error))?.into_data() {
+                collected.extend_from_slice(&data);
+            }
+        }
+    }
 }
 
 fn index(headers: &HeaderMap) -> Result<Index, Error> {
--- a/crates/published/tests/reader.rs
+++ b/crates/published/tests/reader.rs
@@ -162,3 +162,47 @@
     assert_eq!(value.bytes, None);
     server.await.expect("the script does not panic");
 }
+
+/// A read that was given up before a large value had arrived began anew, and never brought it.
+#[tokio::test]
+async fn a_value_may_arrive_slowly() {
+    const PARTS: usize = 12;
+    const PART_BYTES: usize = 20_000;
+    let (listener, address) = listen().await;
+    let serving = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("accept on loopback");
+        let mut request = vec![0; 4096];
+        let read = stream.read(&mut request).await.expect("read the request");
+        assert!(read > 0, "the client closed the connection");
+        let length = PARTS * PART_BYTES;
+        let head =
+            format!("HTTP/1.1 200 OK\r\nX-Consul-Index: 7\r\nContent-Length: {length}\r\n\r\n");
+        stream.write_all(head.as_bytes()).await.expect("write the head");
+        for _ in 0..PARTS {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            if stream.write_all(&[b'x'; PART_BYTES]).await.is_err() {
+                return;
+            }
+        }
+    });
+    let client = Client::new(address, "hyssop", Duration::from_millis(700));
+    let value = client.read(Key::Document).await;
+    let bytes = value.map(|value| value.bytes.map(|bytes| bytes.len()));
+    assert!(matches!(bytes, Ok(Some(length)) if length == PARTS * PART_BYTES), "{bytes:?}");
+    serving.await.expect("the server ends");
+}
+
+/// A server that stops in the middle of a value must not hold a read for ever.
+#[tokio::test]
+async fn a_value_that_stops_arriving_times_out() {
+    let (listener, address) = listen().await;
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("accept on loopback");
+        let head = b"HTTP/1.1 200 OK\r\nX-Consul-Index: 7\r\nContent-Length: 100\r\n\r\nxx";
+        stream.write_all(head).await.expect("write the head");
+        std::future::pending::<()>().await;
+    });
+    let client = Client::new(address, "hyssop", Duration::from_millis(200));
+    let value = client.read(Key::Document).await;
+    assert!(matches!(value, Err(Error::Timeout(_))), "{value:?}");
+}
