gateway: logs and metrics tell the limits that backend servers name

`Server-Limit` is read, kept with the time of the response and logged when it changes; nothing acts on it yet. A response without a limit ends it only if its request was sent after the limit was known, as responses overtake each other.

--- a/crates/gateway/src/call/exchange.rs
+++ b/crates/gateway/src/call/exchange.rs
@@ -116,6 +116,8 @@
     send_id: SendId,
     /// The request's fingerprint if it is a crash suspect.
     suspect: Option<Fingerprint>,
+    /// When the attempt began, before anything was sent.
+    created: Instant,
     connection: Option<Connection>,
     first_event_at: Option<Instant>,
     reusable: bool,
@@ -138,6 +140,7 @@
             server,
             send_id,
             suspect,
+            created: Instant::now(),
             connection: None,
             first_event_at: None,
             reusable: false,
@@ -249,6 +252,12 @@
             );
             self.gateway.metrics.count_notice("pause");
         }
+        let mut decider = self.gateway.decider.lock();
+        let changed = decider.record_limit(name, incarnation, meta.limit, self.created, now);
+        drop(decider);
+        if changed {
+            self.gateway.report_limit(name, incarnation, meta.limit, &"response");
+        }
     }
 
     fn apply_keep_alive(&mut self, head: &Head) {
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -9,7 +9,7 @@
     name::{Backend, Workspace},
     number::Tier,
 };
-use hyssop_policy::local::demand::Segment;
+use hyssop_policy::local::{demand::Segment, limit::Rate};
 
 /// The data of a caller's request headers.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -59,7 +59,7 @@
 }
 
 /// The data of a backend server's response headers.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct ResponseMeta {
     /// The id of the request that the response belongs to.
     pub id: Option<CompactString>,
@@ -72,6 +72,8 @@
     /// How long the backend server wants no requests from this daemon, if it asks for that and the
     /// response is a rejection.
     pub pause: Option<Duration>,
+    /// The limit that the backend server names for the requests of all daemons together.
+    pub limit: Option<Rate>,
 }
 
 /// Parses and writes the headers of one platform.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -13,6 +13,7 @@
 use hyssop_policy::local::{
     decider::{Decider, Settings as DeciderSettings},
     departure::{Durations, Stage},
+    limit::Rate,
     server::Server as Candidate,
 };
 use hyssop_view::{
@@ -216,6 +217,20 @@
         self.metrics.count_notice("leaving");
     }
 
+    /// Logs and counts that a backend server names another limit, or none any more. `origin` is what
+    /// reported it.
+    pub(crate) fn report_limit(
+        &self,
+        server: &Backend,
+        incarnation: u64,
+        limit: Option<Rate>,
+        origin: &dyn std::fmt::Display,
+    ) {
+        let limit = limit.map(Rate::per_second);
+        tracing::info!(event = "server_limited", %server, incarnation, limit, %origin);
+        self.metrics.count_notice("limit");
+    }
+
     /// Probes a backend server after a failed exchange, by a connection attempt. If it can't be
     /// reached, the requests that failed at it are blamed for a crash.
     pub async fn probe_server(&self, server: &Backend, address: SocketAddr) {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -138,7 +138,7 @@
         self.attempts.get_or_create(&AttemptLabels { end: end.to_string() }).inc();
     }
 
-    /// Counts a notice of a backend server: `leaving` or `pause`.
+    /// Counts a notice of a backend server: `leaving`, `pause` or `limit`.
     pub fn count_notice(&self, notice: &'static str) {
         self.notices.get_or_create(&NoticeLabels { notice }).inc();
     }
--- a/crates/policy/src/local.rs
+++ b/crates/policy/src/local.rs
@@ -10,6 +10,7 @@
 pub mod demand;
 pub mod departure;
 pub mod latency;
+pub mod limit;
 pub mod notice;
 pub mod peer_loads;
 pub mod repeats;
--- a/crates/policy/src/local/decider.rs
+++ b/crates/policy/src/local/decider.rs
@@ -19,6 +19,7 @@
     cold::Bound as ColdBound,
     demand::Demand,
     latency::Model,
+    limit::{Limits, Rate},
     notice::Notices,
     peer_loads::PeerLoads,
     repeats::{Bound as RepeatBound, Budget as RepeatBudget},
@@ -155,6 +156,7 @@
     by_hash: Map<u32, Backend>,
     peer_loads: PeerLoads,
     notices: Notices,
+    limits: Limits,
     repeats: Map<Pool, RepeatBudget>,
     reservations: Map<Pool, Reservation>,
     /// The kinds of requests for each pool of engines.
@@ -178,6 +180,7 @@
             by_hash: Map::default(),
             peer_loads: PeerLoads::default(),
             notices: Notices::default(),
+            limits: Limits::default(),
             repeats: Map::default(),
             reservations: Map::default(),
             kinds: Map::default(),
@@ -255,6 +258,19 @@
         self.notices.record_pause(server, incarnation, pause, now)
     }
 
+    /// Records the limit that a response of a backend server named, or that it named none. The
+    /// request was sent at `sent`. Returns whether that changes the limit.
+    pub fn record_limit(
+        &mut self,
+        server: &Backend,
+        incarnation: u64,
+        limit: Option<Rate>,
+        sent: Instant,
+        now: Instant,
+    ) -> bool {
+        self.limits.record_response(server, incarnation, limit, sent, now)
+    }
+
     /// Records what a peer reports: an incarnation of the backend server with this hash leaves.
     /// Returns the backend server if that is new.
     pub fn record_leaving_of_peer(
@@ -280,6 +296,7 @@
     /// Forgets what backend servers asked for long ago. `is_known` tells which are published.
     pub fn expire_notices(&mut self, is_known: impl Fn(&Backend) -> bool, now: Instant) {
         self.notices.expire(is_known, now);
+        self.limits.expire(now);
     }
 
     /// Records all loads of a peer, and how long the peer expects each backend server to stay cold.
