policy: a backend server gets no more than the limit that it names

Class: a bound over all daemons that no daemon knows of, or that each would keep alone.

Change: the limit is divided among few senders, by rendezvous hashing over the share holders. Peers learn of limits and their ends with heartbeats, in which an entry takes the place of two loads. The placement leaves out a server whose share is used, for all kinds of requests. If all are left out so, requests are refused with `limited` and the time of the next share.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -226,7 +226,7 @@
         limit: Option<Rate>,
         origin: &dyn std::fmt::Display,
     ) {
-        let limit = limit.map(Rate::per_second);
+        let limit = limit.map(tracing::field::display);
         tracing::info!(event = "server_limited", %server, incarnation, limit, %origin);
         self.metrics.count_notice("limit");
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -6,10 +6,12 @@
 
 use hyssop_view::{
     gossip::LocalState,
-    heartbeat::{Heartbeat, LeavingEntry, LoadEntry, name_hash},
+    heartbeat::{Heartbeat, LeavingEntry, LimitEntry, LoadEntry, name_hash},
     member::WatcherCandidate,
 };
 
+use rand::seq::SliceRandom as _;
+
 use self::catch_up::CatchUp;
 use crate::{
     gateway::{Gateway, Settings},
@@ -18,10 +20,17 @@
 
 /// The maximum number of loads in one heartbeat, so that it fits into a datagram.
 const MAX_LOAD_ENTRIES: usize = 48;
+/// The number of loads for which limits leave room.
+const MIN_LOAD_ENTRIES: usize = 12;
 /// The number of loads that take as much room as one entry of [`Heartbeat::evidence`].
 const LOADS_PER_EVIDENCE_ENTRY: usize = 4;
 /// The maximum number of backend servers that leave in one heartbeat.
 const MAX_LEAVING_ENTRIES: usize = 8;
+/// The maximum number of limits of backend servers in one heartbeat. If there are more, a random
+/// sample is sent.
+const MAX_LIMIT_ENTRIES: usize = 8;
+/// The number of loads that take as much room as one entry of [`Heartbeat::limits`].
+const LOADS_PER_LIMIT_ENTRY: usize = 2;
 
 /// Publishes the daemon's state in heartbeats, and applies the state of peers.
 pub struct PeerSync {
@@ -64,17 +73,22 @@
             let suspects = gateway.suspects.lock();
             (suspects.blames(now), suspects.evidence(now))
         };
-        let (mut loads, leaving) = {
+        let (mut loads, leaving, mut limits) = {
             let mut decider = gateway.decider.lock();
             let leaving = decider.leaving().take(MAX_LEAVING_ENTRIES);
             let leaving: Vec<LeavingEntry> = leaving
                 .map(|(backend_hash, incarnation)| LeavingEntry { backend_hash, incarnation })
                 .collect();
-            (decider.own_loads(now), leaving)
+            let limits: Vec<LimitEntry> = decider.limits(now).map(Into::into).collect();
+            (decider.own_loads(now), leaving, limits)
         };
         // An entry of `leaving` takes at most as much room as a load.
         let max_loads =
             MAX_LOAD_ENTRIES - LOADS_PER_EVIDENCE_ENTRY * evidence.len() - leaving.len();
+        limits.shuffle(&mut rand::rng());
+        let max_limits = (max_loads - MIN_LOAD_ENTRIES) / LOADS_PER_LIMIT_ENTRY;
+        limits.truncate(max_limits.min(MAX_LIMIT_ENTRIES));
+        let max_loads = max_loads - LOADS_PER_LIMIT_ENTRY * limits.len();
         if loads.len() > max_loads {
             // Peers count a load that is left out as 0, so the smallest ones are left out.
             loads.sort_by_key(|(_, load, cold)| Reverse((*cold, load.running)));
@@ -95,6 +109,7 @@
             blames,
             evidence,
             leaving,
+            limits,
         }
     }
 
@@ -109,6 +124,13 @@
                 self.gateway.report_leaving(&server, incarnation, &from);
             }
         }
+        for &entry in &heartbeat.limits {
+            let (hash, report) = entry.into();
+            let server = self.gateway.decider.lock().record_limit_of_peer(hash, &report, now);
+            if let Some(server) = server {
+                self.gateway.report_limit(&server, report.incarnation, report.limit, &from);
+            }
+        }
         if !heartbeat.blames.is_empty() || !heartbeat.evidence.is_empty() {
             let mut suspects = self.gateway.suspects.lock();
             suspects.merge(&heartbeat.blames, now);
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -52,6 +52,9 @@
     /// All backend servers have asked this daemon for a pause.
     #[display("paused")]
     Paused,
+    /// All backend servers have named limits, and this daemon's shares of them are used.
+    #[display("limited")]
+    Limited,
     /// All connections of this daemon to the backend servers are in use.
     #[display("connections")]
     Connections,
@@ -93,6 +96,7 @@
             | Self::UnknownBuild
             | Self::Cold
             | Self::Paused
+            | Self::Limited
             | Self::Connections
             | Self::Overload
             | Self::Repeats
@@ -111,6 +115,7 @@
             Refusal::OtherBuild => Self::OtherBuild,
             Refusal::Cold => Self::Cold,
             Refusal::Paused => Self::Paused,
+            Refusal::Limited => Self::Limited,
             Refusal::Connections => Self::Connections,
             Refusal::Overload => Self::Overload,
             Refusal::Repeats => Self::Repeats,
--- a/crates/gateway/tests/rights.rs
+++ b/crates/gateway/tests/rights.rs
@@ -1,6 +1,6 @@
 //! Limits on the sum over all daemons hold through partitions, pauses, restarts and lost, late or
-//! duplicated datagrams: requests to cold backend servers, repeats, connections, and the crashes
-//! that one request causes.
+//! duplicated datagrams: requests to cold backend servers and to those that name a limit, repeats,
+//! connections, and the crashes that one request causes.
 
 use std::{
     net::{IpAddr, Ipv4Addr, SocketAddr},
@@ -18,6 +18,7 @@
     cold,
     decider::{Decider, Decision, End, Settings},
     demand::Demand,
+    limit::Rate,
     repeats,
     server::Server,
 };
@@ -126,6 +127,7 @@
             blames: Vec::new(),
             evidence: Vec::new(),
             leaving: Vec::new(),
+            limits: self.decider.limits(now).map(Into::into).collect(),
         }
     }
 
@@ -133,6 +135,10 @@
         self.table.record_heartbeat(address(from), heartbeat.clone(), now);
         let loads: Vec<_> = heartbeat.loads.iter().copied().map(Into::into).collect();
         self.decider.record_peer(address(from), &loads, now);
+        for &entry in &heartbeat.limits {
+            let (hash, report) = entry.into();
+            self.decider.record_limit_of_peer(hash, &report, now);
+        }
     }
 
     fn tick(&mut self, now: Instant) {
@@ -143,6 +149,7 @@
             members.insert(at, own);
         }
         self.decider.set_members(members, self.table.has_converged(now));
+        self.decider.expire_notices(|_| true, now);
     }
 
     /// Sends a request if the decider allows it. Returns whether it did.
@@ -358,6 +365,55 @@
     }
 }
 
+/// A server names a limit in all responses from the third second on. Datagrams that are delivered
+/// again may report limits of earlier times.
+fn assert_named_limit(seed: u64, scenario: Scenario, limit: &str) {
+    const WINDOW: Duration = Duration::from_secs(4);
+    const NAMED_AT: u32 = 30;
+    const SETTLED_AT: u32 = NAMED_AT + 30;
+    let limit: Rate = limit.parse().expect("a rate");
+    let mut times = Vec::new();
+    Fleet::new(seed, scenario, false).run(|daemon, _, step, now| {
+        for _ in 0..20 {
+            if !daemon.send(false, now) {
+                break;
+            }
+            let named = (step >= NAMED_AT).then_some(limit);
+            daemon.decider.record_limit(&server().name, 1, named, now, now);
+            if step >= SETTLED_AT {
+                times.push(now);
+            }
+        }
+    });
+    let max_sent = max_within(WINDOW, &times);
+    let bound = 1.5 * limit.per_second() * WINDOW.as_secs_f64() + 5.0;
+    assert!(max_sent as f64 <= bound, "seed {seed}: {max_sent} in 4 s for a limit of {limit}");
+    let seconds = (STEP * (scenario.steps - SETTLED_AT)).as_secs_f64();
+    let mean = times.len() as f64 / seconds;
+    assert!(mean > limit.per_second() * 0.4, "seed {seed}: {mean} a second for {limit}");
+}
+
+#[test]
+fn a_server_gets_no_more_than_the_limit_that_it_names() {
+    for seed in 0..30 {
+        for limit in ["0.5", "1", "5.9", "20", "60"] {
+            assert_named_limit(seed, SCENARIO, limit);
+        }
+    }
+}
+
+#[test]
+fn the_named_limit_holds_in_a_partition_of_minutes_and_in_a_large_fleet() {
+    let partition = Scenario { steps: 3_000, max_partition: 2_400, kills: 0, ..SCENARIO };
+    let large = Scenario { daemons: 40, steps: 300, kills: 1, ..SCENARIO };
+    for seed in 0..4 {
+        for limit in ["1", "12"] {
+            assert_named_limit(seed, partition, limit);
+            assert_named_limit(seed, large, limit);
+        }
+    }
+}
+
 #[test]
 fn repeats_stay_within_the_budget() {
     for seed in 0..20 {
--- a/crates/policy/src/local/decider.rs
+++ b/crates/policy/src/local/decider.rs
@@ -1,6 +1,7 @@
 //! Placement decisions of one daemon, from the state of backend servers and the daemon's shares.
 
 mod cost;
+mod notices;
 mod placement;
 mod prefix;
 
@@ -19,7 +20,7 @@
     cold::Bound as ColdBound,
     demand::Demand,
     latency::Model,
-    limit::{Limits, Rate},
+    limit::Limits,
     notice::Notices,
     peer_loads::PeerLoads,
     repeats::{Bound as RepeatBound, Budget as RepeatBudget},
@@ -98,6 +99,9 @@
     /// All backend servers have asked this daemon for a pause.
     #[display("paused")]
     Paused,
+    /// All backend servers have named limits, and this daemon's shares of them are used.
+    #[display("limited")]
+    Limited,
     /// All connections of this daemon to the backend servers are in use.
     #[display("connections")]
     Connections,
@@ -241,64 +245,6 @@
         }
     }
 
-    /// Records that a backend server says that it leaves. Returns whether that is new.
-    pub fn record_leaving(&mut self, server: &Backend, incarnation: u64, now: Instant) -> bool {
-        self.notices.record_leaving(server, incarnation, now)
-    }
-
-    /// Records that an incarnation of a backend server asks this daemon for a pause. Returns the pause
-    /// that is kept.
-    pub fn record_pause(
-        &mut self,
-        server: &Backend,
-        incarnation: u64,
-        pause: Duration,
-        now: Instant,
-    ) -> Duration {
-        self.notices.record_pause(server, incarnation, pause, now)
-    }
-
-    /// Records the limit that a response of a backend server named, or that it named none. The
-    /// request was sent at `sent`. Returns whether that changes the limit.
-    pub fn record_limit(
-        &mut self,
-        server: &Backend,
-        incarnation: u64,
-        limit: Option<Rate>,
-        sent: Instant,
-        now: Instant,
-    ) -> bool {
-        self.limits.record_response(server, incarnation, limit, sent, now)
-    }
-
-    /// Records what a peer reports: an incarnation of the backend server with this hash leaves.
-    /// Returns the backend server if that is new.
-    pub fn record_leaving_of_peer(
-        &mut self,
-        hash: u32,
-        incarnation: u64,
-        now: Instant,
-    ) -> Option<Backend> {
-        let server = self.by_hash.get(&hash)?;
-        let is_same = self.servers.get(server)?.server.incarnation == incarnation;
-        (is_same && self.notices.record_leaving(server, incarnation, now)).then(|| server.clone())
-    }
-
-    /// The backend servers that leave although their records say that they may get requests: the
-    /// hash and the incarnation of each.
-    pub fn leaving(&self) -> impl Iterator<Item = (u32, u64)> {
-        let servers = self.servers.values().map(|state| &state.server);
-        let leaving =
-            servers.filter(|server| self.notices.is_leaving(&server.name, server.incarnation));
-        leaving.map(|server| (server.hash, server.incarnation))
-    }
-
-    /// Forgets what backend servers asked for long ago. `is_known` tells which are published.
-    pub fn expire_notices(&mut self, is_known: impl Fn(&Backend) -> bool, now: Instant) {
-        self.notices.expire(is_known, now);
-        self.limits.expire(now);
-    }
-
     /// Records all loads of a peer, and how long the peer expects each backend server to stay cold.
     pub fn record_peer(&mut self, peer: IpAddr, loads: &[(u32, Load, Duration)], now: Instant) {
         for &(hash, _, cold) in loads.iter().filter(|(.., cold)| !cold.is_zero()) {
@@ -394,6 +340,7 @@
         } else {
             repeats.record_first_send(now);
         }
+        self.limits.record_sent(&placement.server);
         let model = self.model(demand);
         if let Some(state) = self.servers.get_mut(&placement.server) {
             let pending = placement.load.pending_tokens.saturating_add(placement.uncached_tokens);
--- a/crates/policy/src/local/decider/placement.rs
+++ b/crates/policy/src/local/decider/placement.rs
@@ -14,6 +14,7 @@
     affinity,
     demand::Demand,
     latency::{Backlog, Model},
+    limit::{Availability, Holders},
     notice::PauseStage,
     reservation,
     server::{Load, State as ServerState},
@@ -93,6 +94,10 @@
     connections_used: bool,
     /// When the first pause ends of those that are left out because they asked for one.
     paused_until: Option<Instant>,
+    /// Whether some are left out because they named a limit, and this daemon's share is used.
+    limit_used: bool,
+    /// When the first of these takes a request of this daemon again, if it has a share.
+    limited_until: Option<Instant>,
 }
 
 impl Selection {
@@ -102,6 +107,8 @@
             Reason::Connections
         } else if self.cold_share_used {
             Reason::Cold
+        } else if self.limit_used {
+            Reason::Limited
         } else if self.paused_until.is_some() {
             Reason::Paused
         } else if self.other_builds_only {
@@ -129,13 +136,18 @@
         };
         if selection.candidates.is_empty() {
             let reason = selection.refusal();
-            let retry_after = match selection.paused_until {
-                Some(until) if reason == Reason::Paused => {
+            let until = match reason {
+                Reason::Paused => selection.paused_until,
+                Reason::Limited => selection.limited_until,
+                _ => None,
+            };
+            let retry_after = match until {
+                Some(until) => {
                     let left = until.saturating_duration_since(now);
                     let left = left.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
                     left.mul_f64(self.retry_jitter())
                 }
-                _ => MIN_RETRY_AFTER * 2,
+                None => MIN_RETRY_AFTER * 2,
             };
             return Decision::Refuse { reason, retry_after, predicted: None };
         }
@@ -231,6 +243,11 @@
         // Used only if all other backend servers are avoided too: a backend server that fails some
         // of its requests still responds to most of them.
         let mut fallback = Vec::new();
+        let holders = Holders {
+            own: self.settings.own_hash,
+            members: &self.members,
+            converged: self.converged,
+        };
         let (mut servers, mut servers_of_build) = (0, 0);
         for (name, state) in &mut self.servers {
             let server = &state.server;
@@ -259,6 +276,12 @@
                 }
                 PauseStage::Ramp(_) => {}
             }
+            if let Availability::Used(until) = self.limits.availability(server, &holders, now) {
+                selection.limit_used |= of_build;
+                let until = until.filter(|_| of_build);
+                selection.limited_until = selection.limited_until.into_iter().chain(until).min();
+                continue;
+            }
             let avoided = state.is_avoided(now);
             if avoided && !state.is_fallback() {
                 continue;
--- a/crates/policy/src/local/limit.rs
+++ b/crates/policy/src/local/limit.rs
@@ -1,7 +1,8 @@
 //! Limits on the requests per second that backend servers take from all daemons together.
 //!
 //! For servers in need: one that can't keep up names in its responses how much it takes, until it has
-//! recovered.
+//! recovered. The limit is divided among few senders, chosen by rendezvous hashing over the members,
+//! so that each has a share worth using and the sum holds without agreement.
 
 use std::{
     str::FromStr,
@@ -9,29 +10,58 @@
 };
 
 use hyssop_document::{collections::Map, name::Backend};
+use serde::{Deserialize, Serialize};
 
-/// How long a limit is remembered after the last response that named it. The record of its server is
-/// gone long before, unless nobody sends it requests.
+use super::{affinity, server::Server};
+
+/// The number of senders on top of one for each request per second.
+const EXTRA_SENDERS: usize = 2;
+/// The time for which a sender may save up its share, beyond one request.
+const MAX_SAVING_TIME: Duration = Duration::from_millis(500);
+/// The minimum rate over all daemons: only a response can tell that a limit has ended.
+const MIN_RATE: Rate = Rate(0.2);
+/// How long after the last response with a limit the senders may be gone, so that each daemon tries
+/// whether the limit still holds.
+const STALE_AFTER: Duration = Duration::from_secs(30);
+/// How long a limit is remembered after that response.
 const LIMIT_TTL: Duration = Duration::from_secs(600);
+/// How long a limit that peers reported is remembered after the last report. Several heartbeats, as
+/// each has a sample only. A report that arrives late may be of a limit that has ended.
+const REPORT_TTL: Duration = Duration::from_secs(5);
+/// How long peers are told that a limit has ended.
+const END_REPORT_TIME: Duration = Duration::from_secs(10);
 
 /// Requests per second.
-#[derive(Debug, Clone, Copy, PartialEq, PartialOrd, derive_more::Display)]
-pub struct Rate(f64);
+#[derive(
+    Debug, Clone, Copy, PartialEq, PartialOrd, Serialize, Deserialize, derive_more::Display,
+)]
+#[serde(try_from = "f32", into = "f32")]
+pub struct Rate(f32);
 
-/// The error for a text that is not a rate.
+/// The error for a text or number that is not a rate.
 #[derive(Debug, Clone, PartialEq, Eq, derive_more::Display, derive_more::Error)]
 #[display("a rate is a number of requests per second, 0 or more")]
 pub struct RateError;
 
 impl Rate {
-    /// A number of requests per second, if it is finite and not negative.
-    pub fn new(per_second: f64) -> Option<Self> {
-        (per_second.is_finite() && per_second >= 0.0).then_some(Self(per_second))
-    }
-
     /// The number of requests per second.
     pub fn per_second(self) -> f64 {
-        self.0
+        f64::from(self.0)
+    }
+}
+
+impl TryFrom<f32> for Rate {
+    type Error = RateError;
+
+    fn try_from(per_second: f32) -> Result<Self, RateError> {
+        let is_rate = per_second.is_finite() && per_second >= 0.0;
+        if is_rate { Ok(Self(per_second)) } else { Err(RateError) }
+    }
+}
+
+impl From<Rate> for f32 {
+    fn from(rate: Rate) -> Self {
+        rate.0
     }
 }
 
@@ -39,20 +69,81 @@
     type Err = RateError;
 
     fn from_str(text: &str) -> Result<Self, RateError> {
-        text.parse().ok().and_then(Self::new).ok_or(RateError)
+        text.parse::<f32>().map_err(|_| RateError)?.try_into()
     }
 }
 
+/// The daemons that share a limit, as one of them knows them.
+#[derive(Debug, Clone, Copy)]
+pub struct Holders<'a> {
+    /// The hash of this daemon's name.
+    pub own: u32,
+    /// The hashes of all share holders, this daemon included.
+    pub members: &'a [u32],
+    /// Whether `members` is complete. Without a complete list a daemon has no share.
+    pub converged: bool,
+}
+
+impl Holders<'_> {
+    /// The requests per second that this daemon may send to a server with a limit.
+    fn share(&self, limit: Rate, server: u32) -> f64 {
+        if !self.converged {
+            return 0.0;
+        }
+        let total = limit.per_second().max(MIN_RATE.per_second());
+        let senders = (total as usize).saturating_add(EXTRA_SENDERS).min(self.members.len()).max(1);
+        let weight = |member: u32| affinity::weight(server, u64::from(member));
+        let own = weight(self.own);
+        let ahead = self.members.iter().filter(|&&member| weight(member) > own).count();
+        if ahead < senders { total / senders as f64 } else { 0.0 }
+    }
+
+    /// The requests per second with which each daemon tries whether a limit still holds.
+    fn trial_share(&self) -> f64 {
+        if !self.converged {
+            return 0.0;
+        }
+        MIN_RATE.per_second() / self.members.len().max(1) as f64
+    }
+}
+
+/// Whether a backend server takes a request of this daemon now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Availability {
+    /// It names no limit, or this daemon's share allows a request.
+    Available,
+    /// The share is used. Holds when it allows the next request, if this daemon has a share.
+    Used(Option<Instant>),
+}
+
+/// The limit of a backend server as a daemon reports it to its peers.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Report {
+    /// The incarnation of the backend server.
+    pub incarnation: u64,
+    /// The limit, or `None` if it has ended.
+    pub limit: Option<Rate>,
+    /// How long ago the backend server named the limit, or ended it.
+    pub age: Duration,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Known {
     incarnation: u64,
     /// The limit, or `None` once a response named none any more.
     limit: Option<Rate>,
-    /// A time before which the backend server had not yet named the limit, or ended it.
+    /// A time at which the backend server had named the limit already, or had not yet ended it.
     at: Instant,
+    /// Whether a response to this daemon said so, and not a peer.
+    own: bool,
+    /// When a peer last reported it.
+    reported_at: Instant,
+    /// What is saved up of this daemon's share, in requests.
+    saved: f64,
+    saved_at: Instant,
 }
 
-/// The limits that backend servers have named to one daemon.
+/// The limits that backend servers have named.
 #[derive(Debug, Default)]
 pub struct Limits {
     servers: Map<Backend, Known>,
@@ -70,7 +161,6 @@
         now: Instant,
     ) -> bool {
         let known = self.servers.get(server).filter(|known| known.incarnation == incarnation);
-        let before = known.and_then(|known| known.limit);
         // Responses overtake each other. One without a limit ends it only if its request was sent
         // after the limit was known.
         let at = match (limit, known) {
@@ -78,12 +168,98 @@
             (None, Some(known)) if known.limit.is_some() && sent > known.at => sent,
             (None, _) => return false,
         };
-        self.servers.insert(server.clone(), Known { incarnation, limit, at });
-        limit != before
+        self.update(server, incarnation, limit, at, true, now)
+    }
+
+    /// Records what a peer reports of a backend server. Returns whether that changes the limit.
+    pub fn record_report(&mut self, server: &Backend, report: &Report, now: Instant) -> bool {
+        let Report { incarnation, limit, age } = *report;
+        let Some(at) = now.checked_sub(age) else { return false };
+        match self.servers.get_mut(server) {
+            Some(known) if known.incarnation > incarnation => return false,
+            Some(known) if known.incarnation == incarnation && at <= known.at => {
+                known.reported_at = now;
+                return false;
+            }
+            Some(_) => {}
+            None if limit.is_none() => return false,
+            None => {}
+        }
+        self.update(server, incarnation, limit, at, false, now)
+    }
+
+    fn update(
+        &mut self,
+        server: &Backend,
+        incarnation: u64,
+        limit: Option<Rate>,
+        at: Instant,
+        own: bool,
+        now: Instant,
+    ) -> bool {
+        let known = self.servers.get_mut(server).filter(|known| known.incarnation == incarnation);
+        let Some(known) = known else {
+            let (saved, saved_at) = (0.0, now);
+            let known = Known { incarnation, limit, at, own, reported_at: now, saved, saved_at };
+            self.servers.insert(server.clone(), known);
+            return limit.is_some();
+        };
+        if known.limit.is_none() {
+            (known.saved, known.saved_at) = (0.0, now);
+        }
+        let changed = known.limit != limit;
+        (known.limit, known.at, known.own, known.reported_at) = (limit, at, own, now);
+        changed
+    }
+
+    /// Whether a backend server takes a request of this daemon now.
+    pub fn availability(
+        &mut self,
+        server: &Server,
+        holders: &Holders<'_>,
+        now: Instant,
+    ) -> Availability {
+        let known = self.servers.get_mut(&server.name);
+        let known = known.filter(|known| known.incarnation == server.incarnation);
+        let Some(known) = known else { return Availability::Available };
+        let Some(limit) = known.limit else { return Availability::Available };
+        let mut share = holders.share(limit, server.hash);
+        if now.duration_since(known.at) > STALE_AFTER {
+            share = share.max(holders.trial_share());
+        }
+        let most = 1.0 + share * MAX_SAVING_TIME.as_secs_f64();
+        let saved = share * now.duration_since(known.saved_at).as_secs_f64();
+        (known.saved, known.saved_at) = ((known.saved + saved).min(most), now);
+        if known.saved >= 1.0 {
+            return Availability::Available;
+        }
+        let wait = Duration::try_from_secs_f64((1.0 - known.saved) / share).ok();
+        Availability::Used(wait.and_then(|wait| now.checked_add(wait)))
+    }
+
+    /// Records that a request is sent to a backend server.
+    pub fn record_sent(&mut self, server: &Backend) {
+        if let Some(known) = self.servers.get_mut(server).filter(|known| known.limit.is_some()) {
+            known.saved -= 1.0;
+        }
+    }
+
+    /// What responses to this daemon said, to be reported to peers. What peers reported is not passed
+    /// on: each hop would make it look more recent.
+    pub fn reports(&self, now: Instant) -> impl Iterator<Item = (&Backend, Report)> {
+        self.servers.iter().filter(|(_, known)| known.own).filter_map(move |(server, known)| {
+            let age = now.duration_since(known.at);
+            let Known { incarnation, limit, .. } = *known;
+            let is_recent = limit.is_some() || age < END_REPORT_TIME;
+            is_recent.then_some((server, Report { incarnation, limit, age }))
+        })
     }
 
     /// Forgets what has expired.
     pub fn expire(&mut self, now: Instant) {
-        self.servers.retain(|_, known| now.duration_since(known.at) < LIMIT_TTL);
+        self.servers.retain(|_, known| {
+            let is_reported = now.duration_since(known.reported_at) < REPORT_TTL;
+            now.duration_since(known.at) < LIMIT_TTL && (known.own || is_reported)
+        });
     }
 }
--- a/crates/view/src/heartbeat.rs
+++ b/crates/view/src/heartbeat.rs
@@ -6,6 +6,7 @@
 };
 
 use hyssop_document::name::{Host, Zone};
+use hyssop_policy::local::limit::{Rate, Report};
 pub use hyssop_policy::local::server::Load;
 use serde::{Deserialize, Serialize};
 
@@ -94,6 +95,34 @@
     pub incarnation: u64,
 }
 
+/// The limit of a backend server on the requests of all daemons together.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct LimitEntry {
+    /// The [`name_hash`] of the backend server.
+    pub backend_hash: u32,
+    /// The start of its incarnation in ms since 1970, or 0 if it publishes none.
+    pub incarnation: u64,
+    /// The limit, or `None` if it has ended.
+    pub limit: Option<Rate>,
+    /// How long ago the backend server named the limit, or ended it, in ms.
+    pub ms_ago: u32,
+}
+
+impl From<(u32, Report)> for LimitEntry {
+    fn from((backend_hash, report): (u32, Report)) -> Self {
+        let Report { incarnation, limit, age } = report;
+        Self { backend_hash, incarnation, limit, ms_ago: age.as_millis() as u32 }
+    }
+}
+
+impl From<LimitEntry> for (u32, Report) {
+    fn from(entry: LimitEntry) -> Self {
+        let LimitEntry { backend_hash, incarnation, limit, ms_ago } = entry;
+        let age = Duration::from_millis(u64::from(ms_ago));
+        (backend_hash, Report { incarnation, limit, age })
+    }
+}
+
 /// A member of the sender's table.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberEntry {
@@ -106,7 +135,7 @@
 }
 
 /// One daemon's heartbeat.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Heartbeat {
     /// The sender's host.
     pub host: Host,
@@ -136,6 +165,8 @@
     pub evidence: Vec<EvidenceEntry>,
     /// Backend servers that said that they leave.
     pub leaving: Vec<LeavingEntry>,
+    /// Backend servers that named limits to the sender, or ended them.
+    pub limits: Vec<LimitEntry>,
 }
 
 impl MemberEntry {
--- a/crates/view/tests/origin.rs
+++ b/crates/view/tests/origin.rs
@@ -70,6 +70,7 @@
             blames: Vec::new(),
             evidence: Vec::new(),
             leaving: Vec::new(),
+            limits: Vec::new(),
         };
         self.members.lock().record_heartbeat(other.ip, heartbeat, Instant::now());
     }
--- a/crates/view/tests/view.rs
+++ b/crates/view/tests/view.rs
@@ -8,7 +8,7 @@
 use hyssop_document::name::{Host, Zone};
 use hyssop_view::{
     heartbeat::{
-        Blame, CrashEntry, EvidenceEntry, Heartbeat, LeavingEntry, Load, LoadEntry,
+        Blame, CrashEntry, EvidenceEntry, Heartbeat, LeavingEntry, LimitEntry, Load, LoadEntry,
         MAX_DATAGRAM_BYTES, MemberEntry, Phase,
     },
     member::{
@@ -34,6 +34,7 @@
         blames: Vec::new(),
         evidence: Vec::new(),
         leaving: Vec::new(),
+        limits: Vec::new(),
     }
 }
 
@@ -73,6 +74,21 @@
     heartbeat.loads.truncate(48 - 4 * 6 - 8);
     let bytes = heartbeat.encode().expect("a heartbeat can be encoded");
     assert!(bytes.len() <= MAX_DATAGRAM_BYTES, "{}", bytes.len());
+    assert_eq!(Heartbeat::decode(&bytes), Ok(heartbeat.clone()));
+
+    // Each limit takes the place of two loads.
+    heartbeat.evidence.clear();
+    heartbeat.leaving.clear();
+    let limit = LimitEntry {
+        backend_hash: u32::MAX,
+        incarnation: 1_700_000_000_000,
+        limit: "5.9".parse().ok(),
+        ms_ago: 600_000,
+    };
+    heartbeat.limits = vec![limit; 8];
+    heartbeat.loads = vec![LoadEntry { backend_hash: u32::MAX, load, cold_left_ms: 3_000 }; 32];
+    let bytes = heartbeat.encode().expect("a heartbeat can be encoded");
+    assert!(bytes.len() <= MAX_DATAGRAM_BYTES, "{}", bytes.len());
     assert_eq!(Heartbeat::decode(&bytes), Ok(heartbeat));
 }
 
