gateway: a response to another request ends no limit

An extra response of long ago names no limit. It was taken for the end of one that the server had named since, so that requests went on until the next own response. Only a response to the request of an exchange, whose time of sending is known, ends a limit now; a limit that any response names is kept.

a_response_to_another_request_ends_no_limit failed before (20 requests in 4 s for a limit of 1 a second, 11 allowed) and passes.

--- a/crates/gateway/src/call/exchange.rs
+++ b/crates/gateway/src/call/exchange.rs
@@ -218,10 +218,11 @@
                 continue;
             }
             let meta = self.gateway.dialect.parse_response(&head.headers);
-            self.record_notices(&meta, head.status);
             // A backend server that cannot parse the request id responds without it.
             let without_id = meta.id.is_none() && meta.not_run;
-            if meta.id.as_deref() == Some(id) || without_id {
+            let is_own = meta.id.as_deref() == Some(id) || without_id;
+            self.record_notices(&meta, head.status, is_own);
+            if is_own {
                 self.apply_keep_alive(&head);
                 return Ok(ParsedHead { head, meta });
             }
@@ -237,8 +238,9 @@
         }
     }
 
-    /// Records what the backend server asks for in a response, to whichever request that is.
-    fn record_notices(&self, meta: &ResponseMeta, status: StatusCode) {
+    /// Records what the backend server asks for in a response, to whichever request that is. Only one
+    /// to this request, whose time is known, can end a limit.
+    fn record_notices(&self, meta: &ResponseMeta, status: StatusCode, is_own: bool) {
         let (name, now) = (&self.server.name, Instant::now());
         let incarnation = self.server.started_ms.unwrap_or(0);
         if meta.leaving && self.gateway.decider.lock().record_leaving(name, incarnation, now) {
@@ -252,11 +254,13 @@
             );
             self.gateway.metrics.count_notice("pause");
         }
-        let mut decider = self.gateway.decider.lock();
-        let changed = decider.record_limit(name, incarnation, meta.limit, self.created, now);
-        drop(decider);
-        if changed {
-            self.gateway.report_limit(name, incarnation, meta.limit, &"response");
+        if is_own || meta.limit.is_some() {
+            let mut decider = self.gateway.decider.lock();
+            let changed = decider.record_limit(name, incarnation, meta.limit, self.created, now);
+            drop(decider);
+            if changed {
+                self.gateway.report_limit(name, incarnation, meta.limit, &"response");
+            }
         }
     }
 
