replay: patterns of uneven engines and of contention

Cause: the replay knows neither engines whose speeds differ by design, nor slow moments, nor rates that swing, so it can't show how placement does on fleets of uneven engines.

Change: engines take turns in a list of speeds, are slow for moments, and rates swing. Patterns `uneven` (85 daemons, every fourth of 60 engines 2.2 times slower than the others) and `contended` (82 daemons).

--- a/crates/policy/examples/replay/engine.rs
+++ b/crates/policy/examples/replay/engine.rs
@@ -62,6 +62,8 @@
     spec: Spec,
     /// Factor on the time of each step.
     pub(crate) slowness: f64,
+    /// A further factor that changes from moment to moment.
+    pub(crate) noise: f64,
     waiting: VecDeque<Sequence>,
     running: Vec<Sequence>,
     /// Cached segments with their sizes, the least recently used first.
@@ -76,6 +78,7 @@
         Self {
             spec,
             slowness: 1.0,
+            noise: 1.0,
             waiting: VecDeque::new(),
             running: Vec::new(),
             cache: VecDeque::new(),
@@ -203,7 +206,7 @@
         let batch = self.spec.step_per_request * (self.running.len() as u32 - 1);
         let prefill =
             Duration::from_secs_f64(f64::from(tokens) / self.spec.prefill_tokens_per_ms / 1_000.0);
-        self.clock += (self.spec.step + batch + prefill).mul_f64(self.slowness);
+        self.clock += (self.spec.step + batch + prefill).mul_f64(self.slowness * self.noise);
         self.decode(events);
     }
 
--- a/crates/policy/examples/replay/fleet.rs
+++ b/crates/policy/examples/replay/fleet.rs
@@ -21,7 +21,7 @@
 
 use crate::{
     engine::{Engine, Event},
-    pattern::{Pattern, Request, requests},
+    pattern::{Noise, Pattern, Request, requests},
     policy::Policy,
 };
 
@@ -33,8 +33,6 @@
 const CROSS_ZONE_HEARTBEAT_MS: [u64; 2] = [200, 500];
 /// The time from the send of a heartbeat to its arrival.
 const HEARTBEAT_DELAY: Duration = Duration::from_millis(5);
-/// How long a caller waits for the first event.
-const FIRST_EVENT_TIMEOUT: Duration = Duration::from_secs(2);
 /// The number of engines that a daemon tries for one request.
 const MAX_ATTEMPTS: usize = 3;
 
@@ -176,9 +174,8 @@
         };
         let mut engines: Vec<Engine> =
             (0..pattern.engines).map(|_| Engine::new(pattern.spec)).collect();
-        let slow = (pattern.slow_engines.0 * pattern.engines as f64) as usize;
-        for engine in &mut engines[..slow] {
-            engine.slowness = pattern.slow_engines.1;
+        for (engine, &slowness) in engines.iter_mut().zip(pattern.slowness.iter().cycle()) {
+            engine.slowness = slowness;
         }
         let arrivals =
             requests.iter().enumerate().map(|(index, request)| ((request.at, index), true));
@@ -204,6 +201,7 @@
 
     fn step(&mut self, now: Duration) {
         self.apply_losses(now);
+        self.apply_noise(now);
         for index in 0..self.engines.len() {
             for event in self.engines[index].run(now) {
                 self.apply_event(event);
@@ -239,6 +237,17 @@
         }
     }
 
+    /// Draws anew which engines are slow, at the begin of each moment.
+    fn apply_noise(&mut self, now: Duration) {
+        let Noise { ratio, slowness, length } = self.pattern.noise;
+        if ratio == 0.0 || !now.as_millis().is_multiple_of(length.as_millis()) {
+            return;
+        }
+        for engine in &mut self.engines {
+            engine.noise = if self.random.random_bool(ratio) { slowness } else { 1.0 };
+        }
+    }
+
     fn apply_event(&mut self, event: Event) {
         let (Event::First { request, at }
         | Event::Done { request, at, .. }
@@ -272,7 +281,8 @@
         let left = self.in_flight.iter().filter(|(request, in_flight)| {
             let record = &self.records[**request];
             let expired = now > record.request.at + record.request.class.deadline;
-            expired || record.first.is_none() && now > in_flight.sent + FIRST_EVENT_TIMEOUT
+            let patience = record.request.class.first_event_timeout;
+            expired || record.first.is_none() && now > in_flight.sent + patience
         });
         let left: Vec<usize> = left.map(|(&request, _)| request).collect();
         for request in left {
--- a/crates/policy/examples/replay/main.rs
+++ b/crates/policy/examples/replay/main.rs
@@ -21,7 +21,8 @@
 /// Simulates a load pattern under one or more placement policies.
 #[derive(Debug, Parser)]
 struct Arguments {
-    /// The load pattern: steady, burst, lost, hot, slow or large.
+    /// The load pattern: steady, burst, lost, hot, slow, large, uneven or
+    /// contended.
     #[arg(long, default_value = "burst")]
     pattern: Pattern,
     /// The policies: local, least, finish or hashing. Default: all.
--- a/crates/policy/examples/replay/pattern.rs
+++ b/crates/policy/examples/replay/pattern.rs
@@ -38,6 +38,10 @@
     /// Maximum time between two events of a response that is in time.
     pub(crate) max_pause: Duration,
     pub(crate) deadline: Duration,
+    /// How long a caller waits for the first event.
+    pub(crate) first_event_timeout: Duration,
+    /// The tier of the route.
+    pub(crate) route_tier: Tier,
     /// Score of a response in time.
     pub(crate) worth: f64,
     /// Score of a late response.
@@ -64,6 +68,34 @@
     pub(crate) to_s: f64,
 }
 
+/// Engines that are slow for moments.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Noise {
+    /// The fraction of the moments in which an engine is slow.
+    pub(crate) ratio: f64,
+    /// The factor on its time.
+    pub(crate) slowness: f64,
+    /// The length of a moment.
+    pub(crate) length: Duration,
+}
+
+/// Rates that swing around their mean.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Swing {
+    /// The largest deviation, as a fraction of the mean.
+    pub(crate) ratio: f64,
+    pub(crate) period_s: f64,
+    /// The point of the period at the begin, from 0 to 1. The rates rise above the mean at 0.
+    pub(crate) phase: f64,
+}
+
+impl Swing {
+    fn factor(self, at_s: f64) -> f64 {
+        let angle = std::f64::consts::TAU * (at_s / self.period_s + self.phase);
+        1.0 + self.ratio * angle.sin()
+    }
+}
+
 /// A deployment with a load.
 #[derive(Debug, Clone)]
 pub(crate) struct Pattern {
@@ -75,14 +107,16 @@
     pub(crate) classes: Vec<Class>,
     pub(crate) bursts: Vec<Burst>,
     pub(crate) losses: Vec<Loss>,
-    /// The fraction of the engines that is slow, and the factor on their time.
-    pub(crate) slow_engines: (f64, f64),
+    /// The factors on the time of engines, which take turns.
+    pub(crate) slowness: Vec<f64>,
+    pub(crate) noise: Noise,
+    pub(crate) swing: Swing,
     pub(crate) duration_s: f64,
 }
 
 /// The error for a name that no pattern has.
 #[derive(Debug, derive_more::Display, derive_more::Error)]
-#[display("the patterns are: steady, burst, lost, hot, slow, large")]
+#[display("the patterns are: steady, burst, lost, hot, slow, large, uneven, contended")]
 pub(crate) struct UnknownPattern;
 
 impl FromStr for Pattern {
@@ -121,8 +155,10 @@
             "hot" => {
                 Self { name: "hot", bursts: vec![prefill_heavy(1.5, 5.0, 15.0, 0.4)], ..small() }
             }
-            "slow" => Self { name: "slow", slow_engines: (0.15, 4.0), ..small() },
+            "slow" => Self { name: "slow", slowness: one_in(9, 4.0, 1.0), ..small() },
             "large" => Self { name: "large", bursts: burst, ..large() },
+            "uneven" => uneven(),
+            "contended" => contended(),
             _ => return Err(UnknownPattern),
         };
         Ok(pattern)
@@ -155,6 +191,8 @@
         target: Duration::from_millis(400),
         max_pause: Duration::from_millis(300),
         deadline: Duration::from_secs(4),
+        first_event_timeout: Duration::from_secs(2),
+        route_tier: Tier(2),
         worth: 2.4,
         worth_late: 0.73,
     };
@@ -184,7 +222,9 @@
         classes: classes(60.5, 66.6, 400),
         bursts: Vec::new(),
         losses: Vec::new(),
-        slow_engines: (0.0, 1.0),
+        slowness: vec![1.0],
+        noise: Noise { ratio: 0.0, slowness: 1.0, length: Duration::from_millis(600) },
+        swing: Swing { ratio: 0.0, period_s: 15.0, phase: 0.0 },
         duration_s: 24.0,
     }
 }
@@ -201,6 +241,97 @@
     }
 }
 
+fn burst(kind: Kind, factor: f64, from_s: f64, to_s: f64) -> Burst {
+    Burst { kind, factor, from_s, to_s, hot_ratio: 0.0 }
+}
+
+/// The factors of engines of which the first of each `count` has its own.
+fn one_in(count: usize, first: f64, others: f64) -> Vec<f64> {
+    let mut factors = vec![others; count];
+    factors[0] = first;
+    factors
+}
+
+/// 85 daemons and 60 engines, of which every fourth is slow, and any of them for moments. A quarter of
+/// the engines crashes at the end of a burst.
+fn uneven() -> Pattern {
+    let [mut long, mut short] = classes(146.0, 174.0, 553).try_into().expect("two classes");
+    (long.target, long.max_pause) = (Duration::from_millis(800), Duration::from_millis(500));
+    (long.deadline, long.first_event_timeout) = (Duration::from_secs(5), Duration::from_secs(4));
+    (long.worth, long.worth_late, long.output_tokens) = (3.4, 0.97, 52);
+    (short.target, short.max_pause) = (Duration::from_millis(800), Duration::from_millis(300));
+    (short.deadline, short.first_event_timeout) =
+        (Duration::from_secs(15), Duration::from_millis(3_200));
+    (short.worth, short.worth_late, short.route_tier) = (1.8, 0.16, Tier(1));
+    Pattern {
+        name: "uneven",
+        daemons: 85,
+        zones: 3,
+        engines: 60,
+        spec: Spec {
+            slots: 48,
+            max_waiting: 100,
+            step: Duration::from_micros(5_090),
+            step_per_request: Duration::from_micros(30),
+            // With the attention to prompts of 9,200 tokens.
+            prefill_tokens_per_ms: 45.3,
+            chunk_tokens: 4_096,
+            setup: Duration::from_millis(50),
+            cache_tokens: 322_789,
+            tokens_per_event: 6,
+            fetch_tokens_per_ms: Some(419.0),
+        },
+        classes: vec![long, short],
+        bursts: vec![
+            burst(Kind::PrefillHeavy, 2.82, 0.5, 9.5),
+            burst(Kind::DecodeHeavy, 2.56, 11.0, 16.0),
+            burst(Kind::PrefillHeavy, 2.56, 17.5, 21.0),
+        ],
+        losses: vec![Loss { engine_ratio: 0.25, from_s: 9.5, to_s: 11.5 }],
+        slowness: one_in(4, 1.0 / 0.55, 1.0 / 1.2),
+        noise: Noise { ratio: 0.15, slowness: 2.5, length: Duration::from_millis(600) },
+        swing: Swing { ratio: 0.55, period_s: 15.0, phase: 0.18 },
+        duration_s: 24.0,
+    }
+}
+
+/// 82 daemons and 60 engines, of which every third is faster. One shared prefix gets a fifth of the
+/// short prompts of a burst, and a quarter of the engines crashes.
+fn contended() -> Pattern {
+    let Pattern { mut classes, spec, losses, .. } = uneven();
+    let [long, short] = classes.as_mut_slice() else { unreachable!("two classes") };
+    (long.rate, long.prefixes, long.max_pause) = (130.0, 649, Duration::from_millis(600));
+    (long.worth, long.worth_late) = (4.7, 1.4);
+    (short.rate, short.target, short.max_pause) =
+        (198.0, Duration::from_millis(500), Duration::from_millis(400));
+    (short.worth, short.worth_late) = (1.6, 0.15);
+    Pattern {
+        name: "contended",
+        daemons: 82,
+        spec: Spec {
+            step: Duration::from_micros(5_050),
+            step_per_request: Duration::from_micros(16),
+            // With the attention to prompts of 9,200 tokens.
+            prefill_tokens_per_ms: 35.5,
+            setup: Duration::from_millis(13),
+            cache_tokens: 296_400,
+            fetch_tokens_per_ms: Some(137.0),
+            ..spec
+        },
+        classes,
+        bursts: vec![
+            burst(Kind::PrefillHeavy, 2.56, 0.5, 9.5),
+            Burst { hot_ratio: 0.2, ..burst(Kind::DecodeHeavy, 2.17, 11.0, 16.0) },
+            burst(Kind::PrefillHeavy, 2.04, 17.5, 21.0),
+        ],
+        losses,
+        slowness: one_in(3, 1.0 / 1.3, 1.0),
+        noise: Noise { ratio: 0.0, slowness: 1.0, length: Duration::from_millis(600) },
+        swing: Swing { ratio: 0.15, period_s: 11.0, phase: 0.5 },
+        ..uneven()
+    }
+}
+
 /// One request of a pattern.
 #[derive(Debug, Clone)]
 pub(crate) struct Request {
@@ -222,7 +353,7 @@
         Demand {
             pool: Pool::new("engines"),
             tier: Tier(2),
-            route_tier: Tier(2),
+            route_tier: self.class.route_tier,
             prompt_tokens: self.prompt_tokens(),
             segments: self.segments.clone(),
             output_tokens: self.output_tokens,
@@ -247,7 +378,8 @@
                 .bursts
                 .iter()
                 .find(|burst| burst.kind == class.kind && (burst.from_s..burst.to_s).contains(&at));
-            let rate = class.rate * burst.map_or(1.0, |burst| burst.factor);
+            let factor = burst.map_or(1.0, |burst| burst.factor);
+            let rate = class.rate * pattern.swing.factor(at) * factor;
             at += -(1.0 - random.random::<f64>()).ln() / rate;
             let hot = burst.is_some_and(|burst| random.random_bool(burst.hot_ratio));
             let prefix = if hot { 0 } else { random.random_range(0..class.prefixes) };
