policy: one place for what keeps a request from a backend server, and one for dividing limits

Cause: `select` held its checks inline, and cold starts, repeats and limits each divided their bound among the daemons in their own way, so that each further rule would have added a copy.

Change: `eligibility` says whether a backend server may get a request, and else which obstacle there is and until when; `holders` divides what holds over all daemons. No decision changes.

--- a/crates/policy/src/local/cold.rs
+++ b/crates/policy/src/local/cold.rs
@@ -4,7 +4,7 @@
 //! among few senders, chosen by rendezvous hashing over the members, so that no agreement is needed
 //! and the sum stays within the bound in every partition.
 
-use super::affinity;
+use super::holders::Holders;
 
 /// The bound on requests per second to one cold backend server, over all daemons.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -25,16 +25,12 @@
         rate * self.factor + self.slack
     }
 
-    /// Requests per second that this daemon may send to a cold `server`. `own` is the hash of this
-    /// daemon's name, `members` are the hashes of all share holders.
-    pub fn share(&self, rate: f64, server: u32, own: u32, members: &[u32]) -> usize {
+    /// Requests per second that this daemon may send to a cold `server`, a hash of its name.
+    pub fn share(&self, rate: f64, server: u32, holders: &Holders<'_>) -> usize {
         let total = (self.total(rate) * USABLE_RATIO) as usize;
-        let count = members.len().max(1);
-        if count <= total {
-            return total / count;
+        if total == 0 {
+            return 0;
         }
-        let weight = |member: u32| affinity::weight(server, u64::from(member));
-        let ahead = members.iter().filter(|&&member| weight(member) > weight(own)).count();
-        usize::from(ahead < total)
+        holders.sender_share(total as f64, total, server) as usize
     }
 }
--- a/crates/policy/src/local/decider.rs
+++ b/crates/policy/src/local/decider.rs
@@ -1,6 +1,7 @@
 //! Placement decisions of one daemon, from the state of backend servers and the daemon's shares.
 
 mod cost;
+mod eligibility;
 mod notices;
 mod placement;
 mod prefix;
@@ -19,6 +20,7 @@
     affinity,
     cold::Bound as ColdBound,
     demand::Demand,
+    holders::Holders,
     latency::Model,
     limit::Limits,
     notice::Notices,
@@ -321,20 +323,20 @@
     }
 
     fn may_repeat(&mut self, pool: &Pool, now: Instant) -> bool {
-        let share_holders = self.converged.then_some(self.members.len());
-        self.repeat_budget(pool).allows_repeat(share_holders, now)
-    }
-
-    fn repeat_budget(&mut self, pool: &Pool) -> &mut RepeatBudget {
-        let bound = self.settings.repeats;
-        self.repeats.entry(pool.clone()).or_insert_with(|| RepeatBudget::new(bound))
+        let holders = Holders {
+            own: self.settings.own_hash,
+            members: &self.members,
+            converged: self.converged,
+        };
+        let budget = repeat_budget(&mut self.repeats, pool, self.settings.repeats);
+        budget.allows_repeat(&holders, now)
     }
 
     /// Records that a request is sent. The id identifies the send in later calls.
     pub fn record_sent(&mut self, placement: &Placement, demand: &Demand, now: Instant) -> SendId {
         self.last_send_id += 1;
         let send_id = SendId(self.last_send_id);
-        let repeats = self.repeat_budget(&demand.pool);
+        let repeats = repeat_budget(&mut self.repeats, &demand.pool, self.settings.repeats);
         if demand.is_repeat {
             repeats.record_repeat(now);
         } else {
@@ -409,6 +411,14 @@
     }
 }
 
+fn repeat_budget<'a>(
+    budgets: &'a mut Map<Pool, RepeatBudget>,
+    pool: &Pool,
+    bound: RepeatBound,
+) -> &'a mut RepeatBudget {
+    budgets.entry(pool.clone()).or_insert_with(|| RepeatBudget::new(bound))
+}
+
 /// The time after which the first event of a request is overdue.
 fn overdue_after(predicted: Duration, demand: &Demand) -> Duration {
     let (factor, slack) = OVERDUE_THRESHOLD;
--- a/crates/policy/src/local/decider/placement.rs
+++ b/crates/policy/src/local/decider/placement.rs
@@ -5,17 +5,17 @@
 use hyssop_document::name::Backend;
 
 use super::{
-    Decider, Decision, MAX_RETRY_AFTER, MIN_RETRY_AFTER, Placement, Reason, connection_share,
+    Decider, Decision, MAX_RETRY_AFTER, MIN_RETRY_AFTER, Placement, Reason,
     cost::{Context, Cost, SMALL_FLEET_MEMBERS, cost},
+    eligibility::{Eligible, Obstacle, Rules},
     overdue_after,
     prefix::{cache_choices, first_choice},
 };
 use crate::local::{
     affinity,
     demand::Demand,
+    holders::Holders,
     latency::{Backlog, Model},
-    limit::{Availability, Holders},
-    notice::PauseStage,
     reservation,
     server::{Load, State as ServerState},
     urgency::{Kind, Kinds},
@@ -88,33 +88,35 @@
     candidates: Vec<Candidate>,
     /// Whether the pool has backend servers, but none of the build that began the stream.
     other_builds_only: bool,
-    /// Whether some are left out because they are cold, and this daemon's share is used.
-    cold_share_used: bool,
-    /// Whether some are left out because this daemon's connections to them are all in use.
-    connections_used: bool,
-    /// When the first pause ends of those that are left out because they asked for one.
-    paused_until: Option<Instant>,
-    /// Whether some are left out because they named a limit, and this daemon's share is used.
-    limit_used: bool,
-    /// When the first of these takes a request of this daemon again, if it has a share.
-    limited_until: Option<Instant>,
+    /// What keeps the request from the other backend servers whose build may get it.
+    obstacles: Vec<Obstacle>,
 }
 
 impl Selection {
-    /// The reason to refuse a request without candidates.
-    fn refusal(&self) -> Reason {
-        if self.connections_used {
-            Reason::Connections
-        } else if self.cold_share_used {
-            Reason::Cold
-        } else if self.limit_used {
-            Reason::Limited
-        } else if self.paused_until.is_some() {
-            Reason::Paused
+    /// The reason to refuse a request without candidates, and when that ends, if it is known.
+    fn refusal(&self) -> (Reason, Option<Instant>) {
+        let obstacles = || self.obstacles.iter().copied();
+        let is_any = |obstacle| obstacles().any(|other| other == obstacle);
+        let paused = obstacles().filter_map(|obstacle| match obstacle {
+            Obstacle::Paused(until) => Some(until),
+            _ => None,
+        });
+        let limited = obstacles().filter_map(|obstacle| match obstacle {
+            Obstacle::Limited(until) => Some(until),
+            _ => None,
+        });
+        if is_any(Obstacle::Connections) {
+            (Reason::Connections, None)
+        } else if is_any(Obstacle::Cold) {
+            (Reason::Cold, None)
+        } else if limited.clone().next().is_some() {
+            (Reason::Limited, limited.flatten().min())
+        } else if let Some(until) = paused.min() {
+            (Reason::Paused, Some(until))
         } else if self.other_builds_only {
-            Reason::OtherBuild
+            (Reason::OtherBuild, None)
         } else {
-            Reason::NoServer
+            (Reason::NoServer, None)
         }
     }
 }
@@ -135,12 +137,7 @@
             }
         };
         if selection.candidates.is_empty() {
-            let reason = selection.refusal();
-            let until = match reason {
-                Reason::Paused => selection.paused_until,
-                Reason::Limited => selection.limited_until,
-                _ => None,
-            };
+            let (reason, until) = selection.refusal();
             let retry_after = match until {
                 Some(until) => {
                     let left = until.saturating_duration_since(now);
@@ -243,77 +240,40 @@
         // Used only if all other backend servers are avoided too: a backend server that fails some
         // of its requests still responds to most of them.
         let mut fallback = Vec::new();
-        let holders = Holders {
-            own: self.settings.own_hash,
-            members: &self.members,
-            converged: self.converged,
+        let mut rules = Rules {
+            notices: &self.notices,
+            limits: &mut self.limits,
+            holders: Holders {
+                own: self.settings.own_hash,
+                members: &self.members,
+                converged: self.converged,
+            },
+            cold: self.settings.cold,
         };
         let (mut servers, mut servers_of_build) = (0, 0);
         for (name, state) in &mut self.servers {
-            let server = &state.server;
-            if server.pool != demand.pool {
+            if state.server.pool != demand.pool {
                 continue;
             }
-            let of_build = demand.build.as_ref().is_none_or(|build| *build == server.build);
+            let of_build = demand.build.as_ref().is_none_or(|build| *build == state.server.build);
             servers += 1;
             servers_of_build += usize::from(of_build);
-            let leaving = self.notices.is_leaving(name, server.incarnation);
-            if leaving || demand.excluded.contains(name) {
-                continue;
-            }
-            let stage = self.notices.pause_stage(name, server.incarnation, server.slots, now);
-            match stage {
-                PauseStage::None => {}
-                PauseStage::Paused(until) => {
-                    let earliest = selection.paused_until.map_or(until, |other| other.min(until));
-                    selection.paused_until =
-                        of_build.then_some(earliest).or(selection.paused_until);
+            let candidates = match rules.check(state, demand, now) {
+                Ok(Eligible::Yes) => &mut selection.candidates,
+                Ok(Eligible::Fallback) => &mut fallback,
+                Err(obstacle) => {
+                    selection.obstacles.extend(of_build.then_some(obstacle));
                     continue;
                 }
-                PauseStage::Ramp(limit) if state.requests.len() >= limit => {
-                    selection.paused_until = of_build.then_some(now).or(selection.paused_until);
-                    continue;
-                }
-                PauseStage::Ramp(_) => {}
-            }
-            if let Availability::Used(until) = self.limits.availability(server, &holders, now) {
-                selection.limit_used |= of_build;
-                let until = until.filter(|_| of_build);
-                selection.limited_until = selection.limited_until.into_iter().chain(until).min();
-                continue;
-            }
-            let avoided = state.is_avoided(now);
-            if avoided && !state.is_fallback() {
-                continue;
-            }
-            let limit = connection_share(server.max_connections, self.members.len());
-            if state.requests.len() >= limit {
-                selection.connections_used |= of_build;
-                continue;
-            }
-            if state.is_cold(now) {
-                let bound = self.settings.cold;
-                let own_hash = self.settings.own_hash;
-                let share = match self.converged {
-                    true => bound.share(server.cold_rate, server.hash, own_hash, &self.members),
-                    false => 0,
-                };
-                if state.sends.count(now) >= share {
-                    selection.cold_share_used |= of_build;
-                    continue;
-                }
-            }
-            let (hash, slots) = (server.hash, server.slots);
+            };
+            let (hash, slots) = (state.server.hash, state.server.slots);
             let load = state.own_load(now).wrapping_add(self.peer_loads.load(hash));
-            let candidates = if avoided { &mut fallback } else { &mut selection.candidates };
-            let (overdue, unreachable) =
-                (state.is_overdue(now), state.is_reported_unreachable(load, now));
             candidates.push(Candidate {
                 name: name.clone(),
                 hash,
                 slots,
-                overdue,
-                unreachable,
+                overdue: state.is_overdue(now),
+                unreachable: state.is_reported_unreachable(load, now),
                 load,
                 reserved: false,
                 of_build,
--- /dev/null
+++ b/crates/policy/src/local/holders.rs
@@ -0,0 +1,45 @@
+//! Divides limits that hold over all daemons among them.
+//!
+//! Each daemon computes its own part from the members that it knows, without agreement. Daemons with
+//! different views may use a little more than the limit together, so callers of this module leave a
+//! margin. A daemon that may not know all members has no part.
+
+use super::affinity;
+
+/// The daemons that share a limit, as one of them knows them.
+#[derive(Debug, Clone, Copy)]
+pub struct Holders<'a> {
+    /// The hash of this daemon's name.
+    pub own: u32,
+    /// The hashes of all share holders, this daemon included.
+    pub members: &'a [u32],
+    /// Whether `members` is complete. Without a complete list a daemon has no share.
+    pub converged: bool,
+}
+
+impl Holders<'_> {
+    /// The number of share holders, at least one.
+    pub fn count(&self) -> usize {
+        self.members.len().max(1)
+    }
+
+    /// This daemon's part of a limit that is divided equally.
+    pub fn equal_share(&self, total: f64) -> f64 {
+        if self.converged { total / self.count() as f64 } else { 0.0 }
+    }
+
+    /// This daemon's part of a rate that is divided among `senders` of the share holders. Which ones
+    /// these are depends on the item, so that small rates of many items don't fall to the same few.
+    pub fn sender_share(&self, total: f64, senders: usize, item: u32) -> f64 {
+        let senders = senders.clamp(1, self.count());
+        if self.converged && self.rank(item) < senders { total / senders as f64 } else { 0.0 }
+    }
+
+    /// The number of share holders that are preferred to this daemon for an item, by rendezvous
+    /// hashing.
+    pub fn rank(&self, item: u32) -> usize {
+        let weight = |member: u32| affinity::weight(item, u64::from(member));
+        let own = weight(self.own);
+        self.members.iter().filter(|&&member| weight(member) > own).count()
+    }
+}
--- a/crates/policy/src/local/limit.rs
+++ b/crates/policy/src/local/limit.rs
@@ -12,7 +12,7 @@
 use hyssop_document::{collections::Map, name::Backend};
 use serde::{Deserialize, Serialize};
 
-use super::{affinity, server::Server};
+use super::{holders::Holders, server::Server};
 
 /// The number of senders on top of one for each request per second.
 const EXTRA_SENDERS: usize = 2;
@@ -73,38 +73,10 @@
     }
 }
 
-/// The daemons that share a limit, as one of them knows them.
-#[derive(Debug, Clone, Copy)]
-pub struct Holders<'a> {
-    /// The hash of this daemon's name.
-    pub own: u32,
-    /// The hashes of all share holders, this daemon included.
-    pub members: &'a [u32],
-    /// Whether `members` is complete. Without a complete list a daemon has no share.
-    pub converged: bool,
-}
-
-impl Holders<'_> {
-    /// The requests per second that this daemon may send to a server with a limit.
-    fn share(&self, limit: Rate, server: u32) -> f64 {
-        if !self.converged {
-            return 0.0;
-        }
-        let total = limit.per_second().max(MIN_RATE.per_second());
-        let senders = (total as usize).saturating_add(EXTRA_SENDERS).min(self.members.len()).max(1);
-        let weight = |member: u32| affinity::weight(server, u64::from(member));
-        let own = weight(self.own);
-        let ahead = self.members.iter().filter(|&&member| weight(member) > own).count();
-        if ahead < senders { total / senders as f64 } else { 0.0 }
-    }
-
-    /// The requests per second with which each daemon tries whether a limit still holds.
-    fn trial_share(&self) -> f64 {
-        if !self.converged {
-            return 0.0;
-        }
-        MIN_RATE.per_second() / self.members.len().max(1) as f64
-    }
+/// The requests per second that this daemon may send to a server with a limit.
+fn share(holders: &Holders<'_>, limit: Rate, server: u32) -> f64 {
+    let total = limit.per_second().max(MIN_RATE.per_second());
+    holders.sender_share(total, (total as usize).saturating_add(EXTRA_SENDERS), server)
 }
 
 /// Whether a backend server takes a request of this daemon now.
@@ -223,9 +195,10 @@
         let known = known.filter(|known| known.incarnation == server.incarnation);
         let Some(known) = known else { return Availability::Available };
         let Some(limit) = known.limit else { return Availability::Available };
-        let mut share = holders.share(limit, server.hash);
+        let mut share = share(holders, limit, server.hash);
         if now.duration_since(known.at) > STALE_AFTER {
-            share = share.max(holders.trial_share());
+            // Each daemon tries whether the limit still holds.
+            share = share.max(holders.equal_share(MIN_RATE.per_second()));
         }
         let most = 1.0 + share * MAX_SAVING_TIME.as_secs_f64();
         let saved = share * now.duration_since(known.saved_at).as_secs_f64();
--- a/crates/policy/src/local/repeats.rs
+++ b/crates/policy/src/local/repeats.rs
@@ -6,7 +6,7 @@
 
 use std::time::{Duration, Instant};
 
-use super::window::Window;
+use super::{holders::Holders, window::Window};
 
 /// The bound on repeats in one window, over all daemons.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -47,12 +47,10 @@
         self.repeats.add(now);
     }
 
-    /// Whether the budget allows one more repeat. `None` for the number of share holders means that
-    /// it is unknown: then this daemon has no share of the burst.
-    pub fn allows_repeat(&mut self, share_holders: Option<usize>, now: Instant) -> bool {
+    /// Whether the budget allows one more repeat.
+    pub fn allows_repeat(&mut self, holders: &Holders<'_>, now: Instant) -> bool {
         let earned = self.bound.ratio * self.first_sends.count(now) as f64;
-        let share = share_holders.map_or(0.0, |holders| self.bound.burst / holders.max(1) as f64);
-        let allowed = USABLE_RATIO * (earned + share);
+        let allowed = USABLE_RATIO * (earned + holders.equal_share(self.bound.burst));
         (self.repeats.count(now) as f64) + 1.0 <= allowed
     }
 }
--- a/crates/policy/tests/local_rights.rs
+++ b/crates/policy/tests/local_rights.rs
@@ -9,11 +9,16 @@
 
 use hyssop_policy::local::{
     decider::{Decision, End, Reason},
+    holders::Holders,
     repeats::Budget,
     server::Server,
 };
 use local::*;
 
+fn holders(own: u32, members: &[u32]) -> Holders<'_> {
+    Holders { own, members, converged: true }
+}
+
 /// As long as each daemon has the complete list of share holders, the sum of their shares stays
 /// within the bound.
 #[test]
@@ -22,7 +27,8 @@
     inputs.with_iterations(2_000).for_each(|&(members, rate, server)| {
         let members: Vec<u32> = (1..=u32::from(members).max(1)).collect();
         let rate = f64::from(rate);
-        let sum: usize = members.iter().map(|&own| COLD.share(rate, server, own, &members)).sum();
+        let shares = members.iter().map(|&own| COLD.share(rate, server, &holders(own, &members)));
+        let sum: usize = shares.sum();
         assert!(sum as f64 <= COLD.total(rate), "{sum} of {}", COLD.total(rate));
     });
 }
@@ -30,7 +36,8 @@
 #[test]
 fn only_some_of_many_daemons_send_to_a_cold_backend_server() {
     let members: Vec<u32> = (1..=200).collect();
-    let senders = members.iter().filter(|&&own| COLD.share(16.0, 7, own, &members) > 0).count();
+    let shares = members.iter().map(|&own| COLD.share(16.0, 7, &holders(own, &members)));
+    let senders = shares.filter(|&share| share > 0).count();
     assert_eq!(senders, 23, "four fifths of 29");
 }
 
@@ -101,6 +108,7 @@
 fn repeats_stay_within_the_bound_over_all_daemons() {
     for daemons in [1, 3, 9, 70] {
         let now = Instant::now();
+        let members: Vec<u32> = (1..=daemons).collect();
         let mut all: Vec<Budget> = (0..daemons).map(|_| Budget::new(REPEATS)).collect();
         let (mut requests, mut sent) = (0, 0);
         for step in 0..1_000_u64 {
@@ -110,7 +118,7 @@
                     repeats.record_first_send(at);
                     requests += 1;
                 }
-                if repeats.allows_repeat(Some(daemons), at) {
+                if repeats.allows_repeat(&holders(1, &members), at) {
                     repeats.record_repeat(at);
                     sent += 1;
                 }
