policy: a leaving host allows for its own stalls however short requests are

Cause: the margin beyond the longest recent response was a quarter of it, 4 ms for a service that takes 15 ms.

Change: the margin is at least 100 ms, the period of a CPU quota, for most of which a host with a tenth of a core may stall.

Measured: `short_requests_are_not_taken_just_before_the_end` fails before and passes now.

--- a/crates/policy/src/local/departure.rs
+++ b/crates/policy/src/local/departure.rs
@@ -19,8 +19,12 @@
 /// The fraction of the recent responses of a route within whose durations another one is likely to
 /// end.
 const LIKELY_QUANTILE: f64 = 0.9;
-/// How much longer than recent responses another one may take.
-const MARGIN_RATIO: f64 = 1.25;
+/// The part of the recent durations by which another response may take longer.
+const MARGIN_RATIO: f64 = 0.25;
+/// The minimum of that margin, as delays of the host don't depend on how long a response usually
+/// takes. A host that has used its CPU quota stalls until the next period of 100 ms (the default of
+/// the Linux scheduler), which is most of it for a host with a tenth of a core.
+const MIN_MARGIN: Duration = Duration::from_millis(100);
 
 /// Whether callers can know that the daemon leaves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
@@ -60,13 +64,12 @@
         let mut durations: Vec<Duration> = self.known(route)?.iter().copied().collect();
         let rank = (durations.len() as f64 * LIKELY_QUANTILE) as usize;
         let (_, &mut likely, _) = durations.select_nth_unstable(rank);
-        Some(likely.mul_f64(MARGIN_RATIO))
+        Some(with_margin(likely))
     }
 
     /// The time beyond which no response of a route is expected to take, if enough are recorded.
     pub fn longest(&self, route: &str) -> Option<Duration> {
-        let longest = self.known(route)?.iter().max()?;
-        Some(longest.mul_f64(MARGIN_RATIO))
+        self.known(route)?.iter().max().copied().map(with_margin)
     }
 
     fn known(&self, route: &str) -> Option<&VecDeque<Duration>> {
@@ -89,3 +92,7 @@
         expected.unwrap_or(Duration::MAX).min(request_left) <= daemon_left
     }
 }
+
+fn with_margin(duration: Duration) -> Duration {
+    duration + duration.mul_f64(MARGIN_RATIO).max(MIN_MARGIN)
+}
