gateway: idle connections make room when a daemon's share of connections falls

Cause: a new connection closed one idle connection, also when more than one was above the limit. When daemons join, the share of each falls below what it holds idle; an at-most-once request to a server silent for 150 ms, which takes a new connection, was then refused as `no_server` with dozens of idle connections.

Change: idle connections are closed until the new one fits.

--- a/crates/gateway/src/http/pool.rs
+++ b/crates/gateway/src/http/pool.rs
@@ -44,15 +44,15 @@
 }
 
 impl ServerConnections {
-    /// Counts a new connection. If `max_connections` are open, closes an idle one for it.
+    /// Counts a new connection. Closes idle ones for it while `max_connections` or more are open:
+    /// the limit falls when more daemons share it.
     fn guard(&mut self, max_connections: usize) -> Result<OpenGuard, Error> {
-        let activity = &self.activity;
-        OpenGuard::acquire(activity, max_connections)
-            .or_else(|| {
-                self.idle.pop()?;
-                OpenGuard::acquire(activity, max_connections)
-            })
-            .ok_or(Error::Share)
+        loop {
+            if let Some(guard) = OpenGuard::acquire(&self.activity, max_connections) {
+                return Ok(guard);
+            }
+            self.idle.pop().ok_or(Error::Share)?;
+        }
     }
 }
 
