policy: a leaving host risks no response that can't be had again

Cause: while its departure is being announced, a leaving host takes requests that nine in ten times end before it does.

Change: the risk is taken only for requests that may run again. For the others the longest recent response counts from the start, as a refusal costs them a try and a cut their response.

Measured: `callers_that_can_t_know_are_refused_only_if_a_cut_is_likely` fails without the rule and passes with it.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -165,7 +165,9 @@
         let Some(departure) = self.departure.get() else { return true };
         let stage = if now < departure.announced { Stage::Announcing } else { Stage::Announced };
         let left = |until: Instant| until.saturating_duration_since(now);
-        self.durations.lock().takes(&route.name, stage, left(deadline), left(departure.end))
+        let allows_rerun = route.retry_policy.allows_rerun();
+        let durations = self.durations.lock();
+        durations.takes(&route.name, stage, allows_rerun, left(deadline), left(departure.end))
     }
 
     /// Whether this daemon is to watch the source.
--- a/crates/policy/src/local/departure.rs
+++ b/crates/policy/src/local/departure.rs
@@ -3,7 +3,8 @@
 //! For rolling restarts under long streams: a request that would be cut at the end of the grace time
 //! is refused, so that its caller turns to another host at once, and short ones are still served.
 //! Callers that could not know of the departure are refused only if a cut is likely, since a refusal
-//! costs them a try, and other hosts that they know of may be leaving too.
+//! costs them a try, and other hosts that they know of may be leaving too. That risk is taken only for
+//! requests that may run again: a cut costs the others their response.
 
 use std::{collections::VecDeque, time::Duration};
 
@@ -77,17 +78,18 @@
     }
 
     /// Whether a daemon that stops `daemon_left` from now takes a request that ends by its deadline,
-    /// `request_left` from now.
+    /// `request_left` from now. `allows_rerun` means that the request may run again if it is cut.
     pub fn takes(
         &self,
         route: &str,
         stage: Stage,
+        allows_rerun: bool,
         request_left: Duration,
         daemon_left: Duration,
     ) -> bool {
         let expected = match stage {
-            Stage::Announcing => self.likely(route),
-            Stage::Announced => self.longest(route),
+            Stage::Announcing if allows_rerun => self.likely(route),
+            Stage::Announcing | Stage::Announced => self.longest(route),
         };
         expected.unwrap_or(Duration::MAX).min(request_left) <= daemon_left
     }
--- a/crates/policy/tests/local_departure.rs
+++ b/crates/policy/tests/local_departure.rs
@@ -32,7 +32,8 @@
         let last = |route: &str, deadline: Duration| {
             [Stage::Announcing, Stage::Announced].map(|stage| {
                 let times = (0..=grace_s * 100).map(|step| ms(step * 10));
-                let taken = times.filter(|&at| durations.takes(route, stage, deadline, grace - at));
+                let taken =
+                    times.filter(|&at| durations.takes(route, stage, true, deadline, grace - at));
                 taken.max().unwrap_or_default()
             })
         };
@@ -75,7 +76,7 @@
     }
     let stalled = ms(15 + 100);
     for stage in [Stage::Announcing, Stage::Announced] {
-        let takes = |daemon_left| durations.takes(SHORT, stage, ms(1_500), daemon_left);
+        let takes = |daemon_left| durations.takes(SHORT, stage, true, ms(1_500), daemon_left);
         assert!(!takes(ms(21)) && !takes(stalled - ms(1)) && takes(stalled), "{stage}");
     }
 }
@@ -105,13 +106,16 @@
     assert_eq!(durations.longest(LONG), Some(ms(200)));
 }
 
-/// A refusal costs callers that can't know better one of their tries, so a small risk is taken.
+/// A refusal costs callers that can't know better one of their tries, so a small risk is taken, but
+/// not of losing a response that can't be had again.
 #[test]
 fn callers_that_can_t_know_are_refused_only_if_a_cut_is_likely() {
     let mut durations = Durations::default();
     for index in 0..100 {
         durations.record(LONG, ms(if index % 20 == 0 { 8_000 } else { 2_000 }));
     }
-    let takes = |stage| durations.takes(LONG, stage, ms(12_000), ms(5_000));
-    assert!(takes(Stage::Announcing) && !takes(Stage::Announced));
+    let takes =
+        |stage, allows_rerun| durations.takes(LONG, stage, allows_rerun, ms(12_000), ms(5_000));
+    assert!(takes(Stage::Announcing, true) && !takes(Stage::Announced, true));
+    assert!(!takes(Stage::Announcing, false) && !takes(Stage::Announced, false));
 }
