policy, gateway: silent servers are examined only when they should have sent something

Cause: a server was examined once a request had waited for 250 ms without a sign of life, as engines that are only busy do for longer.

Change: the limit counts from the predicted first event of the oldest late request, or for a response that has begun from the longest recent gap. It is 150 ms, as examinations begin with the heartbeats, 100 ms apart, and the server is left when one begins. A late server that accepts connections is examined again after half of its lateness. An examined server still counts as avoided, and gets requests if there is no other: without that it would be left up to 350 ms later.

--- a/crates/gateway/src/http/connection.rs
+++ b/crates/gateway/src/http/connection.rs
@@ -11,6 +11,7 @@
 };
 
 use bytes::{Buf as _, Bytes, BytesMut};
+use hyssop_policy::local::silence::Contact;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{
     io::Interest,
@@ -30,6 +31,10 @@
 /// The buffer space reserved for one read.
 const READ_BUFFER_BYTES: usize = 4 << 10;
 
+/// The divisor of the part by which [`Activity::longest_gap_ms`] falls with each shorter gap. A pause
+/// counts for the next ten or so parts of responses.
+const GAP_DECAY_DIVISOR: u64 = 8;
+
 /// State shared by all connections to one backend server.
 #[derive(Debug)]
 pub struct Activity {
@@ -39,6 +44,8 @@
     last_received_ms: AtomicU64,
     /// When a connection was last accepted, in ms since `started`.
     last_accepted_ms: AtomicU64,
+    /// The longest recent time between two parts of one response.
+    longest_gap_ms: AtomicU64,
 }
 
 impl Default for Activity {
@@ -49,6 +56,7 @@
             started,
             last_received_ms: AtomicU64::new(0),
             last_accepted_ms: AtomicU64::new(0),
+            longest_gap_ms: AtomicU64::new(0),
         }
     }
 }
@@ -69,8 +77,25 @@
         now.duration_since(self.started).saturating_sub(last)
     }
 
-    fn record_received(&self) {
+    /// When the backend server was last heard of.
+    pub fn contact(&self, now: Instant) -> Contact {
+        let received = Duration::from_millis(self.last_received_ms.load(Ordering::Relaxed));
+        Contact {
+            silent_for: self.silent_for(now),
+            sent_nothing_for: now.duration_since(self.started).saturating_sub(received),
+            usual_gap: Duration::from_millis(self.longest_gap_ms.load(Ordering::Relaxed)),
+        }
+    }
+
+    /// Records that data was received, and the time since the previous part of the response.
+    fn record_received(&self, gap: Option<Duration>) {
         self.last_received_ms.store(self.elapsed_ms(), Ordering::Relaxed);
+        if let Some(gap) = gap {
+            let longest = self.longest_gap_ms.load(Ordering::Relaxed);
+            let decayed = longest - longest.div_ceil(GAP_DECAY_DIVISOR);
+            // A part that another task records meanwhile may be lost; the next one counts again.
+            self.longest_gap_ms.store(decayed.max(gap.as_millis() as u64), Ordering::Relaxed);
+        }
     }
 
     fn record_accepted(&self) {
@@ -113,6 +138,8 @@
     body: Bytes,
     written_bytes: usize,
     write_error: Option<io::ErrorKind>,
+    /// When the last part of the current response was received.
+    last_received: Option<Instant>,
     /// Whether an earlier request used the connection.
     pub reused: bool,
     /// When its last exchange ended.
@@ -146,6 +173,7 @@
             body: Bytes::new(),
             written_bytes: 0,
             write_error: None,
+            last_received: None,
             reused: false,
             idle_since: Instant::now(),
             keep_alive: None,
@@ -169,6 +197,7 @@
         self.body = body;
         self.written_bytes = 0;
         self.write_error = None;
+        self.last_received = None;
     }
 
     /// Whether no byte of the request can have reached the backend server.
@@ -206,7 +235,7 @@
                     Ok(0) => return self.write_error.map_or(Ok(0), |kind| Err(kind.into())),
                     Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                     Ok(count) => {
-                        self.guard.0.record_received();
+                        self.record_received();
                         return Ok(count);
                     }
                     Err(error) => return Err(error),
@@ -215,6 +244,12 @@
         }
     }
 
+    fn record_received(&mut self) {
+        let now = Instant::now();
+        let previous = self.last_received.replace(now);
+        self.guard.0.record_received(previous.map(|previous| now.duration_since(previous)));
+    }
+
     /// Whether the backend server has sent anything on any connection since `since`.
     pub fn server_active_since(&self, since: Instant) -> bool {
         self.guard.0.received_since(since)
--- a/crates/gateway/src/http/pool.rs
+++ b/crates/gateway/src/http/pool.rs
@@ -9,6 +9,7 @@
 
 use derive_more::derive::{Display, Error, From};
 use hyssop_document::{collections::Map, name::Backend};
+use hyssop_policy::local::silence::Contact;
 use parking_lot::Mutex;
 
 use super::connection::{Activity, Connection, OpenGuard};
@@ -115,11 +116,10 @@
         Ok(())
     }
 
-    /// How long `server` has sent nothing and accepted no connection, or zero if this daemon has
-    /// not connected to it.
-    pub fn silent_for(&self, server: &Backend, now: Instant) -> Duration {
+    /// When `server` was last heard of, or just now if this daemon has not connected to it.
+    pub fn contact(&self, server: &Backend, now: Instant) -> Contact {
         let servers = self.servers.lock();
-        servers.get(server).map_or(Duration::ZERO, |server| server.activity.silent_for(now))
+        servers.get(server).map_or(Contact::default(), |server| server.activity.contact(now))
     }
 
     /// Returns a connection to the pool after its exchange.
--- a/crates/gateway/src/silence.rs
+++ b/crates/gateway/src/silence.rs
@@ -6,8 +6,8 @@
 
 /// Begins the examinations that are due.
 pub(crate) fn examine_silent_servers(gateway: &Arc<Gateway>, now: Instant) {
-    let silent_for = |server: &_| gateway.connections.silent_for(server, now);
-    let due = gateway.decider.lock().begin_examinations(silent_for, now);
+    let contact = |server: &_| gateway.connections.contact(server, now);
+    let due = gateway.decider.lock().begin_examinations(contact, now);
     if due.is_empty() {
         return;
     }
@@ -25,7 +25,7 @@
 
 async fn examine(gateway: &Gateway, server: &Server) {
     let name = &server.name;
-    let silent_ms = gateway.connections.silent_for(name, Instant::now()).as_millis() as u64;
+    let silent_ms = gateway.connections.contact(name, Instant::now()).silent_for.as_millis() as u64;
     let max_connections = gateway.decider.lock().connection_limit(name);
     let result = gateway.connections.add(name, server.address, max_connections).await;
     // Without a free connection, nothing is learned about the server.
--- a/crates/policy/src/local/decider.rs
+++ b/crates/policy/src/local/decider.rs
@@ -28,7 +28,7 @@
     repeats::{Bound as RepeatBound, Budget as RepeatBudget},
     reservation::{self, Reservation},
     server::{Load, Request, SendId, Server, State as ServerState},
-    silence::Examination,
+    silence::{self, Contact, Examination},
     urgency::Kinds,
 };
 
@@ -266,23 +266,16 @@
         self.peer_loads.expire(now);
     }
 
-    /// Returns the backend servers that an attempt to connect must examine now, because they are
-    /// silent. `silent_for` tells how long a server has sent nothing. The result of each attempt
-    /// must be reported with [`Self::record_examined`].
+    /// Returns the backend servers that an attempt to connect must examine now, because they should
+    /// have sent something and are silent. `contact` tells when each was last heard of. The result of
+    /// each attempt must be reported with [`Self::record_examined`].
     pub fn begin_examinations(
         &mut self,
-        silent_for: impl Fn(&Backend) -> Duration,
+        contact: impl Fn(&Backend) -> Contact,
         now: Instant,
     ) -> Vec<Backend> {
         let due = self.servers.iter_mut().filter_map(|(name, state)| {
-            let waiting_since = state.waiting_since();
-            let is_due = state.examination.is_due(
-                waiting_since,
-                || silent_for(name),
-                state.avoid_until,
-                now,
-            );
-            is_due.then(|| {
+            silence::is_due(state, &contact(name), now).then(|| {
                 state.examination = Examination::Running;
                 name.clone()
             })
@@ -379,7 +372,7 @@
             (request.baseline.max(MIN_BASELINE), now.duration_since(request.sent));
         let ratio = actual.div_duration_f64(baseline).clamp(MIN_SLOWNESS, MAX_SLOWNESS);
         let prefill_ratio = request.prefill_ratio;
-        state.record_response(now);
+        state.record_response(actual, now);
         let model = self.models.get_mut(&state.server.pool);
         let correction = model.map_or(1.0, |model| model.record(ratio, prefill_ratio));
         state.record_slowness(ratio / correction);
--- a/crates/policy/src/local/server.rs
+++ b/crates/policy/src/local/server.rs
@@ -41,6 +41,9 @@
 /// event is more often the work of requests that this daemon has not observed.
 const MAX_SLOWNESS_STEP: f64 = 3.0;
 
+/// The divisor of the part by which the longest recent wait falls with each shorter one.
+const WAIT_DECAY_DIVISOR: u32 = 8;
+
 /// A backend server that may get requests.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Server {
@@ -147,6 +150,8 @@
     pub(super) examination: Examination,
     /// The last first event of a response.
     last_response: Option<Instant>,
+    /// The longest recent time to a first event.
+    pub(super) longest_wait: Option<Duration>,
     /// How many times longer than predicted the backend server took, by this daemon's measurements.
     slowness: f64,
     measurements: u32,
@@ -167,6 +172,7 @@
             unreachable_until: None,
             examination: Examination::None,
             last_response: None,
+            longest_wait: None,
             slowness: 1.0,
             measurements: 0,
             segments: Map::default(),
@@ -220,13 +226,10 @@
         self.examination != Examination::None || self.avoid_until.is_some_and(|until| until > now)
     }
 
-    /// When the oldest request in flight was sent.
-    pub(super) fn waiting_since(&self) -> Option<Instant> {
-        self.requests.values().map(|request| request.sent).min()
-    }
-
-    /// Records the first event of a response.
-    pub(super) fn record_response(&mut self, now: Instant) {
+    /// Records the first event of a response, `wait` after its request was sent.
+    pub(super) fn record_response(&mut self, wait: Duration, now: Instant) {
+        let longest = self.longest_wait.unwrap_or_default();
+        self.longest_wait = Some(wait.max(longest - longest / WAIT_DECAY_DIVISOR));
         self.failures = 0;
         self.unreachable_until = None;
         self.examination = Examination::None;
