policy: a scheduler that takes over sheds no higher class before it holds the lower ones

Cause, by reading: when a scheduler crashes or returns, homes submit their waiting requests to the successor one after the other, and it has no slots until the votes have settled. It filled its queue with what came first and shed letters (`queue_full`), while drafts still waited at other homes and at the scheduler before, each in a reserved place.

Change: until its share has been stable for 3 s, a scheduler keeps requests of all but the lowest tier beyond the limit of the queue, up to twice the limit. The excess is shed when the takeover ends.

Measured: two tests of `handover.rs` fail before and pass now; they script the order of submissions and votes.

--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -263,6 +263,7 @@
     /// Makes all decisions that are possible now and returns them.
     pub fn poll(&mut self, now: Instant) -> Vec<Decision> {
         self.expire(now);
+        self.shed(now);
         self.queue.defer(now);
         self.refuse_late(now);
         if self.paused_until.is_none() {
@@ -279,6 +280,9 @@
             .filter(|(_, queue)| !queue.is_empty())
             .filter_map(|(key, _)| self.classes[key.0].floor.cooldown_until());
         let backend_expiries = self.backends.iter().filter_map(Backend::next_expiry);
+        // Without slots, the takeover has no end yet.
+        let exceeds_limit = self.queue.next_to_shed().is_some() && self.slots() > 0;
+        let takeover_end = exceeds_limit.then(|| self.share_since + SHARE_STABLE_AFTER);
         let undelivered = (!self.decisions.is_empty()).then_some(self.started);
         cooldowns
             .chain(self.queue.next_expiry())
@@ -286,6 +290,7 @@
             .chain(backend_expiries)
             .chain(self.paused_until)
             .chain(self.without_slots_since.map(|since| since + admission::NO_SLOTS_TIMEOUT))
+            .chain(takeover_end)
             .chain(undelivered)
             .min()
     }
@@ -363,6 +368,12 @@
         if self.is_share_stable(now) { current } else { current.max(slots(self.stable_share)) }
     }
 
+    /// Whether requests and votes are moving to this scheduler, or soon will.
+    fn is_taking_over(&self, now: Instant) -> bool {
+        let has_changed = self.share_since > self.started;
+        self.slots() == 0 || has_changed && !self.is_share_stable(now)
+    }
+
     fn is_share_stable(&self, now: Instant) -> bool {
         now.saturating_duration_since(self.share_since) >= SHARE_STABLE_AFTER
     }
--- a/crates/policy/src/scheduler/admission.rs
+++ b/crates/policy/src/scheduler/admission.rs
@@ -32,6 +32,10 @@
 /// The number of waiting requests that one poll checks again.
 const RECHECKS_PER_POLL: usize = 16;
 
+/// The multiple of the queue's limit up to which a scheduler that takes over keeps requests. It bounds
+/// what the requests of a few seconds may occupy.
+const TAKEOVER_QUEUE_FACTOR: usize = 2;
+
 /// A request is refused only if its estimated wait exceeds the time to its latest start by this
 /// factor, because the estimates are averages.
 const WAIT_MARGIN_FACTOR: f64 = 1.25;
@@ -69,11 +73,27 @@
         while let Some(ticket) = self.queue.next_to_shed() {
             let class = self.queue.get(ticket).expect("the entry to shed is queued").class;
             let tier = self.queue.class_queue(class).tier();
+            if self.awaits_lower(tier, now) {
+                return;
+            }
             self.budget.record_shed(tier, now);
             self.refuse_waiting(ticket, Reason::QueueFull, now);
         }
     }
 
+    /// Whether requests of lower tiers may still arrive that are to be shed before those of `tier`.
+    ///
+    /// Homes submit their waiting requests again one after the other when the scheduler changes. A
+    /// scheduler that takes over keeps the requests of higher tiers until it holds those of all homes.
+    fn awaits_lower(&self, tier: Tier, now: Instant) -> bool {
+        let limit = self.pool.as_ref().map_or(0, |pool| pool.queue_limit);
+        let unreserved: usize = self.queue.class_queues().map(|(_, q)| q.unreserved()).sum();
+        let mut declared = self.classes.iter().filter(|class| class.declared);
+        self.is_taking_over(now)
+            && unreserved <= limit * TAKEOVER_QUEUE_FACTOR
+            && declared.any(|class| class.model.tier > tier)
+    }
+
     /// Refuses all requests whose class or workspace the document in force does not declare.
     pub(super) fn refuse_undeclared(&mut self, now: Instant) {
         let undeclared: Vec<_> = self
