Hedged requests: a second backend server is asked for a response that is late

Cause: a backend server that stalls, or whose queue a daemon has not observed, makes single responses late while others are idle; a request moved on only when overdue, after three times its prediction and half a second.

Change: for requests that may run again, a second backend server is asked after the 95th percentile of actual over predicted time, within a limit that operators set (off by default) and half of the retry budget, and only while the pool has capacity. The first good response wins, the other connection is closed.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -5,6 +5,7 @@
 mod builder;
 mod continuation;
 mod exchange;
+mod hedge;
 
 use std::{
     net::SocketAddr,
@@ -34,6 +35,8 @@
     relay::Relay,
 };
 
+use self::hedge::Attempt;
+
 pub use buffered::BufferedBody;
 pub use builder::Builder;
 pub use exchange::{Error, Exchange, ParsedHead};
@@ -199,7 +202,8 @@
         let source = placement.cache_source.as_ref().and_then(|name| snapshot.servers.get(name));
         let head = self.request_head(&placement.server, source.map(|source| source.address));
         exchange.send(head, self.body.bytes());
-        let result = self.wait_for_head(&mut exchange, placement.overdue_after, now).await;
+        let attempt = Attempt { exchange, placement, sent: now };
+        let (exchange, result) = self.wait_hedged(attempt, suspect.is_some()).await;
         self.on_head(exchange, result).await
     }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -37,6 +37,11 @@
     end: String,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct HedgeLabels {
+    end: &'static str,
+}
+
 fn histogram() -> Histogram {
     // 1 ms to 16 s, each bound twice the one before.
     Histogram::new(exponential_buckets(0.001, 2.0, 15))
@@ -49,6 +54,7 @@
     responses: Family<ResponseLabels, Counter>,
     attempts: Family<AttemptLabels, Counter>,
     notices: Family<NoticeLabels, Counter>,
+    hedges: Family<HedgeLabels, Counter>,
     first_event: Family<RouteLabels, Histogram, fn() -> Histogram>,
     response_time: Family<RouteLabels, Histogram, fn() -> Histogram>,
     /// The number of requests being served.
@@ -71,6 +77,7 @@
         let responses = Family::default();
         let attempts = Family::default();
         let notices = Family::default();
+        let hedges = Family::default();
         let first_event = Family::new_with_constructor(histogram as fn() -> Histogram);
         let response_time = Family::new_with_constructor(histogram as fn() -> Histogram);
         let (running, connections) = (Gauge::default(), Gauge::default());
@@ -78,6 +85,7 @@
         registry.register("answers", "Answers to callers", responses.clone());
         registry.register("attempts", "Requests sent to backend servers", attempts.clone());
         registry.register("server_notices", "Notices of backend servers", notices.clone());
+        registry.register("hedges", "Second runs of late requests", hedges.clone());
         registry.register("first_event_seconds", "Time to the first event", first_event.clone());
         registry.register("answer_seconds", "Time to the end of the answer", response_time.clone());
         registry.register("running", "Requests being served", running.clone());
@@ -97,6 +105,7 @@
             responses,
             attempts,
             notices,
+            hedges,
             first_event,
             response_time,
             running,
@@ -143,6 +152,12 @@
         self.notices.get_or_create(&NoticeLabels { notice }).inc();
     }
 
+    /// Counts a hedge by how it ended: `first` or `second` for the backend server that won, `late` if
+    /// neither responded for long, `failed` if an attempt failed.
+    pub fn count_hedge(&self, end: &'static str) {
+        self.hedges.get_or_create(&HedgeLabels { end }).inc();
+    }
+
     /// Observes the time from a request's arrival to its first event.
     pub fn observe_first_event(&self, route: &str, after: Duration) {
         let labels = RouteLabels { route: route.into() };
--- a/crates/gateway/tests/rights.rs
+++ b/crates/gateway/tests/rights.rs
@@ -99,7 +99,8 @@
     ) -> Self {
         let own_hash = name_hash(&format!("host-{index}"));
         let zone = Zone::new("a");
-        let mut decider = Decider::new(Settings { zone, own_hash, cold: COLD, repeats: REPEATS });
+        let mut decider =
+            Decider::new(Settings { zone, own_hash, cold: COLD, repeats: REPEATS, hedges: None });
         decider.set_servers(vec![server()]);
         if is_cold {
             decider.record_cold(&server().name, now + Duration::from_secs(100_000));
--- a/crates/policy/examples/replay/fleet.rs
+++ b/crates/policy/examples/replay/fleet.rs
@@ -161,6 +161,7 @@
                     burst: 58.0,
                     window: Duration::from_secs(10),
                 },
+                hedges: None,
             });
             decider.set_members((0..pattern.daemons as u32).collect(), true);
             decider.set_servers(servers.clone());
--- a/crates/policy/src/local.rs
+++ b/crates/policy/src/local.rs
@@ -9,6 +9,7 @@
 pub mod decider;
 pub mod demand;
 pub mod departure;
+pub mod hedge;
 pub mod holders;
 pub mod latency;
 pub mod limit;
--- a/crates/policy/src/local/decider.rs
+++ b/crates/policy/src/local/decider.rs
@@ -2,6 +2,7 @@
 
 mod cost;
 mod eligibility;
+mod hedge;
 mod notices;
 mod placement;
 mod prefix;
@@ -20,6 +21,7 @@
     affinity,
     cold::Bound as ColdBound,
     demand::Demand,
+    hedge::Hedges,
     holders::Holders,
     latency::Model,
     limit::Limits,
@@ -136,6 +138,9 @@
     /// The caller left, or the deadline passed.
     #[display("abandoned")]
     Abandoned,
+    /// Another backend server responded first to a hedged request.
+    #[display("cancelled")]
+    Cancelled,
 }
 
 /// Settings of a decider.
@@ -149,6 +154,8 @@
     pub cold: ColdBound,
     /// The bound on repeats.
     pub repeats: RepeatBound,
+    /// The bound on hedges, or `None` if none are sent.
+    pub hedges: Option<RepeatBound>,
 }
 
 /// Places the requests of one daemon.
@@ -164,6 +171,7 @@
     notices: Notices,
     limits: Limits,
     repeats: Map<Pool, RepeatBudget>,
+    hedges: Hedges,
     reservations: Map<Pool, Reservation>,
     /// The kinds of requests for each pool of engines.
     kinds: Map<Pool, Kinds>,
@@ -179,6 +187,7 @@
     pub fn new(settings: Settings) -> Self {
         let members = vec![settings.own_hash];
         Self {
+            hedges: Hedges::new(settings.hedges),
             settings,
             members,
             converged: false,
@@ -196,8 +205,17 @@
         }
     }
 
-    /// Replaces the bounds when the settings change. A new bound on repeats resets the budgets.
-    pub fn set_bounds(&mut self, cold: ColdBound, repeats: RepeatBound) {
+    /// Replaces the bounds when the settings change. A new bound on repeats or hedges resets the
+    /// budgets.
+    pub fn set_bounds(
+        &mut self,
+        cold: ColdBound,
+        repeats: RepeatBound,
+        hedges: Option<RepeatBound>,
+    ) {
+        if self.hedges.bound() != hedges {
+            self.hedges = Hedges::new(hedges);
+        }
         if self.settings.repeats != repeats {
             self.repeats.clear();
         }
@@ -341,6 +359,7 @@
             repeats.record_repeat(now);
         } else {
             repeats.record_first_send(now);
+            self.hedges.record_first_send(&demand.pool, now);
         }
         self.limits.record_sent(&placement.server);
         let model = self.model(demand);
@@ -350,6 +369,7 @@
             let request = Request {
                 sent: now,
                 overdue_at: now + placement.overdue_after,
+                predicted: placement.predicted,
                 baseline,
                 prefill_ratio: model
                     .prefill_time(f64::from(pending))
@@ -379,6 +399,8 @@
             (request.baseline.max(MIN_BASELINE), now.duration_since(request.sent));
         let ratio = actual.div_duration_f64(baseline).clamp(MIN_SLOWNESS, MAX_SLOWNESS);
         let prefill_ratio = request.prefill_ratio;
+        let late_ratio = actual.div_duration_f64(request.predicted.max(MIN_BASELINE));
+        self.hedges.record_response(&state.server.pool, late_ratio);
         state.record_response(now);
         let model = self.models.get_mut(&state.server.pool);
         let correction = model.map_or(1.0, |model| model.record(ratio, prefill_ratio));
@@ -403,7 +425,7 @@
         match end {
             End::Abandoned if overdue => state.record_failure(now),
             End::Complete => state.failures = 0,
-            End::Unsent | End::Abandoned => {}
+            End::Unsent | End::Abandoned | End::Cancelled => {}
             End::Rejected => state.avoid_until = Some(now + REJECTION_BACKOFF),
             End::Failed => state.record_failure(now),
             End::Unreachable => state.record_unreachable(now),
--- a/crates/policy/src/local/decider/placement.rs
+++ b/crates/policy/src/local/decider/placement.rs
@@ -154,6 +154,7 @@
                 let retry_after = excess.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
                 let retry_after = retry_after.mul_f64(self.retry_jitter());
                 let predicted = Some(predicted);
+                self.hedges.record_refusal(&demand.pool, now);
                 return Decision::Refuse { reason: Reason::Overload, retry_after, predicted };
             }
         };
--- a/crates/policy/src/local/repeats.rs
+++ b/crates/policy/src/local/repeats.rs
@@ -49,8 +49,13 @@
 
     /// Whether the budget allows one more repeat.
     pub fn allows_repeat(&mut self, holders: &Holders<'_>, now: Instant) -> bool {
+        self.allows_part(1.0, holders, now)
+    }
+
+    /// Whether a part of the budget, from 0 to 1, allows one more repeat.
+    pub fn allows_part(&mut self, part: f64, holders: &Holders<'_>, now: Instant) -> bool {
         let earned = self.bound.ratio * self.first_sends.count(now) as f64;
-        let allowed = USABLE_RATIO * (earned + holders.equal_share(self.bound.burst));
+        let allowed = part * USABLE_RATIO * (earned + holders.equal_share(self.bound.burst));
         (self.repeats.count(now) as f64) + 1.0 <= allowed
     }
 }
--- a/crates/policy/src/local/server.rs
+++ b/crates/policy/src/local/server.rs
@@ -118,6 +118,8 @@
     pub(super) sent: Instant,
     /// When the first event is so late that it may never come.
     pub(super) overdue_at: Instant,
+    /// The predicted time to the first event.
+    pub(super) predicted: Duration,
     /// The predicted time to the first event on a backend server of usual speed.
     pub(super) baseline: Duration,
     /// The fraction of `baseline` that prefill takes, this request's and that of others.
--- a/crates/policy/tests/local/mod.rs
+++ b/crates/policy/tests/local/mod.rs
@@ -27,7 +27,8 @@
 
 pub fn decider(zone: &str) -> Decider {
     let zone = Zone::new(zone);
-    let mut decider = Decider::new(Settings { zone, own_hash: 1, cold: COLD, repeats: REPEATS });
+    let mut decider =
+        Decider::new(Settings { zone, own_hash: 1, cold: COLD, repeats: REPEATS, hedges: None });
     decider.set_members(vec![1], true);
     decider
 }
