policy: modules for the steps of a placement; replay: load of the busiest engine

The replay showed neither how unevenly engines are loaded nor how many responses are late by a pause alone, and each pattern had one number of daemons.

Change: `candidate`, `selection`, `partition` and `lateness` beside `placement`, moved unchanged. The replay prints the share of responses that are late by a pause and what the busiest engine of each second gets to prefill relative to its part of the capacity, and takes `--daemons`.

--- a/crates/policy/examples/replay/engine.rs
+++ b/crates/policy/examples/replay/engine.rs
@@ -69,6 +69,8 @@
     /// Cached segments with their sizes, the least recently used first.
     cache: VecDeque<(u64, u32)>,
     clock: Duration,
+    /// Prompt tokens to prefill that the engine got in each second.
+    arrived_tokens: Vec<f64>,
     /// Prompt tokens prefilled so far, repeated prefill included.
     pub(crate) prefilled_tokens: u64,
 }
@@ -83,6 +85,7 @@
             running: Vec::new(),
             cache: VecDeque::new(),
             clock: Duration::ZERO,
+            arrived_tokens: Vec::new(),
             prefilled_tokens: 0,
         }
     }
@@ -99,7 +102,9 @@
         if self.waiting.len() >= self.spec.max_waiting {
             return false;
         }
-        let moved = source_tokens.saturating_sub(self.cached_tokens(&demand.segments));
+        let cached = self.cached_tokens(&demand.segments);
+        let moved = source_tokens.saturating_sub(cached);
+        self.record_arrival(demand.prompt_tokens.saturating_sub(cached.max(source_tokens)), at);
         let rate = self.spec.fetch_tokens_per_ms.unwrap_or(f64::INFINITY);
         let fetch = Duration::from_secs_f64(f64::from(moved) / rate / 1_000.0);
         self.waiting.push_back(Sequence {
@@ -117,6 +122,14 @@
         true
     }
 
+    fn record_arrival(&mut self, tokens: u32, at: Duration) {
+        let second = at.as_secs() as usize;
+        if self.arrived_tokens.len() <= second {
+            self.arrived_tokens.resize(second + 1, 0.0);
+        }
+        self.arrived_tokens[second] += f64::from(tokens);
+    }
+
     /// Removes a request whose caller has left.
     pub(crate) fn cancel(&mut self, request: usize) {
         self.waiting.retain(|sequence| sequence.request != request);
@@ -231,3 +244,22 @@
         self.running.retain(|sequence| sequence.generated < sequence.output_tokens);
     }
 }
+
+/// What the busiest engine of each second gets to prefill, as a multiple of its part of the capacity:
+/// the mean over all seconds, weighted by the load.
+pub(crate) fn busiest_load(engines: &[Engine]) -> f64 {
+    let seconds = engines.iter().map(|engine| engine.arrived_tokens.len()).max().unwrap_or(0);
+    let capacity: f64 = engines.iter().map(|engine| 1.0 / engine.slowness).sum();
+    let (mut busiest, mut mean) = (0.0, 0.0);
+    for second in 0..seconds {
+        let loads = engines.iter().map(|engine| {
+            let tokens = engine.arrived_tokens.get(second).copied().unwrap_or_default();
+            (tokens, tokens * engine.slowness)
+        });
+        let (sum, most) = loads
+            .fold((0.0, 0.0_f64), |(sum, most), (tokens, load)| (sum + tokens, most.max(load)));
+        busiest += most;
+        mean += sum / capacity;
+    }
+    busiest / mean.max(f64::EPSILON)
+}
--- a/crates/policy/examples/replay/fleet.rs
+++ b/crates/policy/examples/replay/fleet.rs
@@ -20,7 +20,7 @@
 use rand::{RngExt as _, SeedableRng as _, rngs::StdRng};
 
 use crate::{
-    engine::{Engine, Event},
+    engine::{self, Engine, Event},
     pattern::{Noise, Pattern, Request, requests},
     policy::Policy,
 };
@@ -63,6 +63,8 @@
     /// Prompt tokens prefilled by all engines.
     pub(crate) prefilled_tokens: u64,
     pub(crate) rejections: u64,
+    /// What the busiest engine of each second gets, as a multiple of its part of the capacity.
+    pub(crate) busiest_load: f64,
 }
 
 struct Daemon {
@@ -117,6 +119,7 @@
         now += STEP;
     }
     Run {
+        busiest_load: engine::busiest_load(&simulation.engines),
         prefilled_tokens: simulation.engines.iter().map(|engine| engine.prefilled_tokens).sum(),
         records: simulation.records,
         rejections: simulation.rejections,
--- a/crates/policy/examples/replay/main.rs
+++ b/crates/policy/examples/replay/main.rs
@@ -34,6 +34,9 @@
     /// The number of seeds.
     #[arg(long, default_value_t = 1)]
     seeds: u64,
+    /// The number of daemons, instead of the pattern's own.
+    #[arg(long)]
+    daemons: Option<usize>,
     /// Plots the time to the first event over time, for the first seed, into this SVG file.
     #[arg(long)]
     plot: Option<PathBuf>,
@@ -41,7 +44,8 @@
 
 fn main() -> anyhow::Result<()> {
     let arguments = Arguments::parse();
-    let pattern = &arguments.pattern;
+    let daemons = arguments.daemons.unwrap_or(arguments.pattern.daemons).max(1);
+    let pattern = &Pattern { daemons, ..arguments.pattern };
     let policies =
         if arguments.policy.is_empty() { Policy::ALL.to_vec() } else { arguments.policy };
     for seed in arguments.seed..arguments.seed + arguments.seeds {
--- a/crates/policy/examples/replay/report.rs
+++ b/crates/policy/examples/replay/report.rs
@@ -20,6 +20,8 @@
     decode_heavy_in_time: f64,
     /// Fractions of all requests.
     late: f64,
+    /// Late because of a pause alone.
+    paused: f64,
     refused: f64,
     failed: f64,
     /// Prefilled prompt tokens per token of a distinct segment.
@@ -31,6 +33,8 @@
     error_ms: [u128; 3],
     /// The served fraction of the tenth with the longest prompts, divided by that of all requests.
     long_prompts: f64,
+    /// What the busiest engine gets, as a multiple of its part of the capacity.
+    busiest_load: f64,
 }
 
 impl Summary {
@@ -51,6 +55,11 @@
             prefill_heavy_in_time: in_time(Kind::PrefillHeavy),
             decode_heavy_in_time: in_time(Kind::DecodeHeavy),
             late: with_outcome(Outcome::Late),
+            paused: fraction(records, |record| {
+                let first_in_time =
+                    record.first.is_some_and(|first| first <= record.request.class.target);
+                record.outcome == Outcome::Late && first_in_time
+            }),
             refused: with_outcome(Outcome::Refused),
             failed: with_outcome(Outcome::Failed),
             prefill_factor: run.prefilled_tokens as f64 / distinct_tokens(records),
@@ -58,6 +67,7 @@
             first_ms: [0.5, 0.99].map(|q| quantile(&mut first, q).as_millis()),
             error_ms: [0.5, 0.95, 0.99].map(|q| quantile(&mut errors, q).as_millis()),
             long_prompts: long_prompts(records),
+            busiest_load: run.busiest_load,
         }
     }
 }
@@ -111,37 +121,41 @@
         pattern.name, pattern.daemons, pattern.engines
     );
     println!(
-        "{:<16} {:>6} {:>6} {:>9} {:>6} {:>7} {:>6} {:>5} {:>6} {:>11} {:>15} {:>5}",
+        "{:<16} {:>6} {:>6} {:>9} {:>6} {:>6} {:>7} {:>6} {:>5} {:>6} {:>11} {:>15} {:>5} {:>7}",
         "policy",
         "worth",
         "reads",
         "generates",
         "late",
+        "paused",
         "refused",
         "failed",
         "read",
         "reject",
         "first ms",
         "error ms",
-        "large"
+        "large",
+        "busiest"
     );
     for (policy, summary) in summaries {
         let first = summary.first_ms.map(|ms| ms.to_string()).join("/");
         let error = summary.error_ms.map(|ms| ms.to_string()).join("/");
         println!(
-            "{:<16} {:>6.3} {:>6.3} {:>9.3} {:>6.3} {:>7.3} {:>6.3} {:>5.2} {:>6} {:>11} {:>15} {:>5.2}",
+            "{:<16} {:>6.3} {:>6.3} {:>9.3} {:>6.3} {:>6.3} {:>7.3} {:>6.3} {:>5.2} {:>6} {:>11} {:>15} {:>5.2} {:>7.2}",
             policy.to_string(),
             summary.worth,
             summary.prefill_heavy_in_time,
             summary.decode_heavy_in_time,
             summary.late,
+            summary.paused,
             summary.refused,
             summary.failed,
             summary.prefill_factor,
             summary.rejections,
             first,
             error,
-            summary.long_prompts
+            summary.long_prompts,
+            summary.busiest_load
         );
     }
 }
--- a/crates/policy/src/local/decider.rs
+++ b/crates/policy/src/local/decider.rs
@@ -1,10 +1,14 @@
 //! Placement decisions of one daemon, from the state of backend servers and the daemon's shares.
 
+mod candidate;
 mod cost;
 mod eligibility;
+mod lateness;
 mod notices;
+mod partition;
 mod placement;
 mod prefix;
+mod selection;
 
 use std::{
     net::IpAddr,
--- a/crates/policy/src/local/decider/prefix.rs
+++ b/crates/policy/src/local/decider/prefix.rs
@@ -7,7 +7,7 @@
 
 use hyssop_document::name::Backend;
 
-use super::{Decider, placement::Candidate};
+use super::{Decider, candidate::Candidate};
 use crate::local::{affinity, demand::Demand, reservation};
 
 /// The maximum number of engines that may cache one shared prefix.
