policy: running requests leave half of an engine's memory to shared prefixes

Cause: in a burst an engine runs as many long prompts as fit.

Change: a prefill-heavy request that shares a prefix begins only at an engine whose requests hold at most half of its KV cache. Decode-heavy requests and those that have begun are served as before.

--- a/crates/policy/src/local/decider/lateness.rs
+++ b/crates/policy/src/local/decider/lateness.rs
@@ -8,6 +8,7 @@
 use crate::local::{
     demand::Demand,
     latency::{Backlog, Model},
+    reservation,
     urgency::{Kind, Kinds},
 };
 
@@ -23,6 +24,9 @@
 /// The multiple of the targets of more urgent requests within which an engine must still serve these
 /// after a less urgent one. Smaller, as their queues grow between two heartbeats.
 const MORE_URGENT_TARGET_RATIO: f64 = 0.7;
+/// The fraction of an engine's KV cache that running requests may hold while their prompts share
+/// prefixes. The rest holds the prefixes and the prompts that were prefilled since their last use.
+const MAX_HELD_RATIO: f64 = 0.5;
 
 /// The maximum time to the first event for which a request is sent: before the caller gives up and,
 /// for a model engine, not long after the target.
@@ -85,6 +89,29 @@
     }
 }
 
+/// By how much the requests at an engine exceed the part of its KV cache that they may hold, as the
+/// time to prefill these tokens. Zero if the request relies on no shared prefix there.
+///
+/// For bursts of long prompts: more requests would evict the shared prefixes that daemons expect at the
+/// engine, whose prompts it would then prefill whole.
+pub(super) fn memory_excess(
+    held_tokens: u32,
+    cache_tokens: Option<u64>,
+    model: &Model,
+    demand: &Demand,
+) -> Duration {
+    let relies_on_cache = demand.unshared_tokens() < demand.prompt_tokens
+        && !demand.has_begun()
+        && !reservation::is_decode_heavy(demand);
+    match cache_tokens {
+        Some(cache_tokens) if relies_on_cache => {
+            let limit = cache_tokens as f64 * MAX_HELD_RATIO;
+            model.prefill_time((f64::from(held_tokens) - limit).max(0.0))
+        }
+        _ => Duration::ZERO,
+    }
+}
+
 /// No candidate serves a request and the more urgent ones in time.
 pub(super) struct Overload {
     /// By how much the best candidate misses a bound.
--- /dev/null
+++ b/crates/policy/tests/local_uneven.rs
@@ -0,0 +1,33 @@
+//! Local placement on uneven engines, by many daemons with stale views.
+
+mod local;
+
+use std::time::{Duration, Instant};
+
+use hyssop_policy::local::{
+    decider::{Decision, Reason},
+    demand::Demand,
+    server::Load,
+};
+use local::*;
+
+/// Running requests fill the KV cache, the shared prefixes are evicted, and each further prompt is
+/// prefilled whole. Requests that hold little are served as before.
+#[test]
+fn memory_that_shared_prefixes_need_is_not_given_to_long_prompts() {
+    let now = Instant::now();
+    let mut decider = decider("a");
+    decider.set_servers(vec![engine(0)]);
+    let mut place = |held_tokens, demand: &Demand| {
+        let load = Load { running: 20, held_tokens, ..Load::default() };
+        decider.record_peer(PEER, &[(engine(0).hash, load, Duration::ZERO)], now);
+        decider.place_request(demand, now)
+    };
+    let half = engine(0).cache_tokens.unwrap() as u32 / 2;
+    let long = prefill_heavy(7, now);
+    expect_send(&place(half - 10_000, &long));
+    let refused = place(half + 10_000, &long);
+    assert!(matches!(refused, Decision::Refuse { reason: Reason::Overload, .. }), "{refused:?}");
+    expect_send(&place(half + 10_000, &decode_heavy(7, now)));
+    expect_send(&place(half + 10_000, &Demand { may_have_run: true, is_repeat: true, ..long }));
+}
