policy: prompts that wait at an engine must not break the gap limit

Cause: up to 1.4 times the target, prompts are queued at an engine that already prefills without a break. Each first event then takes several steps with a full chunk, which the prediction lacks, and the running responses pause as long.

Change: `Demand` has the route's gap limit, and a prefill-heavy request begins only at an engine where the prefill of the prompts that wait takes no longer than that. The request's own prompt doesn't count. Routes without a gap limit are served as before.

--- a/crates/gateway/src/call/builder.rs
+++ b/crates/gateway/src/call/builder.rs
@@ -107,6 +107,7 @@
             output_tokens: expected.min(self.meta.max_output_tokens),
             arrived: self.arrived,
             target: self.route.target_latency,
+            max_event_gap: self.route.max_event_gap,
             deadline: self.deadline,
             build: None,
             excluded: Vec::new(),
--- a/crates/gateway/tests/rights.rs
+++ b/crates/gateway/tests/rights.rs
@@ -67,6 +67,7 @@
         output_tokens: 0,
         arrived: now,
         target: Duration::from_secs(60),
+        max_event_gap: None,
         deadline: now + Duration::from_secs(3_600),
         build: None,
         excluded: Vec::new(),
--- a/crates/policy/examples/replay/pattern.rs
+++ b/crates/policy/examples/replay/pattern.rs
@@ -359,6 +359,7 @@
             output_tokens: self.output_tokens,
             arrived: start + arrived,
             target: self.class.target,
+            max_event_gap: Some(self.class.max_pause),
             deadline: start + deadline,
             build: None,
             excluded: Vec::new(),
--- a/crates/policy/src/local/decider/lateness.rs
+++ b/crates/policy/src/local/decider/lateness.rs
@@ -9,6 +9,7 @@
     demand::Demand,
     latency::{Backlog, Model},
     reservation,
+    server::Load,
     urgency::{Kind, Kinds},
 };
 
@@ -89,29 +90,49 @@
     }
 }
 
-/// By how much the requests at an engine exceed the part of its KV cache that they may hold, as the
-/// time to prefill these tokens. Zero if the request relies on no shared prefix there.
+/// By how much an engine is too busy for a prompt, whenever the first event would come: its running
+/// requests hold too much memory, or the prompts that wait break the gap limit. Zero if it is not.
 ///
-/// For bursts of long prompts: more requests would evict the shared prefixes that daemons expect at the
-/// engine, whose prompts it would then prefill whole.
-pub(super) fn memory_excess(
-    held_tokens: u32,
+/// For bursts of long prompts. Only prefill-heavy requests that can still be refused are limited.
+pub(super) fn saturation(
+    backlog: &Backlog,
+    load: Load,
+    cache_tokens: Option<u64>,
+    model: &Model,
+    demand: &Demand,
+) -> Duration {
+    if demand.has_begun() || reservation::is_decode_heavy(demand) {
+        return Duration::ZERO;
+    }
+    memory_excess(load, cache_tokens, model, demand).max(gap_excess(backlog, model, demand))
+}
+
+/// By how much running requests exceed the part of the KV cache that they may hold, as the time to
+/// prefill these tokens. With more, they evict the shared prefixes that daemons expect at the engine,
+/// whose prompts it would then prefill whole.
+fn memory_excess(
+    load: Load,
     cache_tokens: Option<u64>,
     model: &Model,
     demand: &Demand,
 ) -> Duration {
-    let relies_on_cache = demand.unshared_tokens() < demand.prompt_tokens
-        && !demand.has_begun()
-        && !reservation::is_decode_heavy(demand);
     match cache_tokens {
-        Some(cache_tokens) if relies_on_cache => {
+        Some(cache_tokens) if demand.unshared_tokens() < demand.prompt_tokens => {
             let limit = cache_tokens as f64 * MAX_HELD_RATIO;
-            model.prefill_time((f64::from(held_tokens) - limit).max(0.0))
+            model.prefill_time((f64::from(load.held_tokens) - limit).max(0.0))
         }
         _ => Duration::ZERO,
     }
 }
 
+/// By how much the prefill of the waiting prompts exceeds the gap limit. Chunks of it come between the
+/// decoding steps, and up to all of it between two events of a response in the same batch. The
+/// request's own prompt doesn't count: long ones would be refused first.
+fn gap_excess(backlog: &Backlog, model: &Model, demand: &Demand) -> Duration {
+    let prefill = model.prefill_time(backlog.pending_tokens).mul_f64(backlog.slowness);
+    demand.max_event_gap.map_or(Duration::ZERO, |limit| prefill.saturating_sub(limit))
+}
+
 /// No candidate serves a request and the more urgent ones in time.
 pub(super) struct Overload {
     /// By how much the best candidate misses a bound.
--- a/crates/policy/src/local/decider/placement.rs
+++ b/crates/policy/src/local/decider/placement.rs
@@ -6,7 +6,7 @@
     Decider, Decision, MAX_RETRY_AFTER, MIN_RETRY_AFTER, Placement, Reason,
     candidate::{Candidate, mean_pending_tokens},
     cost::{Context, Cost, SMALL_FLEET_MEMBERS, cost},
-    lateness::{Limits, Overload, memory_excess},
+    lateness::{Limits, Overload, saturation},
     overdue_after,
     partition::Partition,
     prefix::{cache_choices, first_choice},
@@ -106,13 +106,10 @@
             let is_first_choice = first_choice == Some(*hash);
             let Cost { cost, predicted, uncached_tokens } =
                 cost(state, *load, is_first_choice, &context);
-            let excess = limits.excess(predicted, &model, &state.backlog(*load), *reserved);
-            let excess = excess.max(memory_excess(
-                load.held_tokens,
-                state.server.cache_tokens,
-                &model,
-                demand,
-            ));
+            let backlog = state.backlog(*load);
+            let excess = limits.excess(predicted, &model, &backlog, *reserved);
+            let saturation = saturation(&backlog, *load, state.server.cache_tokens, &model, demand);
+            let excess = excess.max(saturation);
             if !excess.is_zero() {
                 overload.excess = overload.excess.min(excess);
                 overload.predicted = overload.predicted.min(predicted);
--- a/crates/policy/src/local/demand.rs
+++ b/crates/policy/src/local/demand.rs
@@ -52,6 +52,8 @@
     pub arrived: Instant,
     /// The time from arrival within which the response, or its first event, is in time.
     pub target: Duration,
+    /// The longest time between two events of a response that is in time, if the route limits it.
+    pub max_event_gap: Option<Duration>,
     /// When the caller or the route gives up.
     pub deadline: Instant,
     /// The build that began the stream, if the request continues one. Only backend servers of this
--- a/crates/policy/tests/local/mod.rs
+++ b/crates/policy/tests/local/mod.rs
@@ -74,6 +74,7 @@
         output_tokens: 54,
         arrived: now,
         target: Duration::from_millis(400),
+        max_event_gap: None,
         deadline: now + Duration::from_secs(4),
         build: None,
         excluded: Vec::new(),
