policy: rendezvous hashing of shared prefixes weighted by speed

Cause: an engine at half the speed is the first choice of as many prefixes as the others, and its queue is the first that is late.

Change: the score of an engine for a prefix is -share/ln(u), for homes, first choice and cache choices. The share is its speed in steps of a quarter octave with hysteresis, so that daemons with slightly different estimates agree. With equal speeds the order is the same as before.

--- a/crates/policy/src/local/decider.rs
+++ b/crates/policy/src/local/decider.rs
@@ -169,6 +169,8 @@
     limits: Limits,
     repeats: Map<Pool, RepeatBudget>,
     reservations: Map<Pool, Reservation>,
+    /// The speeds of engines by which shared prefixes are divided, by the hashes of their names.
+    speeds: Map<u32, affinity::Speed>,
     /// The kinds of requests for each pool of engines.
     kinds: Map<Pool, Kinds>,
     /// The speed of the backend servers of each pool.
@@ -193,6 +195,7 @@
             limits: Limits::default(),
             repeats: Map::default(),
             reservations: Map::default(),
+            speeds: Map::default(),
             kinds: Map::default(),
             models: Map::default(),
             last_send_id: 0,
@@ -242,6 +245,8 @@
             };
             self.servers.insert(name, state);
         }
+        let by_hash = &self.by_hash;
+        self.speeds.retain(|hash, _| by_hash.contains_key(hash));
     }
 
     /// Records until when a backend server is cold, by what it publishes.
--- a/crates/policy/src/local/decider/candidate.rs
+++ b/crates/policy/src/local/decider/candidate.rs
@@ -2,7 +2,11 @@
 
 use hyssop_document::name::Backend;
 
-use crate::local::{reservation, server::Load};
+use crate::local::{
+    affinity::{self, Speed},
+    reservation,
+    server::Load,
+};
 
 /// The maximum fraction of the candidates that is excluded because of overdue requests. One rack,
 /// or the servers with a faulty release, are about 15 %.
@@ -14,6 +18,8 @@
     pub(super) name: Backend,
     pub(super) hash: u32,
     pub(super) slots: u32,
+    /// The speed by which shared prefixes are divided.
+    pub(super) speed: Speed,
     /// Whether the first event of a request of this daemon is overdue.
     pub(super) overdue: bool,
     /// The load of all daemons.
@@ -27,6 +33,11 @@
 }
 
 impl Candidate {
+    /// How high the engine ranks for a shared prefix.
+    pub(super) fn score(&self, prefix: u64) -> f64 {
+        affinity::score(self.hash, prefix, self.speed.share())
+    }
+
     pub(super) fn has_room(&self) -> bool {
         f64::from(self.load.running) < f64::from(self.slots) * reservation::MAX_FILL_RATIO
     }
--- a/crates/policy/src/local/decider/prefix.rs
+++ b/crates/policy/src/local/decider/prefix.rs
@@ -3,7 +3,7 @@
 //! For loads with many prompts for few shared prefixes. All daemons expect a prefix at the same few
 //! engines, by rendezvous hashing, and engines fetch its KV cache from each other.
 
-use std::{cmp::Reverse, time::Instant};
+use std::time::Instant;
 
 use hyssop_document::name::Backend;
 
@@ -45,7 +45,8 @@
                 continue;
             }
             let hash = server.hash;
-            let home = Some((affinity::weight(hash, prefix.id), hash));
+            let share = self.speeds.get(&hash).copied().unwrap_or_default().share();
+            let home = Some((affinity::score(hash, prefix.id, share), hash));
             if home > homes[0] {
                 homes = [home, homes[0]];
             } else if home > homes[1] {
@@ -59,8 +60,9 @@
 /// The hash of the backend server at which all daemons expect the shared prefix to be cached.
 pub(super) fn first_choice(candidates: &[Candidate], demand: &Demand) -> Option<u32> {
     let prefix = demand.shared_prefix()?.id;
-    let hashes = candidates.iter().map(|candidate| candidate.hash);
-    hashes.max_by_key(|&hash| affinity::weight(hash, prefix))
+    let score = |candidate: &&Candidate| candidate.score(prefix);
+    let first = candidates.iter().max_by(|a, b| score(a).total_cmp(&score(b)));
+    first.map(|candidate| candidate.hash)
 }
 
 /// The hashes of the candidates that may cache the shared prefix of a prefill-heavy request.
@@ -72,8 +74,9 @@
     if demand.has_begun() || reservation::is_decode_heavy(demand) {
         return None;
     }
-    let mut hashes: Vec<u32> = candidates.iter().map(|candidate| candidate.hash).collect();
-    hashes.sort_by_cached_key(|&hash| Reverse(affinity::weight(hash, prefix.id)));
-    hashes.truncate(MAX_CACHE_CHOICES);
-    Some(hashes)
+    let scored = candidates.iter().map(|candidate| (candidate.score(prefix.id), candidate.hash));
+    let mut scored: Vec<(f64, u32)> = scored.collect();
+    scored.sort_by(|(a, _), (b, _)| b.total_cmp(a));
+    scored.truncate(MAX_CACHE_CHOICES);
+    Some(scored.into_iter().map(|(_, hash)| hash).collect())
 }
--- a/crates/policy/tests/local_uneven.rs
+++ b/crates/policy/tests/local_uneven.rs
@@ -4,8 +4,10 @@
 
 use std::time::{Duration, Instant};
 
+use hyssop_document::name::Backend;
 use hyssop_policy::local::{
-    decider::{Decision, Reason},
+    affinity::{self, Speed},
+    decider::{Decision, End, Reason},
     demand::Demand,
     server::Load,
 };
@@ -59,3 +61,69 @@
         assert_eq!(is_refused, refused, "{pending_tokens}: {decision:?}");
     }
 }
+
+fn speed(slowness: f64) -> Speed {
+    let mut speed = Speed::default();
+    speed.update(slowness);
+    speed
+}
+
+/// A slow engine that is the first choice of as many prefixes as a fast one is behind in each burst.
+#[test]
+fn engines_are_first_choice_of_as_many_prefixes_as_their_speeds_allow() {
+    let share = |engine: u32| speed(if engine.is_multiple_of(4) { 2.0 } else { 1.0 }).share();
+    let first_choice = |prefix: u64| {
+        let score =
+            |engine: u32| affinity::score(engine.wrapping_mul(0x9e37_79b1), prefix, share(engine));
+        (0..60).max_by(|&a, &b| score(a).total_cmp(&score(b))).unwrap()
+    };
+    let slow = (0..7_000).filter(|&prefix| first_choice(prefix).is_multiple_of(4)).count();
+    assert!((900..1_100).contains(&slow), "{slow} of 7000 at engines with a seventh of the speed");
+}
+
+/// Daemons whose estimates differ, or vary over time, would each expect a prefix elsewhere.
+#[test]
+fn small_differences_of_speed_move_no_prefix() {
+    for slowness in [0.9, 1.0, 1.12] {
+        assert_eq!(speed(slowness), Speed::default(), "{slowness}");
+    }
+    assert_eq!(speed(1.75).share(), 0.5_f64.powf(0.75));
+    let mut varying = speed(2.0);
+    for slowness in [1.8, 2.2, 1.85] {
+        varying.update(slowness);
+        assert_eq!(varying, speed(2.0), "{slowness}");
+    }
+    varying.update(1.0);
+    assert_eq!(varying, Speed::default());
+}
+
+/// The placement must use the measured speeds: without them the two engines share the prefixes.
+#[test]
+fn a_slow_engine_gets_fewer_prefixes() {
+    let now = Instant::now();
+    let mut decider = decider("a");
+    decider.set_servers((0..2).map(engine).collect());
+    let patient =
+        |prefix, now| Demand { target: Duration::from_secs(3), ..prefill_heavy(prefix, now) };
+    let at = |index| Backend::new(&format!("engine-{index}"));
+    for round in 0..12_u64 {
+        let sent = now + Duration::from_secs(20 * round);
+        for (index, took_ms) in [(0, 800), (1, 200)] {
+            let demand = Demand { excluded: vec![at(1 - index)], ..patient(round, sent) };
+            let decision = decider.place_request(&demand, sent);
+            let placement = expect_send(&decision).clone();
+            let id = decider.record_sent(&placement, &demand, sent);
+            let first = sent + Duration::from_millis(took_ms);
+            decider.record_first_event(&placement.server, id, first);
+            decider.record_end(&placement.server, id, End::Complete, first);
+        }
+    }
+    let later = now + Duration::from_secs(1_000);
+    let of_slow = (1_000..1_200)
+        .filter(|&prefix| {
+            let decision = decider.place_request(&patient(prefix, later), later);
+            expect_send(&decision).server == at(0)
+        })
+        .count();
+    assert!(of_slow < 75, "{of_slow} of 200 prefixes are at the slow engine");
+}
