--- a/crates/policy/src/local/decider.rs
+++ b/crates/policy/src/local/decider.rs
@@ -1,11 +1,15 @@
 //! Placement decisions of one daemon, from the state of backend servers and the daemon's shares.
 
+mod candidate;
 mod cost;
 mod eligibility;
 mod hedge;
+mod lateness;
 mod notices;
+mod partition;
 mod placement;
 mod prefix;
+mod selection;
 
 use std::{
     net::IpAddr,
@@ -173,6 +177,8 @@
     repeats: Map<Pool, RepeatBudget>,
     hedges: Hedges,
     reservations: Map<Pool, Reservation>,
+    /// The speeds of engines by which shared prefixes are divided, by the hashes of their names.
+    speeds: Map<u32, affinity::Speed>,
     /// The kinds of requests for each pool of engines.
     kinds: Map<Pool, Kinds>,
     /// The speed of the backend servers of each pool.
@@ -198,6 +204,7 @@
             limits: Limits::default(),
             repeats: Map::default(),
             reservations: Map::default(),
+            speeds: Map::default(),
             kinds: Map::default(),
             models: Map::default(),
             last_send_id: 0,
@@ -256,6 +263,8 @@
             };
             self.servers.insert(name, state);
         }
+        let by_hash = &self.by_hash;
+        self.speeds.retain(|hash, _| by_hash.contains_key(hash));
     }
 
     /// Records until when a backend server is cold, by what it publishes.
