gateway: a host that has just started does not resume streams for callers that name no request

A caller that names no earlier request was served by the only build that its host saw, however short the host's knowledge. If all hosts are killed in a release and the last servers of the old build leave meanwhile, the hosts that come back see the new build alone and join two builds in one stream.

The condition that applied to callers that name an unknown request now applies to all: the host has known the published state for as long as a stream can last. Otherwise the attempt is refused as not run (unknown_build).

hosts_that_come_back_to_one_build_of_two_refuse failed before (200 at the other build) and passes. hosts_that_come_back_to_two_builds_refuse passed before and stays as proof.

a_stream_is_taken_up_without_the_earlier_request_while_there_is_one_build started a host and expected it to serve at once, which contradicts the rule. It still checks that callers who name no request are served while one build is known, now after refusals that are not run and that say when to return, and within a bound.

--- a/crates/gateway/src/call/continuation.rs
+++ b/crates/gateway/src/call/continuation.rs
@@ -58,12 +58,9 @@
     fn only_possible_build(&self) -> Option<Build> {
         let cache = &self.gateway.cache;
         let since = Instant::now().checked_sub(self.route.timeout)?;
-        // A caller that names the request expects its stream to be known. If it isn't, this daemon
-        // may have missed more than the origin.
-        if self.meta.resumes.is_some() && !cache.is_current_since(since) {
-            return None;
-        }
-        cache.only_build(&self.demand.pool, since)
+        // A daemon that has just started may have missed the departure of another build.
+        let is_current = cache.is_current_since(since);
+        is_current.then(|| cache.only_build(&self.demand.pool, since)).flatten()
     }
 
     /// Records that the caller gets the first event of a stream from `server`.
