gateway: knowledge of a pool's builds begins with its complete state and ends with a gap

What a daemon knew counted from the arrival of its first record, from whomever and however old, and an outage of the source only interrupted it. So a build that came and went unseen could be missing: during an outage, a suspension, between a lost history and the read that follows, in the copy that a restored source starts from, and while only peers that are behind provide the records.

The knowledge now begins 6 s after a full read, or after a peer that watches the source has confirmed the position of what peers sent. The 6 s (REWRITE_TIME) are the time in which servers that a returning or restored source lacks publish themselves again. It ends with an outage, a suspension, a restore and each further full read, begins anew with the deletion of a server that the daemon never saw, and does not count while peers are ahead or a record is awaited. The code is in cache/knowledge.rs.

tests/knowledge.rs states each rule.

--- a/crates/gateway/src/cache.rs
+++ b/crates/gateway/src/cache.rs
@@ -3,6 +3,7 @@
 //! Records arrive from the source and from peers, each with its position. The last position of a key
 //! wins, whatever its origin, so the state never goes back to an older one within a process.
 
+mod knowledge;
 mod transfer;
 
 use std::{
@@ -13,13 +14,13 @@
 use arc_swap::ArcSwap;
 use compact_str::CompactString;
 use hyssop_document::{
-    build::Build,
     collections::{Map, Set},
-    name::{Backend, Pool, Zone},
+    name::{Backend, Zone},
 };
 use hyssop_view::record::Reference;
 use parking_lot::Mutex;
 
+use self::knowledge::Knowledge;
 use crate::{
     builds::DepartedBuilds,
     environment::Environment,
@@ -89,10 +90,11 @@
     environment: Option<Arc<Environment>>,
     servers: Map<Backend, CachedServer>,
     departed_builds: DepartedBuilds,
-    /// When the first record arrived.
-    known_since: Option<Instant>,
+    knowledge: Knowledge,
     zones_out: Set<Zone>,
     applied: Position,
+    /// The position applied before the records that are being applied.
+    applied_before: Position,
     /// The position of the last full read. It contains the effect of all earlier records.
     complete_at: Position,
     /// The era of the record of the environment in force.
@@ -137,6 +139,7 @@
     ) -> bool {
         let mut inner = self.inner.lock();
         let before = inner.applied;
+        inner.applied_before = before;
         let mut changed = false;
         for record in records {
             changed |= self.apply_record(&mut inner, record, origin, now);
@@ -148,6 +151,9 @@
         if changed || inner.applied > before {
             self.publish(&inner);
         }
+        if origin == Origin::Watch {
+            inner.confirm(now);
+        }
         changed
     }
 
@@ -188,27 +194,15 @@
         let mut inner = self.inner.lock();
         inner.awaited.retain(|key, awaited| *awaited > position || keys.contains(key));
         inner.complete_at = inner.complete_at.max(position);
+        // The history before this read is missing. What peers have read may be old, so their
+        // positions confirm it.
+        inner.knowledge.end();
+        if origin == Origin::Read {
+            inner.confirm(now);
+        }
         changed
     }
 
-    /// The build of all backend servers that were in a pool at `since` or later, draining ones
-    /// included, if they have the same.
-    pub fn only_build(&self, pool: &Pool, since: Instant) -> Option<Build> {
-        let inner = self.inner.lock();
-        let servers = inner.servers.values().map(|cached| &cached.server);
-        let builds = servers.filter(|server| server.pool == *pool).map(|server| &server.build);
-        let mut builds = builds.chain(inner.departed_builds.since(pool, since));
-        let first = builds.next()?;
-        builds.all(|build| build == first).then(|| first.clone())
-    }
-
-    /// Whether this daemon knew the published state at `since`, and the source is reachable since
-    /// its last outage.
-    pub fn is_current_since(&self, since: Instant) -> bool {
-        let inner = self.inner.lock();
-        inner.source_lost_at.is_none() && inner.known_since.is_some_and(|known| known <= since)
-    }
-
     /// Whether a backend server is published, whatever its state.
     pub fn has_server(&self, server: &Backend) -> bool {
         self.inner.lock().servers.contains_key(server)
@@ -223,6 +217,7 @@
     pub fn on_source_lost(&self, now: Instant) {
         let mut inner = self.inner.lock();
         inner.grace_until = None;
+        inner.knowledge.end();
         inner.source_lost_at.get_or_insert(now);
     }
 
@@ -256,7 +251,9 @@
     /// Marks the state as out of date after a suspension of the process, until the source or a peer
     /// has provided it again.
     pub fn set_suspended(&self, suspended: bool) {
-        self.inner.lock().suspended = suspended;
+        let mut inner = self.inner.lock();
+        inner.suspended = suspended;
+        inner.knowledge.end();
     }
 
     /// Whether the state is out of date, so that it must not be used.
@@ -407,10 +404,10 @@
                 event = "source_restored", applied = %self.applied, %position, %origin
             );
             self.restore.begin(now);
+            self.knowledge.end();
             self.grace_until = self.grace_until.max(Some(now + LAPSED_SERVER_GRACE));
         }
         self.applied = self.applied.max(position);
-        self.known_since.get_or_insert(now);
     }
 }
 
@@ -470,7 +467,13 @@
         Key::Server(name) => {
             let source_lost = inner.source_lost_at.is_some();
             let grace_until = inner.grace_until.filter(|&until| until > now);
-            let Some(cached) = inner.servers.get_mut(name) else { return false };
+            let Some(cached) = inner.servers.get_mut(name) else {
+                // The server came and went between two fetches of records, and its build with it.
+                if position > inner.applied_before {
+                    inner.knowledge.restart(now);
+                }
+                return false;
+            };
             let leaving = cached.server.state == State::Draining;
             if !leaving && (source_lost || grace_until.is_some()) {
                 let until = grace_until.unwrap_or(now + LAPSED_SERVER_GRACE);
--- /dev/null
+++ b/crates/gateway/src/cache/knowledge.rs
@@ -0,0 +1,80 @@
+//! Since when this daemon knows every build that a pool had.
+//!
+//! For streams that no daemon knows any more, as all were killed in a release. Such a stream may go
+//! on only at a build that is known to be the only one that can have begun it.
+
+use std::time::Instant;
+
+use hyssop_document::{build::Build, name::Pool};
+
+use super::{Cache, Inner};
+use crate::{record::Position, restore::REWRITE_TIME};
+
+/// The time for which the published state has been known without a gap.
+///
+/// It begins [`REWRITE_TIME`] after the state was read in full, as a source that comes back, or was
+/// restored, lacks backend servers until they publish themselves again. It ends with each gap in
+/// which a build can come and go unseen.
+#[derive(Debug, Default)]
+pub(super) struct Knowledge {
+    complete_since: Option<Instant>,
+    /// The latest position that a peer reported.
+    peers_at: Position,
+}
+
+impl Knowledge {
+    /// Ends the knowledge: what is published now is unknown.
+    pub(super) fn end(&mut self) {
+        self.complete_since = None;
+    }
+
+    /// Starts the knowledge anew, as something came and went unseen before `now`.
+    pub(super) fn restart(&mut self, now: Instant) {
+        self.complete_since = self.complete_since.map(|since| since.max(now));
+    }
+}
+
+impl Inner {
+    /// Records that the state is complete as of `now`.
+    pub(super) fn confirm(&mut self, now: Instant) {
+        let is_complete = self.complete_at != Position::default();
+        if is_complete && !self.suspended && self.source_lost_at.is_none() {
+            self.knowledge.complete_since.get_or_insert(now + REWRITE_TIME);
+        }
+    }
+
+    /// Since when the published state has been known without a gap, if it is known now.
+    fn known_since(&self) -> Option<Instant> {
+        let is_behind = self.applied < self.knowledge.peers_at || !self.awaited.is_empty();
+        let is_current = !is_behind && !self.suspended && self.source_lost_at.is_none();
+        self.knowledge.complete_since.filter(|_| is_current)
+    }
+}
+
+impl Cache {
+    /// The build of all backend servers that were in a pool at `since` or later, draining ones
+    /// included, if they have the same.
+    pub fn only_build(&self, pool: &Pool, since: Instant) -> Option<Build> {
+        let inner = self.inner.lock();
+        let servers = inner.servers.values().map(|cached| &cached.server);
+        let builds = servers.filter(|server| server.pool == *pool).map(|server| &server.build);
+        let mut builds = builds.chain(inner.departed_builds.since(pool, since));
+        let first = builds.next()?;
+        builds.all(|build| build == first).then(|| first.clone())
+    }
+
+    /// Whether this daemon has known the published state without a gap since `since`.
+    pub fn is_current_since(&self, since: Instant) -> bool {
+        self.inner.lock().known_since().is_some_and(|known| known <= since)
+    }
+
+    /// Records the position of a peer. One that watches the source and is not ahead shows that this
+    /// daemon, which may have no other source, has the current state.
+    pub fn on_peer_position(&self, position: Position, watches_source: bool, now: Instant) {
+        let mut inner = self.inner.lock();
+        inner.knowledge.peers_at = inner.knowledge.peers_at.max(position);
+        if watches_source && position <= inner.applied {
+            inner.confirm(now);
+        }
+    }
+}
--- a/crates/gateway/src/peers/catch_up.rs
+++ b/crates/gateway/src/peers/catch_up.rs
@@ -71,6 +71,9 @@
     }
 
     pub(super) fn on_heartbeat(&self, from: IpAddr, heartbeat: &Heartbeat, now: Instant) {
+        // A daemon that leaves may not hear of changes any more.
+        let watches = heartbeat.watches_source && heartbeat.phase == Phase::Ready;
+        self.gateway.cache.on_peer_position(heartbeat.applied, watches, now);
         self.fetch_changes(from, heartbeat, now);
         self.fetch_awaited(from, heartbeat, now);
         self.update_records_behind(heartbeat.applied, now);
--- /dev/null
+++ b/crates/gateway/tests/knowledge.rs
@@ -0,0 +1,204 @@
+//! Daemons resume a stream that nobody knows at the only build of a pool only if they have known the
+//! pool without a gap.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use hyssop_document::{
+    build::Build,
+    name::{Backend, Pool, Zone},
+};
+use hyssop_gateway::{
+    cache::{Cache, Origin},
+    record::{Decoder, Era, Error, Key, Position, Record, Revision, Server, State, Value},
+    restore::REWRITE_TIME,
+};
+use hyssop_view::sync::RecordProvider as _;
+
+/// The age of the oldest stream.
+const AGE: Duration = Duration::from_secs(10);
+
+/// Decodes backend servers, whose values are their builds.
+struct BuildDecoder;
+
+impl Decoder for BuildDecoder {
+    fn parse_key(&self, key: &str) -> Option<Key> {
+        Some(Key::Server(Backend::new(key)))
+    }
+
+    fn decode(&self, key: &Key, value: &[u8]) -> Result<Value, Error> {
+        let Key::Server(name) = key else { return Err(Error("no server".into())) };
+        Ok(Value::Server(Server {
+            name: name.clone(),
+            pool: Pool::new("pool"),
+            address: ([127, 0, 0, 1], 1).into(),
+            zone: Zone::new("a"),
+            build: Build::new(std::str::from_utf8(value).expect("text")),
+            slots: 1,
+            state: State::Ready,
+            cold_for: Duration::ZERO,
+            started_ms: None,
+        }))
+    }
+}
+
+fn at(era: u64, revision: u64) -> Position {
+    Position { era: Era(era), revision: Revision(revision) }
+}
+
+fn record(key: &str, build: Option<&'static str>, position: Position) -> Record {
+    let value = build.map(|build| Bytes::from_static(build.as_bytes()));
+    Record { key: CompactString::new(key), position, value }
+}
+
+fn v1(position: Position) -> Vec<Record> {
+    vec![record("s1", Some("v1"), position)]
+}
+
+/// A daemon that read the server s1 with the build v1 from the source, and the time at which it has
+/// known it for as long as a stream can last.
+fn knowing_daemon() -> (Cache, Instant) {
+    let (cache, start) = (Cache::new(Box::new(BuildDecoder)), Instant::now());
+    cache.replace_all(v1(at(1, 10)), at(1, 10), start);
+    let later = start + REWRITE_TIME + AGE;
+    assert!(!knows(&cache, later - Duration::from_millis(1)), "it knows too soon");
+    assert!(knows(&cache, later), "it does not know");
+    (cache, later)
+}
+
+fn knows(cache: &Cache, now: Instant) -> bool {
+    cache.is_current_since(now - AGE)
+}
+
+/// Checks that a gap ends the knowledge, and that `end_gap` begins it anew.
+fn check_gap(gap: impl Fn(&Cache, Instant), end_gap: impl Fn(&Cache, Instant)) {
+    let (cache, mut now) = knowing_daemon();
+    gap(&cache, now);
+    assert!(!knows(&cache, now), "in the gap");
+    now += AGE * 10;
+    assert!(!knows(&cache, now), "the gap does not end by itself");
+    end_gap(&cache, now);
+    let known = now + REWRITE_TIME + AGE;
+    assert!(!knows(&cache, known - Duration::from_millis(1)), "the gap is forgotten too soon");
+    assert!(knows(&cache, known), "the knowledge does not begin again");
+}
+
+fn read(cache: &Cache, now: Instant) {
+    cache.on_source_response(now);
+    cache.replace_all(v1(at(1, 20)), at(1, 20), now);
+}
+
+#[test]
+fn an_outage_of_the_source_is_a_gap() {
+    check_gap(Cache::on_source_lost, read);
+    check_gap(Cache::on_source_lost, |cache, now| {
+        cache.on_source_response(now);
+        cache.apply(Vec::new(), Origin::Watch, now);
+    });
+}
+
+/// A heartbeat tells that the source is back before the records of the outage arrive.
+#[test]
+fn the_return_of_the_source_by_a_peer_ends_no_gap_before_the_records_are_there() {
+    check_gap(
+        |cache, now| {
+            cache.on_source_lost(now);
+            cache.on_source_response(now);
+            cache.on_peer_position(at(1, 12), true, now);
+        },
+        |cache, now| {
+            cache.apply(vec![record("s2", Some("v1"), at(1, 12))], Origin::Peer, now);
+            cache.on_peer_position(at(1, 12), false, now);
+            assert!(!knows(cache, now + AGE * 10), "a peer that can't watch confirms nothing");
+            cache.on_peer_position(at(1, 12), true, now);
+        },
+    );
+}
+
+#[test]
+fn a_suspension_is_a_gap() {
+    check_gap(
+        |cache, _| cache.set_suspended(true),
+        |cache, now| {
+            cache.set_suspended(false);
+            cache.on_peer_position(at(1, 10), true, now);
+        },
+    );
+    check_gap(
+        |cache, now| {
+            cache.set_suspended(true);
+            // The response of a call that began before the suspension.
+            cache.replace_all(v1(at(1, 15)), at(1, 15), now);
+        },
+        |cache, now| {
+            cache.set_suspended(false);
+            read(cache, now);
+        },
+    );
+}
+
+/// The history of the source is gone, so another build may have come and gone.
+#[test]
+fn a_second_full_read_is_a_gap() {
+    let (cache, now) = knowing_daemon();
+    cache.replace_all(v1(at(1, 10)), at(1, 30), now);
+    assert!(!knows(&cache, now) && !knows(&cache, now + AGE));
+    assert!(knows(&cache, now + AGE + REWRITE_TIME));
+}
+
+/// The copy lacks servers that began streams and have not written again.
+#[test]
+fn a_restore_is_a_gap() {
+    check_gap(
+        |cache, now| {
+            cache.apply(vec![record("s2", Some("v1"), at(2, 5))], Origin::Peer, now);
+        },
+        |cache, now| {
+            cache.replace_all(v1(at(2, 6)), at(2, 6), now);
+        },
+    );
+}
+
+/// A daemon whose peers are ahead does not know the builds that they know.
+#[test]
+fn a_daemon_that_is_behind_its_peers_does_not_know_the_state() {
+    let (cache, now) = knowing_daemon();
+    cache.on_peer_position(at(1, 11), true, now);
+    assert!(!knows(&cache, now));
+    cache.apply(vec![record("s2", Some("v1"), at(1, 11))], Origin::Peer, now);
+    assert!(knows(&cache, now), "nothing was missed");
+}
+
+/// A server that came and went between two fetches is known only by its deletion, without its build.
+#[test]
+fn a_server_that_came_and_went_unseen_is_a_gap() {
+    let (cache, now) = knowing_daemon();
+    cache.apply(vec![record("s2", None, at(1, 12))], Origin::Peer, now);
+    assert!(!knows(&cache, now) && knows(&cache, now + AGE));
+    cache.apply(vec![record("s3", None, at(1, 11))], Origin::Watch, now + AGE);
+    assert!(knows(&cache, now + AGE), "an old deletion that is read once more is no news");
+}
+
+/// A daemon with no other source than its peers knows no more than they do.
+#[test]
+fn records_of_peers_are_complete_when_a_watcher_confirms_them() {
+    let (peer, now) = knowing_daemon();
+    let cache = Cache::new(Box::new(BuildDecoder));
+    let changes = peer.changes_after(Position::default()).expect("the peer is current");
+    cache.apply_changes(changes, now);
+    assert!(!knows(&cache, now + AGE * 10));
+    cache.on_peer_position(at(1, 10), true, now);
+    assert!(!knows(&cache, now + AGE) && knows(&cache, now + REWRITE_TIME + AGE));
+}
+
+/// The server restarts under its name with another build, so the pool had two.
+#[test]
+fn a_server_that_restarts_with_another_build_leaves_its_old_one_behind() {
+    let (cache, now) = knowing_daemon();
+    let builds = |now: Instant| cache.only_build(&Pool::new("pool"), now - AGE);
+    assert_eq!(builds(now), Some(Build::new("v1")));
+    cache.apply(vec![record("s1", Some("v2"), at(1, 11))], Origin::Watch, now);
+    assert_eq!((builds(now), builds(now + AGE)), (None, None));
+    assert_eq!(builds(now + AGE * 2), Some(Build::new("v2")));
+}
