gateway: the longest deadline of callers bounds the age of a stream, not one route's time limit

The time for which one build must have been known was the present time limit of the resume attempt's route. A caller can wait longer than that: its own deadline may be longer, its attempts take turns, and a configuration may have shortened the limit since the stream began. A resume attempt names only what is left of the caller's time.

The age now is the longest of what the caller has left, the deadlines that callers of the pool named and the time limits of its routes in all environments of the last 600 s, plus 1 s, and 600 s at most (cache/lifetime.rs).

A refusal names the time until this daemon can know, if time alone ends the doubt and the caller waits that long, and 200 ms otherwise, since only another daemon can help then.

--- a/crates/gateway/src/builds.rs
+++ b/crates/gateway/src/builds.rs
@@ -4,8 +4,10 @@
 
 use hyssop_document::{build::Build, collections::Map, name::Pool};
 
-/// How long a build is remembered after its last backend server left. Longer than any stream.
-const DEPARTED_BUILD_TTL: Duration = Duration::from_secs(600);
+use crate::cache::MAX_LIFETIME;
+
+/// How long a build is remembered after its last backend server left: as long as any stream.
+const DEPARTED_BUILD_TTL: Duration = MAX_LIFETIME;
 
 /// The builds that left pools.
 #[derive(Debug, Default)]
@@ -19,10 +21,10 @@
         self.left_at.entry(pool.clone()).or_default().insert(build.clone(), now);
     }
 
-    /// The builds of which a backend server left the pool at `since` or later.
-    pub fn since(&self, pool: &Pool, since: Instant) -> impl Iterator<Item = &Build> {
+    /// When the last backend server of another build than `build` left the pool.
+    pub fn last_other(&self, pool: &Pool, build: &Build) -> Option<Instant> {
         let builds = self.left_at.get(pool).into_iter().flatten();
-        builds.filter(move |&(_, &at)| at >= since).map(|(build, _)| build)
+        builds.filter(|&(left, _)| left != build).map(|(_, &at)| at).max()
     }
 
     /// Forgets the builds that left long ago.
--- a/crates/gateway/src/cache.rs
+++ b/crates/gateway/src/cache.rs
@@ -4,6 +4,7 @@
 //! wins, whatever its origin, so the state never goes back to an older one within a process.
 
 mod knowledge;
+mod lifetime;
 mod transfer;
 
 use std::{
@@ -20,7 +21,8 @@
 use hyssop_view::record::Reference;
 use parking_lot::Mutex;
 
-use self::knowledge::Knowledge;
+pub use self::lifetime::MAX_LIFETIME;
+use self::{knowledge::Knowledge, lifetime::Lifetimes};
 use crate::{
     builds::DepartedBuilds,
     environment::Environment,
@@ -91,6 +93,7 @@
     servers: Map<Backend, CachedServer>,
     departed_builds: DepartedBuilds,
     knowledge: Knowledge,
+    lifetimes: Lifetimes,
     zones_out: Set<Zone>,
     applied: Position,
     /// The position applied before the records that are being applied.
@@ -248,19 +251,6 @@
         self.inner.lock().source_lost_at.is_none()
     }
 
-    /// Marks the state as out of date after a suspension of the process, until the source or a peer
-    /// has provided it again.
-    pub fn set_suspended(&self, suspended: bool) {
-        let mut inner = self.inner.lock();
-        inner.suspended = suspended;
-        inner.knowledge.end();
-    }
-
-    /// Whether the state is out of date, so that it must not be used.
-    pub fn is_suspended(&self) -> bool {
-        self.inner.lock().suspended
-    }
-
     /// Removes servers whose grace time is over, and old deletions, unless the source is lost.
     /// Returns whether the state changed.
     pub fn expire(&self, now: Instant) -> bool {
@@ -431,6 +421,7 @@
                 event = "environment", version = environment.version, revision = %position, %origin,
                 routes = environment.route_count()
             );
+            inner.update_limits(&environment, now);
             inner.environment = Some(Arc::new(*environment));
         }
         Value::Server(server) => {
--- a/crates/gateway/src/cache/knowledge.rs
+++ b/crates/gateway/src/cache/knowledge.rs
@@ -3,7 +3,7 @@
 //! For streams that no daemon knows any more, as all were killed in a release. Such a stream may go
 //! on only at a build that is known to be the only one that can have begun it.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use hyssop_document::{build::Build, name::Pool};
 
@@ -52,20 +52,44 @@
 }
 
 impl Cache {
-    /// The build of all backend servers that were in a pool at `since` or later, draining ones
-    /// included, if they have the same.
-    pub fn only_build(&self, pool: &Pool, since: Instant) -> Option<Build> {
-        let inner = self.inner.lock();
-        let servers = inner.servers.values().map(|cached| &cached.server);
-        let builds = servers.filter(|server| server.pool == *pool).map(|server| &server.build);
-        let mut builds = builds.chain(inner.departed_builds.since(pool, since));
-        let first = builds.next()?;
-        builds.all(|build| build == first).then(|| first.clone())
+    /// Marks the state as out of date after a suspension of the process, until the source or a peer
+    /// has provided it again.
+    pub fn set_suspended(&self, suspended: bool) {
+        let mut inner = self.inner.lock();
+        inner.suspended = suspended;
+        inner.knowledge.end();
+    }
+
+    /// Whether the state is out of date, so that it must not be used.
+    pub fn is_suspended(&self) -> bool {
+        self.inner.lock().suspended
     }
 
-    /// Whether this daemon has known the published state without a gap since `since`.
-    pub fn is_current_since(&self, since: Instant) -> bool {
-        self.inner.lock().known_since().is_some_and(|known| known <= since)
+    /// The build that began all streams of a pool which a caller can resume who waits for `left`:
+    /// the only one that the pool has had for as long as such a stream can last, draining servers
+    /// included.
+    ///
+    /// # Errors
+    ///
+    /// If there may have been others: the time after which this daemon will know, if time alone ends
+    /// the doubt.
+    pub fn only_build(
+        &self,
+        pool: &Pool,
+        left: Option<Duration>,
+        now: Instant,
+    ) -> Result<Build, Option<Duration>> {
+        let inner = self.inner.lock();
+        let servers = inner.servers.values().map(|cached| &cached.server);
+        let mut builds = servers.filter(|server| server.pool == *pool).map(|server| &server.build);
+        let build = builds.next().ok_or(None)?;
+        if builds.any(|other| other != build) {
+            return Err(None);
+        }
+        let known = inner.known_since().ok_or(None)?;
+        let since = known.max(inner.departed_builds.last_other(pool, build).unwrap_or(known));
+        let known_at = since + inner.lifetimes.max_age(pool, left, now);
+        if now < known_at { Err(Some(known_at - now)) } else { Ok(build.clone()) }
     }
 
     /// Records the position of a peer. One that watches the source and is not ahead shows that this
--- a/crates/gateway/src/call/continuation.rs
+++ b/crates/gateway/src/call/continuation.rs
@@ -10,17 +10,18 @@
 
 use super::{Call, Failure};
 use crate::{
+    cache::MAX_LIFETIME,
     intake::elapsed_ms,
     record::Server,
     refusal::{Reason, Refusal},
 };
 
-/// `Retry-After` for streams whose build is unknown: another daemon may know it.
+/// `Retry-After` for streams whose build only another daemon can know.
 const UNKNOWN_BUILD_RETRY_AFTER: Duration = Duration::from_millis(200);
 /// How long a stream may be taken up after the deadline of the request that began it.
 const TAKE_UP_MARGIN: Duration = Duration::from_secs(1);
 /// The maximum time for which the build of a stream is recorded.
-const MAX_ORIGIN_TTL: Duration = Duration::from_secs(600);
+const MAX_ORIGIN_TTL: Duration = MAX_LIFETIME;
 
 impl Call {
     /// Finds the build that began the stream, if the caller takes one up.
@@ -30,6 +31,12 @@
     /// Refuses the request if the build is unknown and could be another one than that of the
     /// backend servers in service.
     pub(super) async fn find_build(&mut self) -> Result<(), Failure> {
+        if self.route.streams
+            && let Some(deadline) = self.meta.deadline
+        {
+            let now = Instant::now();
+            self.gateway.cache.record_deadline(&self.demand.pool, deadline, now);
+        }
         let takes_up = self.last_event_id.is_some() || self.meta.resumes.is_some();
         if !self.route.streams || !takes_up {
             return Ok(());
@@ -39,28 +46,31 @@
             None => None,
         };
         let known = origin.is_some();
-        self.demand.build = origin.or_else(|| self.only_possible_build());
+        let build = origin.map_or_else(|| self.only_possible_build(), Ok);
+        self.demand.build = build.as_ref().ok().cloned();
         tracing::info!(
             event = "taken_up", id = %self.meta.id, resumes = self.meta.resumes.as_deref(), known,
             build = self.demand.build.as_ref().map(tracing::field::display),
             after_ms = elapsed_ms(self.arrived),
             source_age_ms = self.gateway.cache.source_age_ms(Instant::now())
         );
-        if self.demand.build.is_some() {
-            return Ok(());
-        }
-        let refusal = Refusal::temporary(Reason::UnknownBuild, UNKNOWN_BUILD_RETRY_AFTER);
-        Err(Failure::Refused(refusal))
+        let refused = |after| Failure::Refused(Refusal::temporary(Reason::UnknownBuild, after));
+        build.map(drop).map_err(refused)
     }
 
     /// The build that began a stream of which neither this daemon nor its peers know the origin, if
     /// the pool had only one since the stream can have begun.
-    fn only_possible_build(&self) -> Option<Build> {
-        let cache = &self.gateway.cache;
-        let since = Instant::now().checked_sub(self.route.timeout)?;
-        // A daemon that has just started may have missed the departure of another build.
-        let is_current = cache.is_current_since(since);
-        is_current.then(|| cache.only_build(&self.demand.pool, since)).flatten()
+    ///
+    /// # Errors
+    ///
+    /// If the build is unknown: the time after which the caller may return. If this daemon will not
+    /// know within the time that the caller has left, another one may.
+    fn only_possible_build(&self) -> Result<Build, Duration> {
+        let (cache, left) = (&self.gateway.cache, self.meta.deadline);
+        cache.only_build(&self.demand.pool, left, Instant::now()).map_err(|wait| {
+            let useful = wait.filter(|wait| left.is_none_or(|left| *wait < left));
+            useful.unwrap_or(UNKNOWN_BUILD_RETRY_AFTER)
+        })
     }
 
     /// Records that the caller gets the first event of a stream from `server`.
--- a/crates/gateway/src/environment.rs
+++ b/crates/gateway/src/environment.rs
@@ -145,6 +145,11 @@
         slashes.filter_map(|(at, _)| prefixes.get(&path[..=at])).next()
     }
 
+    /// All routes, in any order.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.routes.values().flat_map(Map::values)
+    }
+
     /// The pool with this name, if it is declared.
     pub fn pool(&self, name: &PoolName) -> Option<&Arc<Pool>> {
         self.pools.get(name)
--- a/crates/gateway/tests/knowledge.rs
+++ b/crates/gateway/tests/knowledge.rs
@@ -10,13 +10,14 @@
     name::{Backend, Pool, Zone},
 };
 use hyssop_gateway::{
-    cache::{Cache, Origin},
+    cache::{Cache, MAX_LIFETIME, Origin},
     record::{Decoder, Era, Error, Key, Position, Record, Revision, Server, State, Value},
     restore::REWRITE_TIME,
 };
 use hyssop_view::sync::RecordProvider as _;
 
-/// The age of the oldest stream.
+/// What a caller has left, and the age that its stream can have: a second more.
+const LEFT: Duration = Duration::from_secs(9);
 const AGE: Duration = Duration::from_secs(10);
 
 /// Decodes backend servers, whose values are their builds.
@@ -67,8 +68,16 @@
     (cache, later)
 }
 
+fn only_build(
+    cache: &Cache,
+    left: Option<Duration>,
+    now: Instant,
+) -> Result<Build, Option<Duration>> {
+    cache.only_build(&Pool::new("pool"), left, now)
+}
+
 fn knows(cache: &Cache, now: Instant) -> bool {
-    cache.is_current_since(now - AGE)
+    only_build(cache, Some(LEFT), now) == Ok(Build::new("v1"))
 }
 
 /// Checks that a gap ends the knowledge, and that `end_gap` begins it anew.
@@ -196,9 +205,26 @@
 #[test]
 fn a_server_that_restarts_with_another_build_leaves_its_old_one_behind() {
     let (cache, now) = knowing_daemon();
-    let builds = |now: Instant| cache.only_build(&Pool::new("pool"), now - AGE);
-    assert_eq!(builds(now), Some(Build::new("v1")));
-    cache.apply(vec![record("s1", Some("v2"), at(1, 11))], Origin::Watch, now);
-    assert_eq!((builds(now), builds(now + AGE)), (None, None));
-    assert_eq!(builds(now + AGE * 2), Some(Build::new("v2")));
+    let wait = |now| only_build(&cache, Some(LEFT), now).expect_err("the build is unknown");
+    cache.apply(vec![record("s2", Some("v2"), at(1, 11))], Origin::Watch, now);
+    assert_eq!(wait(now + AGE), None, "the pool has two builds");
+    cache.apply(vec![record("s1", Some("v2"), at(1, 12))], Origin::Watch, now);
+    assert_eq!(wait(now + AGE / 4), Some(AGE * 3 / 4));
+    assert_eq!(only_build(&cache, Some(LEFT), now + AGE), Ok(Build::new("v2")));
+}
+
+/// A resume attempt has less time left than the request that began the stream, perhaps with a
+/// deadline above all time limits. Guards against streams that outlive what is known.
+#[test]
+fn the_longest_deadline_of_the_last_minutes_bounds_the_age_of_streams() {
+    let (cache, now) = knowing_daemon();
+    let left = Some(Duration::from_millis(100));
+    assert_eq!(only_build(&cache, left, now), Ok(Build::new("v1")));
+    cache.record_deadline(&Pool::new("pool"), LEFT * 2, now);
+    cache.record_deadline(&Pool::new("pool"), LEFT, now);
+    cache.record_deadline(&Pool::new("other"), LEFT * 30, now);
+    assert_eq!(only_build(&cache, left, now), Err(Some(LEFT)), "the second attempt of a caller");
+    assert_eq!(only_build(&cache, left, now + LEFT), Ok(Build::new("v1")));
+    assert!(only_build(&cache, None, now + LEFT).is_err(), "this caller may wait for minutes");
+    assert!(only_build(&cache, None, now + MAX_LIFETIME).is_ok());
 }
