gateway: the builds of all pools that a stream's route has, or had, count

A resume attempt draws one of its route's pools by weight, and only the builds of that pool were compared. The stream may have begun in another one, of another build, for example beside a canary pool, or before a configuration moved the route.

All pools of the route must have had the same build. A configuration that changes the pools or the set of routes of streams begins the knowledge anew; other changes, such as weights, keys and limits, do not.

The test of deadlines named the pool other as unrelated, which now belongs to the route there, so it uses another name.

--- a/crates/gateway/src/cache/knowledge.rs
+++ b/crates/gateway/src/cache/knowledge.rs
@@ -7,7 +7,7 @@
 
 use hyssop_document::{build::Build, name::Pool};
 
-use super::{Cache, Inner};
+use super::{Cache, Inner, MAX_LIFETIME};
 use crate::{record::Position, restore::REWRITE_TIME};
 
 /// The time for which the published state has been known without a gap.
@@ -65,9 +65,9 @@
         self.inner.lock().suspended
     }
 
-    /// The build that began all streams of a pool which a caller can resume who waits for `left`:
-    /// the only one that the pool has had for as long as such a stream can last, draining servers
-    /// included.
+    /// The build that began all streams of a route with these pools which a caller can resume who
+    /// waits for `left`: the only one that the pools have had for as long as such a stream can last,
+    /// draining servers included.
     ///
     /// # Errors
     ///
@@ -75,20 +75,25 @@
     /// the doubt.
     pub fn only_build(
         &self,
-        pool: &Pool,
+        pools: &[(Pool, u32)],
         left: Option<Duration>,
         now: Instant,
     ) -> Result<Build, Option<Duration>> {
         let inner = self.inner.lock();
+        let pools = || pools.iter().map(|(pool, _)| pool);
         let servers = inner.servers.values().map(|cached| &cached.server);
-        let mut builds = servers.filter(|server| server.pool == *pool).map(|server| &server.build);
+        let mut builds = servers
+            .filter(|server| pools().any(|pool| server.pool == *pool))
+            .map(|server| &server.build);
         let build = builds.next().ok_or(None)?;
         if builds.any(|other| other != build) {
             return Err(None);
         }
         let known = inner.known_since().ok_or(None)?;
-        let since = known.max(inner.departed_builds.last_other(pool, build).unwrap_or(known));
-        let known_at = since + inner.lifetimes.max_age(pool, left, now);
+        let others = pools().filter_map(|pool| inner.departed_builds.last_other(pool, build));
+        let since = others.fold(known, Instant::max);
+        let ages = pools().map(|pool| inner.lifetimes.max_age(pool, left, now));
+        let known_at = since + ages.max().unwrap_or(MAX_LIFETIME);
         if now < known_at { Err(Some(known_at - now)) } else { Ok(build.clone()) }
     }
 
--- a/crates/gateway/src/cache/lifetime.rs
+++ b/crates/gateway/src/cache/lifetime.rs
@@ -66,6 +66,10 @@
     /// Takes over the time limits of an environment. Those of the one before it still count, for
     /// streams that began under them.
     pub(super) fn update_limits(&mut self, environment: &Environment, now: Instant) {
+        // Streams that began in a pool that their route had before may be resumed in another one.
+        if !self.environment.as_ref().is_some_and(|before| has_same_pools(before, environment)) {
+            self.knowledge.restart(now);
+        }
         let mut limits: Map<Pool, Duration> = Map::default();
         for route in environment.routes().filter(|route| route.streams) {
             for (pool, _) in &route.pools {
@@ -79,6 +83,24 @@
     }
 }
 
+/// Whether streams go to the same pools in two environments, whatever the weights.
+fn has_same_pools(before: &Environment, after: &Environment) -> bool {
+    let streams = |environment: &Environment| {
+        let streams = environment.routes().filter(|route| route.streams);
+        let mut streams: Vec<_> = streams
+            .map(|route| {
+                let mut pools: Vec<Pool> =
+                    route.pools.iter().map(|(pool, _)| pool.clone()).collect();
+                pools.sort_unstable();
+                (route.host.clone(), route.path_prefix.clone(), pools)
+            })
+            .collect();
+        streams.sort_unstable();
+        streams
+    };
+    streams(before) == streams(after)
+}
+
 impl Cache {
     /// Records that a caller waits for a stream of a pool for this long.
     pub fn record_deadline(&self, pool: &Pool, deadline: Duration, now: Instant) {
--- a/crates/gateway/src/call/continuation.rs
+++ b/crates/gateway/src/call/continuation.rs
@@ -59,7 +59,7 @@
     }
 
     /// The build that began a stream of which neither this daemon nor its peers know the origin, if
-    /// the pool had only one since the stream can have begun.
+    /// the route's pools had only one since the stream can have begun.
     ///
     /// # Errors
     ///
@@ -67,7 +67,7 @@
     /// know within the time that the caller has left, another one may.
     fn only_possible_build(&self) -> Result<Build, Duration> {
         let (cache, left) = (&self.gateway.cache, self.meta.deadline);
-        cache.only_build(&self.demand.pool, left, Instant::now()).map_err(|wait| {
+        cache.only_build(&self.route.pools, left, Instant::now()).map_err(|wait| {
             let useful = wait.filter(|wait| left.is_none_or(|left| *wait < left));
             useful.unwrap_or(UNKNOWN_BUILD_RETRY_AFTER)
         })
--- a/crates/gateway/tests/knowledge.rs
+++ b/crates/gateway/tests/knowledge.rs
@@ -8,9 +8,11 @@
 use hyssop_document::{
     build::Build,
     name::{Backend, Pool, Zone},
+    number::Tier,
 };
 use hyssop_gateway::{
     cache::{Cache, MAX_LIFETIME, Origin},
+    environment::{Environment, Limits, RetryPolicy, Route},
     record::{Decoder, Era, Error, Key, Position, Record, Revision, Server, State, Value},
     restore::REWRITE_TIME,
 };
@@ -20,22 +22,23 @@
 const LEFT: Duration = Duration::from_secs(9);
 const AGE: Duration = Duration::from_secs(10);
 
-/// Decodes backend servers, whose values are their builds.
+/// Decodes `env` with the pools of the only route, and backend servers with their builds.
 struct BuildDecoder;
 
 impl Decoder for BuildDecoder {
     fn parse_key(&self, key: &str) -> Option<Key> {
-        Some(Key::Server(Backend::new(key)))
+        Some(if key == "env" { Key::Environment } else { Key::Server(Backend::new(key)) })
     }
 
     fn decode(&self, key: &Key, value: &[u8]) -> Result<Value, Error> {
-        let Key::Server(name) = key else { return Err(Error("no server".into())) };
+        let text = std::str::from_utf8(value).expect("text");
+        let Key::Server(name) = key else { return Ok(Value::Environment(environment(text))) };
         Ok(Value::Server(Server {
             name: name.clone(),
-            pool: Pool::new("pool"),
+            pool: Pool::new(if text == "canary" { "other" } else { "pool" }),
             address: ([127, 0, 0, 1], 1).into(),
             zone: Zone::new("a"),
-            build: Build::new(std::str::from_utf8(value).expect("text")),
+            build: Build::new(text),
             slots: 1,
             state: State::Ready,
             cold_for: Duration::ZERO,
@@ -44,6 +47,27 @@
     }
 }
 
+/// An environment with a route of streams to some pools.
+fn environment(pools: &str) -> Box<Environment> {
+    let route = Route {
+        name: "draft".into(),
+        host: "router.example".into(),
+        path_prefix: "/draft/".into(),
+        streams: true,
+        retry_policy: RetryPolicy::Resumable,
+        timeout: LEFT / 3,
+        target_latency: LEFT,
+        max_event_gap: None,
+        tier: Tier::HIGHEST,
+        max_attempts: 1,
+        public: true,
+        pools: pools.split(' ').map(|pool| (Pool::new(pool), 1)).collect(),
+    };
+    let limits =
+        Limits { max_head_bytes: 1, max_body_bytes: 1, head_timeout: LEFT, idle_timeout: LEFT };
+    Box::new(Environment::new(1, limits, vec![route], Vec::new(), None))
+}
+
 fn at(era: u64, revision: u64) -> Position {
     Position { era: Era(era), revision: Revision(revision) }
 }
@@ -73,7 +97,7 @@
     left: Option<Duration>,
     now: Instant,
 ) -> Result<Build, Option<Duration>> {
-    cache.only_build(&Pool::new("pool"), left, now)
+    cache.only_build(&[(Pool::new("pool"), 1), (Pool::new("other"), 0)], left, now)
 }
 
 fn knows(cache: &Cache, now: Instant) -> bool {
@@ -222,9 +246,31 @@
     assert_eq!(only_build(&cache, left, now), Ok(Build::new("v1")));
     cache.record_deadline(&Pool::new("pool"), LEFT * 2, now);
     cache.record_deadline(&Pool::new("pool"), LEFT, now);
-    cache.record_deadline(&Pool::new("other"), LEFT * 30, now);
+    cache.record_deadline(&Pool::new("unrelated"), LEFT * 30, now);
     assert_eq!(only_build(&cache, left, now), Err(Some(LEFT)), "the second attempt of a caller");
     assert_eq!(only_build(&cache, left, now + LEFT), Ok(Build::new("v1")));
     assert!(only_build(&cache, None, now + LEFT).is_err(), "this caller may wait for minutes");
     assert!(only_build(&cache, None, now + MAX_LIFETIME).is_ok());
 }
+
+/// Guards against resume attempts that go to another pool of their route than the stream, or to the
+/// pool that the route has since a moment ago.
+#[test]
+fn the_builds_of_all_pools_that_streams_go_to_count() {
+    let (cache, now) = knowing_daemon();
+    let apply = |key, value, revision, now| {
+        cache.apply(vec![record(key, Some(value), at(1, revision))], Origin::Watch, now);
+    };
+    apply("env", "pool other", 11, now);
+    assert_eq!(only_build(&cache, Some(LEFT), now), Err(Some(AGE)), "other pools before");
+    let mut now = now + AGE;
+    apply("env", "other pool", 12, now);
+    assert!(knows(&cache, now), "the pools are the same");
+    apply("s2", "canary", 13, now);
+    assert_eq!(only_build(&cache, Some(LEFT), now), Err(None), "the pools have two builds");
+    cache.apply(vec![record("s2", None, at(1, 14))], Origin::Watch, now);
+    assert_eq!(only_build(&cache, Some(LEFT), now), Err(Some(AGE)), "a build left a pool");
+    now += AGE;
+    apply("env", "pool", 15, now);
+    assert_eq!(only_build(&cache, Some(LEFT), now), Err(Some(AGE)), "a pool left the route");
+}
