--- a/crates/gateway/src/cache.rs
+++ b/crates/gateway/src/cache.rs
@@ -3,6 +3,8 @@
 //! Records arrive from the source and from peers, each with its position. The last position of a key
 //! wins, whatever its origin, so the state never goes back to an older one within a process.
 
+mod knowledge;
+mod lifetime;
 mod transfer;
 
 use std::{
@@ -13,13 +15,14 @@
 use arc_swap::ArcSwap;
 use compact_str::CompactString;
 use hyssop_document::{
-    build::Build,
     collections::{Map, Set},
-    name::{Backend, Pool, Zone},
+    name::{Backend, Zone},
 };
 use hyssop_view::record::Reference;
 use parking_lot::Mutex;
 
+pub use self::lifetime::MAX_LIFETIME;
+use self::{knowledge::Knowledge, lifetime::Lifetimes};
 use crate::{
     builds::DepartedBuilds,
     environment::Environment,
@@ -89,10 +92,12 @@
     environment: Option<Arc<Environment>>,
     servers: Map<Backend, CachedServer>,
     departed_builds: DepartedBuilds,
-    /// When the first record arrived.
-    known_since: Option<Instant>,
+    knowledge: Knowledge,
+    lifetimes: Lifetimes,
     zones_out: Set<Zone>,
     applied: Position,
+    /// The position applied before the records that are being applied.
+    applied_before: Position,
     /// The position of the last full read. It contains the effect of all earlier records.
     complete_at: Position,
     /// The era of the record of the environment in force.
@@ -137,6 +142,7 @@
     ) -> bool {
         let mut inner = self.inner.lock();
         let before = inner.applied;
+        inner.applied_before = before;
         let mut changed = false;
         for record in records {
             changed |= self.apply_record(&mut inner, record, origin, now);
@@ -148,6 +154,9 @@
         if changed || inner.applied > before {
             self.publish(&inner);
         }
+        if origin == Origin::Watch {
+            inner.confirm(now);
+        }
         changed
     }
 
@@ -188,27 +197,15 @@
         let mut inner = self.inner.lock();
         inner.awaited.retain(|key, awaited| *awaited > position || keys.contains(key));
         inner.complete_at = inner.complete_at.max(position);
+        // The history before this read is missing. What peers have read may be old, so their
+        // positions confirm it.
+        inner.knowledge.end();
+        if origin == Origin::Read {
+            inner.confirm(now);
+        }
         changed
     }
 
-    /// The build of all backend servers that were in a pool at `since` or later, draining ones
-    /// included, if they have the same.
-    pub fn only_build(&self, pool: &Pool, since: Instant) -> Option<Build> {
-        let inner = self.inner.lock();
-        let servers = inner.servers.values().map(|cached| &cached.server);
-        let builds = servers.filter(|server| server.pool == *pool).map(|server| &server.build);
-        let mut builds = builds.chain(inner.departed_builds.since(pool, since));
-        let first = builds.next()?;
-        builds.all(|build| build == first).then(|| first.clone())
-    }
-
-    /// Whether this daemon knew the published state at `since`, and the source is reachable since
-    /// its last outage.
-    pub fn is_current_since(&self, since: Instant) -> bool {
-        let inner = self.inner.lock();
-        inner.source_lost_at.is_none() && inner.known_since.is_some_and(|known| known <= since)
-    }
-
     /// Whether a backend server is published, whatever its state.
     pub fn has_server(&self, server: &Backend) -> bool {
         self.inner.lock().servers.contains_key(server)
@@ -223,6 +220,7 @@
     pub fn on_source_lost(&self, now: Instant) {
         let mut inner = self.inner.lock();
         inner.grace_until = None;
+        inner.knowledge.end();
         inner.source_lost_at.get_or_insert(now);
     }
 
@@ -253,17 +251,6 @@
         self.inner.lock().source_lost_at.is_none()
     }
 
-    /// Marks the state as out of date after a suspension of the process, until the source or a peer
-    /// has provided it again.
-    pub fn set_suspended(&self, suspended: bool) {
-        self.inner.lock().suspended = suspended;
-    }
-
-    /// Whether the state is out of date, so that it must not be used.
-    pub fn is_suspended(&self) -> bool {
-        self.inner.lock().suspended
-    }
-
     /// Removes servers whose grace time is over, and old deletions, unless the source is lost.
     /// Returns whether the state changed.
     pub fn expire(&self, now: Instant) -> bool {
@@ -407,10 +394,10 @@
                 event = "source_restored", applied = %self.applied, %position, %origin
             );
             self.restore.begin(now);
+            self.knowledge.end();
             self.grace_until = self.grace_until.max(Some(now + LAPSED_SERVER_GRACE));
         }
         self.applied = self.applied.max(position);
-        self.known_since.get_or_insert(now);
     }
 }
 
@@ -434,6 +421,7 @@
                 event = "environment", version = environment.version, revision = %position, %origin,
                 routes = environment.route_count()
             );
+            inner.update_limits(&environment, now);
             inner.environment = Some(Arc::new(*environment));
         }
         Value::Server(server) => {
@@ -470,7 +458,13 @@
         Key::Server(name) => {
             let source_lost = inner.source_lost_at.is_some();
             let grace_until = inner.grace_until.filter(|&until| until > now);
-            let Some(cached) = inner.servers.get_mut(name) else { return false };
+            let Some(cached) = inner.servers.get_mut(name) else {
+                // The server came and went between two fetches of records, and its build with it.
+                if position > inner.applied_before {
+                    inner.knowledge.restart(now);
+                }
+                return false;
+            };
             let leaving = cached.server.state == State::Draining;
             if !leaving && (source_lost || grace_until.is_some()) {
                 let until = grace_until.unwrap_or(now + LAPSED_SERVER_GRACE);
