policy: daemons share their measurements of backend server speeds

A daemon of a large fleet measures one engine once in 12 s or more, so it places most requests on engines whose speed it does not know.

Heartbeats carry a sample of the sender's recent measurements (at most 8 entries of 7 bytes) and its models of pools (at most 2 of 12 bytes). A daemon keeps the newest measurement of up to 16 daemons for each backend server and uses a low quantile of them, and the median of the models. The decode step and the delay by running requests become parameters of the model and are learned. The replay prints actual over predicted times to the first event.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -6,7 +6,9 @@
 
 use hyssop_view::{
     gossip::LocalState,
-    heartbeat::{Heartbeat, LeavingEntry, LimitEntry, LoadEntry, name_hash},
+    heartbeat::{
+        Heartbeat, LeavingEntry, LimitEntry, LoadEntry, ModelEntry, SpeedEntry, name_hash,
+    },
     member::WatcherCandidate,
 };
 
@@ -32,6 +34,9 @@
 /// The number of loads that take as much room as one entry of [`Heartbeat::limits`].
 const LOADS_PER_LIMIT_ENTRY: usize = 2;
 
+/// The number of measurements of speed that take as much room as a load.
+const SPEEDS_PER_LOAD: usize = 2;
+
 /// Publishes the daemon's state in heartbeats, and applies the state of peers.
 pub struct PeerSync {
     gateway: Arc<Gateway>,
@@ -73,20 +78,28 @@
             let suspects = gateway.suspects.lock();
             (suspects.blames(now), suspects.evidence(now))
         };
-        let (mut loads, leaving, mut limits) = {
+        let (mut loads, leaving, mut limits, speeds, models) = {
             let mut decider = gateway.decider.lock();
             let leaving = decider.leaving().take(MAX_LEAVING_ENTRIES);
             let leaving: Vec<LeavingEntry> = leaving
                 .map(|(backend_hash, incarnation)| LeavingEntry { backend_hash, incarnation })
                 .collect();
             let limits: Vec<LimitEntry> = decider.limits(now).map(Into::into).collect();
-            (decider.own_loads(now), leaving, limits)
+            let speeds: Vec<SpeedEntry> =
+                decider.speed_reports(now).into_iter().map(Into::into).collect();
+            let models: Vec<ModelEntry> =
+                decider.model_reports(now).into_iter().map(Into::into).collect();
+            (decider.own_loads(now), leaving, limits, speeds, models)
         };
         // An entry of `leaving` takes at most as much room as a load.
-        let max_loads =
-            MAX_LOAD_ENTRIES - LOADS_PER_EVIDENCE_ENTRY * evidence.len() - leaving.len();
+        // So does a model.
+        let max_loads = MAX_LOAD_ENTRIES
+            - LOADS_PER_EVIDENCE_ENTRY * evidence.len()
+            - leaving.len()
+            - speeds.len().div_ceil(SPEEDS_PER_LOAD)
+            - models.len();
         limits.shuffle(&mut rand::rng());
-        let max_limits = (max_loads - MIN_LOAD_ENTRIES) / LOADS_PER_LIMIT_ENTRY;
+        let max_limits = max_loads.saturating_sub(MIN_LOAD_ENTRIES) / LOADS_PER_LIMIT_ENTRY;
         limits.truncate(max_limits.min(MAX_LIMIT_ENTRIES));
         let max_loads = max_loads - LOADS_PER_LIMIT_ENTRY * limits.len();
         if loads.len() > max_loads {
@@ -110,12 +123,19 @@
             evidence,
             leaving,
             limits,
+            speeds,
+            models,
         }
     }
 
     fn on_heartbeat(&self, from: IpAddr, heartbeat: &Heartbeat, now: Instant) {
         let loads: Vec<_> = heartbeat.loads.iter().copied().map(Into::into).collect();
-        self.gateway.decider.lock().record_peer(from, &loads, now);
+        let speeds: Vec<_> = heartbeat.speeds.iter().copied().map(Into::into).collect();
+        let models: Vec<_> = heartbeat.models.iter().copied().map(Into::into).collect();
+        let mut decider = self.gateway.decider.lock();
+        decider.record_peer(from, &loads, now);
+        decider.record_speeds_of_peer(from, &speeds, &models, now);
+        drop(decider);
         for &LeavingEntry { backend_hash, incarnation } in &heartbeat.leaving {
             let mut decider = self.gateway.decider.lock();
             let server = decider.record_leaving_of_peer(backend_hash, incarnation, now);
--- a/crates/gateway/tests/rights.rs
+++ b/crates/gateway/tests/rights.rs
@@ -128,6 +128,8 @@
             evidence: Vec::new(),
             leaving: Vec::new(),
             limits: self.decider.limits(now).map(Into::into).collect(),
+            speeds: Vec::new(),
+            models: Vec::new(),
         }
     }
 
--- a/crates/policy/examples/replay/fleet.rs
+++ b/crates/policy/examples/replay/fleet.rs
@@ -13,9 +13,11 @@
 use hyssop_policy::local::{
     cold,
     decider::{Decider, Decision, End, Settings},
+    latency::Model,
     peer_loads::PeerLoads,
     repeats,
     server::{Load, SendId, Server},
+    speed,
 };
 use rand::{RngExt as _, SeedableRng as _, rngs::StdRng};
 
@@ -54,6 +56,10 @@
     pub(crate) first: Option<Duration>,
     /// The predicted and the actual time from the send to an engine to the first event.
     pub(crate) predicted: Option<(Duration, Duration)>,
+    /// The engine that sent the first event.
+    pub(crate) engine: Option<usize>,
+    /// When the request was sent to that engine.
+    pub(crate) sent: Duration,
 }
 
 /// The result of one run.
@@ -86,6 +92,8 @@
     from: usize,
     to: usize,
     loads: Vec<(u32, Load, Duration)>,
+    speeds: Vec<(u32, speed::Report)>,
+    models: Vec<(u32, [f64; Model::PARAMETERS])>,
 }
 
 struct Simulation<'a> {
@@ -180,8 +188,14 @@
         let arrivals =
             requests.iter().enumerate().map(|(index, request)| ((request.at, index), true));
         let arrivals = arrivals.collect();
-        let record =
-            |request| Record { request, outcome: Outcome::Failed, first: None, predicted: None };
+        let record = |request| Record {
+            request,
+            outcome: Outcome::Failed,
+            first: None,
+            predicted: None,
+            engine: None,
+            sent: Duration::ZERO,
+        };
         Self {
             down: vec![false; pattern.engines],
             daemons: (0..pattern.daemons).map(daemon).collect(),
@@ -262,6 +276,7 @@
                 decider.record_first_event(name, in_flight.send_id, now);
                 record.first = Some(at.saturating_sub(record.request.at));
                 record.predicted = Some((in_flight.predicted, at.saturating_sub(in_flight.sent)));
+                (record.engine, record.sent) = (Some(in_flight.engine), in_flight.sent);
                 return;
             }
             Event::Done { pause, .. } => {
@@ -306,7 +321,10 @@
             if !same_zone && !cross_zone {
                 continue;
             }
-            let loads = self.daemons[from].decider.own_loads(self.start + now);
+            let decider = &mut self.daemons[from].decider;
+            let loads = decider.own_loads(self.start + now);
+            let speeds = decider.speed_reports(self.start + now);
+            let models = decider.model_reports(self.start + now);
             for to in 0..self.daemons.len() {
                 let is_same_zone = self.daemons[from].zone == self.daemons[to].zone;
                 if from != to && if is_same_zone { same_zone } else { cross_zone } {
@@ -315,6 +333,8 @@
                         from,
                         to,
                         loads: loads.clone(),
+                        speeds: speeds.clone(),
+                        models: models.clone(),
                     });
                 }
             }
@@ -327,6 +347,8 @@
             let loads = heartbeat.loads.iter().map(|&(hash, load, _)| (hash, load)).collect();
             daemon.peer_loads.record(peer, loads, self.start + now);
             daemon.decider.record_peer(peer, &heartbeat.loads, self.start + now);
+            let Heartbeat { speeds, models, .. } = &heartbeat;
+            daemon.decider.record_speeds_of_peer(peer, speeds, models, self.start + now);
         }
     }
 
--- a/crates/policy/examples/replay/main.rs
+++ b/crates/policy/examples/replay/main.rs
@@ -48,7 +48,7 @@
         let runs: Vec<_> =
             policies.iter().map(|&policy| (policy, fleet::run(pattern, policy, seed))).collect();
         let summaries: Vec<_> =
-            runs.iter().map(|(policy, run)| (*policy, Summary::of(run))).collect();
+            runs.iter().map(|(policy, run)| (*policy, Summary::of(run, pattern))).collect();
         report::print(pattern, seed, &summaries);
         if let Some(path) = arguments.plot.as_ref().filter(|_| seed == arguments.seed) {
             report::plot(path, pattern, &runs)?;
--- a/crates/policy/src/local.rs
+++ b/crates/policy/src/local.rs
@@ -18,5 +18,6 @@
 pub mod reservation;
 pub mod server;
 pub mod silence;
+pub mod speed;
 pub mod urgency;
 pub mod window;
--- a/crates/policy/src/local/decider.rs
+++ b/crates/policy/src/local/decider.rs
@@ -5,6 +5,7 @@
 mod notices;
 mod placement;
 mod prefix;
+mod speeds;
 
 use std::{
     net::IpAddr,
@@ -21,24 +22,19 @@
     cold::Bound as ColdBound,
     demand::Demand,
     holders::Holders,
-    latency::Model,
     limit::Limits,
     notice::Notices,
     peer_loads::PeerLoads,
     repeats::{Bound as RepeatBound, Budget as RepeatBudget},
-    reservation::{self, Reservation},
-    server::{Load, Request, SendId, Server, State as ServerState},
+    reservation::Reservation,
+    server::{Load, SendId, Server, State as ServerState},
     silence::Examination,
+    speed::PoolModel,
     urgency::Kinds,
 };
 
 /// How long a backend server that rejected a request as full gets no requests.
 const REJECTION_BACKOFF: Duration = Duration::from_millis(60);
-/// The bounds on one slowness measurement, so that an outlier has little influence.
-const MIN_SLOWNESS: f64 = 0.3;
-const MAX_SLOWNESS: f64 = 10.0;
-/// The lower limit of the predicted time that a measurement is divided by.
-const MIN_BASELINE: Duration = Duration::from_millis(5);
 /// A first event that is later than this multiple of the predicted time plus this time may never
 /// come. Requests that may run again elsewhere are given up after the same time.
 const OVERDUE_THRESHOLD: (u32, Duration) = (3, Duration::from_millis(500));
@@ -168,7 +164,9 @@
     /// The kinds of requests for each pool of engines.
     kinds: Map<Pool, Kinds>,
     /// The speed of the backend servers of each pool.
-    models: Map<Pool, Model>,
+    models: Map<Pool, PoolModel>,
+    /// Counted to report a different sample of measurements in each heartbeat.
+    speed_reports: u64,
     last_send_id: u64,
     /// Counted to draw a different retry time for each refusal.
     refusals: u64,
@@ -191,6 +189,7 @@
             reservations: Map::default(),
             kinds: Map::default(),
             models: Map::default(),
+            speed_reports: 0,
             last_send_id: 0,
             refusals: 0,
         }
@@ -229,6 +228,7 @@
         for server in servers {
             let name = server.name.clone();
             self.by_hash.insert(server.hash, name.clone());
+            self.add_model(&server);
             let state = match previous.remove(&name) {
                 Some(mut state) if state.server.incarnation == server.incarnation => {
                     state.server = server;
@@ -264,6 +264,7 @@
     /// Removes the loads of peers without a recent heartbeat.
     pub fn expire_peers(&mut self, now: Instant) {
         self.peer_loads.expire(now);
+        self.expire_speeds(now);
     }
 
     /// Returns the backend servers that an attempt to connect must examine now, because they are
@@ -344,71 +345,15 @@
         }
         self.limits.record_sent(&placement.server);
         let model = self.model(demand);
+        let level = self.models.get(&demand.pool).map_or(0.0, PoolModel::present_level);
         if let Some(state) = self.servers.get_mut(&placement.server) {
-            let pending = placement.load.pending_tokens.saturating_add(placement.uncached_tokens);
-            let baseline = placement.predicted.div_f64(state.slowness());
-            let request = Request {
-                sent: now,
-                overdue_at: now + placement.overdue_after,
-                baseline,
-                prefill_ratio: model
-                    .prefill_time(f64::from(pending))
-                    .div_duration_f64(baseline.max(MIN_BASELINE))
-                    .min(1.0),
-                uncached_tokens: placement.uncached_tokens,
-                held_tokens: demand.held_tokens(),
-                has_begun: false,
-                decode_heavy: reservation::is_decode_heavy(demand),
-            };
+            let request = speeds::sent_request(state, (&model, level), placement, demand, now);
             state.requests.insert(send_id, request);
             state.sends.add(now);
             state.record_segments(demand, now);
         }
         send_id
     }
-
-    /// Records the first event of a request. Further calls for the same send have no effect.
-    pub fn record_first_event(&mut self, server: &Backend, send_id: SendId, now: Instant) {
-        let Some(state) = self.servers.get_mut(server) else { return };
-        let Some(request) = state.requests.get_mut(&send_id) else { return };
-        if request.has_begun {
-            return;
-        }
-        request.has_begun = true;
-        let (baseline, actual) =
-            (request.baseline.max(MIN_BASELINE), now.duration_since(request.sent));
-        let ratio = actual.div_duration_f64(baseline).clamp(MIN_SLOWNESS, MAX_SLOWNESS);
-        let prefill_ratio = request.prefill_ratio;
-        state.record_response(now);
-        let model = self.models.get_mut(&state.server.pool);
-        let correction = model.map_or(1.0, |model| model.record(ratio, prefill_ratio));
-        state.record_slowness(ratio / correction);
-    }
-
-    /// The model of the pool that serves a request.
-    fn model(&mut self, demand: &Demand) -> Model {
-        let initial = || match demand.prompt_tokens {
-            0 => Model::of_services(),
-            _ => Model::of_engines(),
-        };
-        *self.models.entry(demand.pool.clone()).or_insert_with(initial)
-    }
-
-    /// Records how a request ended.
-    pub fn record_end(&mut self, server: &Backend, send_id: SendId, end: End, now: Instant) {
-        let Some(state) = self.servers.get_mut(server) else { return };
-        let request = state.requests.remove(&send_id);
-        // A caller that leaves while its first event is overdue was not served: also a failure.
-        let overdue = request.is_some_and(|request| !request.has_begun && now > request.overdue_at);
-        match end {
-            End::Abandoned if overdue => state.record_failure(now),
-            End::Complete => state.failures = 0,
-            End::Unsent | End::Abandoned => {}
-            End::Rejected => state.avoid_until = Some(now + REJECTION_BACKOFF),
-            End::Failed => state.record_failure(now),
-            End::Unreachable => state.record_unreachable(now),
-        }
-    }
 }
 
 fn repeat_budget<'a>(
--- a/crates/policy/src/local/server.rs
+++ b/crates/policy/src/local/server.rs
@@ -1,6 +1,9 @@
 //! What a daemon has recorded about one backend server.
 
-use std::time::{Duration, Instant};
+use std::{
+    net::IpAddr,
+    time::{Duration, Instant},
+};
 
 use hyssop_document::{
     build::Build,
@@ -8,7 +11,13 @@
     name::{Backend, Pool, Zone},
 };
 
-use super::{demand::Demand, latency::Backlog, silence::Examination, window::Window};
+use super::{
+    demand::Demand,
+    latency::{Backlog, Shares},
+    silence::Examination,
+    speed::{self, Estimate, PoolModel, Recent, Report},
+    window::Window,
+};
 
 /// How long a backend server gets no requests after it could not be reached or a response failed.
 /// Doubles with each further failure.
@@ -120,15 +129,26 @@
     pub(super) overdue_at: Instant,
     /// The predicted time to the first event on a backend server of usual speed.
     pub(super) baseline: Duration,
-    /// The fraction of `baseline` that prefill takes, this request's and that of others.
-    pub(super) prefill_ratio: f64,
+    /// The logarithm of the pool's level that `baseline` includes.
+    pub(super) level: f64,
+    /// The parts of `baseline`.
+    pub(super) shares: Shares,
+    /// The predicted decoding time on a backend server of usual speed.
+    pub(super) decode: Duration,
     pub(super) uncached_tokens: u32,
     pub(super) held_tokens: u32,
-    /// Whether the first event has come.
-    pub(super) has_begun: bool,
+    /// When the first event came.
+    pub(super) begun_at: Option<Instant>,
     pub(super) decode_heavy: bool,
 }
 
+impl Request {
+    /// Whether the first event has come.
+    pub(super) fn has_begun(&self) -> bool {
+        self.begun_at.is_some()
+    }
+}
+
 /// The state of one backend server, as this daemon and its peers have observed it.
 #[derive(Debug)]
 pub struct State {
@@ -148,8 +168,14 @@
     /// The last first event of a response.
     last_response: Option<Instant>,
     /// How many times longer than predicted the backend server took, by this daemon's measurements.
+    own_slowness: f64,
+    own_measurements: u32,
+    /// The recent measurements of this daemon, as it reports them.
+    recent: Option<Recent>,
+    /// The recent measurements of all daemons.
+    estimate: Estimate,
+    /// The slowness by these, or by this daemon's own.
     slowness: f64,
-    measurements: u32,
     /// The last use of each segment by this daemon.
     pub(super) segments: Map<u64, Instant>,
 }
@@ -167,8 +193,11 @@
             unreachable_until: None,
             examination: Examination::None,
             last_response: None,
+            own_slowness: 1.0,
+            own_measurements: 0,
+            recent: None,
+            estimate: Estimate::default(),
             slowness: 1.0,
-            measurements: 0,
             segments: Map::default(),
         }
     }
@@ -184,7 +213,7 @@
             load.running += 1;
             load.decode_heavy += u32::from(request.decode_heavy);
             load.held_tokens = load.held_tokens.saturating_add(request.held_tokens);
-            if !request.has_begun {
+            if !request.has_begun() {
                 load.pending_tokens = load.pending_tokens.saturating_add(request.uncached_tokens);
             }
         }
@@ -193,13 +222,21 @@
 
     /// How many times longer than the others of its pool the backend server takes.
     pub(super) fn slowness(&self) -> f64 {
-        let own = f64::from(self.measurements);
-        (self.slowness * own + POOL_WEIGHT_MEASUREMENTS) / (own + POOL_WEIGHT_MEASUREMENTS)
+        self.slowness
+    }
+
+    /// The number of measurements behind [`Self::slowness`], at most one of each daemon if several
+    /// daemons have measured.
+    pub(super) fn measurements(&self) -> usize {
+        match self.estimate.quorum() {
+            0 => self.own_measurements as usize,
+            votes => votes,
+        }
     }
 
     /// Whether a response of the backend server has been measured.
     pub(super) fn is_measured(&self) -> bool {
-        self.measurements > 0
+        self.measurements() > 0
     }
 
     pub(super) fn backlog(&self, load: Load) -> Backlog {
@@ -255,7 +292,7 @@
 
     /// Whether a request waits for its first event far longer than was predicted.
     pub(super) fn is_overdue(&self, now: Instant) -> bool {
-        self.requests.values().any(|request| !request.has_begun && now > request.overdue_at)
+        self.requests.values().any(|request| !request.has_begun() && now > request.overdue_at)
     }
 
     /// Whether the backend server can't be reached, or failed many requests in a row.
@@ -316,12 +353,59 @@
 
     /// Adds a measurement: how many times longer the first event took than predicted for a backend
     /// server of usual speed.
-    pub(super) fn record_slowness(&mut self, ratio: f64) {
-        let ratio =
-            ratio.clamp(self.slowness / MAX_SLOWNESS_STEP, self.slowness * MAX_SLOWNESS_STEP);
-        self.measurements = (self.measurements + 1).min(MAX_MEASUREMENTS);
-        let gain = (1.0 / f64::from(self.measurements)).max(MIN_SLOWNESS_GAIN);
+    pub(super) fn record_slowness(&mut self, ratio: f64, pool: &mut PoolModel, now: Instant) {
+        let recent = Recent::add(self.recent, ratio.ln(), now);
+        self.recent = Some(recent);
+        self.estimate.record(None, pool.excess(recent.log), now);
+        pool.record_level(recent.log);
+        let own = self.own_slowness;
+        let ratio = ratio.clamp(own / MAX_SLOWNESS_STEP, own * MAX_SLOWNESS_STEP);
+        self.own_measurements = (self.own_measurements + 1).min(MAX_MEASUREMENTS);
+        let gain = (1.0 / f64::from(self.own_measurements)).max(MIN_SLOWNESS_GAIN);
         // The geometric mean: a few late first events count less than in the arithmetic one.
-        self.slowness *= (ratio / self.slowness).powf(gain);
+        self.own_slowness *= (ratio / own).powf(gain);
+        self.merge(now);
+    }
+
+    /// Adds what a peer has measured.
+    pub(super) fn record_report(
+        &mut self,
+        peer: IpAddr,
+        report: &Report,
+        pool: &mut PoolModel,
+        now: Instant,
+    ) {
+        let Some(slowness) = report.valid_slowness() else { return };
+        let Some(at) = now.checked_sub(report.age) else { return };
+        let is_same = report.incarnation == speed::incarnation_tag(self.server.incarnation);
+        let log = slowness.ln();
+        if is_same && self.estimate.record(Some(peer), pool.excess(log), at) {
+            pool.record_level(log);
+            self.merge(now);
+        }
+    }
+
+    /// This daemon's recent measurements, if there are any.
+    pub(super) fn report(&self, now: Instant) -> Option<Report> {
+        let recent = self.recent.as_ref()?;
+        let age = recent.age(now);
+        (age <= speed::MAX_REPORT_AGE).then(|| Report {
+            incarnation: speed::incarnation_tag(self.server.incarnation),
+            slowness: recent.log.exp(),
+            age,
+        })
+    }
+
+    /// Removes measurements that are too old.
+    pub(super) fn expire_measurements(&mut self, now: Instant) {
+        self.estimate.expire(now);
+        self.merge(now);
+    }
+
+    fn merge(&mut self, now: Instant) {
+        let own = f64::from(self.own_measurements);
+        let own_slowness =
+            (self.own_slowness * own + POOL_WEIGHT_MEASUREMENTS) / (own + POOL_WEIGHT_MEASUREMENTS);
+        self.slowness = self.estimate.slowness(now).unwrap_or(own_slowness);
     }
 }
--- a/crates/view/src/heartbeat.rs
+++ b/crates/view/src/heartbeat.rs
@@ -6,8 +6,12 @@
 };
 
 use hyssop_document::name::{Host, Zone};
-use hyssop_policy::local::limit::{Rate, Report};
 pub use hyssop_policy::local::server::Load;
+use hyssop_policy::local::{
+    latency::Model,
+    limit::{Rate, Report},
+    speed::Report as SpeedReport,
+};
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -123,6 +127,90 @@
     }
 }
 
+/// The steps of [`SpeedEntry::slowness`] for a factor of two, and its value for 1.
+const SLOWNESS_STEPS: f64 = 24.0;
+const USUAL_SLOWNESS: f64 = 96.0;
+/// The unit of [`SpeedEntry::age`] in ms.
+const AGE_UNIT_MS: u64 = 50;
+/// The steps of [`ModelEntry::parameters`] for a factor of two, and their value for 1.
+const PARAMETER_STEPS: f64 = 512.0;
+const PARAMETER_OF_ONE_MS: f64 = 8_192.0;
+/// The maximum value of a parameter, which is encoded in two bytes.
+const MAX_PARAMETER: f64 = 16_383.0;
+
+/// The sender's measurement of the speed of a backend server. Takes 7 bytes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SpeedEntry {
+    /// The [`name_hash`] of the backend server, without the variable length of a number.
+    pub backend_hash: [u8; 4],
+    /// The [`hyssop_policy::local::speed::incarnation_tag`] of the backend server.
+    pub incarnation: u8,
+    /// How many times longer than usual it took, on a logarithmic scale. 0 is invalid.
+    pub slowness: u8,
+    /// How long ago it was measured, in units of 50 ms.
+    pub age: u8,
+}
+
+impl From<(u32, SpeedReport)> for SpeedEntry {
+    fn from((backend_hash, report): (u32, SpeedReport)) -> Self {
+        let steps = report.slowness.log2() * SLOWNESS_STEPS + USUAL_SLOWNESS;
+        let age = report.age.as_millis() as u64 / AGE_UNIT_MS;
+        Self {
+            backend_hash: backend_hash.to_le_bytes(),
+            incarnation: report.incarnation,
+            slowness: steps.round().clamp(1.0, f64::from(u8::MAX)) as u8,
+            age: u8::try_from(age).unwrap_or(u8::MAX),
+        }
+    }
+}
+
+impl From<SpeedEntry> for (u32, SpeedReport) {
+    fn from(entry: SpeedEntry) -> Self {
+        let slowness = match entry.slowness {
+            0 => 0.0,
+            steps => ((f64::from(steps) - USUAL_SLOWNESS) / SLOWNESS_STEPS).exp2(),
+        };
+        let report = SpeedReport {
+            incarnation: entry.incarnation,
+            slowness,
+            age: Duration::from_millis(u64::from(entry.age) * AGE_UNIT_MS),
+        };
+        (u32::from_le_bytes(entry.backend_hash), report)
+    }
+}
+
+/// The sender's model of a pool. Takes 12 bytes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ModelEntry {
+    /// The hash of the pool's name.
+    pub pool_hash: [u8; 4],
+    /// The [`Model::parameters`], on a logarithmic scale; 0 stands for 0.
+    pub parameters: [u16; Model::PARAMETERS],
+}
+
+impl From<(u32, [f64; Model::PARAMETERS])> for ModelEntry {
+    fn from((pool_hash, parameters): (u32, [f64; Model::PARAMETERS])) -> Self {
+        let encode = |parameter: f64| match parameter {
+            0.0 => 0,
+            _ => {
+                let steps = parameter.log2() * PARAMETER_STEPS + PARAMETER_OF_ONE_MS;
+                steps.round().clamp(1.0, MAX_PARAMETER) as u16
+            }
+        };
+        Self { pool_hash: pool_hash.to_le_bytes(), parameters: parameters.map(encode) }
+    }
+}
+
+impl From<ModelEntry> for (u32, [f64; Model::PARAMETERS]) {
+    fn from(entry: ModelEntry) -> Self {
+        let decode = |steps: u16| match steps {
+            0 => 0.0,
+            _ => ((f64::from(steps) - PARAMETER_OF_ONE_MS) / PARAMETER_STEPS).exp2(),
+        };
+        (u32::from_le_bytes(entry.pool_hash), entry.parameters.map(decode))
+    }
+}
+
 /// A member of the sender's table.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberEntry {
@@ -167,6 +255,10 @@
     pub leaving: Vec<LeavingEntry>,
     /// Backend servers that named limits to the sender, or ended them.
     pub limits: Vec<LimitEntry>,
+    /// A sample of the sender's recent measurements of backend servers.
+    pub speeds: Vec<SpeedEntry>,
+    /// The sender's models of pools, if they have changed recently.
+    pub models: Vec<ModelEntry>,
 }
 
 impl MemberEntry {
--- a/crates/view/tests/origin.rs
+++ b/crates/view/tests/origin.rs
@@ -71,6 +71,8 @@
             evidence: Vec::new(),
             leaving: Vec::new(),
             limits: Vec::new(),
+            speeds: Vec::new(),
+            models: Vec::new(),
         };
         self.members.lock().record_heartbeat(other.ip, heartbeat, Instant::now());
     }
