policy: engine speeds are learned from gaps between events

Cause: measurements of first events count queues that a daemon did not observe as slowness.

Change: daemons share the gaps between events of streams, of which the low quantile tells the speed of an engine, and changes by less than a factor of 2 are followed slowly. First events tell the level of a pool, which predictions include if it is considerable. The relay reports events to the decider. `sent` logs the slowness and the number of measurements behind it.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -173,7 +173,11 @@
             return TryResult::Retry;
         };
         self.tries += 1;
-        let send_id = self.gateway.decider.lock().record_sent(&placement, &self.demand, now);
+        let (send_id, slowness) = {
+            let mut decider = self.gateway.decider.lock();
+            let slowness = decider.slowness(&placement.server);
+            (decider.record_sent(&placement, &self.demand, now), slowness)
+        };
         let suspect = suspect.then_some(self.fingerprint);
         let mut exchange = Exchange::new(Arc::clone(&self.gateway), server, send_id, suspect);
         tracing::info!(
@@ -183,6 +187,7 @@
             running = placement.load.running, queued_tokens = placement.load.pending_tokens,
             held_tokens = placement.load.held_tokens, aside = placement.reserved_engines,
             fetch_from = placement.cache_source.as_ref().map(Backend::as_str),
+            slowness = slowness.factor, measurements = slowness.measurements,
             prompt = self.demand.prompt_tokens, version = self.version,
             applied = %snapshot.applied,
             source_age_ms = self.gateway.cache.source_age_ms(now),
--- a/crates/gateway/src/call/exchange.rs
+++ b/crates/gateway/src/call/exchange.rs
@@ -341,6 +341,12 @@
         self.gateway.decider.lock().record_first_event(&self.server.name, self.send_id, now);
     }
 
+    /// Records the arrival of an event of a stream, from which the speed of the engine is learned.
+    pub(crate) fn record_event(&mut self) {
+        let now = Instant::now();
+        self.gateway.decider.lock().record_event(&self.server.name, self.send_id, now);
+    }
+
     /// How long ago the first event arrived, if one has.
     pub(crate) fn begun_for(&self) -> Option<Duration> {
         self.first_event_at.map(|at| at.elapsed())
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -101,6 +101,9 @@
     /// Returns the bytes to pass on, if any, and counts them.
     fn filter(&mut self, data: Bytes) -> Result<Option<Bytes>, Error> {
         self.exchange.record_first_event();
+        if self.event_filter.is_some() {
+            self.exchange.record_event();
+        }
         if self.exchange.begun_for().is_some_and(|begun| begun >= SURVIVAL_TIME) {
             self.record_survival();
         }
--- a/crates/policy/examples/replay/engine.rs
+++ b/crates/policy/examples/replay/engine.rs
@@ -51,6 +51,8 @@
 pub(crate) enum Event {
     /// The first event was sent.
     First { request: usize, at: Duration },
+    /// A further event was sent.
+    Next { request: usize, at: Duration },
     /// The response is complete. `pause` is the longest time between two of its events.
     Done { request: usize, at: Duration, pause: Duration },
     /// The engine crashed while it held the request.
@@ -221,6 +223,7 @@
             } else if sequence.generated.is_multiple_of(tokens_per_event) {
                 let pause = now - sequence.last_event;
                 sequence.longest_pause = sequence.longest_pause.max(pause);
+                events.push(Event::Next { request: sequence.request, at: now });
                 sequence.last_event = now;
             }
             if sequence.generated >= sequence.output_tokens {
--- a/crates/policy/examples/replay/fleet.rs
+++ b/crates/policy/examples/replay/fleet.rs
@@ -264,6 +264,7 @@
 
     fn apply_event(&mut self, event: Event) {
         let (Event::First { request, at }
+        | Event::Next { request, at }
         | Event::Done { request, at, .. }
         | Event::Lost { request, at }) = event;
         let now = self.start + at;
@@ -274,11 +275,16 @@
         match event {
             Event::First { .. } => {
                 decider.record_first_event(name, in_flight.send_id, now);
+                decider.record_event(name, in_flight.send_id, now);
                 record.first = Some(at.saturating_sub(record.request.at));
                 record.predicted = Some((in_flight.predicted, at.saturating_sub(in_flight.sent)));
                 (record.engine, record.sent) = (Some(in_flight.engine), in_flight.sent);
                 return;
             }
+            Event::Next { .. } => {
+                decider.record_event(name, in_flight.send_id, now);
+                return;
+            }
             Event::Done { pause, .. } => {
                 decider.record_end(name, in_flight.send_id, End::Complete, now);
                 let class = record.request.class;
--- a/crates/policy/src/local/decider/speeds.rs
+++ b/crates/policy/src/local/decider/speeds.rs
@@ -14,9 +14,9 @@
 use crate::local::{
     affinity,
     demand::Demand,
-    latency::Model,
+    latency::{self, Model},
     reservation,
-    server::{Request, SendId, Server, State as ServerState},
+    server::{Gaps, Request, SendId, Server, State as ServerState},
     speed::{self, PoolModel, Report},
 };
 
@@ -28,7 +28,7 @@
 /// The maximum number of measurements in one heartbeat.
 const MAX_SPEED_REPORTS: usize = 8;
 /// The maximum number of models of pools in one heartbeat.
-const MAX_MODEL_REPORTS: usize = 2;
+const MAX_MODEL_REPORTS: usize = 1;
 
 /// The slowness of a backend server, as used for placement.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -62,6 +62,8 @@
         uncached_tokens: placement.uncached_tokens,
         held_tokens: demand.held_tokens(),
         begun_at: None,
+        gaps: Gaps::default(),
+        running: placement.load.running,
         decode_heavy: reservation::is_decode_heavy(demand),
     }
 }
@@ -95,6 +97,17 @@
         state.record_slowness(ratio / after.relative_to(&before, &shares), model, now);
     }
 
+    /// Records any event of a stream, or the arrival of a part of it. The gaps between events tell the
+    /// speed of an engine without the queue before the first event.
+    pub fn record_event(&mut self, server: &Backend, send_id: SendId, now: Instant) {
+        let Some(state) = self.servers.get_mut(server) else { return };
+        let Some(request) = state.requests.get_mut(&send_id) else { return };
+        let Some(gap) = request.gaps.record(now) else { return };
+        let Some(model) = self.models.get_mut(&state.server.pool) else { return };
+        let usual = speed::REFERENCE_GAP.mul_f64(latency::batch_factor(request.running));
+        state.record_gap(gap.div_duration_f64(usual), model, now);
+    }
+
     /// The model of the pool that serves a request.
     pub(super) fn model(&mut self, demand: &Demand) -> Model {
         let initial = || {
--- a/crates/policy/src/local/latency.rs
+++ b/crates/policy/src/local/latency.rs
@@ -237,6 +237,11 @@
     pub slowness: f64,
 }
 
+/// How many times longer a step takes in a batch with this many other requests.
+pub(super) fn batch_factor(running: u32) -> f64 {
+    1.0 + STEP_MS_PER_RUNNING / STEP_MS * f64::from(running)
+}
+
 /// The prefill time of this many prompt tokens on an engine of usual speed. All daemons compute the
 /// same, unlike with a [`Model`].
 pub fn usual_prefill_time(tokens: f64) -> Duration {
--- a/crates/policy/src/local/server.rs
+++ b/crates/policy/src/local/server.rs
@@ -15,7 +15,7 @@
     demand::Demand,
     latency::{Backlog, Shares},
     silence::Examination,
-    speed::{self, Estimate, PoolModel, Recent, Report},
+    speed::{self, Estimate, KINDS, PoolModel, Recent, Report},
     window::Window,
 };
 
@@ -50,6 +50,12 @@
 /// event is more often the work of requests that this daemon has not observed.
 const MAX_SLOWNESS_STEP: f64 = 3.0;
 
+/// The number of events of a stream from which its gaps are measured. Among so many there are some
+/// without prefill in between, unless the engine prefills all the time.
+const EVENTS_PER_MEASUREMENT: u32 = 6;
+/// Data that arrives sooner after other data belongs to the same event.
+const MIN_GAP: Duration = Duration::from_millis(2);
+
 /// A backend server that may get requests.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Server {
@@ -139,9 +145,42 @@
     pub(super) held_tokens: u32,
     /// When the first event came.
     pub(super) begun_at: Option<Instant>,
+    /// The events since the last measurement of gaps.
+    pub(super) gaps: Gaps,
+    /// The running requests when it was sent.
+    pub(super) running: u32,
     pub(super) decode_heavy: bool,
 }
 
+/// Measures the gaps between the events of a stream.
+#[derive(Debug, Default)]
+pub(super) struct Gaps {
+    /// The last two events.
+    last: Option<Instant>,
+    before_last: Option<Instant>,
+    events: u32,
+    shortest: Option<Duration>,
+}
+
+impl Gaps {
+    /// Records an event. After every [`EVENTS_PER_MEASUREMENT`] returns the shortest gap among them.
+    ///
+    /// It is the mean of two consecutive gaps, so that an event that arrives late does not make the
+    /// next gap the shortest.
+    pub(super) fn record(&mut self, now: Instant) -> Option<Duration> {
+        if self.last.is_some_and(|last| now.saturating_duration_since(last) < MIN_GAP) {
+            return None;
+        }
+        if let Some(before_last) = self.before_last {
+            let gap = now.saturating_duration_since(before_last) / 2;
+            self.shortest = Some(self.shortest.map_or(gap, |shortest| shortest.min(gap)));
+        }
+        (self.before_last, self.last) = (self.last, Some(now));
+        self.events += 1;
+        (self.events.is_multiple_of(EVENTS_PER_MEASUREMENT)).then(|| self.shortest.take())?
+    }
+}
+
 impl Request {
     /// Whether the first event has come.
     pub(super) fn has_begun(&self) -> bool {
@@ -171,9 +210,9 @@
     own_slowness: f64,
     own_measurements: u32,
     /// The recent measurements of this daemon, as it reports them.
-    recent: Option<Recent>,
+    recent: [Option<Recent>; KINDS],
     /// The recent measurements of all daemons.
-    estimate: Estimate,
+    estimates: [Estimate; KINDS],
     /// The slowness by these, or by this daemon's own.
     slowness: f64,
     /// The last use of each segment by this daemon.
@@ -195,8 +234,8 @@
             last_response: None,
             own_slowness: 1.0,
             own_measurements: 0,
-            recent: None,
-            estimate: Estimate::default(),
+            recent: [None; KINDS],
+            estimates: Default::default(),
             slowness: 1.0,
             segments: Map::default(),
         }
@@ -228,7 +267,7 @@
     /// The number of measurements behind [`Self::slowness`], at most one of each daemon if several
     /// daemons have measured.
     pub(super) fn measurements(&self) -> usize {
-        match self.estimate.quorum() {
+        match self.estimates[speed::GAP].quorum() {
             0 => self.own_measurements as usize,
             votes => votes,
         }
@@ -354,10 +393,7 @@
     /// Adds a measurement: how many times longer the first event took than predicted for a backend
     /// server of usual speed.
     pub(super) fn record_slowness(&mut self, ratio: f64, pool: &mut PoolModel, now: Instant) {
-        let recent = Recent::add(self.recent, ratio.ln(), now);
-        self.recent = Some(recent);
-        self.estimate.record(None, pool.excess(recent.log), now);
-        pool.record_level(recent.log);
+        self.record_measurement(speed::FIRST_EVENT, ratio.ln(), pool, now);
         let own = self.own_slowness;
         let ratio = ratio.clamp(own / MAX_SLOWNESS_STEP, own * MAX_SLOWNESS_STEP);
         self.own_measurements = (self.own_measurements + 1).min(MAX_MEASUREMENTS);
@@ -367,6 +403,23 @@
         self.merge(now);
     }
 
+    /// Adds a measurement of the gaps between events.
+    pub(super) fn record_gap(&mut self, ratio: f64, pool: &mut PoolModel, now: Instant) {
+        self.record_measurement(speed::GAP, ratio.ln(), pool, now);
+        self.merge(now);
+    }
+
+    /// Adds the logarithm of a measurement to those of all daemons. Plain services don't share
+    /// theirs.
+    fn record_measurement(&mut self, kind: usize, log: f64, pool: &mut PoolModel, now: Instant) {
+        if self.server.cache_tokens.is_some() {
+            let recent = Recent::add(self.recent[kind], log, now);
+            self.recent[kind] = Some(recent);
+            self.estimates[kind].record(None, pool.excess(kind, recent.log), now);
+            pool.record_level(kind, recent.log);
+        }
+    }
+
     /// Adds what a peer has measured.
     pub(super) fn record_report(
         &mut self,
@@ -375,30 +428,33 @@
         pool: &mut PoolModel,
         now: Instant,
     ) {
-        let Some(slowness) = report.valid_slowness() else { return };
         let Some(at) = now.checked_sub(report.age) else { return };
-        let is_same = report.incarnation == speed::incarnation_tag(self.server.incarnation);
-        let log = slowness.ln();
-        if is_same && self.estimate.record(Some(peer), pool.excess(log), at) {
-            pool.record_level(log);
-            self.merge(now);
+        if report.incarnation != speed::incarnation_tag(self.server.incarnation) {
+            return;
+        }
+        for (kind, log) in report.logs().into_iter().enumerate() {
+            let Some(log) = log else { continue };
+            if self.estimates[kind].record(Some(peer), pool.excess(kind, log), at) {
+                pool.record_level(kind, log);
+                self.merge(now);
+            }
         }
     }
 
     /// This daemon's recent measurements, if there are any.
     pub(super) fn report(&self, now: Instant) -> Option<Report> {
-        let recent = self.recent.as_ref()?;
-        let age = recent.age(now);
-        (age <= speed::MAX_REPORT_AGE).then(|| Report {
-            incarnation: speed::incarnation_tag(self.server.incarnation),
-            slowness: recent.log.exp(),
-            age,
-        })
+        let age = self.recent.iter().flatten().map(|recent| recent.age(now)).min()?;
+        let slowness = self.recent.map(|recent| {
+            let recent = recent.filter(|recent| recent.age(now) <= age + speed::NEW_FOR);
+            recent.map_or(0.0, |recent| recent.log.exp())
+        });
+        let incarnation = speed::incarnation_tag(self.server.incarnation);
+        (age <= speed::MAX_REPORT_AGE).then_some(Report { incarnation, slowness, age })
     }
 
     /// Removes measurements that are too old.
     pub(super) fn expire_measurements(&mut self, now: Instant) {
-        self.estimate.expire(now);
+        self.estimates.iter_mut().for_each(|estimate| estimate.expire(now));
         self.merge(now);
     }
 
@@ -406,6 +462,6 @@
         let own = f64::from(self.own_measurements);
         let own_slowness =
             (self.own_slowness * own + POOL_WEIGHT_MEASUREMENTS) / (own + POOL_WEIGHT_MEASUREMENTS);
-        self.slowness = self.estimate.slowness(now).unwrap_or(own_slowness);
+        self.slowness = self.estimates[speed::GAP].slowness(now).unwrap_or(own_slowness);
     }
 }
--- a/crates/policy/src/local/speed.rs
+++ b/crates/policy/src/local/speed.rs
@@ -32,20 +32,27 @@
 const SPEED_QUANTILE: f64 = 0.3;
 /// The time in which an estimate follows half of a small deviation.
 const ESTIMATE_HALF_LIFE: Duration = Duration::from_millis(2_500);
-/// The deviation that is followed at once: a factor of 2, as a logarithm.
+/// The deviation that is followed once it has lasted: a factor of 2, as a logarithm.
 const LARGE_DEVIATION: f64 = std::f64::consts::LN_2;
+/// How long. Engines are at times slow for 600 ms.
+const LASTING: Duration = Duration::from_millis(700);
 /// The logarithms up to which a slowness does not count, and from which it counts in full: factors
 /// of 1.25 and 1.5. Queues cause smaller differences among equal engines, and if all daemons avoid the
 /// same ones for that, they overload the others.
 const INSIGNIFICANT_LOG: (f64, f64) = (0.22, 0.41);
 /// The time without measurements that halves the logarithm of a slowness.
 const UNMEASURED_HALF_LIFE: Duration = Duration::from_secs(4);
-/// The minimum weight of a new measurement in a pool's level, and by how much its logarithm may
-/// differ from it.
-const MIN_LEVEL_GAIN: f64 = 0.03;
+/// The minimum weight of a new measurement in a pool's level and in its low levels, and by how much
+/// its logarithm may differ from them.
+const MIN_LEVEL_GAIN: f64 = 0.01;
+const MIN_LOW_LEVEL_GAIN: f64 = 0.03;
 const MAX_LEVEL_STEP: f64 = 0.7;
+/// The level up to which predictions don't include it, and from which they include it in full:
+/// factors of 1.35 and 1.8. Including smaller ones made the replay of a large fleet of equal engines
+/// refuse requests that were in time without.
+const INSIGNIFICANT_LEVEL: (f64, f64) = (0.3, 0.6);
 /// The bounds on a reported slowness.
-const SLOWNESS: (f64, f64) = (0.1, 10.0);
+const SLOWNESS: (f64, f64) = (0.07, 60.0);
 /// How long this daemon's own measurement counts as new, so that each peer is sent it at least once.
 /// Peers in other zones are sent every second or third heartbeat, some of which get lost.
 pub(super) const NEW_FOR: Duration = Duration::from_secs(1);
@@ -57,23 +64,38 @@
 /// The weight that a merged model has when it becomes this daemon's own, in measurements.
 const ADOPTED_MEASUREMENTS: u32 = 10;
 
+/// The kinds of measurements: first events, which tell the level of a pool, and gaps between events,
+/// which tell the speed of an engine. A queue before a first event is no property of the engine: in
+/// the replay of a large fleet of equal engines, speeds from first events made all daemons avoid the
+/// same engines.
+pub const KINDS: usize = 2;
+/// The index of measurements of first events.
+pub(super) const FIRST_EVENT: usize = 0;
+/// The index of measurements of gaps.
+pub(super) const GAP: usize = 1;
+/// The gap that counts as a slowness of 1 in reports. Only ratios between engines are used.
+pub(super) const REFERENCE_GAP: Duration = Duration::from_millis(32);
+
 /// A daemon's recent measurement of a backend server.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Report {
     /// The [`incarnation_tag`] of the backend server.
     pub incarnation: u8,
-    /// How many times longer than usual in its pool the backend server took.
-    pub slowness: f64,
+    /// How many times longer than usual in its pool the backend server took for a first event, and
+    /// for the following events. 0 if that has not been measured.
+    pub slowness: [f64; KINDS],
     /// How long ago it was measured.
     pub age: Duration,
 }
 
 impl Report {
-    /// The slowness, if it is a possible one.
-    pub(super) fn valid_slowness(&self) -> Option<f64> {
+    /// The logarithms of the slownesses that are possible ones.
+    pub(super) fn logs(&self) -> [Option<f64>; KINDS] {
         let (least, most) = SLOWNESS;
-        let is_valid = self.slowness.is_finite() && self.slowness > 0.0;
-        is_valid.then(|| self.slowness.clamp(least, most))
+        self.slowness.map(|slowness| {
+            let is_valid = slowness.is_finite() && slowness > 0.0;
+            is_valid.then(|| slowness.clamp(least, most).ln())
+        })
     }
 }
 
@@ -165,6 +187,10 @@
     /// The logarithm, smoothed over time.
     log: f64,
     updated: Option<Instant>,
+    /// When there was the first estimate. The first ones follow the measurements at once.
+    begun: Option<Instant>,
+    /// Since when the measurements have deviated by more than [`LARGE_DEVIATION`].
+    deviating_since: Option<Instant>,
 }
 
 impl Estimate {
@@ -182,16 +208,27 @@
         self.votes.expire(now);
     }
 
-    /// Follows the measurements. A large deviation is followed at once, a small one slowly: it is
-    /// mostly a queue that daemons have not observed, and that all of them would avoid at once.
+    /// Follows the measurements. A large deviation is followed once it has lasted, a small one slowly:
+    /// it is mostly load that daemons have not observed, and that all of them would avoid at once.
     fn update(&mut self, now: Instant) -> Option<()> {
         let [log] = self.votes.quantiles(SPEED_QUANTILE)?;
+        let begun = *self.begun.get_or_insert(now);
         let elapsed =
             self.updated.map_or(Duration::ZERO, |updated| now.saturating_duration_since(updated));
         self.updated = Some(now);
         let deviation = log - self.log;
-        let gain = 1.0 - 0.5_f64.powf(elapsed.div_duration_f64(ESTIMATE_HALF_LIFE));
-        self.log += if deviation.abs() > LARGE_DEVIATION { deviation } else { deviation * gain };
+        if deviation.abs() <= LARGE_DEVIATION {
+            self.deviating_since = None;
+        }
+        self.log = if now.saturating_duration_since(begun) < LASTING {
+            log
+        } else if deviation.abs() <= LARGE_DEVIATION {
+            let gain = 1.0 - 0.5_f64.powf(elapsed.div_duration_f64(ESTIMATE_HALF_LIFE));
+            self.log + deviation * gain
+        } else {
+            let since = *self.deviating_since.get_or_insert(now);
+            if now.saturating_duration_since(since) < LASTING { self.log } else { log }
+        };
         Some(())
     }
 
@@ -250,6 +287,27 @@
     }
 }
 
+/// A low quantile of the measurements of all backend servers of a pool.
+#[derive(Debug, Clone, Copy, Default)]
+struct LowLevel {
+    log: f64,
+    measurements: u32,
+}
+
+impl LowLevel {
+    fn record(&mut self, log: f64) {
+        self.measurements = self.measurements.saturating_add(1);
+        if self.measurements == 1 {
+            self.log = log;
+            return;
+        }
+        let gain = (1.0 / f64::from(self.measurements)).max(MIN_LOW_LEVEL_GAIN);
+        let step = gain * (log - self.log).clamp(-MAX_LEVEL_STEP, MAX_LEVEL_STEP);
+        let weight = if step > 0.0 { SPEED_QUANTILE } else { 1.0 - SPEED_QUANTILE };
+        self.log += 2.0 * weight * step;
+    }
+}
+
 /// The model of one pool.
 #[derive(Debug)]
 pub(super) struct PoolModel {
@@ -263,9 +321,9 @@
     /// The logarithm by which measurements of all daemons exceed predictions at present, mostly
     /// because of requests that daemons have not observed. It is no property of a backend server.
     level: f64,
-    /// The same for [`SPEED_QUANTILE`] instead of the median.
-    low_level: f64,
     level_measurements: u32,
+    /// The same for [`SPEED_QUANTILE`] instead of the median, for each kind.
+    low_levels: [LowLevel; KINDS],
     votes: Votes<{ Model::PARAMETERS }>,
 }
 
@@ -277,8 +335,8 @@
             own: initial,
             measured_at: None,
             level: 0.0,
-            low_level: 0.0,
             level_measurements: 0,
+            low_levels: [LowLevel::default(); KINDS],
             votes: Votes::default(),
         }
     }
@@ -290,23 +348,24 @@
 
     /// The level that [`Self::present`] includes.
     pub(super) fn present_level(&self) -> f64 {
-        if self.votes.quorum() > 0 { self.level } else { 0.0 }
+        let (least, most) = INSIGNIFICANT_LEVEL;
+        let significance = ((self.level.abs() - least) / (most - least)).clamp(0.0, 1.0);
+        if self.votes.quorum() > 0 { self.level * significance } else { 0.0 }
     }
 
     /// By how much the logarithm of a measurement exceeds the low level of the pool.
-    pub(super) fn excess(&self, log: f64) -> f64 {
-        log - self.low_level
+    pub(super) fn excess(&self, kind: usize, log: f64) -> f64 {
+        log - self.low_levels[kind].log
     }
 
     /// Adds the logarithm of a measurement of any daemon to the levels.
-    pub(super) fn record_level(&mut self, log: f64) {
-        self.level_measurements = self.level_measurements.saturating_add(1);
-        let gain = (1.0 / f64::from(self.level_measurements)).max(MIN_LEVEL_GAIN);
-        let step = |level: f64| gain * (log - level).clamp(-MAX_LEVEL_STEP, MAX_LEVEL_STEP);
-        self.level += step(self.level);
-        let low_step = step(self.low_level) * 2.0;
-        self.low_level +=
-            low_step * if low_step > 0.0 { SPEED_QUANTILE } else { 1.0 - SPEED_QUANTILE };
+    pub(super) fn record_level(&mut self, kind: usize, log: f64) {
+        self.low_levels[kind].record(log);
+        if kind == FIRST_EVENT {
+            self.level_measurements = self.level_measurements.saturating_add(1);
+            let gain = (1.0 / f64::from(self.level_measurements)).max(MIN_LEVEL_GAIN);
+            self.level += gain * (log - self.level).clamp(-MAX_LEVEL_STEP, MAX_LEVEL_STEP);
+        }
     }
 
     /// Corrects the daemon's own model, and merges it with those of the others. `correct` gets the
--- a/crates/view/src/heartbeat.rs
+++ b/crates/view/src/heartbeat.rs
@@ -10,7 +10,7 @@
 use hyssop_policy::local::{
     latency::Model,
     limit::{Rate, Report},
-    speed::Report as SpeedReport,
+    speed::{KINDS, Report as SpeedReport},
 };
 use serde::{Deserialize, Serialize};
 
@@ -138,27 +138,34 @@
 /// The maximum value of a parameter, which is encoded in two bytes.
 const MAX_PARAMETER: f64 = 16_383.0;
 
-/// The sender's measurement of the speed of a backend server. Takes 7 bytes.
+/// The sender's measurement of the speed of a backend server. Takes 8 bytes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SpeedEntry {
     /// The [`name_hash`] of the backend server, without the variable length of a number.
     pub backend_hash: [u8; 4],
     /// The [`hyssop_policy::local::speed::incarnation_tag`] of the backend server.
     pub incarnation: u8,
-    /// How many times longer than usual it took, on a logarithmic scale. 0 is invalid.
-    pub slowness: u8,
+    /// How many times longer than usual it took for each kind of measurement, on a logarithmic
+    /// scale. 0 if it was not measured.
+    pub slowness: [u8; KINDS],
     /// How long ago it was measured, in units of 50 ms.
     pub age: u8,
 }
 
 impl From<(u32, SpeedReport)> for SpeedEntry {
     fn from((backend_hash, report): (u32, SpeedReport)) -> Self {
-        let steps = report.slowness.log2() * SLOWNESS_STEPS + USUAL_SLOWNESS;
+        let encode = |slowness: f64| match slowness {
+            0.0 => 0,
+            _ => {
+                let steps = slowness.log2() * SLOWNESS_STEPS + USUAL_SLOWNESS;
+                steps.round().clamp(1.0, f64::from(u8::MAX)) as u8
+            }
+        };
         let age = report.age.as_millis() as u64 / AGE_UNIT_MS;
         Self {
             backend_hash: backend_hash.to_le_bytes(),
             incarnation: report.incarnation,
-            slowness: steps.round().clamp(1.0, f64::from(u8::MAX)) as u8,
+            slowness: report.slowness.map(encode),
             age: u8::try_from(age).unwrap_or(u8::MAX),
         }
     }
@@ -166,13 +173,13 @@
 
 impl From<SpeedEntry> for (u32, SpeedReport) {
     fn from(entry: SpeedEntry) -> Self {
-        let slowness = match entry.slowness {
+        let decode = |steps: u8| match steps {
             0 => 0.0,
-            steps => ((f64::from(steps) - USUAL_SLOWNESS) / SLOWNESS_STEPS).exp2(),
+            _ => ((f64::from(steps) - USUAL_SLOWNESS) / SLOWNESS_STEPS).exp2(),
         };
         let report = SpeedReport {
             incarnation: entry.incarnation,
-            slowness,
+            slowness: entry.slowness.map(decode),
             age: Duration::from_millis(u64::from(entry.age) * AGE_UNIT_MS),
         };
         (u32::from_le_bytes(entry.backend_hash), report)
