--- a/crates/policy/src/local/speed.rs
+++ b/crates/policy/src/local/speed.rs
@@ -48,9 +48,9 @@
 const MIN_LOW_LEVEL_GAIN: f64 = 0.03;
 const MAX_LEVEL_STEP: f64 = 0.7;
 /// The level up to which predictions don't include it, and from which they include it in full:
-/// factors of 1.35 and 1.8. Including smaller ones made the replay of a large fleet of equal engines
+/// factors of 1.4 and 2.1. Including smaller ones made the replay of a large fleet of equal engines
 /// refuse requests that were in time without.
-const INSIGNIFICANT_LEVEL: (f64, f64) = (0.3, 0.6);
+const INSIGNIFICANT_LEVEL: (f64, f64) = (0.35, 0.75);
 /// The bounds on a reported slowness.
 const SLOWNESS: (f64, f64) = (0.07, 60.0);
 /// How long this daemon's own measurement counts as new, so that each peer is sent it at least once.
