--- a/crates/policy/src/local/server.rs
+++ b/crates/policy/src/local/server.rs
@@ -1,6 +1,9 @@
 //! What a daemon has recorded about one backend server.
 
-use std::time::{Duration, Instant};
+use std::{
+    net::IpAddr,
+    time::{Duration, Instant},
+};
 
 use hyssop_document::{
     build::Build,
@@ -8,7 +11,13 @@
     name::{Backend, Pool, Zone},
 };
 
-use super::{demand::Demand, latency::Backlog, silence::Examination, window::Window};
+use super::{
+    demand::Demand,
+    latency::{Backlog, Shares},
+    silence::Examination,
+    speed::{self, Estimate, KINDS, PoolModel, Recent, Report},
+    window::Window,
+};
 
 /// How long a backend server gets no requests after it could not be reached or a response failed.
 /// Doubles with each further failure.
@@ -43,6 +52,11 @@
 
 /// The divisor of the part by which the longest recent wait falls with each shorter one.
 const WAIT_DECAY_DIVISOR: u32 = 8;
+/// The number of events of a stream from which its gaps are measured. Among so many there are some
+/// without prefill in between, unless the engine prefills all the time.
+const EVENTS_PER_MEASUREMENT: u32 = 6;
+/// Data that arrives sooner after other data belongs to the same event.
+const MIN_GAP: Duration = Duration::from_millis(2);
 
 /// A backend server that may get requests.
 #[derive(Debug, Clone, PartialEq)]
@@ -125,15 +139,59 @@
     pub(super) predicted: Duration,
     /// The predicted time to the first event on a backend server of usual speed.
     pub(super) baseline: Duration,
-    /// The fraction of `baseline` that prefill takes, this request's and that of others.
-    pub(super) prefill_ratio: f64,
+    /// The logarithm of the pool's level that `baseline` includes.
+    pub(super) level: f64,
+    /// The parts of `baseline`.
+    pub(super) shares: Shares,
+    /// The predicted decoding time on a backend server of usual speed.
+    pub(super) decode: Duration,
     pub(super) uncached_tokens: u32,
     pub(super) held_tokens: u32,
-    /// Whether the first event has come.
-    pub(super) has_begun: bool,
+    /// When the first event came.
+    pub(super) begun_at: Option<Instant>,
+    /// The events since the last measurement of gaps.
+    pub(super) gaps: Gaps,
+    /// The running requests when it was sent.
+    pub(super) running: u32,
     pub(super) decode_heavy: bool,
 }
 
+/// Measures the gaps between the events of a stream.
+#[derive(Debug, Default)]
+pub(super) struct Gaps {
+    /// The last two events.
+    last: Option<Instant>,
+    before_last: Option<Instant>,
+    events: u32,
+    shortest: Option<Duration>,
+}
+
+impl Gaps {
+    /// Records an event. After every [`EVENTS_PER_MEASUREMENT`] returns the shortest gap among them.
+    ///
+    /// It is the mean of two consecutive gaps, so that an event that arrives late does not make the
+    /// next gap the shortest.
+    pub(super) fn record(&mut self, now: Instant) -> Option<Duration> {
+        if self.last.is_some_and(|last| now.saturating_duration_since(last) < MIN_GAP) {
+            return None;
+        }
+        if let Some(before_last) = self.before_last {
+            let gap = now.saturating_duration_since(before_last) / 2;
+            self.shortest = Some(self.shortest.map_or(gap, |shortest| shortest.min(gap)));
+        }
+        (self.before_last, self.last) = (self.last, Some(now));
+        self.events += 1;
+        (self.events.is_multiple_of(EVENTS_PER_MEASUREMENT)).then(|| self.shortest.take())?
+    }
+}
+
+impl Request {
+    /// Whether the first event has come.
+    pub(super) fn has_begun(&self) -> bool {
+        self.begun_at.is_some()
+    }
+}
+
 /// The state of one backend server, as this daemon and its peers have observed it.
 #[derive(Debug)]
 pub struct State {
@@ -155,8 +213,14 @@
     /// The longest recent time to a first event.
     pub(super) longest_wait: Option<Duration>,
     /// How many times longer than predicted the backend server took, by this daemon's measurements.
+    own_slowness: f64,
+    own_measurements: u32,
+    /// The recent measurements of this daemon, as it reports them.
+    recent: [Option<Recent>; KINDS],
+    /// The recent measurements of all daemons.
+    estimates: [Estimate; KINDS],
+    /// The slowness by these, or by this daemon's own.
     slowness: f64,
-    measurements: u32,
     /// The last use of each segment by this daemon.
     pub(super) segments: Map<u64, Instant>,
 }
@@ -175,8 +239,11 @@
             examination: Examination::None,
             last_response: None,
             longest_wait: None,
+            own_slowness: 1.0,
+            own_measurements: 0,
+            recent: [None; KINDS],
+            estimates: Default::default(),
             slowness: 1.0,
-            measurements: 0,
             segments: Map::default(),
         }
     }
@@ -192,7 +259,7 @@
             load.running += 1;
             load.decode_heavy += u32::from(request.decode_heavy);
             load.held_tokens = load.held_tokens.saturating_add(request.held_tokens);
-            if !request.has_begun {
+            if !request.has_begun() {
                 load.pending_tokens = load.pending_tokens.saturating_add(request.uncached_tokens);
             }
         }
@@ -201,13 +268,21 @@
 
     /// How many times longer than the others of its pool the backend server takes.
     pub(super) fn slowness(&self) -> f64 {
-        let own = f64::from(self.measurements);
-        (self.slowness * own + POOL_WEIGHT_MEASUREMENTS) / (own + POOL_WEIGHT_MEASUREMENTS)
+        self.slowness
+    }
+
+    /// The number of measurements behind [`Self::slowness`], at most one of each daemon if several
+    /// daemons have measured.
+    pub(super) fn measurements(&self) -> usize {
+        match self.estimates[speed::GAP].quorum() {
+            0 => self.own_measurements as usize,
+            votes => votes,
+        }
     }
 
     /// Whether a response of the backend server has been measured.
     pub(super) fn is_measured(&self) -> bool {
-        self.measurements > 0
+        self.measurements() > 0
     }
 
     pub(super) fn backlog(&self, load: Load) -> Backlog {
@@ -260,7 +335,7 @@
 
     /// Whether a request waits for its first event far longer than was predicted.
     pub(super) fn is_overdue(&self, now: Instant) -> bool {
-        self.requests.values().any(|request| !request.has_begun && now > request.overdue_at)
+        self.requests.values().any(|request| !request.has_begun() && now > request.overdue_at)
     }
 
     /// Whether the backend server can't be reached, or failed many requests in a row.
@@ -321,12 +396,76 @@
 
     /// Adds a measurement: how many times longer the first event took than predicted for a backend
     /// server of usual speed.
-    pub(super) fn record_slowness(&mut self, ratio: f64) {
-        let ratio =
-            ratio.clamp(self.slowness / MAX_SLOWNESS_STEP, self.slowness * MAX_SLOWNESS_STEP);
-        self.measurements = (self.measurements + 1).min(MAX_MEASUREMENTS);
-        let gain = (1.0 / f64::from(self.measurements)).max(MIN_SLOWNESS_GAIN);
+    pub(super) fn record_slowness(&mut self, ratio: f64, pool: &mut PoolModel, now: Instant) {
+        self.record_measurement(speed::FIRST_EVENT, ratio.ln(), pool, now);
+        let own = self.own_slowness;
+        let ratio = ratio.clamp(own / MAX_SLOWNESS_STEP, own * MAX_SLOWNESS_STEP);
+        self.own_measurements = (self.own_measurements + 1).min(MAX_MEASUREMENTS);
+        let gain = (1.0 / f64::from(self.own_measurements)).max(MIN_SLOWNESS_GAIN);
         // The geometric mean: a few late first events count less than in the arithmetic one.
-        self.slowness *= (ratio / self.slowness).powf(gain);
+        self.own_slowness *= (ratio / own).powf(gain);
+        self.merge(now);
+    }
+
+    /// Adds a measurement of the gaps between events.
+    pub(super) fn record_gap(&mut self, ratio: f64, pool: &mut PoolModel, now: Instant) {
+        self.record_measurement(speed::GAP, ratio.ln(), pool, now);
+        self.merge(now);
+    }
+
+    /// Adds the logarithm of a measurement to those of all daemons. Plain services don't share
+    /// theirs.
+    fn record_measurement(&mut self, kind: usize, log: f64, pool: &mut PoolModel, now: Instant) {
+        if self.server.cache_tokens.is_some() {
+            let recent = Recent::add(self.recent[kind], log, now);
+            self.recent[kind] = Some(recent);
+            self.estimates[kind].record(None, pool.excess(kind, recent.log), now);
+            pool.record_level(kind, recent.log);
+        }
+    }
+
+    /// Adds what a peer has measured.
+    pub(super) fn record_report(
+        &mut self,
+        peer: IpAddr,
+        report: &Report,
+        pool: &mut PoolModel,
+        now: Instant,
+    ) {
+        let Some(at) = now.checked_sub(report.age) else { return };
+        if report.incarnation != speed::incarnation_tag(self.server.incarnation) {
+            return;
+        }
+        for (kind, log) in report.logs().into_iter().enumerate() {
+            let Some(log) = log else { continue };
+            if self.estimates[kind].record(Some(peer), pool.excess(kind, log), at) {
+                pool.record_level(kind, log);
+                self.merge(now);
+            }
+        }
+    }
+
+    /// This daemon's recent measurements, if there are any.
+    pub(super) fn report(&self, now: Instant) -> Option<Report> {
+        let age = self.recent.iter().flatten().map(|recent| recent.age(now)).min()?;
+        let slowness = self.recent.map(|recent| {
+            let recent = recent.filter(|recent| recent.age(now) <= age + speed::NEW_FOR);
+            recent.map_or(0.0, |recent| recent.log.exp())
+        });
+        let incarnation = speed::incarnation_tag(self.server.incarnation);
+        (age <= speed::MAX_REPORT_AGE).then_some(Report { incarnation, slowness, age })
+    }
+
+    /// Removes measurements that are too old.
+    pub(super) fn expire_measurements(&mut self, now: Instant) {
+        self.estimates.iter_mut().for_each(|estimate| estimate.expire(now));
+        self.merge(now);
+    }
+
+    fn merge(&mut self, now: Instant) {
+        let own = f64::from(self.own_measurements);
+        let own_slowness =
+            (self.own_slowness * own + POOL_WEIGHT_MEASUREMENTS) / (own + POOL_WEIGHT_MEASUREMENTS);
+        self.slowness = self.estimates[speed::GAP].slowness(now).unwrap_or(own_slowness);
     }
 }
--- a/crates/policy/src/local/silence.rs
+++ b/crates/policy/src/local/silence.rs
@@ -66,7 +66,7 @@
 fn lateness(state: &ServerState, contact: &Contact, now: Instant) -> Duration {
     let longest = state.longest_wait.map_or(Duration::MAX, |wait| wait * MAX_WAIT_RATIO);
     let late_by = state.requests.values().map(|request| {
-        if request.has_begun {
+        if request.has_begun() {
             return contact.sent_nothing_for.saturating_sub(contact.usual_gap);
         }
         let predicted = request.baseline.mul_f64(state.slowness());
