policy: refused callers return one after the other

Cause: a refused caller was told the excess of the best engine times a random factor, so a burst that was refused together returned together.

Change: with `fair_shares` a refused caller books a turn. Turns of a class follow each other at the rate at which the daemon's own requests of that class began in the last two seconds. Callers with all their time left get every second turn; the ones between are for callers with less time. No caller is told more than a third of its time.

--- a/crates/gateway/src/call/builder.rs
+++ b/crates/gateway/src/call/builder.rs
@@ -3,7 +3,7 @@
 use std::{
     hash::{BuildHasher as _, Hasher as _},
     sync::Arc,
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
@@ -24,6 +24,10 @@
 /// Identical on all daemons, since they exchange fingerprints.
 const FINGERPRINT_SEED: u64 = 0x6879_7373_6f70;
 
+/// The time by which the deadline of a returning caller is shorter at least than its route allows.
+/// Callers round their deadlines, and their clocks and the network add some ms.
+const RETURN_MARGIN: Duration = Duration::from_millis(50);
+
 /// Builds a [`Call`].
 pub struct Builder {
     gateway: Arc<Gateway>,
@@ -98,6 +102,7 @@
         let tier = self.workspace.as_ref().and_then(|workspace| workspace.tier);
         let tier = tier.unwrap_or(self.route.tier);
         let expected = self.meta.expected_output_tokens.unwrap_or(self.meta.max_output_tokens);
+        let left = self.deadline.saturating_duration_since(self.arrived);
         let demand = Demand {
             pool: choose_pool(&self.route.pools),
             tier,
@@ -112,6 +117,8 @@
             excluded: Vec::new(),
             is_repeat: false,
             may_have_run: false,
+            workspace: self.workspace.as_deref().map(Workspace::demand),
+            is_returning: left + RETURN_MARGIN < self.route.timeout,
         };
         Call {
             fingerprint: self.fingerprint(),
--- a/crates/gateway/src/environment.rs
+++ b/crates/gateway/src/environment.rs
@@ -9,6 +9,8 @@
     name::{Pool as PoolName, Workspace as WorkspaceName},
     number::Tier,
 };
+use hyssop_policy::local::demand;
+use hyssop_view::heartbeat::name_hash;
 
 /// Whether a request may run again on another backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
@@ -92,6 +94,18 @@
     pub name: WorkspaceName,
     /// The tier of the workspace's requests, in place of the tier of their route.
     pub tier: Option<Tier>,
+    /// The workspace's part of a pool that is short of capacity, relative to other workspaces.
+    pub weight: u32,
+}
+
+impl Workspace {
+    /// The weight of a workspace for which operators declare none.
+    pub const DEFAULT_WEIGHT: u32 = 1;
+
+    /// The properties that placement depends on.
+    pub fn demand(&self) -> demand::Workspace {
+        demand::Workspace { hash: name_hash(self.name.as_str()), weight: self.weight }
+    }
 }
 
 /// Limits on what callers send.
--- a/crates/gateway/tests/rights.rs
+++ b/crates/gateway/tests/rights.rs
@@ -72,6 +72,8 @@
         excluded: Vec::new(),
         is_repeat,
         may_have_run: false,
+        workspace: None,
+        is_returning: false,
     }
 }
 
@@ -99,7 +101,13 @@
     ) -> Self {
         let own_hash = name_hash(&format!("host-{index}"));
         let zone = Zone::new("a");
-        let mut decider = Decider::new(Settings { zone, own_hash, cold: COLD, repeats: REPEATS });
+        let mut decider = Decider::new(Settings {
+            zone,
+            own_hash,
+            cold: COLD,
+            repeats: REPEATS,
+            fair_shares: false,
+        });
         decider.set_servers(vec![server()]);
         if is_cold {
             decider.record_cold(&server().name, now + Duration::from_secs(100_000));
--- a/crates/policy/examples/replay/fleet.rs
+++ b/crates/policy/examples/replay/fleet.rs
@@ -161,6 +161,7 @@
                     burst: 58.0,
                     window: Duration::from_secs(10),
                 },
+                fair_shares: policy == Policy::Fair,
             });
             decider.set_members((0..pattern.daemons as u32).collect(), true);
             decider.set_servers(servers.clone());
@@ -383,7 +384,7 @@
     ) -> Decision {
         let daemon = &mut self.daemons[at];
         let own: BTreeMap<u32, Load> = match self.policy {
-            Policy::Local => BTreeMap::new(),
+            Policy::Local | Policy::Fair => BTreeMap::new(),
             _ => {
                 let own = daemon.decider.own_loads(self.start + now).into_iter();
                 own.map(|(hash, load, _)| (hash, load)).collect()
--- a/crates/policy/examples/replay/main.rs
+++ b/crates/policy/examples/replay/main.rs
@@ -25,7 +25,7 @@
     /// contended.
     #[arg(long, default_value = "burst")]
     pattern: Pattern,
-    /// The policies: local, least, finish or hashing. Default: all.
+    /// The policies: local, fair, least, finish or hashing. Default: all but fair.
     #[arg(long)]
     policy: Vec<Policy>,
     /// The first seed.
--- a/crates/policy/examples/replay/pattern.rs
+++ b/crates/policy/examples/replay/pattern.rs
@@ -11,6 +11,9 @@
 
 use crate::engine::Spec;
 
+/// The time by which the deadline of a request that returns is shorter at least.
+const RETURN_MARGIN: Duration = Duration::from_millis(50);
+
 /// The kind of load that a request is to an engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
 pub(crate) enum Kind {
@@ -364,6 +367,8 @@
             excluded: Vec::new(),
             is_repeat: false,
             may_have_run: false,
+            workspace: None,
+            is_returning: deadline - arrived + RETURN_MARGIN < self.class.deadline,
         }
     }
 }
--- a/crates/policy/examples/replay/policy.rs
+++ b/crates/policy/examples/replay/policy.rs
@@ -16,6 +16,9 @@
     /// The daemon's own placement.
     #[display("local decisions")]
     Local,
+    /// The daemon's own placement, with shares of workspaces and turns of refused callers.
+    #[display("fair shares")]
+    Fair,
     /// The engine with the fewest requests, by the loads that daemons report.
     #[display("least loaded")]
     LeastLoaded,
@@ -40,7 +43,7 @@
         demand: &Demand,
         now: std::time::Instant,
     ) -> Decision {
-        if self == Self::Local {
+        if matches!(self, Self::Local | Self::Fair) {
             return decider.place_request(demand, now);
         }
         let usable = engines.iter().filter(|engine| !demand.excluded.contains(&engine.name));
@@ -56,7 +59,7 @@
                 Model::of_engines().time_to_first_event(&backlog, f64::from(demand.prompt_tokens));
             let prefix = demand.shared_prefix().map_or(0, |segment| segment.id);
             let order = match self {
-                Self::Local | Self::LeastLoaded => u64::from(load.running),
+                Self::Local | Self::Fair | Self::LeastLoaded => u64::from(load.running),
                 Self::ExpectedFinish => predicted.as_micros() as u64,
                 Self::Hashing => u64::MAX - affinity::weight(engine.hash, prefix),
             };
@@ -80,7 +83,7 @@
 
 /// No policy has this name.
 #[derive(Debug, derive_more::Display, derive_more::Error)]
-#[display("the policies are: local, least, finish, hashing")]
+#[display("the policies are: local, fair, least, finish, hashing")]
 pub(crate) struct UnknownPolicy;
 
 impl FromStr for Policy {
@@ -89,6 +92,7 @@
     fn from_str(name: &str) -> Result<Self, Self::Err> {
         match name {
             "local" => Ok(Self::Local),
+            "fair" => Ok(Self::Fair),
             "least" => Ok(Self::LeastLoaded),
             "finish" => Ok(Self::ExpectedFinish),
             "hashing" => Ok(Self::Hashing),
--- a/crates/policy/src/local.rs
+++ b/crates/policy/src/local.rs
@@ -4,6 +4,7 @@
 //! request itself. It has exact counts of its own requests; the load of other daemons is as old as
 //! their last heartbeat. No I/O: events are passed in with their time, decisions are returned.
 
+pub mod admission;
 pub mod affinity;
 pub mod cold;
 pub mod decider;
--- a/crates/policy/src/local/decider.rs
+++ b/crates/policy/src/local/decider.rs
@@ -1,5 +1,6 @@
 //! Placement decisions of one daemon, from the state of backend servers and the daemon's shares.
 
+mod admission;
 mod cost;
 mod eligibility;
 mod notices;
@@ -17,6 +18,7 @@
 };
 
 use super::{
+    admission::Admission,
     affinity,
     cold::Bound as ColdBound,
     demand::Demand,
@@ -149,6 +151,8 @@
     pub cold: ColdBound,
     /// The bound on repeats.
     pub repeats: RepeatBound,
+    /// Whether workspaces have shares of a pool that is short of capacity, and refused callers turns.
+    pub fair_shares: bool,
 }
 
 /// Places the requests of one daemon.
@@ -169,6 +173,8 @@
     kinds: Map<Pool, Kinds>,
     /// The speed of the backend servers of each pool.
     models: Map<Pool, Model>,
+    /// The shortage of capacity of each pool of engines.
+    admissions: Map<Pool, Admission>,
     last_send_id: u64,
     /// Counted to draw a different retry time for each refusal.
     refusals: u64,
@@ -191,6 +197,7 @@
             reservations: Map::default(),
             kinds: Map::default(),
             models: Map::default(),
+            admissions: Map::default(),
             last_send_id: 0,
             refusals: 0,
         }
@@ -343,6 +350,7 @@
             repeats.record_first_send(now);
         }
         self.limits.record_sent(&placement.server);
+        self.record_start(placement, demand, now);
         let model = self.model(demand);
         if let Some(state) = self.servers.get_mut(&placement.server) {
             let pending = placement.load.pending_tokens.saturating_add(placement.uncached_tokens);
--- a/crates/policy/src/local/decider/placement.rs
+++ b/crates/policy/src/local/decider/placement.rs
@@ -151,8 +151,7 @@
         let mut placement = match self.cheapest(&selection.candidates, partition, demand, now) {
             Ok(placement) => placement,
             Err(Overload { excess, predicted }) => {
-                let retry_after = excess.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
-                let retry_after = retry_after.mul_f64(self.retry_jitter());
+                let retry_after = self.return_time(demand, excess, now);
                 let predicted = Some(predicted);
                 return Decision::Refuse { reason: Reason::Overload, retry_after, predicted };
             }
@@ -171,10 +170,15 @@
     }
 
     /// A factor from 1 to 1 + [`RETRY_JITTER_RATIO`] that differs in each call.
-    fn retry_jitter(&mut self) -> f64 {
+    pub(super) fn retry_jitter(&mut self) -> f64 {
+        1.0 + RETRY_JITTER_RATIO * self.draw()
+    }
+
+    /// A number from 0 to 1 that differs in each call.
+    pub(super) fn draw(&mut self) -> f64 {
         self.refusals += 1;
         let drawn = affinity::weight(self.settings.own_hash, self.refusals) >> 11;
-        1.0 + RETRY_JITTER_RATIO * drawn as f64 / (1_u64 << 53) as f64
+        drawn as f64 / (1_u64 << 53) as f64
     }
 
     /// The candidate with the least cost among those that serve the request and more urgent ones in
--- a/crates/policy/src/local/demand.rs
+++ b/crates/policy/src/local/demand.rs
@@ -33,6 +33,15 @@
     }
 }
 
+/// The workspace of a request, as far as placement depends on it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Workspace {
+    /// The hash of the workspace's name, the same in all daemons.
+    pub hash: u32,
+    /// The workspace's part of a pool that is short of capacity, relative to other workspaces.
+    pub weight: u32,
+}
+
 /// What a request needs.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Demand {
@@ -64,6 +73,10 @@
     /// Whether a backend server may have run the request, or part of it. Then it can't be refused any
     /// more, only fail.
     pub may_have_run: bool,
+    /// The workspace. Requests without one count as those of one workspace.
+    pub workspace: Option<Workspace>,
+    /// Whether the caller has less time left than its route allows: it has been refused before.
+    pub is_returning: bool,
 }
 
 impl Demand {
--- a/crates/policy/tests/local/mod.rs
+++ b/crates/policy/tests/local/mod.rs
@@ -25,9 +25,13 @@
 
 pub const PEER: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
 
-pub fn decider(zone: &str) -> Decider {
+pub fn settings(zone: &str) -> Settings {
     let zone = Zone::new(zone);
-    let mut decider = Decider::new(Settings { zone, own_hash: 1, cold: COLD, repeats: REPEATS });
+    Settings { zone, own_hash: 1, cold: COLD, repeats: REPEATS, fair_shares: false }
+}
+
+pub fn decider(zone: &str) -> Decider {
+    let mut decider = Decider::new(settings(zone));
     decider.set_members(vec![1], true);
     decider
 }
@@ -79,6 +83,8 @@
         excluded: Vec::new(),
         is_repeat: false,
         may_have_run: false,
+        workspace: None,
+        is_returning: false,
     }
 }
 
--- a/crates/policy/tests/local_limits.rs
+++ b/crates/policy/tests/local_limits.rs
@@ -66,7 +66,7 @@
         let members: Vec<u32> = (1..=40).collect();
         let sending = members.iter().filter(|&&own| {
             let zone = service(0).zone;
-            let settings = Settings { zone, own_hash: own, cold: COLD, repeats: REPEATS };
+            let settings = Settings { own_hash: own, ..settings(zone.as_str()) };
             let mut decider = Decider::new(settings);
             decider.set_servers(vec![service(0)]);
             decider.set_members(members.clone(), true);
--- a/crates/policy/tests/local_urgency.rs
+++ b/crates/policy/tests/local_urgency.rs
@@ -173,8 +173,7 @@
 
 fn decider_of(index: usize) -> Decider {
     use hyssop_policy::local::decider::Settings;
-    let zone = hyssop_document::name::Zone::new("a");
-    Decider::new(Settings { zone, own_hash: index as u32, cold: COLD, repeats: REPEATS })
+    Decider::new(Settings { own_hash: index as u32, ..settings("a") })
 }
 
 /// A burst that asks for one and a half times what the engines can prefill, most of it by less
