policy: workspaces have shares while capacity is short

Cause: workspaces were not isolated. One that sent several times its usual load took capacity from all others.

Change: with `fair_shares` (settings file, default false) a class that is short of capacity is divided among workspaces by engine time. A workspace above the level that the others leave to it has a fraction of its requests served at each daemon, and borrows only where there is room. Refusals have the reason `share` (503), `share_ratio` in the `answered` line, and the counter `hyssop_share_refusals_total`. Heartbeats carry the largest workspaces, some 60 bytes and only while capacity is short. New requests give way to returning ones while these are refused.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -18,7 +18,7 @@
 use hyssop_backend::blame::{Fingerprint, Status};
 use hyssop_document::{name::Backend, number::Tier};
 use hyssop_policy::local::{
-    decider::{Decision, End},
+    decider::{self, Decision, End},
     demand::{Demand, SegmentIds},
 };
 
@@ -87,6 +87,8 @@
     saved_response: Option<(Head, Bytes)>,
     /// The predicted time to the first event at the time of a refusal.
     predicted: Option<Duration>,
+    /// The fraction of its workspace's requests that is served, if that refused the call.
+    share_ratio: Option<f64>,
     /// Counts the request as running, once it is being served.
     running: Option<Running>,
 }
@@ -164,6 +166,7 @@
             Decision::Send(placement) => placement,
             Decision::Refuse { reason, retry_after, predicted } => {
                 self.predicted = predicted;
+                self.note_share(reason);
                 return TryResult::Failed(self.refusal(reason.into(), retry_after));
             }
         };
@@ -253,6 +256,16 @@
         self.gateway.decider.lock().place_request(&self.demand, now)
     }
 
+    /// Counts a refusal by share, and keeps its figure for the log.
+    fn note_share(&mut self, reason: decider::Reason) {
+        if reason == decider::Reason::Share {
+            let ratio = self.gateway.decider.lock().share_ratio(&self.demand);
+            self.share_ratio = Some(ratio);
+            let workspace = self.workspace.as_ref().map_or("", |workspace| workspace.name.as_str());
+            self.gateway.metrics.count_share_refusal(workspace);
+        }
+    }
+
     fn refusal(&self, reason: Reason, retry_after: Duration) -> Failure {
         if self.runs > 0 {
             // A refusal states that nothing has run, which is no longer certain.
@@ -410,6 +423,7 @@
             version = self.version, after_ms = elapsed_ms(self.arrived),
             retry_after_ms = refusal.retry_after.map(|after| after.as_millis() as u64),
             predicted_ms = self.predicted.map(|predicted| predicted.as_millis() as u64),
+            share_ratio = self.share_ratio, returning = self.demand.is_returning,
             source_age_ms = self.gateway.cache.source_age_ms(Instant::now())
         );
         let reason = compact_str::format_compact!("{}", refusal.reason);
--- a/crates/gateway/src/call/builder.rs
+++ b/crates/gateway/src/call/builder.rs
@@ -142,6 +142,7 @@
             version: self.version,
             saved_response: None,
             predicted: None,
+            share_ratio: None,
             running: None,
         }
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -32,6 +32,11 @@
     notice: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct WorkspaceLabels {
+    workspace: String,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct AttemptLabels {
     end: String,
@@ -49,6 +54,7 @@
     responses: Family<ResponseLabels, Counter>,
     attempts: Family<AttemptLabels, Counter>,
     notices: Family<NoticeLabels, Counter>,
+    share_refusals: Family<WorkspaceLabels, Counter>,
     first_event: Family<RouteLabels, Histogram, fn() -> Histogram>,
     response_time: Family<RouteLabels, Histogram, fn() -> Histogram>,
     /// The number of requests being served.
@@ -71,6 +77,7 @@
         let responses = Family::default();
         let attempts = Family::default();
         let notices = Family::default();
+        let share_refusals = Family::default();
         let first_event = Family::new_with_constructor(histogram as fn() -> Histogram);
         let response_time = Family::new_with_constructor(histogram as fn() -> Histogram);
         let (running, connections) = (Gauge::default(), Gauge::default());
@@ -78,6 +85,8 @@
         registry.register("answers", "Answers to callers", responses.clone());
         registry.register("attempts", "Requests sent to backend servers", attempts.clone());
         registry.register("server_notices", "Notices of backend servers", notices.clone());
+        let help = "Requests refused because their workspace has had its share";
+        registry.register("share_refusals", help, share_refusals.clone());
         registry.register("first_event_seconds", "Time to the first event", first_event.clone());
         registry.register("answer_seconds", "Time to the end of the answer", response_time.clone());
         registry.register("running", "Requests being served", running.clone());
@@ -97,6 +106,7 @@
             responses,
             attempts,
             notices,
+            share_refusals,
             first_event,
             response_time,
             running,
@@ -143,6 +153,12 @@
         self.notices.get_or_create(&NoticeLabels { notice }).inc();
     }
 
+    /// Counts a request that was refused by the share of its workspace, empty for none.
+    pub fn count_share_refusal(&self, workspace: &str) {
+        let labels = WorkspaceLabels { workspace: workspace.into() };
+        self.share_refusals.get_or_create(&labels).inc();
+    }
+
     /// Observes the time from a request's arrival to its first event.
     pub fn observe_first_event(&self, route: &str, after: Duration) {
         let labels = RouteLabels { route: route.into() };
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -31,6 +31,8 @@
 const MAX_LIMIT_ENTRIES: usize = 8;
 /// The number of loads that take as much room as one entry of [`Heartbeat::limits`].
 const LOADS_PER_LIMIT_ENTRY: usize = 2;
+/// The number of loads that take as much room as [`Heartbeat::shortages`], which has some 60 bytes.
+const LOADS_PER_SHORTAGES: usize = 4;
 
 /// Publishes the daemon's state in heartbeats, and applies the state of peers.
 pub struct PeerSync {
@@ -73,6 +75,8 @@
             let suspects = gateway.suspects.lock();
             (suspects.blames(now), suspects.evidence(now))
         };
+        let shortages = gateway.decider.lock().shortages(now);
+        let shortage_loads = if shortages.is_empty() { 0 } else { LOADS_PER_SHORTAGES };
         let (mut loads, leaving, mut limits) = {
             let mut decider = gateway.decider.lock();
             let leaving = decider.leaving().take(MAX_LEAVING_ENTRIES);
@@ -83,8 +87,10 @@
             (decider.own_loads(now), leaving, limits)
         };
         // An entry of `leaving` takes at most as much room as a load.
-        let max_loads =
-            MAX_LOAD_ENTRIES - LOADS_PER_EVIDENCE_ENTRY * evidence.len() - leaving.len();
+        let max_loads = MAX_LOAD_ENTRIES
+            - LOADS_PER_EVIDENCE_ENTRY * evidence.len()
+            - leaving.len()
+            - shortage_loads;
         limits.shuffle(&mut rand::rng());
         let max_limits = (max_loads - MIN_LOAD_ENTRIES) / LOADS_PER_LIMIT_ENTRY;
         limits.truncate(max_limits.min(MAX_LIMIT_ENTRIES));
@@ -110,12 +116,17 @@
             evidence,
             leaving,
             limits,
+            shortages,
         }
     }
 
     fn on_heartbeat(&self, from: IpAddr, heartbeat: &Heartbeat, now: Instant) {
         let loads: Vec<_> = heartbeat.loads.iter().copied().map(Into::into).collect();
         self.gateway.decider.lock().record_peer(from, &loads, now);
+        if !heartbeat.shortages.is_empty() {
+            let mut decider = self.gateway.decider.lock();
+            decider.record_shortages_of_peer(from, &heartbeat.shortages, now);
+        }
         for &LeavingEntry { backend_hash, incarnation } in &heartbeat.leaving {
             let mut decider = self.gateway.decider.lock();
             let server = decider.record_leaving_of_peer(backend_hash, incarnation, now);
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -61,6 +61,9 @@
     /// The response would arrive after the deadline.
     #[display("overload")]
     Overload,
+    /// Capacity is short, and the workspace has had its share.
+    #[display("share")]
+    Share,
     /// The retry budget is used up.
     #[display("repeats")]
     Repeats,
@@ -99,6 +102,7 @@
             | Self::Limited
             | Self::Connections
             | Self::Overload
+            | Self::Share
             | Self::Repeats
             | Self::Rejected => StatusCode::SERVICE_UNAVAILABLE,
             Self::Quarantined | Self::Broken => StatusCode::BAD_GATEWAY,
@@ -118,6 +122,7 @@
             Refusal::Limited => Self::Limited,
             Refusal::Connections => Self::Connections,
             Refusal::Overload => Self::Overload,
+            Refusal::Share => Self::Share,
             Refusal::Repeats => Self::Repeats,
         }
     }
--- a/crates/gateway/tests/rights.rs
+++ b/crates/gateway/tests/rights.rs
@@ -136,6 +136,7 @@
             evidence: Vec::new(),
             leaving: Vec::new(),
             limits: self.decider.limits(now).map(Into::into).collect(),
+            shortages: Vec::new(),
         }
     }
 
--- a/crates/policy/examples/replay/fleet.rs
+++ b/crates/policy/examples/replay/fleet.rs
@@ -11,6 +11,7 @@
     name::{Backend, Pool, Zone},
 };
 use hyssop_policy::local::{
+    admission::shares::Report,
     cold,
     decider::{Decider, Decision, End, Settings},
     peer_loads::PeerLoads,
@@ -86,6 +87,7 @@
     from: usize,
     to: usize,
     loads: Vec<(u32, Load, Duration)>,
+    shortages: Vec<Report>,
 }
 
 struct Simulation<'a> {
@@ -308,6 +310,7 @@
                 continue;
             }
             let loads = self.daemons[from].decider.own_loads(self.start + now);
+            let shortages = self.daemons[from].decider.shortages(self.start + now);
             for to in 0..self.daemons.len() {
                 let is_same_zone = self.daemons[from].zone == self.daemons[to].zone;
                 if from != to && if is_same_zone { same_zone } else { cross_zone } {
@@ -316,6 +319,7 @@
                         from,
                         to,
                         loads: loads.clone(),
+                        shortages: shortages.clone(),
                     });
                 }
             }
@@ -328,6 +332,8 @@
             let loads = heartbeat.loads.iter().map(|&(hash, load, _)| (hash, load)).collect();
             daemon.peer_loads.record(peer, loads, self.start + now);
             daemon.decider.record_peer(peer, &heartbeat.loads, self.start + now);
+            let shortages = &heartbeat.shortages;
+            daemon.decider.record_shortages_of_peer(peer, shortages, self.start + now);
         }
     }
 
--- a/crates/policy/src/local/decider.rs
+++ b/crates/policy/src/local/decider.rs
@@ -112,6 +112,9 @@
     /// The first event would come too late for the caller, or too long after its target.
     #[display("overload")]
     Overload,
+    /// Capacity is short, and the workspace has had its share.
+    #[display("share")]
+    Share,
     /// The request is a repeat, and the budget for repeats is used.
     #[display("repeats")]
     Repeats,
@@ -173,8 +176,8 @@
     kinds: Map<Pool, Kinds>,
     /// The speed of the backend servers of each pool.
     models: Map<Pool, Model>,
-    /// The shortage of capacity of each pool of engines.
-    admissions: Map<Pool, Admission>,
+    /// The shortage of capacity of each class, by [`Demand::class`].
+    admissions: Map<u32, Admission>,
     last_send_id: u64,
     /// Counted to draw a different retry time for each refusal.
     refusals: u64,
--- a/crates/policy/src/local/decider/placement.rs
+++ b/crates/policy/src/local/decider/placement.rs
@@ -156,6 +156,9 @@
                 return Decision::Refuse { reason: Reason::Overload, retry_after, predicted };
             }
         };
+        if let Some(refusal) = self.refusal(demand, &placement, now) {
+            return refusal;
+        }
         if demand.is_repeat && !self.may_repeat(&demand.pool, now) {
             let predicted = Some(placement.predicted);
             return Decision::Refuse {
--- a/crates/policy/src/local/demand.rs
+++ b/crates/policy/src/local/demand.rs
@@ -96,6 +96,20 @@
         (self.tier, self.route_tier)
     }
 
+    /// Identifies the requests of the same pool and urgency. The same in all daemons.
+    pub fn class(&self) -> u32 {
+        let urgency = [self.tier.0, self.route_tier.0];
+        let bytes = self.pool.as_str().bytes().chain(urgency);
+        // FNV-1a, as for names of backend servers.
+        bytes
+            .fold(0x811c_9dc5, |hash: u32, byte| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193))
+    }
+
+    /// The workspace, or that of all requests without one.
+    pub fn workspace(&self) -> Workspace {
+        self.workspace.unwrap_or(Workspace { hash: 0, weight: 1 })
+    }
+
     /// The last segment that other requests share. It decides where the prompt is cached.
     pub fn shared_prefix(&self) -> Option<Segment> {
         match self.segments.as_slice() {
--- a/crates/policy/src/local/latency.rs
+++ b/crates/policy/src/local/latency.rs
@@ -124,6 +124,11 @@
     ms(tokens * (STEP_MS + STEP_MS_PER_RUNNING * USUAL_BATCH_REQUESTS))
 }
 
+/// The part of [`decode_time`] that falls to one request of a batch of usual size.
+pub fn decode_time_in_batch(tokens: f64) -> Duration {
+    decode_time(tokens).div_f64(USUAL_BATCH_REQUESTS)
+}
+
 fn ms(ms: f64) -> Duration {
     Duration::from_secs_f64(ms.max(0.0) / 1_000.0)
 }
--- a/crates/policy/src/local/window.rs
+++ b/crates/policy/src/local/window.rs
@@ -36,3 +36,38 @@
         }
     }
 }
+
+/// The sum of values in a sliding window.
+#[derive(Debug, Clone)]
+pub struct Sum {
+    length: Duration,
+    values: VecDeque<(Instant, f64)>,
+    total: f64,
+}
+
+impl Sum {
+    /// Creates an empty window of this length.
+    pub fn new(length: Duration) -> Self {
+        Self { length, values: VecDeque::new(), total: 0.0 }
+    }
+
+    /// Adds a value. Values are added in the order of their times.
+    pub fn add(&mut self, value: f64, now: Instant) {
+        self.values.push_back((now, value));
+        self.total += value;
+    }
+
+    /// The sum of the window that ends at `now`.
+    pub fn total(&mut self, now: Instant) -> f64 {
+        while let Some(&(time, value)) = self.values.front() {
+            if now.duration_since(time) <= self.length {
+                return self.total;
+            }
+            self.values.pop_front();
+            self.total -= value;
+        }
+        // Rounding errors don't add up.
+        self.total = 0.0;
+        0.0
+    }
+}
--- a/crates/view/src/heartbeat.rs
+++ b/crates/view/src/heartbeat.rs
@@ -6,6 +6,7 @@
 };
 
 use hyssop_document::name::{Host, Zone};
+pub use hyssop_policy::local::admission::shares::{Report as Shortage, Usage};
 use hyssop_policy::local::limit::{Rate, Report};
 pub use hyssop_policy::local::server::Load;
 use serde::{Deserialize, Serialize};
@@ -167,6 +168,8 @@
     pub leaving: Vec<LeavingEntry>,
     /// Backend servers that named limits to the sender, or ended them.
     pub limits: Vec<LimitEntry>,
+    /// Classes of requests whose capacity is short, with the workspaces that ask for the most.
+    pub shortages: Vec<Shortage>,
 }
 
 impl MemberEntry {
--- a/crates/view/tests/origin.rs
+++ b/crates/view/tests/origin.rs
@@ -71,6 +71,7 @@
             evidence: Vec::new(),
             leaving: Vec::new(),
             limits: Vec::new(),
+            shortages: Vec::new(),
         };
         self.members.lock().record_heartbeat(other.ip, heartbeat, Instant::now());
     }
--- a/crates/view/tests/view.rs
+++ b/crates/view/tests/view.rs
@@ -9,7 +9,7 @@
 use hyssop_view::{
     heartbeat::{
         Blame, CrashEntry, EvidenceEntry, Heartbeat, LeavingEntry, LimitEntry, Load, LoadEntry,
-        MAX_DATAGRAM_BYTES, MemberEntry, Phase,
+        MAX_DATAGRAM_BYTES, MemberEntry, Phase, Shortage, Usage,
     },
     member::{
         Change, HEARTBEAT_INTERVAL, MAX_FANOUT, MIN_LIVENESS_TIMEOUT, Role, SHARE_TTL, Table,
@@ -35,6 +35,7 @@
         evidence: Vec::new(),
         leaving: Vec::new(),
         limits: Vec::new(),
+        shortages: Vec::new(),
     }
 }
 
@@ -86,7 +87,18 @@
         ms_ago: 600_000,
     };
     heartbeat.limits = vec![limit; 8];
-    heartbeat.loads = vec![LoadEntry { backend_hash: u32::MAX, load, cold_left_ms: 3_000 }; 32];
+    // Two classes with two workspaces each take the room of four loads.
+    let usage = Usage { workspace: u32::MAX, weight: 100, offered_ms: 200_000 };
+    let shortage = Shortage {
+        class: u32::MAX,
+        is_short: true,
+        started_ms: 200_000,
+        in_time_ms: 200_000,
+        others_ms: 200_000,
+        largest: vec![usage; 2],
+    };
+    heartbeat.shortages = vec![shortage; 2];
+    heartbeat.loads = vec![LoadEntry { backend_hash: u32::MAX, load, cold_left_ms: 3_000 }; 28];
     let bytes = heartbeat.encode().expect("a heartbeat can be encoded");
     assert!(bytes.len() <= MAX_DATAGRAM_BYTES, "{}", bytes.len());
     assert_eq!(Heartbeat::decode(&bytes), Ok(heartbeat));
