--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -33,6 +33,8 @@
 const MAX_LIMIT_ENTRIES: usize = 8;
 /// The number of loads that take as much room as one entry of [`Heartbeat::limits`].
 const LOADS_PER_LIMIT_ENTRY: usize = 2;
+/// The number of loads that take as much room as [`Heartbeat::shortages`], which has some 60 bytes.
+const LOADS_PER_SHORTAGES: usize = 4;
 
 /// The number of measurements of speed that take as much room as a load.
 const SPEEDS_PER_LOAD: usize = 2;
@@ -78,6 +80,8 @@
             let suspects = gateway.suspects.lock();
             (suspects.blames(now), suspects.evidence(now))
         };
+        let shortages = gateway.decider.lock().shortages(now);
+        let shortage_loads = if shortages.is_empty() { 0 } else { LOADS_PER_SHORTAGES };
         let (mut loads, leaving, mut limits, speeds, models) = {
             let mut decider = gateway.decider.lock();
             let leaving = decider.leaving().take(MAX_LEAVING_ENTRIES);
@@ -97,7 +101,8 @@
             - LOADS_PER_EVIDENCE_ENTRY * evidence.len()
             - leaving.len()
             - speeds.len().div_ceil(SPEEDS_PER_LOAD)
-            - models.len();
+            - models.len()
+            - shortage_loads;
         limits.shuffle(&mut rand::rng());
         let max_limits = max_loads.saturating_sub(MIN_LOAD_ENTRIES) / LOADS_PER_LIMIT_ENTRY;
         limits.truncate(max_limits.min(MAX_LIMIT_ENTRIES));
@@ -125,6 +130,7 @@
             limits,
             speeds,
             models,
+            shortages,
         }
     }
 
@@ -135,6 +141,7 @@
         let mut decider = self.gateway.decider.lock();
         decider.record_peer(from, &loads, now);
         decider.record_speeds_of_peer(from, &speeds, &models, now);
+        decider.record_shortages_of_peer(from, &heartbeat.shortages, now);
         drop(decider);
         for &LeavingEntry { backend_hash, incarnation } in &heartbeat.leaving {
             let mut decider = self.gateway.decider.lock();
--- a/crates/policy/examples/replay/fleet.rs
+++ b/crates/policy/examples/replay/fleet.rs
@@ -11,6 +11,7 @@
     name::{Backend, Pool, Zone},
 };
 use hyssop_policy::local::{
+    admission::shares::Report,
     cold,
     decider::{Decider, Decision, End, Settings},
     latency::Model,
@@ -96,6 +97,7 @@
     loads: Vec<(u32, Load, Duration)>,
     speeds: Vec<(u32, speed::Report)>,
     models: Vec<(u32, [f64; Model::PARAMETERS])>,
+    shortages: Vec<Report>,
 }
 
 struct Simulation<'a> {
@@ -173,6 +175,7 @@
                     window: Duration::from_secs(10),
                 },
                 hedges: None,
+                fair_shares: policy == Policy::Fair,
             });
             decider.set_members((0..pattern.daemons as u32).collect(), true);
             decider.set_servers(servers.clone());
@@ -335,6 +338,7 @@
             let loads = decider.own_loads(self.start + now);
             let speeds = decider.speed_reports(self.start + now);
             let models = decider.model_reports(self.start + now);
+            let shortages = decider.shortages(self.start + now);
             for to in 0..self.daemons.len() {
                 let is_same_zone = self.daemons[from].zone == self.daemons[to].zone;
                 if from != to && if is_same_zone { same_zone } else { cross_zone } {
@@ -345,6 +349,7 @@
                         loads: loads.clone(),
                         speeds: speeds.clone(),
                         models: models.clone(),
+                        shortages: shortages.clone(),
                     });
                 }
             }
@@ -359,6 +364,8 @@
             daemon.decider.record_peer(peer, &heartbeat.loads, self.start + now);
             let Heartbeat { speeds, models, .. } = &heartbeat;
             daemon.decider.record_speeds_of_peer(peer, speeds, models, self.start + now);
+            let shortages = &heartbeat.shortages;
+            daemon.decider.record_shortages_of_peer(peer, shortages, self.start + now);
         }
     }
 
@@ -415,7 +422,7 @@
     ) -> Decision {
         let daemon = &mut self.daemons[at];
         let own: BTreeMap<u32, Load> = match self.policy {
-            Policy::Local => BTreeMap::new(),
+            Policy::Local | Policy::Fair => BTreeMap::new(),
             _ => {
                 let own = daemon.decider.own_loads(self.start + now).into_iter();
                 own.map(|(hash, load, _)| (hash, load)).collect()
--- a/crates/policy/src/local/decider.rs
+++ b/crates/policy/src/local/decider.rs
@@ -1,5 +1,6 @@
 //! Placement decisions of one daemon, from the state of backend servers and the daemon's shares.
 
+mod admission;
 mod candidate;
 mod cost;
 mod eligibility;
@@ -23,6 +24,7 @@
 };
 
 use super::{
+    admission::Admission,
     affinity,
     cold::Bound as ColdBound,
     demand::Demand,
@@ -112,6 +114,9 @@
     /// The first event would come too late for the caller, or too long after its target.
     #[display("overload")]
     Overload,
+    /// Capacity is short, and the workspace has had its share.
+    #[display("share")]
+    Share,
     /// The request is a repeat, and the budget for repeats is used.
     #[display("repeats")]
     Repeats,
@@ -156,6 +161,8 @@
     pub repeats: RepeatBound,
     /// The bound on hedges, or `None` if none are sent.
     pub hedges: Option<RepeatBound>,
+    /// Whether workspaces have shares of a pool that is short of capacity, and refused callers turns.
+    pub fair_shares: bool,
 }
 
 /// Places the requests of one daemon.
@@ -181,6 +188,8 @@
     models: Map<Pool, PoolModel>,
     /// Counted to report a different sample of measurements in each heartbeat.
     speed_reports: u64,
+    /// The shortage of capacity of each class, by [`Demand::class`].
+    admissions: Map<u32, Admission>,
     last_send_id: u64,
     /// Counted to draw a different retry time for each refusal.
     refusals: u64,
@@ -206,6 +215,7 @@
             kinds: Map::default(),
             models: Map::default(),
             speed_reports: 0,
+            admissions: Map::default(),
             last_send_id: 0,
             refusals: 0,
         }
@@ -365,6 +375,7 @@
             self.hedges.record_first_send(&demand.pool, now);
         }
         self.limits.record_sent(&placement.server);
+        self.record_start(placement, demand, now);
         let model = self.model(demand);
         let level = self.models.get(&demand.pool).map_or(0.0, PoolModel::present_level);
         if let Some(state) = self.servers.get_mut(&placement.server) {
--- a/crates/policy/src/local/demand.rs
+++ b/crates/policy/src/local/demand.rs
@@ -33,6 +33,15 @@
     }
 }
 
+/// The workspace of a request, as far as placement depends on it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Workspace {
+    /// The hash of the workspace's name, the same in all daemons.
+    pub hash: u32,
+    /// The workspace's part of a pool that is short of capacity, relative to other workspaces.
+    pub weight: u32,
+}
+
 /// What a request needs.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Demand {
@@ -66,6 +75,10 @@
     /// Whether a backend server may have run the request, or part of it. Then it can't be refused any
     /// more, only fail.
     pub may_have_run: bool,
+    /// The workspace. Requests without one count as those of one workspace.
+    pub workspace: Option<Workspace>,
+    /// Whether the caller has less time left than its route allows: it has been refused before.
+    pub is_returning: bool,
 }
 
 impl Demand {
@@ -85,6 +98,20 @@
         (self.tier, self.route_tier)
     }
 
+    /// Identifies the requests of the same pool and urgency. The same in all daemons.
+    pub fn class(&self) -> u32 {
+        let urgency = [self.tier.0, self.route_tier.0];
+        let bytes = self.pool.as_str().bytes().chain(urgency);
+        // FNV-1a, as for names of backend servers.
+        bytes
+            .fold(0x811c_9dc5, |hash: u32, byte| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193))
+    }
+
+    /// The workspace, or that of all requests without one.
+    pub fn workspace(&self) -> Workspace {
+        self.workspace.unwrap_or(Workspace { hash: 0, weight: 1 })
+    }
+
     /// The last segment that other requests share. It decides where the prompt is cached.
     pub fn shared_prefix(&self) -> Option<Segment> {
         match self.segments.as_slice() {
--- a/crates/policy/tests/local_hedge.rs
+++ b/crates/policy/tests/local_hedge.rs
@@ -4,7 +4,7 @@
 
 use std::time::{Duration, Instant};
 
-use hyssop_document::name::{Backend, Zone};
+use hyssop_document::name::Backend;
 use hyssop_policy::local::{
     decider::{Decider, Decision, End, Placement, Settings},
     demand::Demand,
@@ -20,9 +20,7 @@
 const USUAL: Duration = Duration::from_millis(20);
 
 fn hedging_decider(own_hash: u32, members: &[u32], hedges: Option<Bound>) -> Decider {
-    let zone = Zone::new("a");
-    let settings = Settings { zone, own_hash, cold: COLD, repeats: REPEATS, hedges };
-    let mut decider = Decider::new(settings);
+    let mut decider = Decider::new(Settings { own_hash, hedges, ..settings("a") });
     decider.set_members(members.to_vec(), true);
     decider.set_servers((0..3).map(service).collect());
     decider
--- a/crates/policy/tests/local_urgency.rs
+++ b/crates/policy/tests/local_urgency.rs
@@ -180,6 +180,7 @@
         cold: COLD,
         repeats: REPEATS,
         hedges: None,
+        fair_shares: false,
     })
 }
 
--- a/crates/view/src/heartbeat.rs
+++ b/crates/view/src/heartbeat.rs
@@ -6,6 +6,7 @@
 };
 
 use hyssop_document::name::{Host, Zone};
+pub use hyssop_policy::local::admission::shares::{Report as Shortage, Usage};
 pub use hyssop_policy::local::server::Load;
 use hyssop_policy::local::{
     latency::Model,
@@ -266,6 +267,8 @@
     pub speeds: Vec<SpeedEntry>,
     /// The sender's models of pools, if they have changed recently.
     pub models: Vec<ModelEntry>,
+    /// Classes of requests whose capacity is short, with the workspaces that ask for the most.
+    pub shortages: Vec<Shortage>,
 }
 
 impl MemberEntry {
--- a/crates/view/tests/origin.rs
+++ b/crates/view/tests/origin.rs
@@ -73,6 +73,7 @@
             limits: Vec::new(),
             speeds: Vec::new(),
             models: Vec::new(),
+            shortages: Vec::new(),
         };
         self.members.lock().record_heartbeat(other.ip, heartbeat, Instant::now());
     }
