--- a/crates/policy/src/local/decider/prefix.rs
+++ b/crates/policy/src/local/decider/prefix.rs
@@ -10,9 +10,8 @@
 use super::{Decider, candidate::Candidate};
 use crate::local::{affinity, demand::Demand, reservation};
 
-/// The maximum number of engines that may cache one shared prefix. With two, some requests for a
-/// prefix that two fifths of all have are refused; with four, bursts prefill more prefixes again.
-const MAX_CACHE_CHOICES: usize = 3;
+/// The maximum number of engines that may cache one shared prefix.
+const MAX_CACHE_CHOICES: usize = 4;
 
 impl Decider {
     /// The engine from which `server` fetches the shared prefix of a request.
