policy: shared speeds and what builds on them are off unless settings ask for them

Change: the setting `shared_speeds`, false by default. Without it daemons measure alone, hash without weights, and refuse by time only, as before.

--- a/crates/gateway/tests/rights.rs
+++ b/crates/gateway/tests/rights.rs
@@ -109,6 +109,7 @@
             repeats: REPEATS,
             hedges: None,
             fair_shares: false,
+            shared_speeds: false,
         });
         decider.set_servers(vec![server()]);
         if is_cold {
--- a/crates/policy/examples/replay/fleet.rs
+++ b/crates/policy/examples/replay/fleet.rs
@@ -176,6 +176,7 @@
                 },
                 hedges: None,
                 fair_shares: policy == Policy::Fair,
+                shared_speeds: policy == Policy::SharedSpeeds,
             });
             decider.set_members((0..pattern.daemons as u32).collect(), true);
             decider.set_servers(servers.clone());
@@ -422,7 +423,7 @@
     ) -> Decision {
         let daemon = &mut self.daemons[at];
         let own: BTreeMap<u32, Load> = match self.policy {
-            Policy::Local | Policy::Fair => BTreeMap::new(),
+            Policy::Local | Policy::Fair | Policy::SharedSpeeds => BTreeMap::new(),
             _ => {
                 let own = daemon.decider.own_loads(self.start + now).into_iter();
                 own.map(|(hash, load, _)| (hash, load)).collect()
--- a/crates/policy/examples/replay/main.rs
+++ b/crates/policy/examples/replay/main.rs
@@ -25,7 +25,8 @@
     /// contended.
     #[arg(long, default_value = "burst")]
     pattern: Pattern,
-    /// The policies: local, fair, least, finish or hashing. Default: all but fair.
+    /// The policies: local, fair, speeds, least, finish or hashing. Default: all but fair and
+    /// speeds.
     #[arg(long)]
     policy: Vec<Policy>,
     /// The first seed.
--- a/crates/policy/examples/replay/policy.rs
+++ b/crates/policy/examples/replay/policy.rs
@@ -19,6 +19,9 @@
     /// The daemon's own placement, with shares of workspaces and turns of refused callers.
     #[display("fair shares")]
     Fair,
+    /// The same with shared measurements of speeds, which limit what an engine gets.
+    #[display("shared speeds")]
+    SharedSpeeds,
     /// The engine with the fewest requests, by the loads that daemons report.
     #[display("least loaded")]
     LeastLoaded,
@@ -43,7 +46,7 @@
         demand: &Demand,
         now: std::time::Instant,
     ) -> Decision {
-        if matches!(self, Self::Local | Self::Fair) {
+        if matches!(self, Self::Local | Self::Fair | Self::SharedSpeeds) {
             return decider.place_request(demand, now);
         }
         let usable = engines.iter().filter(|engine| !demand.excluded.contains(&engine.name));
@@ -59,7 +62,9 @@
                 Model::of_engines().time_to_first_event(&backlog, f64::from(demand.prompt_tokens));
             let prefix = demand.shared_prefix().map_or(0, |segment| segment.id);
             let order = match self {
-                Self::Local | Self::Fair | Self::LeastLoaded => u64::from(load.running),
+                Self::Local | Self::Fair | Self::SharedSpeeds | Self::LeastLoaded => {
+                    u64::from(load.running)
+                }
                 Self::ExpectedFinish => predicted.as_micros() as u64,
                 Self::Hashing => u64::MAX - affinity::weight(engine.hash, prefix),
             };
@@ -83,7 +88,7 @@
 
 /// No policy has this name.
 #[derive(Debug, derive_more::Display, derive_more::Error)]
-#[display("the policies are: local, fair, least, finish, hashing")]
+#[display("the policies are: local, fair, speeds, least, finish, hashing")]
 pub(crate) struct UnknownPolicy;
 
 impl FromStr for Policy {
@@ -93,6 +98,7 @@
         match name {
             "local" => Ok(Self::Local),
             "fair" => Ok(Self::Fair),
+            "speeds" => Ok(Self::SharedSpeeds),
             "least" => Ok(Self::LeastLoaded),
             "finish" => Ok(Self::ExpectedFinish),
             "hashing" => Ok(Self::Hashing),
--- a/crates/policy/src/local/decider.rs
+++ b/crates/policy/src/local/decider.rs
@@ -163,6 +163,9 @@
     pub hedges: Option<RepeatBound>,
     /// Whether workspaces have shares of a pool that is short of capacity, and refused callers turns.
     pub fair_shares: bool,
+    /// Whether daemons share their measurements of backend servers' speeds, and divide long prompts
+    /// among engines by speed, memory and gap limits.
+    pub shared_speeds: bool,
 }
 
 /// Places the requests of one daemon.
--- a/crates/policy/src/local/decider/placement.rs
+++ b/crates/policy/src/local/decider/placement.rs
@@ -116,8 +116,11 @@
                 cost(state, *load, is_first_choice, &context);
             let backlog = state.backlog(*load);
             let excess = limits.excess(predicted, &model, &backlog, *reserved);
-            let saturation = saturation(&backlog, *load, state.server.cache_tokens, &model, demand);
-            let excess = excess.max(saturation);
+            let cache_tokens = state.server.cache_tokens;
+            let excess = match self.settings.shared_speeds {
+                true => excess.max(saturation(&backlog, *load, cache_tokens, &model, demand)),
+                false => excess,
+            };
             if !excess.is_zero() {
                 overload.excess = overload.excess.min(excess);
                 overload.predicted = overload.predicted.min(predicted);
--- a/crates/policy/src/local/decider/selection.rs
+++ b/crates/policy/src/local/decider/selection.rs
@@ -85,7 +85,9 @@
             let (hash, slots) = (state.server.hash, state.server.slots);
             let load = state.own_load(now).wrapping_add(self.peer_loads.load(hash));
             let speed = self.speeds.entry(hash).or_default();
-            speed.update(state.slowness());
+            if self.settings.shared_speeds {
+                speed.update(state.slowness());
+            }
             candidates.push(Candidate {
                 speed: *speed,
                 name: name.clone(),
--- a/crates/policy/src/local/decider/speeds.rs
+++ b/crates/policy/src/local/decider/speeds.rs
@@ -105,7 +105,9 @@
     pub fn record_event(&mut self, server: &Backend, send_id: SendId, now: Instant) {
         let Some(state) = self.servers.get_mut(server) else { return };
         let Some(request) = state.requests.get_mut(&send_id) else { return };
-        let Some(gap) = request.gaps.record(now) else { return };
+        let Some(gap) = request.gaps.record(now).filter(|_| self.settings.shared_speeds) else {
+            return;
+        };
         let Some(model) = self.models.get_mut(&state.server.pool) else { return };
         let usual = speed::REFERENCE_GAP.mul_f64(latency::batch_factor(request.running));
         state.record_gap(gap.div_duration_f64(usual), model, now);
@@ -175,6 +177,9 @@
     /// The measurements for the next heartbeat, with the hash of each backend server: a sample of the
     /// new ones, and one older one if there is room, for peers that have just started.
     pub fn speed_reports(&mut self, now: Instant) -> Vec<(u32, Report)> {
+        if !self.settings.shared_speeds {
+            return Vec::new();
+        }
         self.speed_reports = self.speed_reports.wrapping_add(1);
         let sample = self.speed_reports;
         let reports = self.servers.values().filter_map(|state| {
@@ -192,6 +197,9 @@
 
     /// The models of pools for the next heartbeat, with the hash of each pool.
     pub fn model_reports(&self, now: Instant) -> Vec<(u32, [f64; Model::PARAMETERS])> {
+        if !self.settings.shared_speeds {
+            return Vec::new();
+        }
         let sample = self.speed_reports;
         let reports =
             self.models.values().filter_map(|model| Some((model.hash, model.report(now)?)));
@@ -209,6 +217,9 @@
         models: &[(u32, [f64; Model::PARAMETERS])],
         now: Instant,
     ) {
+        if !self.settings.shared_speeds {
+            return;
+        }
         for (hash, report) in speeds {
             let Some(name) = self.by_hash.get(hash) else { continue };
             let Some(state) = self.servers.get_mut(name) else { continue };
--- a/crates/policy/tests/local/mod.rs
+++ b/crates/policy/tests/local/mod.rs
@@ -33,6 +33,7 @@
         repeats: REPEATS,
         hedges: None,
         fair_shares: false,
+        shared_speeds: false,
     }
 }
 
@@ -42,6 +43,13 @@
     decider
 }
 
+/// A decider of a daemon that shares measurements of speeds with its peers.
+pub fn sharing_decider(zone: &str) -> Decider {
+    let mut decider = Decider::new(Settings { shared_speeds: true, ..settings(zone) });
+    decider.set_members(vec![1], true);
+    decider
+}
+
 pub fn engine(index: u32) -> Server {
     Server {
         name: Backend::new(&format!("engine-{index}")),
--- a/crates/policy/tests/local_limits.rs
+++ b/crates/policy/tests/local_limits.rs
@@ -73,6 +73,7 @@
                 repeats: REPEATS,
                 hedges: None,
                 fair_shares: false,
+                shared_speeds: false,
             };
             let mut decider = Decider::new(settings);
             decider.set_servers(vec![service(0)]);
--- a/crates/policy/tests/local_speeds.rs
+++ b/crates/policy/tests/local_speeds.rs
@@ -39,7 +39,7 @@
     fn new(daemons: usize, engines: u32) -> Self {
         let engines: Vec<Server> = (0..engines).map(engine).collect();
         let decider = || {
-            let mut decider = decider("a");
+            let mut decider = sharing_decider("a");
             decider.set_servers(engines.clone());
             decider
         };
@@ -119,7 +119,7 @@
 fn a_daemon_knows_the_speeds_a_second_after_its_start() {
     let mut fleet = Fleet::new(9, 4);
     fleet.run(Duration::from_secs(5), one_is(2.2));
-    let mut started = decider("a");
+    let mut started = sharing_decider("a");
     started.set_servers(fleet.engines.clone());
     fleet.deciders.push(started);
     let end = fleet.now + Duration::from_secs(1);
@@ -217,7 +217,7 @@
 #[test]
 fn invalid_values_are_dropped() {
     let now = Instant::now();
-    let mut decider = decider("a");
+    let mut decider = sharing_decider("a");
     decider.set_servers(vec![engine(0)]);
     let incarnation = incarnation_tag(1);
     for value in [0.0, -2.0, f64::INFINITY, f64::NAN] {
--- a/crates/policy/tests/local_uneven.rs
+++ b/crates/policy/tests/local_uneven.rs
@@ -18,7 +18,7 @@
 #[test]
 fn memory_that_shared_prefixes_need_is_not_given_to_long_prompts() {
     let now = Instant::now();
-    let mut decider = decider("a");
+    let mut decider = sharing_decider("a");
     decider.set_servers(vec![engine(0)]);
     let mut place = |held_tokens, demand: &Demand| {
         let load = Load { running: 20, held_tokens, ..Load::default() };
@@ -39,7 +39,7 @@
 #[test]
 fn a_prompt_is_refused_while_waiting_ones_break_the_gap_limit() {
     let now = Instant::now();
-    let mut decider = decider("a");
+    let mut decider = sharing_decider("a");
     decider.set_servers(vec![engine(0)]);
     let mut place = |pending_tokens, demand: &Demand| {
         let load = Load { running: 5, pending_tokens, ..Load::default() };
@@ -101,7 +101,7 @@
 #[test]
 fn a_slow_engine_gets_fewer_prefixes() {
     let now = Instant::now();
-    let mut decider = decider("a");
+    let mut decider = sharing_decider("a");
     decider.set_servers((0..2).map(engine).collect());
     let patient =
         |prefix, now| Demand { target: Duration::from_secs(3), ..prefill_heavy(prefix, now) };
@@ -133,7 +133,7 @@
 #[test]
 fn a_response_that_would_end_after_the_deadline_is_refused_early() {
     let now = Instant::now();
-    let mut decider = decider("a");
+    let mut decider = sharing_decider("a");
     decider.set_servers(vec![engine(0)]);
     let load = Load { running: 5, pending_tokens: 80_000, ..Load::default() };
     decider.record_peer(PEER, &[(engine(0).hash, load, Duration::ZERO)], now);
--- a/crates/policy/tests/local_urgency.rs
+++ b/crates/policy/tests/local_urgency.rs
@@ -181,6 +181,7 @@
         repeats: REPEATS,
         hedges: None,
         fair_shares: false,
+        shared_speeds: false,
     })
 }
 
