--- a/crates/policy/src/local/decider/lateness.rs
+++ b/crates/policy/src/local/decider/lateness.rs
@@ -7,7 +7,7 @@
 use super::partition::Partition;
 use crate::local::{
     demand::Demand,
-    latency::{self, Backlog, Model},
+    latency::{Backlog, Model},
     reservation,
     server::Load,
     urgency::{Kind, Kinds},
@@ -41,26 +41,10 @@
     }
 }
 
-/// The usual time of decoding a response and the time left, if the response usually ends in time.
-///
-/// For engines that are slow or behind: work on a response that nobody awaits any more delays others.
-/// Callers that don't state how long a response will be state its maximum, which few reach: if even
-/// an idle engine takes longer than is left, nothing follows from it.
-fn decoding_limit(demand: &Demand, now: Instant) -> Option<(Duration, Duration)> {
-    let left = demand.deadline.saturating_duration_since(now);
-    let decoding = latency::decode_time(f64::from(demand.output_tokens));
-    let usual = decoding + latency::usual_prefill_time(f64::from(demand.prompt_tokens));
-    let applies = demand.prompt_tokens > 0 && !demand.has_begun() && usual <= left;
-    applies.then_some((decoding, left))
-}
-
 /// The times within which engines must be able to serve a request, and more urgent ones after it.
 pub(super) struct Limits {
     /// The maximum predicted time to the first event of the request.
     first_event: Duration,
-    /// The usual time of decoding, and the time within which the response must end. None if the
-    /// request can't be refused, or usually takes longer than that.
-    decoding: Option<(Duration, Duration)>,
     /// The more urgent kinds of requests that still have to be served in time.
     more_urgent: Vec<Kind>,
     partition: Partition,
@@ -80,12 +64,11 @@
         };
         let has_less_urgent = kinds.is_some_and(|kinds| kinds.has_less_urgent(demand, now));
         let first_event = latest_first_event(demand, has_less_urgent, now);
-        let decoding = decoding_limit(demand, now);
-        Self { first_event, decoding, more_urgent, partition }
+        Self { first_event, more_urgent, partition }
     }
 
-    /// By how much the first event of the request, its end, or the first event of a more urgent one
-    /// after it would be too late at an engine. Zero if all are in time.
+    /// By how much the first event of the request, or of a more urgent one after it, would be too
+    /// late at an engine. Zero if all are in time.
     pub(super) fn excess(
         &self,
         predicted: Duration,
@@ -103,11 +86,7 @@
             let first_event = model.time_to_first_event(backlog, kind.prefill_tokens);
             first_event.saturating_sub(kind.target.mul_f64(ratio))
         });
-        let end_excess = self.decoding.map_or(Duration::ZERO, |(decoding, left)| {
-            (predicted + decoding.mul_f64(backlog.slowness)).saturating_sub(left)
-        });
-        let own_excess = predicted.saturating_sub(self.first_event).max(end_excess);
-        excesses.fold(own_excess, Duration::max)
+        excesses.fold(predicted.saturating_sub(self.first_event), Duration::max)
     }
 }
 
--- a/crates/policy/tests/local_uneven.rs
+++ b/crates/policy/tests/local_uneven.rs
@@ -127,23 +127,3 @@
         .count();
     assert!(of_slow < 75, "{of_slow} of 200 prefixes are at the slow engine");
 }
-
-/// An engine would work until the deadline on a response that nobody awaits any more. A stated
-/// maximum beyond what any engine can decode in time must not lead to a refusal.
-#[test]
-fn a_response_that_would_end_after_the_deadline_is_refused_early() {
-    let now = Instant::now();
-    let mut decider = sharing_decider("a");
-    decider.set_servers(vec![engine(0)]);
-    let load = Load { running: 5, pending_tokens: 80_000, ..Load::default() };
-    decider.record_peer(PEER, &[(engine(0).hash, load, Duration::ZERO)], now);
-    // The first event is expected after 1.1 s, and decoding takes 4.8 ms per token.
-    for (output_tokens, refused) in [(400, false), (700, true), (2_000, false)] {
-        let deadline = now + Duration::from_secs(4);
-        let target = Duration::from_secs(3);
-        let demand = Demand { output_tokens, target, deadline, ..prefill_heavy(7, now) };
-        let decision = decider.place_request(&demand, now);
-        let is_refused = matches!(decision, Decision::Refuse { reason: Reason::Overload, .. });
-        assert_eq!(is_refused, refused, "{output_tokens}: {decision:?}");
-    }
-}
