--- a/review/standin/src/engine.rs
+++ b/review/standin/src/engine.rs
@@ -32,6 +32,8 @@
 pub enum Work {
     /// One answer, after this time.
     Answer(Duration),
+    /// The same, by an engine in need: its answers name this `Server-Limit`.
+    LimitedAnswer(Duration, u32),
     /// A stream of so many events, one each time.
     Stream(u64, Duration),
 }
@@ -134,6 +136,12 @@
                     thread::sleep(time);
                     connection.answer(200, &headers, format!("run by {id} of {service}").as_bytes())
                 }
+                Work::LimitedAnswer(time, limit) => {
+                    thread::sleep(time);
+                    let limit = limit.to_string();
+                    let headers = [&headers[..], &[("server-limit", &*limit)]].concat();
+                    connection.answer(200, &headers, format!("run by {id} of {service}").as_bytes())
+                }
                 Work::Stream(events, pause) => {
                     let after = request.header("last-event-id").parse().unwrap_or(0);
                     stream_events(&mut connection, &headers, after, events, pause)
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -6,6 +6,7 @@
 mod daemon;
 mod engine;
 mod http;
+mod limited;
 mod pages;
 mod store;
 mod take_up;
@@ -97,6 +98,7 @@
     };
     let mut stage = Stage::new(record.into());
     let outcome = match case.as_str() {
+        "limited" => limited::run(&mut stage),
         "pages" => pages::run(&mut stage),
         "take_up" => take_up::run(&mut stage),
         _ => Outcome::CouldNotRun,
