--- a/review/standin/src/engine.rs
+++ b/review/standin/src/engine.rs
@@ -4,12 +4,9 @@
 use std::{
     io::Write as _,
     net::{SocketAddr, TcpListener, TcpStream},
-    sync::{
-        Arc, Mutex,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::{Arc, Mutex},
     thread,
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use crate::http::Connection;
@@ -17,12 +14,10 @@
 /// A run of a request.
 #[derive(Debug, Clone)]
 pub struct Run {
-    pub at: Instant,
     pub id: String,
     pub engine: String,
     pub service: String,
     pub tenant: String,
-    pub target: String,
 }
 
 pub type Runs = Arc<Mutex<Vec<Run>>>;
@@ -43,8 +38,6 @@
     pub service: String,
     pub zone: String,
     pub address: SocketAddr,
-    stopped: Arc<AtomicBool>,
-    connections: Arc<Mutex<Vec<TcpStream>>>,
 }
 
 impl Engine {
@@ -58,24 +51,10 @@
         runs: &Runs,
     ) -> Self {
         let listener = TcpListener::bind(address).expect("the engine's address is free");
-        let engine = Self {
-            id: id.into(),
-            service: service.into(),
-            zone: zone.into(),
-            address,
-            stopped: Arc::default(),
-            connections: Arc::default(),
-        };
-        let (stopped, connections) = (Arc::clone(&engine.stopped), Arc::clone(&engine.connections));
+        let engine = Self { id: id.into(), service: service.into(), zone: zone.into(), address };
         let (id, service, runs) = (engine.id.clone(), engine.service.clone(), Arc::clone(runs));
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                if stopped.load(Ordering::SeqCst) {
-                    return;
-                }
-                if let Ok(copy) = stream.try_clone() {
-                    connections.lock().expect("no panic").push(copy);
-                }
                 let (id, service, runs) = (id.clone(), service.clone(), Arc::clone(&runs));
                 thread::spawn(move || serve(stream, &id, &service, work, &runs));
             }
@@ -95,15 +74,6 @@
     pub fn key(&self) -> String {
         format!("servers/{}", self.id)
     }
-
-    /// Ends the engine: closes its port and its connections.
-    pub fn stop(&self) {
-        self.stopped.store(true, Ordering::SeqCst);
-        let _ = TcpStream::connect_timeout(&self.address, Duration::from_millis(200));
-        for connection in self.connections.lock().expect("no panic").drain(..) {
-            let _ = connection.shutdown(std::net::Shutdown::Both);
-        }
-    }
 }
 
 fn serve(stream: TcpStream, id: &str, service: &str, work: Work, runs: &Runs) {
@@ -117,12 +87,10 @@
             connection.answer(421, &[("request-id", &request_id), ("not-run", "1")], b"")
         } else {
             let run = Run {
-                at: Instant::now(),
                 id: request_id.clone(),
                 engine: id.into(),
                 service: service.into(),
                 tenant: request.header("tenant").into(),
-                target: request.target.clone(),
             };
             runs.lock().expect("no panic").push(run);
             let stamp = format!("{id}.{request_id}");
--- a/review/standin/src/http.rs
+++ b/review/standin/src/http.rs
@@ -13,11 +13,9 @@
 /// A request as a server reads it.
 #[derive(Debug)]
 pub struct Request {
-    pub method: String,
     /// The path with the query.
     pub target: String,
     pub headers: Headers,
-    pub body: Vec<u8>,
 }
 
 impl Request {
@@ -144,11 +142,9 @@
     /// Reads a request. `None` if the client has closed the connection.
     pub fn read_request(&mut self) -> io::Result<Option<Request>> {
         let Some((first, headers)) = self.read_head()? else { return Ok(None) };
-        let mut words = first.split(' ');
-        let method = words.next().unwrap_or_default().to_owned();
-        let target = words.next().unwrap_or_default().to_owned();
-        let body = self.read_body(&headers, false)?;
-        Ok(Some(Request { method, target, headers, body }))
+        let target = first.split(' ').nth(1).unwrap_or_default().to_owned();
+        self.read_body(&headers, false)?;
+        Ok(Some(Request { target, headers }))
     }
 
     /// Reads the head of an answer.
