--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -6,6 +6,7 @@
 mod daemon;
 mod engine;
 mod http;
+mod leaving;
 mod limited;
 mod pages;
 mod store;
@@ -98,6 +99,7 @@
     };
     let mut stage = Stage::new(record.into());
     let outcome = match case.as_str() {
+        "leaving" => leaving::run(&mut stage),
         "limited" => limited::run(&mut stage),
         "pages" => pages::run(&mut stage),
         "take_up" => take_up::run(&mut stage),
--- a/review/standin/src/store.rs
+++ b/review/standin/src/store.rs
@@ -30,7 +30,7 @@
     at: Instant,
     key: String,
     revision: u64,
-    item: Item,
+    item: Option<Item>,
 }
 
 struct State {
@@ -87,12 +87,24 @@
 
     /// Writes an item. Returns its revision. The write is acknowledged when this returns.
     pub fn put(&self, key: &str, value: &str) -> u64 {
+        self.change(key, Some(value))
+    }
+
+    /// Deletes an item. The deletion is acknowledged when this returns.
+    pub fn delete(&self, key: &str) {
+        self.change(key, None);
+    }
+
+    fn change(&self, key: &str, value: Option<&str>) -> u64 {
         let mut state = self.lock();
         state.revision += 1;
         let revision = state.revision;
         let created = state.items.get(key).map_or(revision, |item| item.created);
-        let item = Item { value: value.as_bytes().to_vec(), revision, created };
-        state.items.insert(key.to_owned(), item.clone());
+        let item = value.map(|value| Item { value: value.as_bytes().to_vec(), revision, created });
+        match &item {
+            Some(item) => drop(state.items.insert(key.to_owned(), item.clone())),
+            None => drop(state.items.remove(key)),
+        }
         let now = Instant::now();
         state.history.push_back(Change { at: now, key: key.to_owned(), revision, item });
         while state.history.front().is_some_and(|change| now - change.at > HISTORY) {
@@ -192,7 +204,13 @@
         let later = self.history.iter();
         let later =
             later.filter(|change| change.revision > after && change.key.starts_with(prefix));
-        let events = later.map(|change| item_json(&change.key, &change.item));
+        let events = later.map(|change| match &change.item {
+            Some(item) => item_json(&change.key, item),
+            None => {
+                let Change { key, revision, .. } = change;
+                format!("{{\"key\":\"{key}\",\"revision\":{revision},\"deleted\":true}}")
+            }
+        });
         let (events, as_of) = (events.collect::<Vec<_>>().join(","), self.revision);
         (200, format!("{{\"events\":[{events}],\"asOf\":{as_of}}}"))
     }
