--- a/review/standin/src/leaving.rs
+++ b/review/standin/src/leaving.rs
@@ -31,7 +31,10 @@
 /// The bookings a second of all clients.
 const RATE: u32 = 60;
 const BEFORE: Duration = Duration::from_secs(4);
-const AFTER: Duration = Duration::from_secs(6);
+/// Whether a host takes the store for lost depends on which heartbeat of the lost ones came last. So
+/// the same happens some times, with another engine each time.
+const ROUNDS: usize = 4;
+const ROUND: Duration = Duration::from_secs(15);
 const HOST: &str = "ficu95.example";
 const KEY: &str = "key-kept";
 
@@ -48,15 +51,20 @@
 
 /// The engine that leaves. It enters when each request reaches it.
 struct Leaver {
-    id: &'static str,
+    id: String,
     address: SocketAddr,
     ended: AtomicBool,
     connections: Mutex<Vec<TcpStream>>,
     reached: Mutex<Vec<(Instant, String)>>,
     completed: Mutex<Vec<String>>,
+    removed_at: Mutex<Option<Instant>>,
 }
 
 impl Leaver {
+    fn key(&self) -> String {
+        format!("servers/{}", self.id)
+    }
+
     fn run(self: &Arc<Self>) {
         let listener = TcpListener::bind(self.address).expect("the engine's address is free");
         listener.set_nonblocking(true).expect("a listener can be polled");
@@ -113,23 +121,28 @@
         let engine = Engine::start(&id, "app", zone, address, Work::Answer(WORK), &runs);
         store.put(&engine.key(), &engine.entry("ready"));
     }
-    let leaver = Arc::new(Leaver {
-        id: "i-0b9",
-        address: (stage.ip(110), 8729).into(),
-        ended: AtomicBool::new(false),
-        connections: Mutex::default(),
-        reached: Mutex::default(),
-        completed: Mutex::default(),
-    });
-    let server = Arc::clone(&leaver);
-    thread::spawn(move || server.run());
-    let entry = format!(
-        "{{\"service\":\"app\",\"address\":\"{}\",\"zone\":\"palermo\",\"version\":\"v1\",\"slots\":6,\
-         \"state\":\"ready\",\"coldLeftMs\":0,\"seq\":1,\"born\":1700000000000}}",
-        leaver.address
-    );
-    let key = format!("servers/{}", leaver.id);
-    store.put(&key, &entry);
+    let leavers: Vec<Arc<Leaver>> = (0..ROUNDS)
+        .map(|round| {
+            let leaver = Arc::new(Leaver {
+                id: format!("i-0b{round}"),
+                address: (stage.ip(110 + round as u8), 8729).into(),
+                ended: AtomicBool::new(false),
+                connections: Mutex::default(),
+                reached: Mutex::default(),
+                completed: Mutex::default(),
+                removed_at: Mutex::default(),
+            });
+            let server = Arc::clone(&leaver);
+            thread::spawn(move || server.run());
+            let entry = format!(
+                "{{\"service\":\"app\",\"address\":\"{}\",\"zone\":\"palermo\",\"version\":\"v1\",\
+                 \"slots\":6,\"state\":\"ready\",\"coldLeftMs\":0,\"seq\":1,\"born\":1700000000000}}",
+                leaver.address
+            );
+            store.put(&leaver.key(), &entry);
+            leaver
+        })
+        .collect();
 
     let mut daemons = Vec::new();
     for (number, zone) in ZONES.iter().enumerate() {
@@ -145,7 +158,7 @@
     if !daemons.iter().all(|daemon| daemon.wait_ready(Duration::from_secs(20))) {
         return Outcome::CouldNotRun;
     }
-    stage.note(format_args!("{} daemons are ready, four engines serve", daemons.len()));
+    stage.note(format_args!("{} daemons are ready, {} engines serve", daemons.len(), 3 + ROUNDS));
     thread::sleep(Duration::from_secs(4));
 
     // The clients use the second machine of each zone all the time, so that no request is at a machine
@@ -157,9 +170,7 @@
         .map(|daemon| (daemon.front(), daemon.name.clone()))
         .collect();
     let began = Instant::now();
-    let lost_at = began + BEFORE;
-    let end = lost_at + AFTER;
-    let removed_at = Mutex::new(lost_at);
+    let end = began + BEFORE + ROUND * ROUNDS as u32;
     let broken = Mutex::new(Vec::new());
     let (trouble, stage_ref) = (stage.trouble, &*stage);
     thread::scope(|scope| {
@@ -195,50 +206,52 @@
                 });
             }
         });
-        stage_ref.sleep_until(lost_at);
-        if trouble {
-            for daemon in daemons.iter_mut().step_by(2) {
-                daemon.kill();
+        for (round, leaver) in leavers.iter().enumerate() {
+            let lost_at = began + BEFORE + ROUND * round as u32;
+            stage_ref.sleep_until(lost_at);
+            if trouble {
+                for daemon in daemons.iter_mut().step_by(2) {
+                    daemon.kill();
+                }
+                stage_ref.note_at(lost_at, "the first machine of each zone is lost");
             }
-            stage_ref.note_at(lost_at, "the first machine of each zone is lost");
-        }
-        stage_ref.sleep_until(lost_at + Duration::from_millis(100));
-        store.delete(&key);
-        let removed = Instant::now();
-        *removed_at.lock().expect("no panic") = removed;
-        stage_ref.note_at(removed, format_args!("the entry of {} is removed", leaver.id));
-        stage_ref.sleep_until(lost_at + DOWN);
-        if trouble {
-            for daemon in daemons.iter_mut().step_by(2) {
-                daemon.start(&stage_ref.fleet, false);
+            stage_ref.sleep_until(lost_at + Duration::from_millis(100));
+            store.delete(&leaver.key());
+            let removed = Instant::now();
+            *leaver.removed_at.lock().expect("no panic") = Some(removed);
+            stage_ref.note_at(removed, format_args!("the entry of {} is removed", leaver.id));
+            stage_ref.sleep_until(lost_at + DOWN);
+            if trouble {
+                for daemon in daemons.iter_mut().step_by(2) {
+                    daemon.start(&stage_ref.fleet, false);
+                }
+                stage_ref.note("the lost machines start again");
             }
-            stage_ref.note("the lost machines start again");
+            stage_ref.sleep_until(removed + DRAIN + LITTLE_LONGER);
+            leaver.ended.store(true, Ordering::SeqCst);
+            stage_ref.note(format_args!("{} ends", leaver.id));
         }
-        stage_ref.sleep_until(removed + DRAIN + LITTLE_LONGER);
-        leaver.ended.store(true, Ordering::SeqCst);
-        stage_ref.note(format_args!("{} ends", leaver.id));
     });
-    let bound = *removed_at.lock().expect("no panic") + DRAIN;
-    let reached = leaver.reached.lock().expect("no panic").clone();
-    let completed = leaver.completed.lock().expect("no panic").clone();
     let broken = broken.into_inner().expect("no panic");
-    let late = reached.iter().filter(|(at, _)| *at > bound).count();
-    let cut = broken
-        .iter()
-        .filter(|id| reached.iter().any(|(_, reached)| reached == *id) && !completed.contains(id));
-    let cut = cut.count();
-    for (at, id) in &reached {
-        let late = if *at > bound { ", too late" } else { "" };
-        stage.note_at(*at, format_args!("{id} reaches {}{late}", leaver.id));
+    let (mut all, mut late, mut cut) = (0, 0, 0);
+    for leaver in &leavers {
+        let removed = leaver.removed_at.lock().expect("no panic").expect("all have left");
+        let completed = leaver.completed.lock().expect("no panic").clone();
+        for (at, id) in &*leaver.reached.lock().expect("no panic") {
+            let is_late = *at > removed + DRAIN;
+            all += 1;
+            late += u32::from(is_late);
+            cut += u32::from(broken.contains(id) && !completed.contains(id));
+            let mark = if is_late { ", too late" } else { "" };
+            stage.note_at(*at, format_args!("{id} reaches {}{mark}", leaver.id));
+        }
     }
     stage.note(format_args!(
-        "{} requests reached {}, {late} of them later than {} ms after its removal; {cut} were cut by \
-         its end",
-        reached.len(),
-        leaver.id,
+        "{all} requests reached engines that left, {late} of them later than {} ms after the removal; \
+         {cut} were cut by the engine's end",
         DRAIN.as_millis()
     ));
-    if reached.is_empty() {
+    if all == 0 {
         Outcome::CouldNotRun
     } else if late > 0 {
         Outcome::Broken
