--- a/review/standin/src/daemon.rs
+++ b/review/standin/src/daemon.rs
@@ -22,6 +22,7 @@
 const PR_SET_PDEATHSIG: i32 = 1;
 const SIGKILL: usize = 9;
 
+pub const SIGHUP: i32 = 1;
 pub const SIGTERM: i32 = 15;
 
 const FRONT: u16 = 8740;
@@ -125,6 +126,15 @@
         self.child = Some(command.spawn().expect("the program of the deploy file starts"));
     }
 
+    /// Changes the settings file: `retryBurst` is 54 instead of 52.
+    pub fn change_settings(&self, fleet: &Fleet) {
+        let path = fleet.folder.join(format!("{}.json", self.name));
+        let settings = fs::read_to_string(&path).expect("the settings file was written");
+        let changed = settings.replace("\"repeat_burst\": 52", "\"repeat_burst\": 54");
+        assert_ne!(changed, settings, "the settings have a burst of repeats");
+        fs::write(path, changed).expect("the settings file can be written");
+    }
+
     pub fn signal(&self, signal: i32) {
         if let Some(child) = &self.child {
             // SAFETY: the call has no other effect than the signal to a process that we started.
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -9,6 +9,7 @@
 mod leaving;
 mod limited;
 mod pages;
+mod preempted;
 mod store;
 mod take_up;
 
@@ -101,6 +102,7 @@
     let outcome = match case.as_str() {
         "leaving" => leaving::run(&mut stage),
         "limited" => limited::run(&mut stage),
+        "preempted" => preempted::run(&mut stage),
         "pages" => pages::run(&mut stage),
         "take_up" => take_up::run(&mut stage),
         _ => Outcome::CouldNotRun,
