gateway: logs name the requests that a stop cuts, and what was expected of them

Logs could not tell a request that a leaving host could not finish from one that its caller left, nor a connection that is closed with a request in its socket. taken_leaving states for each request that arrives after SIGTERM whether it is taken, what is expected of it and how much time is left; answered has the reason cut and unanswered has ending, where the end of the grace time ended the request; closed_unread counts bytes that were never read. No decision changes.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -159,15 +159,32 @@
         self.departure.get_or_init(|| departure);
     }
 
-    /// Whether the daemon takes a request of `route` with this deadline, although it may be about to
-    /// stop.
-    pub fn takes(&self, route: &Route, deadline: Instant, now: Instant) -> bool {
+    /// Whether the daemon takes request `id` of `route` with this deadline, although it may be about
+    /// to stop.
+    pub fn takes(&self, id: &str, route: &Route, deadline: Instant, now: Instant) -> bool {
         let Some(departure) = self.departure.get() else { return true };
         let stage = if now < departure.announced { Stage::Announcing } else { Stage::Announced };
         let left = |until: Instant| until.saturating_duration_since(now);
+        let (request_left, daemon_left) = (left(deadline), left(departure.end));
         let allows_rerun = route.retry_policy.allows_rerun();
-        let durations = self.durations.lock();
-        durations.takes(&route.name, stage, allows_rerun, left(deadline), left(departure.end))
+        let (takes, longest) = {
+            let durations = self.durations.lock();
+            let name = &route.name;
+            let takes = durations.takes(name, stage, allows_rerun, request_left, daemon_left);
+            (takes, durations.longest(name))
+        };
+        tracing::info!(
+            event = "taken_leaving", %id, route = %route.name, takes, %stage,
+            request_left_ms = request_left.as_millis() as u64,
+            daemon_left_ms = daemon_left.as_millis() as u64,
+            longest_ms = longest.map(|longest| longest.as_millis() as u64)
+        );
+        takes
+    }
+
+    /// Whether the grace time is over, so that requests are cut.
+    pub fn is_ending(&self) -> bool {
+        self.leaves_at().is_some_and(|end| Instant::now() >= end)
     }
 
     /// Whether this daemon is to watch the source.
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -60,7 +60,9 @@
     running: Running,
 ) -> Response<Body> {
     let id = meta.id.clone();
-    match accept(gateway, meta, request, arrived).await {
+    let mut pending = Pending { gateway, id: &id, arrived, is_answered: false };
+    let accepted = accept(gateway, meta, request, arrived).await;
+    let response = match accepted {
         Ok(call) => call.run(running).await,
         Err(refused) => {
             let RefusedRequest { refusal, version } = refused;
@@ -76,6 +78,30 @@
             gateway.dialect.write_request_id(&id, &mut headers);
             refusal.response(headers)
         }
+    };
+    pending.is_answered = true;
+    response
+}
+
+/// Logs a request whose connection ends before a response begins.
+struct Pending<'a> {
+    gateway: &'a Gateway,
+    id: &'a str,
+    arrived: Instant,
+    is_answered: bool,
+}
+
+impl Drop for Pending<'_> {
+    fn drop(&mut self) {
+        if !self.is_answered {
+            tracing::info!(
+                event = "unanswered",
+                id = self.id,
+                after_ms = elapsed_ms(self.arrived),
+                ending = self.gateway.is_ending()
+            );
+            self.gateway.metrics.count_unanswered();
+        }
     }
 }
 
@@ -120,7 +146,7 @@
         Err(_) => return Err(refused(Refusal::new(Reason::SlowBody))),
     };
     let now = Instant::now();
-    if !gateway.takes(&route, deadline, now) {
+    if !gateway.takes(&meta.id, &route, deadline, now) {
         return Err(refused(Refusal::temporary(
             Reason::Leaving,
             leaving_retry_after(gateway, now),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -61,6 +61,8 @@
     notices: Family<NoticeLabels, Counter>,
     hedges: Family<HedgeLabels, Counter>,
     share_refusals: Family<WorkspaceLabels, Counter>,
+    unanswered: Counter,
+    unread: Counter,
     first_event: Family<RouteLabels, Histogram, fn() -> Histogram>,
     response_time: Family<RouteLabels, Histogram, fn() -> Histogram>,
     /// The number of requests being served.
@@ -87,6 +89,11 @@
         let share_refusals = Family::default();
         let first_event = Family::new_with_constructor(histogram as fn() -> Histogram);
         let response_time = Family::new_with_constructor(histogram as fn() -> Histogram);
+        let (unanswered, unread) = (Counter::default(), Counter::default());
+        let help = "Requests whose connection ended before their answer began";
+        registry.register("unanswered", help, unanswered.clone());
+        let help = "Connections of callers closed with bytes that were not read";
+        registry.register("closed_unread", help, unread.clone());
         let (running, connections) = (Gauge::default(), Gauge::default());
         let (log_lines_dropped, source_restores) = (Gauge::default(), Gauge::default());
         registry.register("answers", "Answers to callers", responses.clone());
@@ -116,6 +123,8 @@
             notices,
             hedges,
             share_refusals,
+            unanswered,
+            unread,
             first_event,
             response_time,
             running,
@@ -174,6 +183,16 @@
         self.share_refusals.get_or_create(&labels).inc();
     }
 
+    /// Counts a request whose connection ended before its response began.
+    pub fn count_unanswered(&self) {
+        self.unanswered.inc();
+    }
+
+    /// Counts a caller's connection that was closed with bytes that were not read.
+    pub fn count_unread(&self) {
+        self.unread.inc();
+    }
+
     /// Observes the time from a request's arrival to its first event.
     pub fn observe_first_event(&self, route: &str, after: Duration) {
         let labels = RouteLabels { route: route.into() };
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -243,7 +243,8 @@
 impl Drop for Relay {
     fn drop(&mut self) {
         if !self.done {
-            self.record_end("caller_left");
+            let is_ending = self.call.gateway.is_ending();
+            self.record_end(if is_ending { "cut" } else { "caller_left" });
         }
     }
 }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -87,15 +87,26 @@
             (&mut connection).await
         }
     };
+    let is_incomplete = served.as_ref().is_err_and(hyper::Error::is_user);
     if let Err(error) = served {
         tracing::debug!(event = "connection_ended", %error);
-        if error.is_user() && delimited_by_close.load(Ordering::Relaxed) {
-            reset_on_close(connection.into_parts().io.inner());
-        }
     }
+    let stream = connection.into_parts().io.into_inner();
+    if is_incomplete && delimited_by_close.load(Ordering::Relaxed) {
+        reset_on_close(&stream);
+    }
+    report_unread(&gateway, &stream);
     gateway.metrics.connections.dec();
 }
 
+/// Logs and counts bytes of a caller that its connection is closed with: perhaps a request.
+fn report_unread(gateway: &Gateway, stream: &TcpStream) {
+    if let Ok(bytes @ 1..) = rustix::io::ioctl_fionread(stream) {
+        tracing::info!(event = "closed_unread", bytes, leaving = gateway.is_leaving());
+        gateway.metrics.count_unread();
+    }
+}
+
 /// Makes the close of a connection a reset, which the caller can tell from the end of a response.
 fn reset_on_close(stream: &TcpStream) {
     if let Err(error) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
