gateway: a leaving host reads what has arrived before it closes or ends

Callers got no answer from a host that leaves: from 4 s after SIGTERM on, a new connection was closed before its request was read, by the toss-up of select between the connection and the close, and a host that was late to run ended while connections waited in its accept queue.

Connections are polled before the close, and idle ones are read for another 50 ms, in which the I/O driver reports what had arrived. The host ends after two checks in a row without a connection, between which it accepts.

--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -17,6 +17,9 @@
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(400);
 /// How often a leaving daemon checks whether callers are still connected.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// The number of checks in a row that must find no connection. A host that was late to run may check
+/// before it has accepted the connections that wait.
+const MIN_IDLE_CHECKS: u32 = 2;
 /// How often the clocks are compared.
 const CLOCK_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// The delay of a clock check that counts as a suspension. A host without overload stays below it.
@@ -33,8 +36,11 @@
     tokio::time::sleep_until((announced + MOVE_MARGIN).min(end).into()).await;
     // Idle connections are closed at once, connections in use after the current response.
     gateway.closing.cancel();
-    while Instant::now() < end && gateway.metrics.connections.get() > 0 {
+    let mut idle_checks = 0;
+    while Instant::now() < end && idle_checks < MIN_IDLE_CHECKS {
         tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
+        let is_idle = gateway.metrics.connections.get() == 0;
+        idle_checks = if is_idle { idle_checks + 1 } else { 0 };
     }
     tracing::info!(
         event = "stop", host = %gateway.settings.host, cut = gateway.metrics.running.get(),
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -32,6 +32,9 @@
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Added to the declared idle time, so that callers close idle connections first.
 const IDLE_SLACK: Duration = Duration::from_secs(1);
+/// How long connections are still read once they are to be closed, so that requests that had arrived
+/// by then are answered.
+const LAST_READ_TIME: Duration = Duration::from_millis(50);
 /// The minimum buffer size for request heads.
 const MIN_HEAD_BUFFER_BYTES: usize = 32 << 10;
 
@@ -80,8 +83,11 @@
         .max_buf_size(head_bytes)
         .serve_connection(TokioIo::new(stream), service);
     let served = tokio::select! {
+        // A host that was late to run finds its timers due and bytes in its sockets at once. The bytes
+        // come first.
+        biased;
         served = &mut connection => served,
-        () = gateway.closing.cancelled() => {
+        () = wait_for_close(&gateway) => {
             // Closes an idle connection at once, and a connection in use after its response.
             Pin::new(&mut connection).graceful_shutdown();
             (&mut connection).await
@@ -99,6 +105,12 @@
     gateway.metrics.connections.dec();
 }
 
+/// Waits until an idle connection may be closed.
+async fn wait_for_close(gateway: &Gateway) {
+    gateway.closing.cancelled().await;
+    tokio::time::sleep(LAST_READ_TIME).await;
+}
+
 /// Logs and counts bytes of a caller that its connection is closed with: perhaps a request.
 fn report_unread(gateway: &Gateway, stream: &TcpStream) {
     if let Ok(bytes @ 1..) = rustix::io::ioctl_fionread(stream) {
