--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -11,7 +11,9 @@
 
 /// Callers use a response of the directory for at most this many times its TTL.
 const DIRECTORY_USE_FACTOR: u32 = 3;
-/// How long after that a leaving daemon keeps idle connections open.
+/// The time that a busy host may take to handle SIGTERM. Callers count from the signal.
+const SIGNAL_DELAY: Duration = Duration::from_millis(500);
+/// How long after these responses have expired a leaving daemon keeps idle connections open.
 const MOVE_MARGIN: Duration = Duration::from_secs(1);
 /// The time at the end of the grace time that is reserved for an orderly exit.
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(400);
@@ -31,9 +33,10 @@
     let begun = Instant::now();
     tracing::info!(event = "leaving", running = gateway.metrics.running.get());
     let end = begun + grace.saturating_sub(SHUTDOWN_MARGIN);
-    let announced = begun + gateway.settings.directory_ttl * DIRECTORY_USE_FACTOR;
+    let announcement = gateway.settings.directory_ttl * DIRECTORY_USE_FACTOR;
+    let announced = begun + announcement.saturating_sub(SIGNAL_DELAY);
     gateway.leave(Departure { announced, end });
-    tokio::time::sleep_until((announced + MOVE_MARGIN).min(end).into()).await;
+    tokio::time::sleep_until((begun + announcement + MOVE_MARGIN).min(end).into()).await;
     // Idle connections are closed at once, connections in use after the current response.
     gateway.closing.cancel();
     let mut idle_checks = 0;
