policy: hosts that restart together share half of a limit that a server names

Membership is partial, provisional or converged. It is provisional from 4 s on where all members in reach have started as well; such hosts share half of the limit among those that they know. What was weighed: a shorter wait, which gives up what holds in partitions of 10 to 20 s with restarts, and a share of all hosts that the platform runs, whose number no host knows. Cold starts and repeats stay as they were: they last seconds, or have their own share.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -173,20 +173,20 @@
         }
         let Settings { host, zone, weight, .. } = &gateway.settings;
         let own = name_hash(host.as_str());
-        let (mut members, converged) = {
+        let (mut members, membership) = {
             let table = gateway.members.lock();
             let candidate = WatcherCandidate { host_hash: own, zone, weight: *weight };
             gateway.set_role(table.role(&candidate, now));
             if !gateway.watches_source() {
                 self.update_source_state(table.is_source_watched(now), now);
             }
-            (table.share_holders(now), table.has_converged(now))
+            (table.share_holders(now), table.membership(now))
         };
         if let Err(at) = members.binary_search(&own) {
             members.insert(at, own);
         }
         let mut decider = gateway.decider.lock();
-        decider.set_members(members, converged);
+        decider.set_members(members, membership);
         decider.expire_peers(now);
         decider.expire_notices(|server| gateway.cache.has_server(server), now);
         drop(decider);
--- a/crates/gateway/tests/rights/fleet.rs
+++ b/crates/gateway/tests/rights/fleet.rs
@@ -157,7 +157,7 @@
         if let Err(at) = members.binary_search(&own) {
             members.insert(at, own);
         }
-        self.decider.set_members(members, self.table.has_converged(now));
+        self.decider.set_members(members, self.table.membership(now));
         self.decider.expire_notices(|_| true, now);
     }
 
--- a/crates/policy/examples/replay/fleet.rs
+++ b/crates/policy/examples/replay/fleet.rs
@@ -14,6 +14,7 @@
     admission::shares::Report,
     cold,
     decider::{Decider, Decision, End, Settings},
+    holders::Membership,
     latency::Model,
     peer_loads::PeerLoads,
     repeats,
@@ -178,7 +179,7 @@
                 fair_shares: policy == Policy::Fair,
                 shared_speeds: policy == Policy::SharedSpeeds,
             });
-            decider.set_members((0..pattern.daemons as u32).collect(), true);
+            decider.set_members((0..pattern.daemons as u32).collect(), Membership::Converged);
             decider.set_servers(servers.clone());
             let address = IpAddr::V4(Ipv4Addr::from_bits(0x0a00_0001 + index as u32));
             Daemon {
--- a/crates/policy/src/local/decider.rs
+++ b/crates/policy/src/local/decider.rs
@@ -29,7 +29,7 @@
     cold::Bound as ColdBound,
     demand::Demand,
     hedge::Hedges,
-    holders::Holders,
+    holders::{Holders, Membership},
     limit::Limits,
     notice::Notices,
     peer_loads::PeerLoads,
@@ -174,7 +174,7 @@
     settings: Settings,
     members: Vec<u32>,
     /// Whether `members` are all share holders.
-    converged: bool,
+    membership: Membership,
     servers: Map<Backend, ServerState>,
     by_hash: Map<u32, Backend>,
     peer_loads: PeerLoads,
@@ -206,7 +206,7 @@
             hedges: Hedges::new(settings.hedges),
             settings,
             members,
-            converged: false,
+            membership: Membership::default(),
             servers: Map::default(),
             by_hash: Map::default(),
             peer_loads: PeerLoads::default(),
@@ -242,12 +242,12 @@
         self.settings.repeats = repeats;
     }
 
-    /// Sets the hashes of the share holders, this daemon included. `converged` means that the list
-    /// is complete. Without a complete list this daemon sends nothing to cold backend servers and
-    /// uses no share of the burst of repeats.
-    pub fn set_members(&mut self, members: Vec<u32>, converged: bool) {
+    /// Sets the hashes of the share holders, this daemon included, and how complete the list is.
+    /// Without a complete list this daemon sends nothing to cold backend servers and uses no share of
+    /// the burst of repeats.
+    pub fn set_members(&mut self, members: Vec<u32>, membership: Membership) {
         self.members = members;
-        self.converged = converged;
+        self.membership = membership;
     }
 
     /// Whether this daemon, of all share holders, decides alone what concerns the item with this
@@ -255,7 +255,8 @@
     pub fn is_responsible_for(&self, item: u64) -> bool {
         let weight = |member: u32| (affinity::weight(member, item), member);
         let own = self.settings.own_hash;
-        self.converged && self.members.iter().all(|&member| weight(member) <= weight(own))
+        self.membership == Membership::Converged
+            && self.members.iter().all(|&member| weight(member) <= weight(own))
     }
 
     /// Replaces the backend servers that may get requests. The state of those that stay is kept,
@@ -360,7 +361,7 @@
         let holders = Holders {
             own: self.settings.own_hash,
             members: &self.members,
-            converged: self.converged,
+            membership: self.membership,
         };
         let budget = repeat_budget(&mut self.repeats, pool, self.settings.repeats);
         budget.allows_repeat(&holders, now)
--- a/crates/policy/src/local/decider/hedge.rs
+++ b/crates/policy/src/local/decider/hedge.rs
@@ -34,7 +34,7 @@
         let holders = Holders {
             own: self.settings.own_hash,
             members: &self.members,
-            converged: self.converged,
+            membership: self.membership,
         };
         let allowed = self.hedges.check(&demand.pool, &utilization, demand.target, &holders, now);
         if let Err(reason) = allowed {
--- a/crates/policy/src/local/decider/selection.rs
+++ b/crates/policy/src/local/decider/selection.rs
@@ -62,7 +62,7 @@
             holders: Holders {
                 own: self.settings.own_hash,
                 members: &self.members,
-                converged: self.converged,
+                membership: self.membership,
             },
             cold: self.settings.cold,
         };
--- a/crates/policy/src/local/holders.rs
+++ b/crates/policy/src/local/holders.rs
@@ -6,6 +6,27 @@
 
 use super::affinity;
 
+/// The part of a named limit that daemons with a provisional membership use together. On the other
+/// side of a partition, daemons that did not restart use up to all of it, and backend servers bear half
+/// as much again.
+const PROVISIONAL_RATIO: f64 = 0.5;
+
+/// How completely a daemon knows the share holders.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, derive_more::Display)]
+pub enum Membership {
+    /// There may be others, anywhere.
+    #[default]
+    #[display("partial")]
+    Partial,
+    /// All daemons in reach are known and have started as well. There may be others on the other side
+    /// of a partition.
+    #[display("provisional")]
+    Provisional,
+    /// All are known.
+    #[display("converged")]
+    Converged,
+}
+
 /// The daemons that share a limit, as one of them knows them.
 #[derive(Debug, Clone, Copy)]
 pub struct Holders<'a> {
@@ -13,8 +34,8 @@
     pub own: u32,
     /// The hashes of all share holders, this daemon included.
     pub members: &'a [u32],
-    /// Whether `members` is complete. Without a complete list a daemon has no share.
-    pub converged: bool,
+    /// How complete `members` is.
+    pub membership: Membership,
 }
 
 impl Holders<'_> {
@@ -25,14 +46,23 @@
 
     /// This daemon's part of a limit that is divided equally.
     pub fn equal_share(&self, total: f64) -> f64 {
-        if self.converged { total / self.count() as f64 } else { 0.0 }
+        match self.membership {
+            Membership::Converged => total / self.count() as f64,
+            Membership::Partial | Membership::Provisional => 0.0,
+        }
     }
 
-    /// This daemon's part of a rate that is divided among `senders` of the share holders. Which ones
-    /// these are depends on the item, so that small rates of many items don't fall to the same few.
+    /// This daemon's part of a rate that is divided among `senders` of the share holders, or of half
+    /// the rate with a provisional membership. Which ones these are depends on the item, so that small
+    /// rates of many items don't fall to the same few.
     pub fn sender_share(&self, total: f64, senders: usize, item: u32) -> f64 {
         let senders = senders.clamp(1, self.count());
-        if self.converged && self.rank(item) < senders { total / senders as f64 } else { 0.0 }
+        let total = match self.membership {
+            Membership::Converged => total,
+            Membership::Provisional => total * PROVISIONAL_RATIO,
+            Membership::Partial => 0.0,
+        };
+        if self.rank(item) < senders { total / senders as f64 } else { 0.0 }
     }
 
     /// The number of share holders that are preferred to this daemon for an item, by rendezvous
--- a/crates/policy/tests/local/mod.rs
+++ b/crates/policy/tests/local/mod.rs
@@ -15,6 +15,7 @@
     cold,
     decider::{Decider, Decision, Placement, Settings},
     demand::{Demand, Segment},
+    holders::Membership,
     repeats,
     server::Server,
 };
@@ -39,14 +40,14 @@
 
 pub fn decider(zone: &str) -> Decider {
     let mut decider = Decider::new(settings(zone));
-    decider.set_members(vec![1], true);
+    decider.set_members(vec![1], Membership::Converged);
     decider
 }
 
 /// A decider of a daemon that shares measurements of speeds with its peers.
 pub fn sharing_decider(zone: &str) -> Decider {
     let mut decider = Decider::new(Settings { shared_speeds: true, ..settings(zone) });
-    decider.set_members(vec![1], true);
+    decider.set_members(vec![1], Membership::Converged);
     decider
 }
 
--- a/crates/policy/tests/local_admission_shares.rs
+++ b/crates/policy/tests/local_admission_shares.rs
@@ -11,6 +11,7 @@
     admission::shares::Shares,
     decider::{Decider, Decision, End, Reason, Settings},
     demand::{Demand, Workspace},
+    holders::Membership,
     server::{SendId, Server},
 };
 use rand::{RngExt as _, SeedableRng as _, rngs::StdRng};
@@ -72,7 +73,7 @@
         let decider = |index: usize| {
             let own_hash = index as u32;
             let mut decider = Decider::new(Settings { own_hash, fair_shares, ..settings("a") });
-            decider.set_members((0..daemons as u32).collect(), true);
+            decider.set_members((0..daemons as u32).collect(), Membership::Converged);
             decider.set_servers((0..engines as u32).map(fetching_engine).collect());
             decider
         };
--- a/crates/policy/tests/local_builds.rs
+++ b/crates/policy/tests/local_builds.rs
@@ -8,6 +8,7 @@
 use hyssop_policy::local::{
     decider::{Decider, Decision, End, Reason},
     demand::Demand,
+    holders::Membership,
     server::{Load, Server},
 };
 use local::*;
@@ -106,7 +107,7 @@
 fn a_cold_build_is_the_reason_of_its_own_streams_only() {
     let now = Instant::now();
     let mut decider = released();
-    decider.set_members(vec![1], false);
+    decider.set_members(vec![1], Membership::Partial);
     for index in 0..2 {
         decider.record_cold(&engine(index).name, now + Duration::from_secs(3));
     }
--- a/crates/policy/tests/local_hedge.rs
+++ b/crates/policy/tests/local_hedge.rs
@@ -9,6 +9,7 @@
     decider::{Decider, Decision, End, Placement, Settings},
     demand::Demand,
     hedge::{Hedge, Reason},
+    holders::Membership,
     repeats::Bound,
     server::{SendId, Server},
 };
@@ -21,7 +22,7 @@
 
 fn hedging_decider(own_hash: u32, members: &[u32], hedges: Option<Bound>) -> Decider {
     let mut decider = Decider::new(Settings { own_hash, hedges, ..settings("a") });
-    decider.set_members(members.to_vec(), true);
+    decider.set_members(members.to_vec(), Membership::Converged);
     decider.set_servers((0..3).map(service).collect());
     decider
 }
@@ -215,11 +216,11 @@
     let now = Instant::now();
     let bound = Bound { ratio: 0.0, burst: 100.0, ..HEDGES };
     let mut decider = hedging_decider(1, &[1], Some(bound));
-    decider.set_members(vec![1], false);
+    decider.set_members(vec![1], Membership::Partial);
     let (first, _) = send(&mut decider, &plain_request(now), now);
     let late = Duration::from_millis(300);
     assert_eq!(decide(&mut decider, &first, late, now), Hedge::No(Reason::Limit));
-    decider.set_members(vec![1], true);
+    decider.set_members(vec![1], Membership::Converged);
     assert!(matches!(decide(&mut decider, &first, late, now), Hedge::Send(_)));
 }
 
--- a/crates/policy/tests/local_limits.rs
+++ b/crates/policy/tests/local_limits.rs
@@ -6,6 +6,7 @@
 
 use hyssop_policy::local::{
     decider::{Decider, Decision, End, Reason, Settings},
+    holders::Membership,
     limit::{Rate, Report},
 };
 use local::*;
@@ -24,7 +25,7 @@
 /// A decider of one daemon among `members`, with one server of a plain service.
 fn decider_of(members: Vec<u32>) -> Decider {
     let mut decider = decider("a");
-    decider.set_members(members, true);
+    decider.set_members(members, Membership::Converged);
     decider.set_servers(vec![service(0)]);
     decider
 }
@@ -77,7 +78,7 @@
             };
             let mut decider = Decider::new(settings);
             decider.set_servers(vec![service(0)]);
-            decider.set_members(members.clone(), true);
+            decider.set_members(members.clone(), Membership::Converged);
             decider.record_limit(&service(0).name, 1, rate(limit), now, now);
             send_until_refused(&mut decider, now + Duration::from_secs(20)) > 0
         });
@@ -91,7 +92,7 @@
     let now = Instant::now();
     let mut decider = decider_of(vec![1]);
     decider.record_limit(&service(0).name, 1, rate("10"), now, now);
-    decider.set_members(vec![1], false);
+    decider.set_members(vec![1], Membership::Partial);
     assert_eq!(send_until_refused(&mut decider, now + Duration::from_secs(50)), 0);
 }
 
--- a/crates/policy/tests/local_placement.rs
+++ b/crates/policy/tests/local_placement.rs
@@ -8,6 +8,7 @@
 use hyssop_policy::local::{
     decider::{Decision, Reason},
     demand::Demand,
+    holders::Membership,
     reservation::{self, Reservation},
     server::{Load, Server},
 };
@@ -143,7 +144,7 @@
     let moves = |members: u32| {
         let mut decider = decider("a");
         decider.set_servers(engines.clone());
-        decider.set_members((1..=members).collect(), true);
+        decider.set_members((1..=members).collect(), Membership::Converged);
         let first_choice =
             expect_send(&decider.place_request(&prefill_heavy(7, now), now)).server.clone();
         let loads = engines.iter().map(|server| {
--- a/crates/policy/tests/local_rights.rs
+++ b/crates/policy/tests/local_rights.rs
@@ -10,13 +10,14 @@
 use hyssop_policy::local::{
     decider::{Decision, End, Reason},
     holders::Holders,
+    holders::Membership,
     repeats::Budget,
     server::Server,
 };
 use local::*;
 
 fn holders(own: u32, members: &[u32]) -> Holders<'_> {
-    Holders { own, members, converged: true }
+    Holders { own, members, membership: Membership::Converged }
 }
 
 /// As long as each daemon has the complete list of share holders, the sum of their shares stays
@@ -46,7 +47,7 @@
     let now = Instant::now();
     let mut decider = decider("a");
     decider.set_servers(vec![engine(0)]);
-    decider.set_members(vec![1, 2, 3], true);
+    decider.set_members(vec![1, 2, 3], Membership::Converged);
     decider.record_cold(&engine(0).name, now + Duration::from_secs(3));
     let mut sent = 0;
     for index in 0..60 {
@@ -69,7 +70,7 @@
     decider.set_servers(
         (0..2).map(|index| Server { max_connections: 10, ..service(index) }).collect(),
     );
-    decider.set_members(vec![1, 2, 3], true);
+    decider.set_members(vec![1, 2, 3], Membership::Converged);
     let mut sent = Vec::new();
     let refused = loop {
         let demand = plain_request(now);
@@ -94,12 +95,12 @@
 fn before_convergence_a_daemon_sends_nothing_to_a_cold_backend_server() {
     let now = Instant::now();
     let mut decider = decider("a");
-    decider.set_members(vec![1], false);
+    decider.set_members(vec![1], Membership::Partial);
     decider.set_servers(vec![engine(0)]);
     decider.record_cold(&engine(0).name, now + Duration::from_secs(3));
     let refused = decider.place_request(&prefill_heavy(1, now), now);
     assert!(matches!(refused, Decision::Refuse { reason: Reason::Cold, .. }), "{refused:?}");
-    decider.set_members(vec![1, 2, 3], true);
+    decider.set_members(vec![1, 2, 3], Membership::Converged);
     assert!(matches!(decider.place_request(&prefill_heavy(1, now), now), Decision::Send(_)));
 }
 
@@ -138,7 +139,7 @@
     let mut deciders = [decider("a"), decider("b")];
     for decider in &mut deciders {
         decider.set_servers(vec![engine(0)]);
-        decider.set_members(vec![1, 2], true);
+        decider.set_members(vec![1, 2], Membership::Converged);
     }
     deciders[0].record_cold(&engine(0).name, now + Duration::from_secs(3));
     let delay = Duration::from_millis(700);
--- a/crates/policy/tests/local_urgency.rs
+++ b/crates/policy/tests/local_urgency.rs
@@ -11,6 +11,7 @@
 use hyssop_policy::local::{
     decider::{Decider, Decision, End},
     demand::{Demand, Segment},
+    holders::Membership,
     server::{Load, SendId, Server},
 };
 use local::*;
@@ -119,7 +120,7 @@
         let engines: Vec<Server> = (0..engines).map(engine).collect();
         let daemon = |index: usize| {
             let mut decider = decider_of(index);
-            decider.set_members((0..daemons as u32).collect(), true);
+            decider.set_members((0..daemons as u32).collect(), Membership::Converged);
             decider.set_servers(engines.clone());
             decider
         };
--- a/crates/view/src/member.rs
+++ b/crates/view/src/member.rs
@@ -6,6 +6,7 @@
 };
 
 use hyssop_document::{collections::Map, name::Zone};
+use hyssop_policy::local::holders::Membership;
 
 use crate::heartbeat::{Heartbeat, MemberEntry, Phase, name_hash};
 
@@ -34,6 +35,10 @@
 /// fleet that starts for the first time: ten heartbeats, and the difference between the starts of
 /// hosts that start together.
 pub const CONVERGENCE_DELAY: Duration = Duration::from_millis(1_300);
+/// The time after its start from which on a daemon with members is taken to know all that it can reach:
+/// several turns of heartbeats of a large fleet, and the difference between the starts of hosts. Well
+/// below the bound on recovery, 12 s on the users' platform.
+pub const PROVISIONAL_DELAY: Duration = Duration::from_secs(4);
 /// How long a daemon waits for the heartbeat of a converged member before it relies on the members
 /// that it has discovered itself. Longer than a partition in which hosts restart.
 pub const CONVERGENCE_TIMEOUT: Duration = Duration::from_secs(20);
@@ -129,6 +134,20 @@
         self.converges_at.is_some_and(|at| now >= at) || now >= self.started + CONVERGENCE_TIMEOUT
     }
 
+    /// How completely the table has the members that may use a share of the divided limits. It is
+    /// provisional where all members in reach have started as well: it can't tell a restart of all from
+    /// one of its side of a partition.
+    pub fn membership(&self, now: Instant) -> Membership {
+        let is_settled = now >= self.started + PROVISIONAL_DELAY;
+        if self.has_converged(now) {
+            Membership::Converged
+        } else if is_settled && self.alive(now).next().is_some() {
+            Membership::Provisional
+        } else {
+            Membership::Partial
+        }
+    }
+
     /// Records a heartbeat. Returns `None` if nothing changed or if the sender has restarted since.
     pub fn record_heartbeat(
         &mut self,
