gateway: the rest of a refused request's body is read while the refusal is written

Callers that were still sending a body got a reset instead of the refusal: the body of a request that is refused by its head (not_ready, unknown_key, no_route, too_large) was dropped, so the connection was closed with unread bytes. With bodies of some 10 to 100 kB, as the streams of both deployments of lost1 have, that needs only a caller on a slow link or a host that is late to read.

--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -1,27 +1,28 @@
 //! Admission of callers' requests: headers, route, API key, limits and body.
 
 use std::{
-    sync::{Arc, atomic::Ordering},
+    sync::Arc,
     time::{Duration, Instant},
 };
 
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use compact_str::CompactString;
-use http_body_util::{BodyExt as _, Limited};
 use hyper::{
     HeaderMap, Request, Response, Uri,
-    body::{Body as _, Incoming},
+    body::Incoming,
     header::{CONNECTION, HOST, HeaderValue},
+    http::request::Parts,
 };
 
 use crate::{
     body::Body,
-    call::{BufferedBody, Call},
+    call::Call,
     dialect::RequestMeta,
-    environment::{Environment, Limits, Route, Workspace},
+    environment::{Environment, Route, Workspace},
     gateway::Gateway,
     metrics::Running,
     refusal::{Reason, Refusal},
+    upload,
 };
 
 /// `Retry-After` of a daemon that is not ready. Short, since other daemons can serve the caller.
@@ -43,6 +44,8 @@
         Err(malformed) => {
             tracing::info!(event = "answered", reason = %Reason::Malformed, %malformed);
             gateway.metrics.count_response("", 400, "malformed");
+            let (head, body) = request.into_parts();
+            upload::discard(&head, body);
             Refusal::new(Reason::Malformed).response(HeaderMap::new())
         }
     };
@@ -61,10 +64,12 @@
 ) -> Response<Body> {
     let id = meta.id.clone();
     let mut pending = Pending { gateway, id: &id, arrived, is_answered: false };
-    let accepted = accept(gateway, meta, request, arrived).await;
+    let (head, mut body) = request.into_parts();
+    let accepted = accept(gateway, meta, &head, &mut body, arrived).await;
     let response = match accepted {
         Ok(call) => call.run(running).await,
         Err(refused) => {
+            upload::discard(&head, body);
             let RefusedRequest { refusal, version } = refused;
             tracing::info!(
                 event = "answered", %id, status = refusal.reason.status().as_u16(),
@@ -119,7 +124,8 @@
 async fn accept(
     gateway: &Arc<Gateway>,
     meta: RequestMeta,
-    request: Request<Incoming>,
+    head: &Parts,
+    body: &mut Incoming,
     arrived: Instant,
 ) -> Result<Call, RefusedRequest> {
     let snapshot = gateway.cache.snapshot();
@@ -135,12 +141,11 @@
         return Err(refused(not_ready));
     }
     let (route, workspace) =
-        admit(&environment, &meta, &request).map_err(|reason| refused(Refusal::new(reason)))?;
+        admit(&environment, &meta, head).map_err(|reason| refused(Refusal::new(reason)))?;
     let time_limit = meta.deadline.unwrap_or(route.timeout).min(route.timeout);
     let deadline = arrived + time_limit;
-    let (head, body) = request.into_parts();
     let body_timeout = meta.deadline.unwrap_or(BODY_TIMEOUT);
-    let read = read_body(gateway, body, &environment.limits);
+    let read = upload::read(gateway, body, &environment.limits, NOT_READY_RETRY_AFTER);
     let body = match tokio::time::timeout(body_timeout, read).await {
         Ok(body) => body.map_err(refused)?,
         Err(_) => return Err(refused(Refusal::new(Reason::SlowBody))),
@@ -157,7 +162,7 @@
     let target = head.uri.path_and_query().map_or("/", |target| target.as_str());
     Ok(Call::builder(Arc::clone(gateway), meta, route)
         .workspace(workspace)
-        .request(head.method, CompactString::new(target), shared_headers.freeze())
+        .request(head.method.clone(), CompactString::new(target), shared_headers.freeze())
         .body(body)
         .times(arrived, deadline)
         .version(version)
@@ -178,10 +183,10 @@
 fn admit(
     environment: &Environment,
     meta: &RequestMeta,
-    request: &Request<Incoming>,
+    head: &Parts,
 ) -> Result<(Arc<Route>, Option<Arc<Workspace>>), Reason> {
-    let host = request_host(request.headers(), request.uri()).ok_or(Reason::Malformed)?;
-    let path = request.uri().path();
+    let host = request_host(&head.headers, &head.uri).ok_or(Reason::Malformed)?;
+    let path = head.uri.path();
     let route = environment.route(&host, path).ok_or(Reason::NoRoute)?;
     if route.public || !environment.needs_key() {
         return Ok((Arc::clone(route), None));
@@ -200,33 +205,3 @@
     let host = named.rsplit_once(':').filter(|(_, port)| port.bytes().all(|b| b.is_ascii_digit()));
     Some(CompactString::new(host.map_or(named, |(host, _)| host)).to_ascii_lowercase())
 }
-
-async fn read_body(
-    gateway: &Arc<Gateway>,
-    body: Incoming,
-    limits: &Limits,
-) -> Result<BufferedBody, Refusal> {
-    if body.is_end_stream() {
-        return Ok(BufferedBody::empty(Arc::clone(gateway)));
-    }
-    let declared = body.size_hint().exact().unwrap_or(0);
-    if declared > limits.max_body_bytes as u64 {
-        return Err(Refusal::new(Reason::TooLarge));
-    }
-    let buffered = gateway.body_bytes.load(Ordering::Relaxed);
-    if buffered + declared as usize > gateway.settings.body_memory_bytes {
-        return Err(Refusal::temporary(Reason::Memory, NOT_READY_RETRY_AFTER));
-    }
-    let collected = Limited::new(body, limits.max_body_bytes).collect().await;
-    let bytes: Bytes = match collected {
-        Ok(collected) => collected.to_bytes(),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
-            return Err(Refusal::new(Reason::TooLarge));
-        }
-        Err(error) => {
-            tracing::info!(event = "body_not_read", %error);
-            return Err(Refusal::new(Reason::Malformed));
-        }
-    };
-    Ok(BufferedBody::new(Arc::clone(gateway), bytes))
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,3 +27,4 @@
 mod silence;
 pub mod source;
 pub mod suspects;
+mod upload;
