gateway: request bodies count against their memory while they arrive

Bodies were counted once they had arrived whole, so that many uploads at once, above all slow ones, passed the limit: 300 of 200 kB at a host whose limit is 10 MB were counted as 1.2 MB at most. The kernel ends a process over its memory, and all requests with it.

Memory is reserved before a body arrives if its length is declared, else as it arrives, and a request for which there is none is refused (memory, 503, not run).

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -37,7 +37,7 @@
 
 use self::hedge::Attempt;
 
-pub use buffered::BufferedBody;
+pub use buffered::{BufferedBody, Reservation};
 pub use builder::Builder;
 pub use exchange::{Error, Exchange, ParsedHead};
 
--- a/crates/gateway/src/upload.rs
+++ b/crates/gateway/src/upload.rs
@@ -1,10 +1,8 @@
 //! Reads the bodies of callers' requests into memory, within the limits.
 
-use std::{
-    sync::{Arc, atomic::Ordering},
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
+use bytes::BytesMut;
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use hyper::{
     body::{Body as _, Incoming},
@@ -14,7 +12,7 @@
 use tokio::time::timeout;
 
 use crate::{
-    call::BufferedBody,
+    call::{BufferedBody, Reservation},
     environment::Limits,
     gateway::Gateway,
     refusal::{Reason, Refusal},
@@ -25,7 +23,8 @@
 /// The maximum size of that rest.
 const MAX_DISCARD_BYTES: usize = 16 << 20;
 
-/// Reads a body.
+/// Reads a body. Its memory is reserved before it arrives if its length is declared, else as it
+/// arrives.
 ///
 /// # Errors
 ///
@@ -36,26 +35,32 @@
     limits: &Limits,
     retry_after: Duration,
 ) -> Result<BufferedBody, Refusal> {
-    if body.is_end_stream() {
-        return Ok(BufferedBody::empty(Arc::clone(gateway)));
-    }
+    let mut reservation = Reservation::new(Arc::clone(gateway));
+    let out_of_memory = Refusal::temporary(Reason::Memory, retry_after);
     let declared = body.size_hint().exact().unwrap_or(0);
     if declared > limits.max_body_bytes as u64 {
         return Err(Refusal::new(Reason::TooLarge));
     }
-    let buffered = gateway.body_bytes.load(Ordering::Relaxed);
-    if buffered + declared as usize > gateway.settings.body_memory_bytes {
-        return Err(Refusal::temporary(Reason::Memory, retry_after));
+    if !reservation.grow_to(declared as usize) {
+        return Err(out_of_memory);
     }
-    let collected = Limited::new(body, limits.max_body_bytes).collect().await;
-    match collected {
-        Ok(collected) => Ok(BufferedBody::new(Arc::clone(gateway), collected.to_bytes())),
-        Err(error) if error.is::<LengthLimitError>() => Err(Refusal::new(Reason::TooLarge)),
-        Err(error) => {
+    let mut limited = Limited::new(body, limits.max_body_bytes);
+    let mut bytes = BytesMut::with_capacity(declared as usize);
+    while let Some(frame) = limited.frame().await {
+        let frame = frame.map_err(|error| {
+            if error.is::<LengthLimitError>() {
+                return Refusal::new(Reason::TooLarge);
+            }
             tracing::info!(event = "body_not_read", %error);
-            Err(Refusal::new(Reason::Malformed))
+            Refusal::new(Reason::Malformed)
+        })?;
+        let Ok(data) = frame.into_data() else { continue };
+        if !reservation.grow_to(bytes.len() + data.len()) {
+            return Err(out_of_memory);
         }
+        bytes.extend_from_slice(&data);
     }
+    Ok(BufferedBody::new(reservation, bytes.freeze()))
 }
 
 /// Reads and discards the rest of the body of a refused request, while the refusal is written. Closing
