policy: a leaving host guesses no durations once callers can know that it leaves

The exception for a host whose callers can't be served elsewhere is gone: the users' rule knows none, and a real process that is alone cut a stream of 6 s that it had taken 3.2 s after SIGTERM on the guess of 0.1 s. Requests with short deadlines are taken until their deadline no longer fits.

A refused caller that waits for 100 Continue is told that its connection ends.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -163,13 +163,7 @@
     /// to stop.
     pub fn takes(&self, id: &str, route: &Route, deadline: Instant, now: Instant) -> bool {
         let Some(departure) = self.departure.get() else { return true };
-        let stage = if now < departure.announced {
-            Stage::Announcing
-        } else if self.members.lock().ready(now).next().is_some() {
-            Stage::Announced
-        } else {
-            Stage::Alone
-        };
+        let stage = if now < departure.announced { Stage::Announcing } else { Stage::Announced };
         let left = |until: Instant| until.saturating_duration_since(now);
         let (request_left, daemon_left) = (left(deadline), left(departure.end));
         let allows_rerun = route.retry_policy.allows_rerun();
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -44,9 +44,9 @@
         Err(malformed) => {
             tracing::info!(event = "answered", reason = %Reason::Malformed, %malformed);
             gateway.metrics.count_response("", 400, "malformed");
+            let response = Refusal::new(Reason::Malformed).response(HeaderMap::new());
             let (head, body) = request.into_parts();
-            upload::discard(&head, body);
-            Refusal::new(Reason::Malformed).response(HeaderMap::new())
+            refuse(&head, body, response)
         }
     };
     if gateway.is_leaving() {
@@ -69,7 +69,6 @@
     let response = match accepted {
         Ok(call) => call.run(running).await,
         Err(refused) => {
-            upload::discard(&head, body);
             let RefusedRequest { refusal, version } = refused;
             tracing::info!(
                 event = "answered", %id, status = refusal.reason.status().as_u16(),
@@ -81,13 +80,22 @@
             gateway.metrics.count_response("", refusal.reason.status().as_u16(), &reason);
             let mut headers = HeaderMap::new();
             gateway.dialect.write_request_id(&id, &mut headers);
-            refusal.response(headers)
+            refuse(&head, body, refusal.response(headers))
         }
     };
     pending.is_answered = true;
     response
 }
 
+/// Discards the rest of the body of a refused request, and announces the end of the connection if that
+/// can't be done.
+fn refuse(head: &Parts, body: Incoming, mut response: Response<Body>) -> Response<Body> {
+    if !upload::discard(head, body) {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
 /// Logs a request whose connection ends before a response begins.
 struct Pending<'a> {
     gateway: &'a Gateway,
--- a/crates/policy/src/local/departure.rs
+++ b/crates/policy/src/local/departure.rs
@@ -4,9 +4,8 @@
 //! is refused, so that its caller turns to another host at once, and short ones are still served.
 //! Callers that could not know of the departure are refused only if a cut is likely, since a refusal
 //! costs them a try, and other hosts that they know of may be leaving too. That risk is taken only for
-//! requests that may run again: a cut costs the others their response. For the others, and where no
-//! other host accepts callers, the longest recent responses are the guess. Where callers can be served
-//! elsewhere, nothing is guessed: how long a response takes is bounded by its deadline only.
+//! requests that may run again: a cut costs the others their response. Once callers can know, nothing is
+//! guessed: how long a response takes is bounded by its deadline only.
 
 use std::{collections::VecDeque, time::Duration};
 
@@ -29,19 +28,15 @@
 /// the Linux scheduler), which is most of it for a host with a tenth of a core.
 const MIN_MARGIN: Duration = Duration::from_millis(100);
 
-/// Whether callers can know that the daemon leaves, and turn to another one.
+/// Whether callers can know that the daemon leaves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
 pub enum Stage {
     /// Callers may still use a response of the directory that lists the daemon.
     #[display("announcing")]
     Announcing,
-    /// All responses of the directory that list the daemon have expired, and another daemon accepts
-    /// callers.
+    /// All responses of the directory that list the daemon have expired.
     #[display("announced")]
     Announced,
-    /// They have expired, and no other daemon accepts callers.
-    #[display("alone")]
-    Alone,
 }
 
 /// How long the recent responses of each route took.
@@ -95,7 +90,7 @@
     ) -> bool {
         let expected = match stage {
             Stage::Announcing if allows_rerun => self.likely(route),
-            Stage::Announcing | Stage::Alone => self.longest(route),
+            Stage::Announcing => self.longest(route),
             Stage::Announced => None,
         };
         expected.unwrap_or(Duration::MAX).min(request_left) <= daemon_left
