gateway: the position of a full read is that of its first page

A daemon took the last revision of any page for the position that it had applied, passed over what had changed between the pages on earlier ones, and told its peers the same. Where it then left the watch to others it never fetched the change.

A read now reaches the position of its first page; later records keep their own positions, as large ones do that were fetched by themselves. A record that is known already still moves the daemon's position, or it would be fetched again with each heartbeat.

--- a/crates/gateway/src/cache.rs
+++ b/crates/gateway/src/cache.rs
@@ -130,13 +130,16 @@
 
     /// Applies records. Returns whether the state changed.
     pub fn apply(&self, records: Vec<Record>, origin: Origin, now: Instant) -> bool {
-        self.apply_all(records, Vec::new(), origin, now)
+        self.apply_all(records, Vec::new(), None, origin, now)
     }
 
+    /// Applies records. `read_at` is the position of the full read that they are from: it may have
+    /// later ones, but not all changes before these.
     fn apply_all(
         &self,
         records: Vec<Record>,
         references: Vec<Reference>,
+        read_at: Option<Position>,
         origin: Origin,
         now: Instant,
     ) -> bool {
@@ -145,7 +148,8 @@
         inner.applied_before = before;
         let mut changed = false;
         for record in records {
-            changed |= self.apply_record(&mut inner, record, origin, now);
+            let reached = read_at.map_or(record.position, |read_at| record.position.min(read_at));
+            changed |= self.apply_record(&mut inner, record, reached, origin, now);
         }
         for reference in references {
             inner.advance(reference.position, origin, now);
@@ -160,8 +164,8 @@
         changed
     }
 
-    /// Applies a full read as of `position`: records that are missing in it were deleted. Returns
-    /// whether the state changed.
+    /// Applies a full read that began at `position`: records that existed then and are missing in it
+    /// were deleted. Returns whether the state changed.
     pub fn replace_all(&self, records: Vec<Record>, position: Position, now: Instant) -> bool {
         let keys = records.iter().map(|record| record.key.clone()).collect();
         self.apply_listing(records, Vec::new(), &keys, position, Origin::Read, now)
@@ -171,7 +175,7 @@
     pub fn apply_changes(&self, changes: Changes, now: Instant) -> bool {
         let Changes { records, references, listing } = changes;
         let Some(Listing { position, keys }) = listing else {
-            return self.apply_all(records, references, Origin::Peer, now);
+            return self.apply_all(records, references, None, Origin::Peer, now);
         };
         let keys = keys.into_iter().collect();
         self.apply_listing(records, references, &keys, position, Origin::Peer, now)
@@ -193,7 +197,8 @@
                 records.push(Record { key: key.clone(), position, value: None });
             }
         }
-        let changed = self.apply_all(records, references, origin, now);
+        let read_at = (origin == Origin::Read).then_some(position);
+        let changed = self.apply_all(records, references, read_at, origin, now);
         let mut inner = self.inner.lock();
         inner.awaited.retain(|key, awaited| *awaited > position || keys.contains(key));
         inner.complete_at = inner.complete_at.max(position);
@@ -291,20 +296,22 @@
         changed || rewritten
     }
 
+    /// Applies a record, with which this daemon has all changes up to `reached`.
     fn apply_record(
         &self,
         inner: &mut Inner,
         record: Record,
+        reached: Position,
         origin: Origin,
         now: Instant,
     ) -> bool {
         let Some(parsed_key) = self.decoder.parse_key(&record.key) else { return false };
         let previous = inner.records.get(&record.key).map(|cached| cached.record.position);
         let known = inner.known_position(&record.key);
+        inner.advance(reached, origin, now);
         if known >= record.position && known != Position::default() {
             return false;
         }
-        inner.advance(record.position, origin, now);
         inner.end_wait(&record.key, record.position);
         let is_restored = previous
             .is_some_and(|previous| inner.restore.is_restored(previous, record.position, now));
--- a/crates/gateway/src/cache/transfer.rs
+++ b/crates/gateway/src/cache/transfer.rs
@@ -33,9 +33,8 @@
         if !is_awaited || !is_newer || record.position.era > inner.applied.era {
             return false;
         }
-        let applied = inner.applied;
-        let changed = self.apply_record(&mut inner, record, Origin::Peer, now);
-        inner.applied = applied;
+        let reached = inner.applied;
+        let changed = self.apply_record(&mut inner, record, reached, Origin::Peer, now);
         if changed {
             self.publish(&inner);
         }
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -35,9 +35,9 @@
 /// The records of one read or watch.
 #[derive(Debug, Clone)]
 pub struct Batch {
-    /// The records, in any order.
+    /// The records, in any order. Those of a read may be later than its position.
     pub records: Vec<Record>,
-    /// The position from which the next watch continues.
+    /// The position from which the next watch continues: all changes up to it are included.
     pub position: Position,
 }
 
--- a/crates/gateway/tests/applied.rs
+++ b/crates/gateway/tests/applied.rs
@@ -66,3 +66,21 @@
     assert_eq!((third.awaited(), third.snapshot().applied), (None, position(9)));
     assert!(third.record_after("b", Position::default()).is_some(), "the earlier change");
 }
+
+/// The pages of a full read are no snapshot: the last one may have a change that is later than others
+/// which the first one lacks. The daemon must fetch these, and its peers must not take them for applied.
+#[test]
+fn a_full_read_reaches_only_the_position_of_its_first_page() {
+    let now = Instant::now();
+    let [first, second] = [(); 2].map(|()| Cache::new(Box::new(ZoneDecoder)));
+    first.replace_all(vec![record("a", 3, 1), record("c", 9, 1)], position(6), now);
+    assert!(first.snapshot().applied <= position(6), "{}", first.snapshot().applied);
+
+    second.apply_changes(first.changes_after(Position::default()).expect("current"), now);
+    assert!(second.snapshot().applied <= position(6), "{}", second.snapshot().applied);
+    for cache in [&first, &second] {
+        cache.apply(vec![record("b", 8, 1), record("c", 9, 1)], Origin::Peer, now);
+        assert_eq!(cache.snapshot().applied, position(9));
+        assert!(cache.record_after("b", Position::default()).is_some(), "the earlier change");
+    }
+}
