gateway: a large record that a peer awaits is listed where its deletion is known

A daemon that lists all keys to a peer left out a key whose earlier deletion it knew and whose new, large value it still awaited. The peer took the key for deleted.

Found by a property test with pages, watches, peers, restarts, compaction and an older copy of the source: after quiet, each daemon holds what the source holds.

--- a/crates/gateway/src/cache/transfer.rs
+++ b/crates/gateway/src/cache/transfer.rs
@@ -47,6 +47,10 @@
         self.records.get(key).map(|cached| cached.record.position).unwrap_or_default()
     }
 
+    fn exists(&self, key: &str) -> bool {
+        self.records.get(key).is_some_and(|cached| cached.record.value.is_some())
+    }
+
     /// The position of this daemon's knowledge about a key: a full read includes all earlier
     /// records, except for large ones that have not arrived yet.
     pub(super) fn known_position(&self, key: &str) -> Position {
@@ -80,7 +84,7 @@
         let all = || inner.records.values().map(|cached| &cached.record);
         let existing = all().filter(|record| record.value.is_some()).map(|record| &record.key);
         let listing = (after < inner.complete_at).then(|| {
-            let awaited = inner.awaited.keys().filter(|key| !inner.records.contains_key(*key));
+            let awaited = inner.awaited.keys().filter(|key| !inner.exists(key));
             Listing {
                 position: inner.complete_at,
                 keys: existing.chain(awaited).cloned().collect(),
