gateway: a full read reaches its position even if nothing there is that new

A key whose deletion was the source's last change is in no page, so daemons that read the source in full stated the position of the last key that exists. Daemons that were at that position already, and leave the watch to others, kept the key until something else changed. A read now reaches its own position.

--- a/crates/gateway/src/cache.rs
+++ b/crates/gateway/src/cache.rs
@@ -155,6 +155,9 @@
             inner.advance(reference.position, origin, now);
             inner.await_record(reference);
         }
+        if let Some(position) = read_at {
+            inner.advance(position, origin, now);
+        }
         if changed || inner.applied > before {
             self.publish(&inner);
         }
