gateway: a peer that was away for minutes learns of deletions that were dropped

Daemons drop the record of a deletion after two minutes. A peer that asked for changes from before it, cut off for longer, was not told, and kept the key for as long as it ran. Daemons now list their keys to such a peer, as they do after a full read.

What a cache knows of outages is a module of its own now.

--- a/crates/gateway/src/cache.rs
+++ b/crates/gateway/src/cache.rs
@@ -5,6 +5,7 @@
 
 mod knowledge;
 mod lifetime;
+mod outage;
 mod transfer;
 
 use std::{
@@ -100,6 +101,8 @@
     applied_before: Position,
     /// The position of the last full read. It contains the effect of all earlier records.
     complete_at: Position,
+    /// The last position of the deletions that were dropped.
+    forgotten_at: Position,
     /// The era of the record of the environment in force.
     environment_era: Era,
     restore: Restore,
@@ -224,41 +227,6 @@
         self.inner.lock().restore.count()
     }
 
-    /// Records that the source can't be reached or refuses calls.
-    pub fn on_source_lost(&self, now: Instant) {
-        let mut inner = self.inner.lock();
-        inner.grace_until = None;
-        inner.knowledge.end();
-        inner.source_lost_at.get_or_insert(now);
-    }
-
-    /// The time since the source's last response in ms, or `None` before the first.
-    pub fn source_age_ms(&self, now: Instant) -> Option<u64> {
-        Some(now.duration_since(self.inner.lock().last_response?).as_millis() as u64)
-    }
-
-    /// Records a response of the source to this daemon or a peer. Returns the length of the outage
-    /// that this ends, if any.
-    pub fn on_source_response(&self, now: Instant) -> Option<Duration> {
-        let mut inner = self.inner.lock();
-        inner.last_response = Some(now);
-        let lost_at = inner.source_lost_at.take()?;
-        let grace_until = now + LAPSED_SERVER_GRACE;
-        inner.grace_until = Some(grace_until);
-        for cached in inner.servers.values_mut() {
-            if let Some(expires_at) = &mut cached.expires_at {
-                *expires_at = grace_until;
-            }
-        }
-        Some(now.duration_since(lost_at))
-    }
-
-    /// Whether the source is reachable: false from [`Self::on_source_lost`] until its next
-    /// response.
-    pub fn is_source_up(&self) -> bool {
-        self.inner.lock().source_lost_at.is_none()
-    }
-
     /// Removes servers whose grace time is over, and old deletions, unless the source is lost.
     /// Returns whether the state changed.
     pub fn expire(&self, now: Instant) -> bool {
@@ -281,10 +249,14 @@
         if changed {
             self.publish(&inner);
         }
-        let keep = |cached: &CachedRecord| {
-            cached.record.value.is_some() || now.duration_since(cached.received) < DELETION_TTL
-        };
-        inner.records.retain(|_, cached| keep(cached));
+        let Inner { records, forgotten_at, .. } = &mut *inner;
+        records.retain(|_, CachedRecord { record, received }| {
+            let keep = record.value.is_some() || now.duration_since(*received) < DELETION_TTL;
+            if !keep {
+                *forgotten_at = record.position.max(*forgotten_at);
+            }
+            keep
+        });
         let mut rewritten = false;
         for key in inner.restore.expire(now) {
             let Some(record) = inner.records.get(&key).map(|cached| cached.record.clone()) else {
--- a/crates/gateway/src/cache/transfer.rs
+++ b/crates/gateway/src/cache/transfer.rs
@@ -83,12 +83,11 @@
         }
         let all = || inner.records.values().map(|cached| &cached.record);
         let existing = all().filter(|record| record.value.is_some()).map(|record| &record.key);
-        let listing = (after < inner.complete_at).then(|| {
+        // No records of deletions up to this position are left.
+        let listed_at = inner.complete_at.max(inner.forgotten_at);
+        let listing = (after < listed_at).then(|| {
             let awaited = inner.awaited.keys().filter(|key| !inner.exists(key));
-            Listing {
-                position: inner.complete_at,
-                keys: existing.chain(awaited).cloned().collect(),
-            }
+            Listing { position: listed_at, keys: existing.chain(awaited).cloned().collect() }
         });
         // A large record that was fetched by itself may be later than this daemon's position. Its
         // own position would tell peers that they have all records before it.
--- a/crates/view/src/record.rs
+++ b/crates/view/src/record.rs
@@ -74,15 +74,15 @@
     pub records: Vec<Record>,
     /// The large records after the peer's position. The daemon itself may lack their values.
     pub references: Vec<Reference>,
-    /// All keys, if the daemon has read the source in full after the peer's position: it has no
-    /// records of deletions before that read.
+    /// All keys, if the daemon has read the source in full or dropped a deletion after the peer's
+    /// position: it lacks records of deletions.
     pub listing: Option<Listing>,
 }
 
 /// The keys that exist.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Listing {
-    /// The position of the read. Keys that are missing were deleted by then.
+    /// The position of the read, or of the deletion. Keys that are missing were deleted by then.
     pub position: Position,
     /// The keys, in any order.
     pub keys: Vec<CompactString>,
