view: silent watchers are noticed within a second in fleets of any size

A member counts as gone after four turns of heartbeats, which are 2.1 s at 85 hosts and 4.9 s at 195, so that nobody read the source for longer than departures and configurations may take. All daemons now pass on the last sign of life of each watcher, appended to the datagram behind the heartbeat: older versions ignore it, and a datagram without it is decoded. In its place the next daemon in rank goes on at once, those behind it 50 ms later each, where before all called the source at the same time.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,6 +1,7 @@
 //! The state that the daemon sends to its peers, and how the daemon applies the state of peers.
 
 mod catch_up;
+mod standby;
 
 use std::{cmp::Reverse, net::IpAddr, sync::Arc, time::Instant};
 
@@ -12,9 +13,10 @@
     member::WatcherCandidate,
 };
 
+use parking_lot::Mutex;
 use rand::seq::SliceRandom as _;
 
-use self::catch_up::CatchUp;
+use self::{catch_up::CatchUp, standby::Standby};
 use crate::{
     gateway::{Gateway, Settings},
     silence,
@@ -43,13 +45,14 @@
 pub struct PeerSync {
     gateway: Arc<Gateway>,
     catch_up: CatchUp,
+    standby: Mutex<Standby>,
 }
 
 impl PeerSync {
     /// The state exchange of `gateway`, whose peers serve records on `port`.
     pub fn new(gateway: Arc<Gateway>, port: u16) -> Arc<Self> {
         let catch_up = CatchUp::new(Arc::clone(&gateway), port);
-        Arc::new(Self { gateway, catch_up })
+        Arc::new(Self { gateway, catch_up, standby: Mutex::default() })
     }
 
     /// Derives the source's state while this daemon does not watch it: the source is lost when no
@@ -176,7 +179,9 @@
         let (mut members, converged) = {
             let table = gateway.members.lock();
             let candidate = WatcherCandidate { host_hash: own, zone, weight: *weight };
-            gateway.set_role(table.role(&candidate, now));
+            let role = table.role(&candidate, now);
+            let delay = table.standby_delay(&candidate, now);
+            gateway.set_role(self.standby.lock().delay(role, gateway.role(), delay, now));
             if !gateway.watches_source() {
                 self.update_source_state(table.is_source_watched(now), now);
             }
--- a/crates/view/src/gossip.rs
+++ b/crates/view/src/gossip.rs
@@ -14,8 +14,9 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    heartbeat::{Heartbeat, MAX_DATAGRAM_BYTES},
+    heartbeat::{Datagram, Heartbeat, MAX_DATAGRAM_BYTES, name_hash},
     member::{HEARTBEAT_INTERVAL, Table},
+    watch::WatcherEntry,
 };
 
 /// Seeds that are not alive get a heartbeat once in this many heartbeat intervals.
@@ -57,6 +58,7 @@
     /// Returns the error of a socket that has no address.
     pub async fn run(self, stop: CancellationToken) -> io::Result<()> {
         let own = self.socket.local_addr()?;
+        let own_hash = name_hash(self.local.heartbeat().host.as_str());
         let mut timer = tokio::time::interval(HEARTBEAT_INTERVAL);
         timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut buffer = vec![0; MAX_DATAGRAM_BYTES * 2];
@@ -70,16 +72,16 @@
                     self.local.tick(Instant::now());
                 }
                 received = self.socket.recv_from(&mut buffer) => match received {
-                    Ok((length, from)) => self.on_datagram(&buffer[..length], from, own),
+                    Ok((length, from)) => self.on_datagram(&buffer[..length], from, own, own_hash),
                     Err(error) => tracing::debug!(event = "datagram_lost", %error),
                 },
             }
         }
     }
 
-    fn on_datagram(&self, bytes: &[u8], from: SocketAddr, own: SocketAddr) {
-        let heartbeat = match Heartbeat::decode(bytes) {
-            Ok(heartbeat) => heartbeat,
+    fn on_datagram(&self, bytes: &[u8], from: SocketAddr, own: SocketAddr, own_hash: u32) {
+        let Datagram { heartbeat, mut watchers } = match Datagram::decode(bytes) {
+            Ok(datagram) => datagram,
             Err(error) => {
                 tracing::warn!(event = "datagram_refused", %from, bytes = bytes.len(), %error);
                 return;
@@ -89,7 +91,14 @@
             return;
         }
         let now = Instant::now();
-        let change = self.table.lock().record_heartbeat(from.ip(), heartbeat.clone(), now);
+        // The table has the other daemons only.
+        watchers.retain(|entry| entry.host_hash != own_hash);
+        let change = {
+            let mut table = self.table.lock();
+            let change = table.record_heartbeat(from.ip(), heartbeat.clone(), now);
+            table.record_watchers(&watchers, now);
+            change
+        };
         if let Some(change) = change {
             tracing::info!(
                 event = "member", %change, host = %heartbeat.host, zone = %heartbeat.zone,
@@ -132,14 +141,15 @@
         }
         let mut heartbeat = self.local.heartbeat();
         let now = Instant::now();
-        {
+        let watchers = {
             let table = self.table.lock();
             heartbeat.converged = table.has_converged(now);
             heartbeat.members = table.member_entries(now);
-        }
+            watcher_entries(&table, &heartbeat, now)
+        };
         heartbeat.members.shuffle(&mut rand::rng());
         heartbeat.members.truncate(MAX_MEMBER_ENTRIES);
-        let bytes = match heartbeat.encode() {
+        let bytes = match (Datagram { heartbeat, watchers }).encode() {
             Ok(bytes) => bytes,
             Err(error) => {
                 tracing::error!(event = "beat_not_sent", %error);
@@ -156,3 +166,15 @@
         }
     }
 }
+
+/// The signs of life of watchers that a daemon sends with its heartbeat: its own, if it watches the
+/// source, and those that it knows.
+pub fn watcher_entries(table: &Table, own: &Heartbeat, now: Instant) -> Vec<WatcherEntry> {
+    let mut entries = table.watcher_entries(now);
+    if own.watches_source {
+        let uptime = table.uptime(now).as_millis() as u64;
+        let host_hash = name_hash(own.host.as_str());
+        entries.push(WatcherEntry { host_hash, beat: own.started_ms() + uptime });
+    }
+    entries
+}
--- a/crates/view/src/heartbeat.rs
+++ b/crates/view/src/heartbeat.rs
@@ -18,6 +18,7 @@
 use crate::{
     member::{MIN_LIVENESS_TIMEOUT, SHARE_TTL},
     record::Position,
+    watch::WatcherEntry,
 };
 
 /// The maximum size of a datagram: one packet of an Ethernet link.
@@ -278,7 +279,48 @@
     }
 }
 
+/// What a daemon sends in one datagram.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Datagram {
+    /// The sender's heartbeat.
+    pub heartbeat: Heartbeat,
+    /// The last signs of life of daemons that watch the source.
+    pub watchers: Vec<WatcherEntry>,
+}
+
+impl Datagram {
+    /// Encodes the datagram. The watchers are left out if they don't fit.
+    ///
+    /// # Errors
+    ///
+    /// Returns the codec's error.
+    pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
+        let mut bytes = self.heartbeat.encode()?;
+        let watchers = postcard::to_allocvec(&self.watchers)?;
+        if bytes.len() + watchers.len() <= MAX_DATAGRAM_BYTES {
+            bytes.extend(watchers);
+        }
+        Ok(bytes)
+    }
+
+    /// Decodes a datagram, which may end after the heartbeat.
+    ///
+    /// # Errors
+    ///
+    /// Returns the codec's error for bytes that are not a heartbeat.
+    pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
+        let (heartbeat, rest) = postcard::take_from_bytes(bytes)?;
+        let watchers = if rest.is_empty() { Vec::new() } else { postcard::from_bytes(rest)? };
+        Ok(Self { heartbeat, watchers })
+    }
+}
+
 impl Heartbeat {
+    /// The start of the sender's process in ms since 1970.
+    pub fn started_ms(&self) -> u64 {
+        self.incarnation >> 8
+    }
+
     /// Encodes the heartbeat as the payload of one datagram.
     ///
     /// # Errors
--- a/crates/view/src/lib.rs
+++ b/crates/view/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod origin;
 pub mod record;
 pub mod sync;
+pub mod watch;
--- a/crates/view/src/member.rs
+++ b/crates/view/src/member.rs
@@ -7,7 +7,10 @@
 
 use hyssop_document::{collections::Map, name::Zone};
 
-use crate::heartbeat::{Heartbeat, MemberEntry, Phase, name_hash};
+use crate::{
+    heartbeat::{Heartbeat, MemberEntry, Phase, name_hash},
+    watch::{Watch, WatcherEntry, Watchers},
+};
 
 /// The time between two heartbeats to a member of the own availability zone.
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(100);
@@ -20,6 +23,10 @@
 pub const MAX_FANOUT: usize = 16;
 /// The minimum number of daemons that watch the source, over all zones.
 const MIN_WATCHERS: usize = 3;
+/// How long a daemon stays idle for each daemon that goes before it in place of a silent watcher, and
+/// at most. Their heartbeats arrive meanwhile, so that only the first ones call the source.
+const STANDBY_STEP: Duration = Duration::from_millis(50);
+const MAX_STANDBY_DELAY: Duration = Duration::from_millis(600);
 /// The fraction of its interval after which a heartbeat may be sent, as timers are not exact.
 const EARLY_SEND_RATIO: f64 = 0.9;
 /// How long after its last heartbeat a member counts as alive in small fleets: twelve heartbeat
@@ -81,6 +88,7 @@
     /// Members that peers listed, by the hash of the host's name, with the time at which their
     /// shares expire.
     reported: Map<u32, Instant>,
+    watchers: Watchers,
     started: Instant,
     /// When the membership converges, once a converged member was seen.
     converges_at: Option<Instant>,
@@ -119,7 +127,13 @@
     /// earlier members that could still use their shares.
     pub fn new(started: Instant, first_start: bool) -> Self {
         let converges_at = first_start.then(|| started + CONVERGENCE_DELAY);
-        Self { members: Map::default(), reported: Map::default(), started, converges_at }
+        Self {
+            members: Map::default(),
+            reported: Map::default(),
+            watchers: Watchers::default(),
+            started,
+            converges_at,
+        }
     }
 
     /// Whether the membership has converged: the table has all members that may use a share of the
@@ -146,12 +160,14 @@
         }
         let liveness_timeout = self.liveness_timeout();
         let Some(member) = self.members.get_mut(&from) else {
+            self.watchers.record_heartbeat(&heartbeat, now);
             self.members.insert(from, Member { heartbeat, last_seen: now, last_sent: None });
             return Some(Change::Joined);
         };
         if heartbeat.incarnation < member.heartbeat.incarnation {
             return None;
         }
+        self.watchers.record_heartbeat(&heartbeat, now);
         let change = if now.duration_since(member.last_seen) > liveness_timeout {
             Some(Change::Joined)
         } else if heartbeat.incarnation > member.heartbeat.incarnation {
@@ -163,6 +179,21 @@
         change
     }
 
+    /// Records the signs of life of watchers that a peer passed on.
+    pub fn record_watchers(&mut self, entries: &[WatcherEntry], now: Instant) {
+        self.watchers.record_entries(entries, now);
+    }
+
+    /// The last signs of life of watchers, to be passed on.
+    pub fn watcher_entries(&self, now: Instant) -> Vec<WatcherEntry> {
+        self.watchers.entries(now)
+    }
+
+    /// How long the daemon has run.
+    pub fn uptime(&self, now: Instant) -> Duration {
+        now.duration_since(self.started)
+    }
+
     /// The members with a recent heartbeat.
     pub fn alive(&self, now: Instant) -> impl Iterator<Item = (&IpAddr, &Member)> {
         let liveness_timeout = self.liveness_timeout();
@@ -238,7 +269,32 @@
 
     /// Whether another member watches the source.
     pub fn is_source_watched(&self, now: Instant) -> bool {
-        self.alive(now).any(|(_, member)| member.heartbeat.watches_source)
+        self.watch(now) == Watch::Active
+    }
+
+    /// Whether other members watch the source.
+    pub fn watch(&self, now: Instant) -> Watch {
+        self.watchers.watch(self.liveness_timeout(), now)
+    }
+
+    fn is_watching(&self, member: &Member, now: Instant) -> bool {
+        let hash = member.host_hash();
+        member.heartbeat.watches_source
+            && self.watchers.is_watching(hash, self.liveness_timeout(), now)
+    }
+
+    /// The members of the own zone that go before a daemon as watchers.
+    fn ahead(&self, own: &WatcherCandidate<'_>, now: Instant) -> impl Iterator<Item = &Member> {
+        let rank = (own.weight, own.host_hash);
+        let near = move |member: &&Member| member.heartbeat.zone == *own.zone;
+        let is_ahead = move |member: &&Member| (member.heartbeat.weight, member.host_hash()) > rank;
+        self.alive(now).map(|(_, member)| member).filter(near).filter(is_ahead)
+    }
+
+    /// How long a daemon that becomes a standby watcher stays idle, as others go before it.
+    pub fn standby_delay(&self, own: &WatcherCandidate<'_>, now: Instant) -> Duration {
+        let before = self.ahead(own, now).filter(|member| !member.heartbeat.watches_source).count();
+        (STANDBY_STEP * before as u32).min(MAX_STANDBY_DELAY)
     }
 
     /// Whether this daemon watches the source on behalf of the fleet: the daemons of the largest
@@ -252,13 +308,10 @@
         zones.sort_unstable();
         zones.dedup();
         let watchers_per_zone = MIN_WATCHERS.div_ceil(zones.len());
-        let rank = (own.weight, own.host_hash);
-        let near = others().filter(|member| member.heartbeat.zone == *own.zone);
-        let ahead = near.filter(|member| (member.heartbeat.weight, member.host_hash()) > rank);
         let (mut all, mut watching) = (0, 0);
-        for member in ahead {
+        for member in self.ahead(own, now) {
             all += 1;
-            watching += usize::from(member.heartbeat.watches_source);
+            watching += usize::from(self.is_watching(member, now));
         }
         if all < watchers_per_zone {
             Role::Watcher
@@ -288,5 +341,6 @@
     pub fn expire(&mut self, now: Instant) {
         self.members.retain(|_, member| member.share_expires_at() > now);
         self.reported.retain(|_, until| *until > now);
+        self.watchers.expire(now);
     }
 }
