gateway: silence of the watchers is no loss of the source

When the hosts that watch the store lost power, the others took the store for lost. With its return two seconds of grace began, in which the removal of an engine counts as a lapsed lease: 1.2 s and 2 s are more than drainMs. That nobody watches and that the store is lost are two beliefs now. Watchers that report that they can't reach it still make it lost at once; after silence the own calls of the standby decide, confirmed for 300 ms, in which a peer that gets through can report it. A refusal for too many calls is no outage by itself.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -32,6 +32,7 @@
     http::pool::{Error, Pool as Connections},
     metrics::Metrics,
     record::{Decoder, Server},
+    source::Outage,
     suspects::Suspects,
 };
 
@@ -102,6 +103,8 @@
     role: Mutex<Role>,
     /// Whether this daemon receives changes from the source itself.
     watches_source: AtomicBool,
+    /// The failed calls of this daemon while the watchers of the source are silent.
+    pub(crate) outage: Mutex<Outage>,
     /// Wakes the task that watches the source.
     pub(crate) role_changed: Notify,
 }
@@ -127,6 +130,7 @@
             departure: OnceLock::new(),
             role: Mutex::new(Role::Watcher),
             watches_source: AtomicBool::new(false),
+            outage: Mutex::default(),
             role_changed: Notify::new(),
             settings,
         }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -11,6 +11,7 @@
         Heartbeat, LeavingEntry, LimitEntry, LoadEntry, ModelEntry, SpeedEntry, name_hash,
     },
     member::WatcherCandidate,
+    watch::Watch,
 };
 
 use parking_lot::Mutex;
@@ -56,15 +57,23 @@
     }
 
     /// Derives the source's state while this daemon does not watch it: the source is lost when no
-    /// other daemon watches it either.
-    fn update_source_state(&self, watched: bool, now: Instant) {
+    /// other daemon can watch it either. Silent watchers say nothing about it, and this daemon's own
+    /// calls decide, see [`crate::source::Outage`].
+    fn update_source_state(&self, watch: Watch, now: Instant) {
         let cache = &self.gateway.cache;
+        let watched = watch == Watch::Active;
+        let is_lost = match watch {
+            Watch::Active => false,
+            Watch::Silent => self.gateway.outage.lock().is_confirmed(now),
+            Watch::Ended => true,
+        };
         if watched {
+            self.gateway.outage.lock().end();
             if let Some(outage) = cache.on_source_response(now) {
                 let gone_ms = outage.as_millis() as u64;
                 tracing::info!(event = "source_back", gone_ms, followed = watched);
             }
-        } else if cache.is_source_up() && cache.snapshot().environment.is_some() {
+        } else if is_lost && cache.is_source_up() && cache.snapshot().environment.is_some() {
             tracing::warn!(
                 event = "source_lost",
                 fault = "no daemon watches the source",
@@ -183,7 +192,7 @@
             let delay = table.standby_delay(&candidate, now);
             gateway.set_role(self.standby.lock().delay(role, gateway.role(), delay, now));
             if !gateway.watches_source() {
-                self.update_source_state(table.is_source_watched(now), now);
+                self.update_source_state(table.watch(now), now);
             }
             (table.share_holders(now), table.has_converged(now))
         };
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -1,5 +1,7 @@
 //! The task that watches the source of published records.
 
+mod outage;
+
 use std::{
     future::Future,
     pin::Pin,
@@ -8,11 +10,12 @@
 };
 
 use compact_str::CompactString;
-use hyssop_view::member::Role;
+use hyssop_view::{member::Role, watch::Watch};
 use rand::RngExt as _;
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
+pub(crate) use self::outage::Outage;
 use crate::{
     cache::Origin,
     gateway::Gateway,
@@ -100,6 +103,9 @@
         match result {
             Ok(batch) => {
                 delay = MIN_RETRY_DELAY;
+                if gateway.outage.lock().end() {
+                    gateway.cache.on_source_lost(now);
+                }
                 let outage = gateway.cache.on_source_response(now);
                 if !gateway.set_watches_source(true) {
                     let gone_ms = outage.map(|outage| outage.as_millis() as u64);
@@ -138,16 +144,21 @@
 }
 
 /// Handles a failed call of the source. While other daemons watch the source, it is not lost for
-/// the fleet; once they stop, `PeerSync::tick` marks it as lost.
+/// the fleet; once they report that they can't, `PeerSync::tick` marks it as lost. While those that
+/// watched are silent, another daemon may still reach it.
 fn on_failure(gateway: &Gateway, error: &Error, position: Option<Position>, now: Instant) {
-    let watched = gateway.members.lock().is_source_watched(now);
-    if gateway.set_watches_source(false) || gateway.cache.is_source_up() && !watched {
+    let watch = gateway.members.lock().watch(now);
+    let watched = watch == Watch::Active;
+    let was_watching = gateway.set_watches_source(false);
+    if was_watching || gateway.cache.is_source_up() && !watched {
         tracing::warn!(
             event = "source_lost", fault = %error,
             position = position.map(tracing::field::display), followed = watched
         );
     }
-    if !watched {
-        gateway.cache.on_source_lost(now);
+    match watch {
+        Watch::Active => {}
+        Watch::Silent if !was_watching => gateway.outage.lock().record(error, now),
+        Watch::Silent | Watch::Ended => gateway.cache.on_source_lost(now),
     }
 }
