gateway: a daemon that has missed something reads the source again

Nothing ever compared what daemons hold. What one of them had missed stayed missed until the key was written again, and a deletion that it believed wrongly stayed even over a full read.

Watchers now send a digest of the keys and positions that exist, 11 bytes at most, appended behind the heartbeat. A daemon whose own digest differs at the same position for 3 s reads the source in full, once a minute at most: a watcher if it differs from another one, an idle daemon if from two. A read is right about all that happened before it, whatever was known.

--- a/crates/gateway/src/cache.rs
+++ b/crates/gateway/src/cache.rs
@@ -3,6 +3,7 @@
 //! Records arrive from the source and from peers, each with its position. The last position of a key
 //! wins, whatever its origin, so the state never goes back to an older one within a process.
 
+mod digest;
 mod knowledge;
 mod lifetime;
 mod outage;
@@ -68,6 +69,8 @@
     pub zones_out: Set<Zone>,
     /// The last position applied.
     pub applied: Position,
+    /// The digest of the records at that position. `None` while a large record is awaited.
+    pub digest: Option<u64>,
 }
 
 #[derive(Debug)]
@@ -150,8 +153,9 @@
         let before = inner.applied;
         inner.applied_before = before;
         let mut changed = false;
+        let is_empty = records.is_empty() && references.is_empty();
         for record in records {
-            let reached = read_at.map_or(record.position, |read_at| record.position.min(read_at));
+            let reached = read_at.unwrap_or(record.position);
             changed |= self.apply_record(&mut inner, record, reached, origin, now);
         }
         for reference in references {
@@ -161,7 +165,7 @@
         if let Some(position) = read_at {
             inner.advance(position, origin, now);
         }
-        if changed || inner.applied > before {
+        if !is_empty || inner.applied > before {
             self.publish(&inner);
         }
         if origin == Origin::Watch {
@@ -208,6 +212,7 @@
         let mut inner = self.inner.lock();
         inner.awaited.retain(|key, awaited| *awaited > position || keys.contains(key));
         inner.complete_at = inner.complete_at.max(position);
+        self.publish(&inner);
         // The history before this read is missing. What peers have read may be old, so their
         // positions confirm it.
         inner.knowledge.end();
@@ -282,7 +287,11 @@
     ) -> bool {
         let Some(parsed_key) = self.decoder.parse_key(&record.key) else { return false };
         let previous = inner.records.get(&record.key).map(|cached| cached.record.position);
-        let known = inner.known_position(&record.key);
+        let mut known = inner.known_position(&record.key);
+        // A read is right about all that happened before it, whatever was known.
+        if origin == Origin::Read && known <= reached && previous != Some(record.position) {
+            known = Position::default();
+        }
         inner.advance(reached, origin, now);
         if known >= record.position && known != Position::default() {
             return false;
@@ -357,6 +366,7 @@
             cold: cold.collect(),
             zones_out: inner.zones_out.clone(),
             applied: inner.applied,
+            digest: inner.awaited.is_empty().then(|| inner.digest()),
             environment,
         };
         self.current.store(Arc::new(snapshot));
--- a/crates/gateway/src/cache/transfer.rs
+++ b/crates/gateway/src/cache/transfer.rs
@@ -35,9 +35,7 @@
         }
         let reached = inner.applied;
         let changed = self.apply_record(&mut inner, record, reached, Origin::Peer, now);
-        if changed {
-            self.publish(&inner);
-        }
+        self.publish(&inner);
         changed
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -103,6 +103,8 @@
     role: Mutex<Role>,
     /// Whether this daemon receives changes from the source itself.
     watches_source: AtomicBool,
+    /// Whether the source is to be read in full, as the records differ from those of watchers.
+    read_request: AtomicBool,
     /// The failed calls of this daemon while the watchers of the source are silent.
     pub(crate) outage: Mutex<Outage>,
     /// Wakes the task that watches the source.
@@ -130,6 +132,7 @@
             departure: OnceLock::new(),
             role: Mutex::new(Role::Watcher),
             watches_source: AtomicBool::new(false),
+            read_request: AtomicBool::new(false),
             outage: Mutex::default(),
             role_changed: Notify::new(),
             settings,
@@ -214,6 +217,17 @@
         self.watches_source.swap(watches_source, Ordering::Relaxed)
     }
 
+    /// Has the task that watches the source read it in full.
+    pub(crate) fn request_read(&self) {
+        self.read_request.store(true, Ordering::Relaxed);
+        self.role_changed.notify_one();
+    }
+
+    /// Whether the source is to be read in full. Takes the request back.
+    pub(crate) fn take_read_request(&self) -> bool {
+        self.read_request.swap(false, Ordering::Relaxed)
+    }
+
     /// Configures the decider with the backend servers in service, after the published state
     /// changed.
     pub fn reconfigure(&self) {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,6 +1,7 @@
 //! The state that the daemon sends to its peers, and how the daemon applies the state of peers.
 
 mod catch_up;
+mod comparison;
 mod standby;
 
 use std::{cmp::Reverse, net::IpAddr, sync::Arc, time::Instant};
@@ -17,7 +18,7 @@
 use parking_lot::Mutex;
 use rand::seq::SliceRandom as _;
 
-use self::{catch_up::CatchUp, standby::Standby};
+use self::{catch_up::CatchUp, comparison::Comparison, standby::Standby};
 use crate::{
     gateway::{Gateway, Settings},
     silence,
@@ -47,13 +48,19 @@
     gateway: Arc<Gateway>,
     catch_up: CatchUp,
     standby: Mutex<Standby>,
+    comparison: Mutex<Comparison>,
 }
 
 impl PeerSync {
     /// The state exchange of `gateway`, whose peers serve records on `port`.
     pub fn new(gateway: Arc<Gateway>, port: u16) -> Arc<Self> {
         let catch_up = CatchUp::new(Arc::clone(&gateway), port);
-        Arc::new(Self { gateway, catch_up, standby: Mutex::default() })
+        Arc::new(Self {
+            gateway,
+            catch_up,
+            standby: Mutex::default(),
+            comparison: Mutex::default(),
+        })
     }
 
     /// Derives the source's state while this daemon does not watch it: the source is lost when no
@@ -178,6 +185,20 @@
         self.catch_up.on_heartbeat(from, heartbeat, now);
     }
 
+    fn digest(&self) -> Option<u64> {
+        let is_current = self.gateway.watches_source() && !self.gateway.cache.is_suspended();
+        self.gateway.cache.snapshot().digest.filter(|_| is_current)
+    }
+
+    fn on_digest(&self, heartbeat: &Heartbeat, digest: u64, now: Instant) {
+        let snapshot = self.gateway.cache.snapshot();
+        let Some(own) = snapshot.digest.filter(|_| snapshot.applied == heartbeat.applied) else {
+            return;
+        };
+        let watcher = name_hash(heartbeat.host.as_str());
+        self.comparison.lock().record(watcher, own == digest, now);
+    }
+
     fn tick(&self, now: Instant) {
         let gateway = &self.gateway;
         if gateway.cache.expire(now) {
@@ -191,6 +212,12 @@
             let role = table.role(&candidate, now);
             let delay = table.standby_delay(&candidate, now);
             gateway.set_role(self.standby.lock().delay(role, gateway.role(), delay, now));
+            let watchers = table.alive(now).filter(|(_, member)| member.heartbeat.watches_source);
+            let watchers = watchers.count();
+            if self.comparison.lock().is_read_due(gateway.watches_source(), watchers, now) {
+                tracing::warn!(event = "records_differ", applied = %gateway.cache.snapshot().applied);
+                gateway.request_read();
+            }
             if !gateway.watches_source() {
                 self.update_source_state(table.watch(now), now);
             }
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -84,6 +84,9 @@
     let mut delay = MIN_RETRY_DELAY;
     loop {
         let suspended = gateway.cache.is_suspended();
+        if gateway.take_read_request() {
+            position = None;
+        }
         if position.is_some() && !suspended && gateway.role() == Role::Idle {
             // Peers provide the changes. The position stays, so a later watch reads them once more.
             gateway.set_watches_source(false);
--- a/crates/gateway/tests/applied.rs
+++ b/crates/gateway/tests/applied.rs
@@ -84,3 +84,32 @@
         assert!(cache.record_after("b", Position::default()).is_some(), "the earlier change");
     }
 }
+
+/// What a daemon wrongly took for deleted, or has missed, must not stay so: a read of the source is right
+/// whatever was known, and the digest tells that one is needed.
+#[test]
+fn a_full_read_undoes_what_was_missed() {
+    let now = Instant::now();
+    let [right, wrong] = [(); 2].map(|()| Cache::new(Box::new(ZoneDecoder)));
+    let records = || vec![record("a", 3, 1), record("b", 4, 1), record("c", 9, 1)];
+    right.replace_all(records(), position(9), now);
+    wrong.replace_all(vec![record("a", 3, 1), record("c", 9, 1)], position(9), now);
+    let deletion = Record { value: None, ..record("a", 7, 1) };
+    wrong.apply(vec![deletion], Origin::Peer, now);
+    assert_eq!(right.snapshot().applied, wrong.snapshot().applied);
+    assert_ne!(right.snapshot().digest, wrong.snapshot().digest);
+
+    wrong.replace_all(records(), position(9), now);
+    assert_eq!(right.snapshot().digest, wrong.snapshot().digest);
+    for key in ["a", "b", "c"] {
+        let [right, wrong] =
+            [&right, &wrong].map(|cache| cache.record_after(key, Position::default()));
+        assert!(wrong.as_ref().is_some_and(|record| record.value.is_some()), "{key}");
+        assert_eq!(right, wrong, "{key}");
+    }
+    // What is newer than the read stays.
+    wrong.apply(vec![record("a", 12, 1)], Origin::Watch, now);
+    wrong.replace_all(records(), position(10), now);
+    let newest = wrong.record_after("a", Position::default()).expect("the record");
+    assert_eq!(newest.position, position(12));
+}
--- a/crates/gateway/tests/converge.rs
+++ b/crates/gateway/tests/converge.rs
@@ -216,6 +216,9 @@
     for (index, daemon) in daemons.iter().enumerate() {
         assert_eq!(daemon.content(), source.content(), "seed {seed}, daemon {index}");
         assert_eq!(daemon.cache.awaited(), None, "seed {seed}, daemon {index}");
+        // Else they would read the source again.
+        let [own, first] = [daemon, &daemons[0]].map(|daemon| daemon.cache.snapshot().digest);
+        assert!(own.is_some() && own == first, "seed {seed}, daemon {index}");
     }
 }
 
--- a/crates/view/src/gossip.rs
+++ b/crates/view/src/gossip.rs
@@ -14,7 +14,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    heartbeat::{Datagram, Heartbeat, MAX_DATAGRAM_BYTES, name_hash},
+    heartbeat::{Datagram, Extension, Heartbeat, MAX_DATAGRAM_BYTES, name_hash},
     member::{HEARTBEAT_INTERVAL, Table},
     watch::WatcherEntry,
 };
@@ -32,6 +32,15 @@
     /// Handles a peer's heartbeat that the table of members has recorded.
     fn on_heartbeat(&self, from: IpAddr, heartbeat: &Heartbeat, now: Instant);
 
+    /// The digest of the records at the position that the heartbeat states, if others are to compare
+    /// theirs with it.
+    fn digest(&self) -> Option<u64> {
+        None
+    }
+
+    /// Handles the digest that a peer sent with a heartbeat.
+    fn on_digest(&self, _heartbeat: &Heartbeat, _digest: u64, _now: Instant) {}
+
     /// Called once in each interval, after the heartbeats were sent.
     fn tick(&self, now: Instant);
 }
@@ -80,7 +89,7 @@
     }
 
     fn on_datagram(&self, bytes: &[u8], from: SocketAddr, own: SocketAddr, own_hash: u32) {
-        let Datagram { heartbeat, mut watchers } = match Datagram::decode(bytes) {
+        let Datagram { heartbeat, extension } = match Datagram::decode(bytes) {
             Ok(datagram) => datagram,
             Err(error) => {
                 tracing::warn!(event = "datagram_refused", %from, bytes = bytes.len(), %error);
@@ -92,6 +101,7 @@
         }
         let now = Instant::now();
         // The table has the other daemons only.
+        let Extension { mut watchers, digest } = extension;
         watchers.retain(|entry| entry.host_hash != own_hash);
         let change = {
             let mut table = self.table.lock();
@@ -116,6 +126,9 @@
             self.send_to(&unknown, own);
         }
         self.local.on_heartbeat(from.ip(), &heartbeat, now);
+        if let Some(digest) = digest {
+            self.local.on_digest(&heartbeat, digest, now);
+        }
     }
 
     fn send_due(&self, own: SocketAddr, interval: u32) {
@@ -149,7 +162,8 @@
         };
         heartbeat.members.shuffle(&mut rand::rng());
         heartbeat.members.truncate(MAX_MEMBER_ENTRIES);
-        let bytes = match (Datagram { heartbeat, watchers }).encode() {
+        let extension = Extension { watchers, digest: self.local.digest() };
+        let bytes = match (Datagram { heartbeat, extension }).encode() {
             Ok(bytes) => bytes,
             Err(error) => {
                 tracing::error!(event = "beat_not_sent", %error);
--- a/crates/view/src/heartbeat.rs
+++ b/crates/view/src/heartbeat.rs
@@ -284,21 +284,31 @@
 pub struct Datagram {
     /// The sender's heartbeat.
     pub heartbeat: Heartbeat,
+    /// What follows it, which older versions lack.
+    pub extension: Extension,
+}
+
+/// What a datagram carries behind the heartbeat. New fields are appended to it.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Extension {
     /// The last signs of life of daemons that watch the source.
     pub watchers: Vec<WatcherEntry>,
+    /// The digest of the records that a sender that watches the source has at
+    /// [`Heartbeat::applied`].
+    pub digest: Option<u64>,
 }
 
 impl Datagram {
-    /// Encodes the datagram. The watchers are left out if they don't fit.
+    /// Encodes the datagram. The extension is left out if it does not fit.
     ///
     /// # Errors
     ///
     /// Returns the codec's error.
     pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
         let mut bytes = self.heartbeat.encode()?;
-        let watchers = postcard::to_allocvec(&self.watchers)?;
-        if bytes.len() + watchers.len() <= MAX_DATAGRAM_BYTES {
-            bytes.extend(watchers);
+        let extension = postcard::to_allocvec(&self.extension)?;
+        if bytes.len() + extension.len() <= MAX_DATAGRAM_BYTES {
+            bytes.extend(extension);
         }
         Ok(bytes)
     }
@@ -310,8 +320,11 @@
     /// Returns the codec's error for bytes that are not a heartbeat.
     pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
         let (heartbeat, rest) = postcard::take_from_bytes(bytes)?;
-        let watchers = if rest.is_empty() { Vec::new() } else { postcard::from_bytes(rest)? };
-        Ok(Self { heartbeat, watchers })
+        let extension = match rest {
+            [] => Extension::default(),
+            rest => postcard::from_bytes(rest)?,
+        };
+        Ok(Self { heartbeat, extension })
     }
 }
 
