--- a/crates/gateway/src/cache.rs
+++ b/crates/gateway/src/cache.rs
@@ -3,8 +3,10 @@
 //! Records arrive from the source and from peers, each with its position. The last position of a key
 //! wins, whatever its origin, so the state never goes back to an older one within a process.
 
+mod digest;
 mod knowledge;
 mod lifetime;
+mod outage;
 mod transfer;
 
 use std::{
@@ -67,6 +69,8 @@
     pub zones_out: Set<Zone>,
     /// The last position applied.
     pub applied: Position,
+    /// The digest of the records at that position. `None` while a large record is awaited.
+    pub digest: Option<u64>,
 }
 
 #[derive(Debug)]
@@ -100,6 +104,8 @@
     applied_before: Position,
     /// The position of the last full read. It contains the effect of all earlier records.
     complete_at: Position,
+    /// The last position of the deletions that were dropped.
+    forgotten_at: Position,
     /// The era of the record of the environment in force.
     environment_era: Era,
     restore: Restore,
@@ -130,13 +136,16 @@
 
     /// Applies records. Returns whether the state changed.
     pub fn apply(&self, records: Vec<Record>, origin: Origin, now: Instant) -> bool {
-        self.apply_all(records, Vec::new(), origin, now)
+        self.apply_all(records, Vec::new(), None, origin, now)
     }
 
+    /// Applies records. `read_at` is the position of the full read that they are from: it may have
+    /// later ones, but not all changes before these.
     fn apply_all(
         &self,
         records: Vec<Record>,
         references: Vec<Reference>,
+        read_at: Option<Position>,
         origin: Origin,
         now: Instant,
     ) -> bool {
@@ -144,14 +153,19 @@
         let before = inner.applied;
         inner.applied_before = before;
         let mut changed = false;
+        let is_empty = records.is_empty() && references.is_empty();
         for record in records {
-            changed |= self.apply_record(&mut inner, record, origin, now);
+            let reached = read_at.unwrap_or(record.position);
+            changed |= self.apply_record(&mut inner, record, reached, origin, now);
         }
         for reference in references {
             inner.advance(reference.position, origin, now);
             inner.await_record(reference);
         }
-        if changed || inner.applied > before {
+        if let Some(position) = read_at {
+            inner.advance(position, origin, now);
+        }
+        if !is_empty || inner.applied > before {
             self.publish(&inner);
         }
         if origin == Origin::Watch {
@@ -160,8 +174,8 @@
         changed
     }
 
-    /// Applies a full read as of `position`: records that are missing in it were deleted. Returns
-    /// whether the state changed.
+    /// Applies a full read that began at `position`: records that existed then and are missing in it
+    /// were deleted. Returns whether the state changed.
     pub fn replace_all(&self, records: Vec<Record>, position: Position, now: Instant) -> bool {
         let keys = records.iter().map(|record| record.key.clone()).collect();
         self.apply_listing(records, Vec::new(), &keys, position, Origin::Read, now)
@@ -171,7 +185,7 @@
     pub fn apply_changes(&self, changes: Changes, now: Instant) -> bool {
         let Changes { records, references, listing } = changes;
         let Some(Listing { position, keys }) = listing else {
-            return self.apply_all(records, references, Origin::Peer, now);
+            return self.apply_all(records, references, None, Origin::Peer, now);
         };
         let keys = keys.into_iter().collect();
         self.apply_listing(records, references, &keys, position, Origin::Peer, now)
@@ -193,10 +207,12 @@
                 records.push(Record { key: key.clone(), position, value: None });
             }
         }
-        let changed = self.apply_all(records, references, origin, now);
+        let read_at = (origin == Origin::Read).then_some(position);
+        let changed = self.apply_all(records, references, read_at, origin, now);
         let mut inner = self.inner.lock();
         inner.awaited.retain(|key, awaited| *awaited > position || keys.contains(key));
         inner.complete_at = inner.complete_at.max(position);
+        self.publish(&inner);
         // The history before this read is missing. What peers have read may be old, so their
         // positions confirm it.
         inner.knowledge.end();
@@ -216,41 +232,6 @@
         self.inner.lock().restore.count()
     }
 
-    /// Records that the source can't be reached or refuses calls.
-    pub fn on_source_lost(&self, now: Instant) {
-        let mut inner = self.inner.lock();
-        inner.grace_until = None;
-        inner.knowledge.end();
-        inner.source_lost_at.get_or_insert(now);
-    }
-
-    /// The time since the source's last response in ms, or `None` before the first.
-    pub fn source_age_ms(&self, now: Instant) -> Option<u64> {
-        Some(now.duration_since(self.inner.lock().last_response?).as_millis() as u64)
-    }
-
-    /// Records a response of the source to this daemon or a peer. Returns the length of the outage
-    /// that this ends, if any.
-    pub fn on_source_response(&self, now: Instant) -> Option<Duration> {
-        let mut inner = self.inner.lock();
-        inner.last_response = Some(now);
-        let lost_at = inner.source_lost_at.take()?;
-        let grace_until = now + LAPSED_SERVER_GRACE;
-        inner.grace_until = Some(grace_until);
-        for cached in inner.servers.values_mut() {
-            if let Some(expires_at) = &mut cached.expires_at {
-                *expires_at = grace_until;
-            }
-        }
-        Some(now.duration_since(lost_at))
-    }
-
-    /// Whether the source is reachable: false from [`Self::on_source_lost`] until its next
-    /// response.
-    pub fn is_source_up(&self) -> bool {
-        self.inner.lock().source_lost_at.is_none()
-    }
-
     /// Removes servers whose grace time is over, and old deletions, unless the source is lost.
     /// Returns whether the state changed.
     pub fn expire(&self, now: Instant) -> bool {
@@ -273,10 +254,14 @@
         if changed {
             self.publish(&inner);
         }
-        let keep = |cached: &CachedRecord| {
-            cached.record.value.is_some() || now.duration_since(cached.received) < DELETION_TTL
-        };
-        inner.records.retain(|_, cached| keep(cached));
+        let Inner { records, forgotten_at, .. } = &mut *inner;
+        records.retain(|_, CachedRecord { record, received }| {
+            let keep = record.value.is_some() || now.duration_since(*received) < DELETION_TTL;
+            if !keep {
+                *forgotten_at = record.position.max(*forgotten_at);
+            }
+            keep
+        });
         let mut rewritten = false;
         for key in inner.restore.expire(now) {
             let Some(record) = inner.records.get(&key).map(|cached| cached.record.clone()) else {
@@ -291,20 +276,26 @@
         changed || rewritten
     }
 
+    /// Applies a record, with which this daemon has all changes up to `reached`.
     fn apply_record(
         &self,
         inner: &mut Inner,
         record: Record,
+        reached: Position,
         origin: Origin,
         now: Instant,
     ) -> bool {
         let Some(parsed_key) = self.decoder.parse_key(&record.key) else { return false };
         let previous = inner.records.get(&record.key).map(|cached| cached.record.position);
-        let known = inner.known_position(&record.key);
+        let mut known = inner.known_position(&record.key);
+        // A read is right about all that happened before it, whatever was known.
+        if origin == Origin::Read && known <= reached && previous != Some(record.position) {
+            known = Position::default();
+        }
+        inner.advance(reached, origin, now);
         if known >= record.position && known != Position::default() {
             return false;
         }
-        inner.advance(record.position, origin, now);
         inner.end_wait(&record.key, record.position);
         let is_restored = previous
             .is_some_and(|previous| inner.restore.is_restored(previous, record.position, now));
@@ -375,6 +366,7 @@
             cold: cold.collect(),
             zones_out: inner.zones_out.clone(),
             applied: inner.applied,
+            digest: inner.awaited.is_empty().then(|| inner.digest()),
             environment,
         };
         self.current.store(Arc::new(snapshot));
--- a/crates/gateway/src/cache/transfer.rs
+++ b/crates/gateway/src/cache/transfer.rs
@@ -33,12 +33,9 @@
         if !is_awaited || !is_newer || record.position.era > inner.applied.era {
             return false;
         }
-        let applied = inner.applied;
-        let changed = self.apply_record(&mut inner, record, Origin::Peer, now);
-        inner.applied = applied;
-        if changed {
-            self.publish(&inner);
-        }
+        let reached = inner.applied;
+        let changed = self.apply_record(&mut inner, record, reached, Origin::Peer, now);
+        self.publish(&inner);
         changed
     }
 }
@@ -48,6 +45,10 @@
         self.records.get(key).map(|cached| cached.record.position).unwrap_or_default()
     }
 
+    fn exists(&self, key: &str) -> bool {
+        self.records.get(key).is_some_and(|cached| cached.record.value.is_some())
+    }
+
     /// The position of this daemon's knowledge about a key: a full read includes all earlier
     /// records, except for large ones that have not arrived yet.
     pub(super) fn known_position(&self, key: &str) -> Position {
@@ -80,12 +81,11 @@
         }
         let all = || inner.records.values().map(|cached| &cached.record);
         let existing = all().filter(|record| record.value.is_some()).map(|record| &record.key);
-        let listing = (after < inner.complete_at).then(|| {
-            let awaited = inner.awaited.keys().filter(|key| !inner.records.contains_key(*key));
-            Listing {
-                position: inner.complete_at,
-                keys: existing.chain(awaited).cloned().collect(),
-            }
+        // No records of deletions up to this position are left.
+        let listed_at = inner.complete_at.max(inner.forgotten_at);
+        let listing = (after < listed_at).then(|| {
+            let awaited = inner.awaited.keys().filter(|key| !inner.exists(key));
+            Listing { position: listed_at, keys: existing.chain(awaited).cloned().collect() }
         });
         // A large record that was fetched by itself may be later than this daemon's position. Its
         // own position would tell peers that they have all records before it.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,6 +1,8 @@
 //! The state that the daemon sends to its peers, and how the daemon applies the state of peers.
 
 mod catch_up;
+mod comparison;
+mod standby;
 
 use std::{cmp::Reverse, net::IpAddr, sync::Arc, time::Instant};
 
@@ -10,11 +12,13 @@
         Heartbeat, LeavingEntry, LimitEntry, LoadEntry, ModelEntry, SpeedEntry, name_hash,
     },
     member::WatcherCandidate,
+    watch::Watch,
 };
 
+use parking_lot::Mutex;
 use rand::seq::SliceRandom as _;
 
-use self::catch_up::CatchUp;
+use self::{catch_up::CatchUp, comparison::Comparison, standby::Standby};
 use crate::{
     gateway::{Gateway, Settings},
     silence,
@@ -43,25 +47,40 @@
 pub struct PeerSync {
     gateway: Arc<Gateway>,
     catch_up: CatchUp,
+    standby: Mutex<Standby>,
+    comparison: Mutex<Comparison>,
 }
 
 impl PeerSync {
     /// The state exchange of `gateway`, whose peers serve records on `port`.
     pub fn new(gateway: Arc<Gateway>, port: u16) -> Arc<Self> {
         let catch_up = CatchUp::new(Arc::clone(&gateway), port);
-        Arc::new(Self { gateway, catch_up })
+        Arc::new(Self {
+            gateway,
+            catch_up,
+            standby: Mutex::default(),
+            comparison: Mutex::default(),
+        })
     }
 
     /// Derives the source's state while this daemon does not watch it: the source is lost when no
-    /// other daemon watches it either.
-    fn update_source_state(&self, watched: bool, now: Instant) {
+    /// other daemon can watch it either. Silent watchers say nothing about it, and this daemon's own
+    /// calls decide, see [`crate::source::Outage`].
+    fn update_source_state(&self, watch: Watch, now: Instant) {
         let cache = &self.gateway.cache;
+        let watched = watch == Watch::Active;
+        let is_lost = match watch {
+            Watch::Active => false,
+            Watch::Silent => self.gateway.outage.lock().is_confirmed(now),
+            Watch::Ended => true,
+        };
         if watched {
+            self.gateway.outage.lock().end();
             if let Some(outage) = cache.on_source_response(now) {
                 let gone_ms = outage.as_millis() as u64;
                 tracing::info!(event = "source_back", gone_ms, followed = watched);
             }
-        } else if cache.is_source_up() && cache.snapshot().environment.is_some() {
+        } else if is_lost && cache.is_source_up() && cache.snapshot().environment.is_some() {
             tracing::warn!(
                 event = "source_lost",
                 fault = "no daemon watches the source",
@@ -166,6 +185,20 @@
         self.catch_up.on_heartbeat(from, heartbeat, now);
     }
 
+    fn digest(&self) -> Option<u64> {
+        let is_current = self.gateway.watches_source() && !self.gateway.cache.is_suspended();
+        self.gateway.cache.snapshot().digest.filter(|_| is_current)
+    }
+
+    fn on_digest(&self, heartbeat: &Heartbeat, digest: u64, now: Instant) {
+        let snapshot = self.gateway.cache.snapshot();
+        let Some(own) = snapshot.digest.filter(|_| snapshot.applied == heartbeat.applied) else {
+            return;
+        };
+        let watcher = name_hash(heartbeat.host.as_str());
+        self.comparison.lock().record(watcher, own == digest, now);
+    }
+
     fn tick(&self, now: Instant) {
         let gateway = &self.gateway;
         if gateway.cache.expire(now) {
@@ -176,9 +209,17 @@
         let (mut members, membership) = {
             let table = gateway.members.lock();
             let candidate = WatcherCandidate { host_hash: own, zone, weight: *weight };
-            gateway.set_role(table.role(&candidate, now));
+            let role = table.role(&candidate, now);
+            let delay = table.standby_delay(&candidate, now);
+            gateway.set_role(self.standby.lock().delay(role, gateway.role(), delay, now));
+            let watchers = table.alive(now).filter(|(_, member)| member.heartbeat.watches_source);
+            let watchers = watchers.count();
+            if self.comparison.lock().is_read_due(gateway.watches_source(), watchers, now) {
+                tracing::warn!(event = "records_differ", applied = %gateway.cache.snapshot().applied);
+                gateway.request_read();
+            }
             if !gateway.watches_source() {
-                self.update_source_state(table.is_source_watched(now), now);
+                self.update_source_state(table.watch(now), now);
             }
             (table.share_holders(now), table.membership(now))
         };
--- a/crates/gateway/tests/applied.rs
+++ b/crates/gateway/tests/applied.rs
@@ -66,3 +66,50 @@
     assert_eq!((third.awaited(), third.snapshot().applied), (None, position(9)));
     assert!(third.record_after("b", Position::default()).is_some(), "the earlier change");
 }
+
+/// The pages of a full read are no snapshot: the last one may have a change that is later than others
+/// which the first one lacks. The daemon must fetch these, and its peers must not take them for applied.
+#[test]
+fn a_full_read_reaches_only_the_position_of_its_first_page() {
+    let now = Instant::now();
+    let [first, second] = [(); 2].map(|()| Cache::new(Box::new(ZoneDecoder)));
+    first.replace_all(vec![record("a", 3, 1), record("c", 9, 1)], position(6), now);
+    assert!(first.snapshot().applied <= position(6), "{}", first.snapshot().applied);
+
+    second.apply_changes(first.changes_after(Position::default()).expect("current"), now);
+    assert!(second.snapshot().applied <= position(6), "{}", second.snapshot().applied);
+    for cache in [&first, &second] {
+        cache.apply(vec![record("b", 8, 1), record("c", 9, 1)], Origin::Peer, now);
+        assert_eq!(cache.snapshot().applied, position(9));
+        assert!(cache.record_after("b", Position::default()).is_some(), "the earlier change");
+    }
+}
+
+/// What a daemon wrongly took for deleted, or has missed, must not stay so: a read of the source is right
+/// whatever was known, and the digest tells that one is needed.
+#[test]
+fn a_full_read_undoes_what_was_missed() {
+    let now = Instant::now();
+    let [right, wrong] = [(); 2].map(|()| Cache::new(Box::new(ZoneDecoder)));
+    let records = || vec![record("a", 3, 1), record("b", 4, 1), record("c", 9, 1)];
+    right.replace_all(records(), position(9), now);
+    wrong.replace_all(vec![record("a", 3, 1), record("c", 9, 1)], position(9), now);
+    let deletion = Record { value: None, ..record("a", 7, 1) };
+    wrong.apply(vec![deletion], Origin::Peer, now);
+    assert_eq!(right.snapshot().applied, wrong.snapshot().applied);
+    assert_ne!(right.snapshot().digest, wrong.snapshot().digest);
+
+    wrong.replace_all(records(), position(9), now);
+    assert_eq!(right.snapshot().digest, wrong.snapshot().digest);
+    for key in ["a", "b", "c"] {
+        let [right, wrong] =
+            [&right, &wrong].map(|cache| cache.record_after(key, Position::default()));
+        assert!(wrong.as_ref().is_some_and(|record| record.value.is_some()), "{key}");
+        assert_eq!(right, wrong, "{key}");
+    }
+    // What is newer than the read stays.
+    wrong.apply(vec![record("a", 12, 1)], Origin::Watch, now);
+    wrong.replace_all(records(), position(10), now);
+    let newest = wrong.record_after("a", Position::default()).expect("the record");
+    assert_eq!(newest.position, position(12));
+}
