gateway: a silent server is left only when another one has responded

Cause: a request that may run again left its server as soon as the placement predicted that another one would take it. That one was asked afterwards and could reject the request, and the run that had been left can't be got back. A route with one attempt lost an overdue response without asking anybody.

An overdue request, or a stream that has paused for four times its gap limit, is now offered to a second server while the first one keeps it. The second one goes on once its head is signed, has status 200, and its first event after the last one passed on is there; then the first one is left at once and counts as failed. If the first one sends something, it goes on and the second one is cancelled, which counts as a run. If the connection to the first one fails, the second attempt decides. Offers are placed as repeats: at the stream's build, within the retry budget and maxAttempts, two a request at most with pauses that double, and the last try is kept for a broken connection. Before the response head the race is that of hedged requests; its parts moved to call::race.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -6,6 +6,8 @@
 mod continuation;
 mod exchange;
 mod hedge;
+mod race;
+mod takeover;
 
 use std::{
     net::SocketAddr,
@@ -35,11 +37,12 @@
     relay::Relay,
 };
 
-use self::hedge::Attempt;
+use self::race::Attempt;
 
 pub use buffered::BufferedBody;
 pub use builder::Builder;
 pub use exchange::{Error, Exchange, ParsedHead};
+pub(crate) use takeover::{Continuation, Takeover};
 
 /// The maximum number of backend servers that receive one request, including those that reject it.
 const MAX_TRIES: u32 = 4;
@@ -50,11 +53,6 @@
 const MIN_TIME_LEFT: Duration = Duration::from_millis(40);
 /// The pause before the next try after a rejection or a failed connection.
 const RETRY_PAUSE: Duration = Duration::from_millis(15);
-/// A request that may be rerun moves to another backend server when its response head is overdue and
-/// the backend server has sent this daemon nothing meanwhile. If the backend server responds to
-/// other requests, it moves after this multiple of that time, since a request that leaves a moving
-/// queue has to start over in another queue.
-const ACTIVE_OVERDUE_FACTOR: u32 = 2;
 /// The maximum size of an error body that is kept while another backend server is tried.
 const MAX_SAVED_BODY_BYTES: usize = 64 << 10;
 /// `Retry-After` for requests that backend servers rejected.
@@ -165,7 +163,7 @@
             return TryResult::Failed(Failure::Refused(Refusal::new(Reason::Quarantined)));
         };
         let suspect = status == Status::Suspect;
-        let placement = match self.choose_server(suspect, now) {
+        let placement = match self.choose_server(&self.demand, suspect, now) {
             Decision::Send(placement) => placement,
             Decision::Refuse { reason, retry_after, predicted } => {
                 self.predicted = predicted;
@@ -215,54 +213,18 @@
         self.on_head(exchange, result).await
     }
 
-    /// Waits for the response head. Gives up early only if another backend server can take over.
-    async fn wait_for_head(
-        &self,
-        exchange: &mut Exchange,
-        overdue_after: Duration,
-        sent: Instant,
-    ) -> Result<ParsedHead, Error> {
-        if self.may_rerun() {
-            for factor in [1, ACTIVE_OVERDUE_FACTOR] {
-                let wait =
-                    (sent + overdue_after * factor).saturating_duration_since(Instant::now());
-                let result = exchange
-                    .receive_head(&self.method, &self.meta.id, wait.min(self.time_left()))
-                    .await;
-                let plain_service = self.demand.prompt_tokens == 0;
-                let give_up = plain_service
-                    || factor == ACTIVE_OVERDUE_FACTOR
-                    || !exchange.server_active_since(sent);
-                match result {
-                    Err(Error::Late(_)) if !give_up || !self.has_alternative(exchange) => {}
-                    result => return result,
-                }
-            }
-        }
-        exchange.receive_head(&self.method, &self.meta.id, self.time_left()).await
-    }
-
-    /// Whether another backend server would accept the request now.
-    pub(crate) fn has_alternative(&self, exchange: &Exchange) -> bool {
-        let mut demand = self.demand.clone();
-        demand.excluded.push(exchange.server.name.clone());
-        demand.record_run();
-        let decision = self.gateway.decider.lock().place_request(&demand, Instant::now());
-        matches!(decision, Decision::Send(_))
-    }
-
     /// Chooses a backend server. A suspect is sent where no other suspect of this daemon runs, if
     /// possible, so that a crash can be attributed to one request.
-    fn choose_server(&self, suspect: bool, now: Instant) -> Decision {
+    fn choose_server(&self, demand: &Demand, suspect: bool, now: Instant) -> Decision {
         if suspect {
-            let mut isolated = self.demand.clone();
+            let mut isolated = demand.clone();
             isolated.excluded.extend(self.gateway.suspects.lock().occupied_servers());
             let decision = self.gateway.decider.lock().place_request(&isolated, now);
             if matches!(decision, Decision::Send(_)) {
                 return decision;
             }
         }
-        self.gateway.decider.lock().place_request(&self.demand, now)
+        self.gateway.decider.lock().place_request(demand, now)
     }
 
     /// Counts a refusal by share, and keeps its figure for the log.
--- a/crates/gateway/src/call/hedge.rs
+++ b/crates/gateway/src/call/hedge.rs
@@ -1,16 +1,13 @@
 //! Races a second backend server against one whose response is late.
 
-use std::{
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
-use hyssop_policy::local::{
-    decider::{End, Placement},
-    hedge::Hedge,
-};
+use hyssop_policy::local::{decider::Placement, hedge::Hedge};
 
-use super::{Call, Error, Exchange, MAX_TRIES, ParsedHead, TryResult};
+use super::{
+    Call, Error, MAX_TRIES, ParsedHead,
+    race::{Attempt, Cause, Outcome, Race, is_good},
+};
 use crate::intake::elapsed_ms;
 
 /// How often it is decided anew whether a late request is hedged.
@@ -19,24 +16,6 @@
 /// one by prediction, is given up: decoding twice costs more than a plain service's second run.
 const MAX_RACE_TIME: Duration = Duration::from_millis(350);
 
-/// An attempt whose response head has not come yet.
-pub(super) struct Attempt {
-    pub(super) exchange: Exchange,
-    pub(super) placement: Placement,
-    pub(super) sent: Instant,
-}
-
-/// What an attempt, or one of two, came to.
-pub(super) type Outcome = (Exchange, Result<ParsedHead, Error>);
-
-/// How a race ended.
-enum Race {
-    /// An attempt has a response that can be passed on, or the only result there will be.
-    Ended(Outcome),
-    /// One of the two attempts is left.
-    Left(Attempt),
-}
-
 impl Call {
     /// Waits for the response head of an attempt. If it is late, a second backend server may be
     /// asked, and the first good response wins.
@@ -61,7 +40,7 @@
             let hedge = self.gateway.decider.lock().place_hedge(&self.demand, first, waited, now);
             match hedge {
                 Hedge::Send(second) => {
-                    match self.race(attempt, second).await {
+                    match self.race(attempt, second, Cause::Hedge, false).await {
                         Race::Ended(outcome) => return outcome,
                         Race::Left(left) => attempt = left,
                     }
@@ -77,9 +56,7 @@
                 }
             }
         }
-        let Attempt { mut exchange, placement, sent } = attempt;
-        let result = self.wait_for_head(&mut exchange, placement.overdue_after, sent).await;
-        (exchange, result)
+        self.wait_for_head(attempt, suspect).await
     }
 
     /// Whether the request may run at a second backend server while a first one runs it.
@@ -93,43 +70,44 @@
     }
 
     /// Sends the request to a second backend server as well, and waits for the first good response.
-    async fn race(&mut self, mut first: Attempt, placement: Placement) -> Race {
-        let sent = Instant::now();
-        let snapshot = self.gateway.cache.snapshot();
-        let Some(server) = snapshot.servers.get(&placement.server).cloned() else {
+    pub(super) async fn race(
+        &mut self,
+        mut first: Attempt,
+        placement: Placement,
+        cause: Cause,
+        suspect: bool,
+    ) -> Race {
+        let Some(mut second) = self.begin_second(placement, cause, suspect) else {
             return Race::Left(first);
         };
-        self.tries += 1;
-        let send_id = self.gateway.decider.lock().record_hedge_sent(&placement, &self.demand, sent);
+        let (id, placement) = (&self.meta.id, &second.placement);
+        let event = match cause {
+            Cause::Hedge => "hedged",
+            Cause::Takeover => "takeover",
+        };
         tracing::info!(
-            event = "hedged", id = %self.meta.id, route = %self.route.name, attempt = self.tries,
+            event, %id, route = %self.route.name, attempt = self.tries,
             first = %first.placement.server, server = %placement.server,
             first_predicted_ms = first.placement.predicted.as_millis() as u64,
             predicted_ms = placement.predicted.as_millis() as u64,
             waited_ms = elapsed_ms(first.sent)
         );
-        let exchange = Exchange::new(Arc::clone(&self.gateway), server, send_id, None);
-        let mut second = Attempt { exchange, placement, sent };
-        let limit = match self.demand.prompt_tokens {
-            0 => self.time_left(),
-            _ => MAX_RACE_TIME.min(self.time_left()),
-        };
-        let source = second.placement.cache_source.as_ref();
-        let source =
-            source.and_then(|name| snapshot.servers.get(name)).map(|source| source.address);
-        let head = self.request_head(&second.placement.server, source);
-        let (method, id, body) = (&self.method, &self.meta.id, self.body.bytes());
-        let exchange = &mut second.exchange;
-        let run_second = async {
-            exchange.connect(false).await?;
-            exchange.send(head, body);
-            exchange.receive_head(method, id, limit).await
+        let (limit, second_limit) = match cause {
+            Cause::Hedge if self.demand.prompt_tokens > 0 => {
+                let limit = MAX_RACE_TIME.min(self.time_left());
+                (limit, limit)
+            }
+            Cause::Hedge => (self.time_left(), self.time_left()),
+            Cause::Takeover => (self.time_left(), self.successor_limit(&second.placement, 1)),
         };
+        let (method, id) = (&self.method, &self.meta.id);
         tokio::select! {
             result = first.exchange.receive_head(method, id, limit) => {
-                self.on_first(first, second, result).await
+                self.on_first(first, second, cause, result).await
+            }
+            result = self.run_second(&mut second, second_limit) => {
+                self.on_second(first, second, cause, result).await
             }
-            result = run_second => self.on_second(first, second, result).await,
         }
     }
 
@@ -138,16 +116,21 @@
         &mut self,
         first: Attempt,
         second: Attempt,
+        cause: Cause,
         result: Result<ParsedHead, Error>,
     ) -> Race {
         match result {
             Ok(head) if is_good(&head) => {
-                self.end_race(second, "first");
+                self.cancel(second, cause, "first");
                 Race::Ended((first.exchange, Ok(head)))
             }
+            Err(Error::Late(_)) if cause == Cause::Takeover => {
+                self.cancel(second, cause, "late");
+                Race::Left(first)
+            }
             Err(Error::Late(_)) => {
                 // The second backend server has begun later, and is expected to respond sooner.
-                self.end_race(first, "late");
+                self.cancel(first, cause, "late");
                 Race::Left(second)
             }
             result => {
@@ -161,63 +144,30 @@
     /// Handles a race in which the second backend server has a result, or the time is over.
     async fn on_second(
         &mut self,
-        first: Attempt,
-        mut second: Attempt,
+        mut first: Attempt,
+        second: Attempt,
+        cause: Cause,
         result: Result<ParsedHead, Error>,
     ) -> Race {
-        match result {
-            Ok(head) if is_good(&head) => {
-                self.end_race(first, "second");
+        match (result, cause) {
+            (Ok(head), Cause::Hedge) if is_good(&head) => {
+                self.cancel(first, cause, "second");
                 Race::Ended((second.exchange, Ok(head)))
             }
-            Err(Error::Late(_)) => {
-                self.end_race(first, "late");
-                Race::Left(second)
+            (Ok(head), Cause::Takeover) if is_good(&head) => {
+                self.runs += 1;
+                self.record_failure(&mut first.exchange, &Error::Late(first.sent.elapsed()));
+                self.count_race(cause, "second", &first.exchange, first.sent);
+                Race::Ended((second.exchange, Ok(head)))
             }
-            Err(error @ Error::Connect(_)) => {
-                self.count_hedge("failed", &second);
-                second.exchange.finish(error.end_before_send());
-                self.demand.excluded.push(second.placement.server);
-                Race::Left(first)
+            (Err(Error::Late(_)), Cause::Hedge) => {
+                self.cancel(first, cause, "late");
+                Race::Left(second)
             }
-            result => {
-                self.count_hedge("failed", &second);
-                let ended = self.on_head(second.exchange, result).await;
-                Self::log_failed_attempt(&ended);
+            (result, _) => {
+                self.on_second_failed(second, cause, result).await;
                 Race::Left(first)
             }
         }
     }
-
-    /// Cancels the loser of a race.
-    fn end_race(&mut self, mut loser: Attempt, end: &'static str) {
-        if !loser.exchange.is_unsent() {
-            self.runs += 1;
-            self.demand.record_run();
-        }
-        self.count_hedge(end, &loser);
-        loser.exchange.finish(End::Cancelled);
-    }
-
-    fn count_hedge(&self, end: &'static str, loser: &Attempt) {
-        tracing::info!(
-            event = "hedge_ended", id = %self.meta.id, end, loser = %loser.placement.server,
-            ran_ms = elapsed_ms(loser.sent)
-        );
-        self.gateway.metrics.count_hedge(end);
-    }
-
-    /// The result of a failed attempt is recorded already, and the other attempt goes on.
-    fn log_failed_attempt(ended: &TryResult) {
-        if let TryResult::Failed(failure) = ended {
-            tracing::debug!(event = "hedge_attempt_failed", ?failure);
-        }
-    }
-}
-
-/// Whether a response is passed on at once, and not only if the other attempt fails.
-fn is_good(parsed: &ParsedHead) -> bool {
-    let status = parsed.head.status;
-    let encoded = parsed.head.headers.contains_key(hyper::header::CONTENT_ENCODING);
-    parsed.meta.signed && !parsed.meta.not_run && !encoded && !status.is_server_error()
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -60,6 +60,7 @@
     attempts: Family<AttemptLabels, Counter>,
     notices: Family<NoticeLabels, Counter>,
     hedges: Family<HedgeLabels, Counter>,
+    takeovers: Family<HedgeLabels, Counter>,
     share_refusals: Family<WorkspaceLabels, Counter>,
     unanswered: Counter,
     unread: Counter,
@@ -85,7 +86,7 @@
         let responses = Family::default();
         let attempts = Family::default();
         let notices = Family::default();
-        let hedges = Family::default();
+        let (hedges, takeovers) = (Family::default(), Family::default());
         let share_refusals = Family::default();
         let first_event = Family::new_with_constructor(histogram as fn() -> Histogram);
         let response_time = Family::new_with_constructor(histogram as fn() -> Histogram);
@@ -100,6 +101,8 @@
         registry.register("attempts", "Requests sent to backend servers", attempts.clone());
         registry.register("server_notices", "Notices of backend servers", notices.clone());
         registry.register("hedges", "Second runs of late requests", hedges.clone());
+        let help = "Overdue requests and silent streams offered to another backend server";
+        registry.register("takeovers", help, takeovers.clone());
         let help = "Requests refused because their workspace has had its share";
         registry.register("share_refusals", help, share_refusals.clone());
         registry.register("first_event_seconds", "Time to the first event", first_event.clone());
@@ -122,6 +125,7 @@
             attempts,
             notices,
             hedges,
+            takeovers,
             share_refusals,
             unanswered,
             unread,
@@ -177,6 +181,12 @@
         self.hedges.get_or_create(&HedgeLabels { end }).inc();
     }
 
+    /// Counts an offer to another backend server by how it ended: `first` or `second` for the backend
+    /// server that went on, `failed` if the second attempt failed or was rejected.
+    pub fn count_takeover(&self, end: &'static str) {
+        self.takeovers.get_or_create(&HedgeLabels { end }).inc();
+    }
+
     /// Counts a request that was refused by the share of its workspace, empty for none.
     pub fn count_share_refusal(&self, workspace: &str) {
         let labels = WorkspaceLabels { workspace: workspace.into() };
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     body::{Aborted, Chunks},
-    call::{Call, Error, Exchange, Failure},
+    call::{Call, Continuation, Error, Exchange, Failure, Takeover},
     events::EventFilter,
     http::{
         framing::{Delimiter, Framing, Step},
@@ -18,16 +18,26 @@
     intake::elapsed_ms,
 };
 
-/// A stream is resumed at another backend server after a pause of this many times the route's
-/// maximum gap between events.
-const RESUME_GAP_FACTOR: u32 = 4;
-/// The pause after which a stream is resumed on routes without a maximum gap.
-const DEFAULT_RESUME_GAP: Duration = Duration::from_secs(2);
+/// A stream is offered to another backend server after a pause of this many times the route's maximum
+/// gap between events.
+const TAKEOVER_GAP_FACTOR: u32 = 4;
+/// The pause after which a stream is offered on routes without a maximum gap.
+const DEFAULT_TAKEOVER_PAUSE: Duration = Duration::from_secs(2);
+/// The factor by which that pause grows when no other backend server goes on with the stream.
+const PAUSE_FACTOR: u32 = 2;
 
 /// How long a body whose data keeps arriving goes on after the deadline of its request.
 const LATE_DATA_GRACE: Duration = Duration::from_millis(200);
 
-/// Passes a body on to the caller. After a failure, resumes a stream at another backend server if
+/// The next part of a body.
+enum Part {
+    /// Read from the present backend server.
+    Read(Step),
+    /// The stream goes on at another backend server.
+    Moved(Box<Continuation>),
+}
+
+/// Passes a body on to the caller. After a failure or a long pause, resumes a stream at another backend server if
 /// the route allows that.
 pub struct Relay {
     call: Call,
@@ -39,6 +49,8 @@
     event_filter: Option<EventFilter>,
     /// Whether the body is a stream that may be resumed.
     resumable: bool,
+    /// The pause after which the stream is offered to another backend server.
+    takeover_pause: Duration,
     first_event_at: Option<Instant>,
     /// Whether the present run lasted long enough not to be the cause of a crash.
     survived: bool,
@@ -55,6 +67,9 @@
             true => EventFilter::after(call.last_event_id),
             false => EventFilter::default(),
         });
+        let max_gap = call.route.max_event_gap;
+        let takeover_pause =
+            max_gap.map_or(DEFAULT_TAKEOVER_PAUSE, |gap| gap * TAKEOVER_GAP_FACTOR);
         let mut relay = Self {
             framing: head.framing,
             delimiter: head.framing.delimiter(),
@@ -63,6 +78,7 @@
             exchange,
             event_filter,
             resumable,
+            takeover_pause,
             first_event_at: None,
             survived: false,
             chunks: 0,
@@ -73,13 +89,8 @@
         relay
     }
 
-    async fn read(&mut self) -> Result<Step, Error> {
-        let resume_timeout = if self.resumable && self.call.may_rerun() {
-            let max_gap = self.call.route.max_event_gap;
-            max_gap.map_or(DEFAULT_RESUME_GAP, |gap| gap * RESUME_GAP_FACTOR)
-        } else {
-            Duration::MAX
-        };
+    async fn read(&mut self) -> Result<Part, Error> {
+        let silent_since = Instant::now();
         loop {
             let now = Instant::now();
             // A timeout does not end a read whose data has arrived already.
@@ -87,19 +98,37 @@
                 return Err(Error::Late(now.duration_since(self.call.deadline)));
             }
             let left = self.call.deadline.saturating_duration_since(now);
-            let limit = left.min(resume_timeout);
+            let may_move = self.resumable && self.call.stream_may_be_taken_over();
+            let limit = if may_move { left.min(self.takeover_pause) } else { left };
             let read = self.exchange.read_body(&mut self.framing);
             match timeout(limit, read).await {
-                Ok(result) => return result,
-                // A stream that pauses is not given up unless another backend server continues it.
-                Err(_) if limit < left && !self.call.has_alternative(&self.exchange) => {}
-                Err(_) => return Err(Error::Late(limit)),
+                Ok(step) => return Ok(Part::Read(step?)),
+                Err(_) if limit == left => return Err(Error::Late(silent_since.elapsed())),
+                Err(_) => {}
+            }
+            let Some(event_filter) = &self.event_filter else { continue };
+            let silent_for = silent_since.elapsed();
+            let (exchange, framing) = (&mut self.exchange, &mut self.framing);
+            match self.call.take_over(exchange, framing, event_filter, silent_for).await {
+                Takeover::First(step) => return Ok(Part::Read(step?)),
+                Takeover::Second(continuation) => return Ok(Part::Moved(continuation)),
+                Takeover::Nobody => self.takeover_pause *= PAUSE_FACTOR,
             }
         }
     }
 
     /// Returns the bytes to pass on, if any, and counts them.
     fn filter(&mut self, data: Bytes) -> Result<Option<Bytes>, Error> {
+        self.record_received();
+        let data = match &mut self.event_filter {
+            Some(event_filter) => event_filter.push(&data)?,
+            None => data,
+        };
+        Ok(self.count(data))
+    }
+
+    /// Records that data has arrived from the backend server.
+    fn record_received(&mut self) {
         self.exchange.record_first_event();
         if self.event_filter.is_some() {
             self.exchange.record_event();
@@ -113,19 +142,37 @@
             let after = now.duration_since(self.call.arrived);
             self.call.gateway.metrics.observe_first_event(&self.call.route.name, after);
         }
-        let data = match &mut self.event_filter {
-            Some(event_filter) => event_filter.push(&data)?,
-            None => data,
-        };
+    }
+
+    /// Counts bytes to pass on, if there are any.
+    fn count(&mut self, data: Bytes) -> Option<Bytes> {
         if data.is_empty() {
-            return Ok(None);
+            return None;
         }
         if self.chunks == 0 && self.event_filter.is_some() {
             self.call.begin_stream(&self.exchange.server);
         }
         self.chunks += 1;
         self.bytes += data.len() as u64;
-        Ok(Some(data))
+        Some(data)
+    }
+
+    /// Goes on with what a second backend server sends, and returns its first events.
+    fn follow(&mut self, continuation: Continuation) -> Bytes {
+        let Continuation { exchange, framing, event_filter, events } = continuation;
+        self.replace_exchange(exchange, framing);
+        self.event_filter = Some(event_filter);
+        if !events.is_empty() {
+            self.record_received();
+        }
+        events
+    }
+
+    fn replace_exchange(&mut self, exchange: Exchange, framing: Framing) {
+        self.exchange = exchange;
+        self.survived = false;
+        self.framing = framing;
+        self.delimiter = framing.delimiter();
     }
 
     /// Finishes along with the last data, or at the beginning of an empty body, if the end has been
@@ -195,10 +242,7 @@
         if head.status.as_u16() != self.status {
             return Err(Failure::Broken(Error::Status(head.status)));
         }
-        self.exchange = exchange;
-        self.survived = false;
-        self.framing = head.framing;
-        self.delimiter = head.framing.delimiter();
+        self.replace_exchange(exchange, head.framing);
         Ok(())
     }
 }
@@ -209,7 +253,19 @@
             if self.done {
                 return None;
             }
-            let error = match self.read().await {
+            let step = match self.read().await {
+                Ok(Part::Moved(continuation)) => match self.follow(*continuation) {
+                    events if events.is_empty() => Ok(Step::End),
+                    events => {
+                        let events = self.count(events);
+                        self.finish_at_end();
+                        return events.map(Ok);
+                    }
+                },
+                Ok(Part::Read(step)) => Ok(step),
+                Err(error) => Err(error),
+            };
+            let error = match step {
                 Ok(Step::Data(data)) => match self.filter(data) {
                     Ok(Some(data)) => {
                         self.finish_at_end();
