policy: a change of settings doesn't forget the repeats of the window

A reload that changes the bound on repeats (as the platform's changes of `retryBurst` do) dropped what the daemon had sent in the present window, so that in a storm of repeats each daemon could send its whole share once more: BUDGET counts both in one window. The same held for the bound on hedges.

The budgets are kept, and count against the new bound.

Not covered: a longer window doesn't know what the shorter one has forgotten already.

--- a/crates/policy/src/local/decider.rs
+++ b/crates/policy/src/local/decider.rs
@@ -224,20 +224,15 @@
         }
     }
 
-    /// Replaces the bounds when the settings change. A new bound on repeats or hedges resets the
-    /// budgets.
+    /// Replaces the bounds when the settings change.
     pub fn set_bounds(
         &mut self,
         cold: ColdBound,
         repeats: RepeatBound,
         hedges: Option<RepeatBound>,
     ) {
-        if self.hedges.bound() != hedges {
-            self.hedges = Hedges::new(hedges);
-        }
-        if self.settings.repeats != repeats {
-            self.repeats.clear();
-        }
+        self.hedges.set_bound(hedges);
+        self.repeats.values_mut().for_each(|budget| budget.set_bound(repeats));
         self.settings.cold = cold;
         self.settings.repeats = repeats;
     }
--- a/crates/policy/src/local/hedge.rs
+++ b/crates/policy/src/local/hedge.rs
@@ -97,14 +97,17 @@
 }
 
 impl Hedges {
-    /// Hedges within a bound, or none. A new bound resets the budgets.
+    /// Hedges within a bound, or none.
     pub fn new(bound: Option<Bound>) -> Self {
         Self { bound, pools: Map::default() }
     }
 
-    /// The bound, unless hedges are off.
-    pub fn bound(&self) -> Option<Bound> {
-        self.bound
+    /// Replaces the bound. Hedges in the present window count against the new one.
+    pub fn set_bound(&mut self, bound: Option<Bound>) {
+        self.bound = bound;
+        if let Some(bound) = bound {
+            self.pools.values_mut().for_each(|state| state.budget.set_bound(bound));
+        }
     }
 
     /// The time after which the response to a request is late, or `None` if hedges are off.
--- a/crates/policy/src/local/repeats.rs
+++ b/crates/policy/src/local/repeats.rs
@@ -37,6 +37,13 @@
         Self { bound, first_sends: Window::new(bound.window), repeats: Window::new(bound.window) }
     }
 
+    /// Replaces the bound. What was sent in the present window counts against the new one.
+    pub fn set_bound(&mut self, bound: Bound) {
+        self.first_sends.set_length(bound.window);
+        self.repeats.set_length(bound.window);
+        self.bound = bound;
+    }
+
     /// Counts the first send of a request.
     pub fn record_first_send(&mut self, now: Instant) {
         self.first_sends.add(now);
--- a/crates/policy/tests/local_rights.rs
+++ b/crates/policy/tests/local_rights.rs
@@ -8,9 +8,9 @@
 };
 
 use hyssop_policy::local::{
-    decider::{Decision, End, Reason},
+    decider::{Decider, Decision, End, Reason},
     holders::Holders,
-    repeats::Budget,
+    repeats::{Bound, Budget},
     server::Server,
 };
 use local::*;
@@ -130,6 +130,32 @@
     }
 }
 
+/// Settings that change in a storm of repeats must not allow it once more.
+#[test]
+fn a_change_of_the_bound_does_not_forget_the_repeats_of_the_window() {
+    let now = Instant::now();
+    let mut decider = decider("a");
+    decider.set_servers((0..2).map(service).collect());
+    let send_repeats = |decider: &mut Decider| {
+        let mut sent = 0;
+        loop {
+            let mut demand = plain_request(now);
+            demand.is_repeat = true;
+            let Decision::Send(placement) = decider.place_request(&demand, now) else {
+                return sent;
+            };
+            let send_id = decider.record_sent(&placement, &demand, now);
+            decider.record_end(&placement.server, send_id, End::Complete, now);
+            sent += 1;
+        }
+    };
+    let before = send_repeats(&mut decider);
+    let bound = Bound { burst: REPEATS.burst + 2.0, ..REPEATS };
+    decider.set_bounds(COLD, bound, None);
+    let after = send_repeats(&mut decider);
+    assert!(before > 0 && after <= 2, "{before} and {after} repeats");
+}
+
 /// If daemons passed on cold times that peers reported, the delay of each message would extend the
 /// cold start without end.
 #[test]
