gateway: a response to another request that comes in parts doesn't break the next wait

A caller got 502 where a backend server sent the response to another request in two parts, and the own response was overdue between them: the wait is ended and begun anew when a request is hedged or overdue, and forgot how much of the other response was left. The rest of it was then read as the head of the own response.

The exchange keeps the position in the response that it skips.

--- a/crates/gateway/src/call/exchange.rs
+++ b/crates/gateway/src/call/exchange.rs
@@ -119,6 +119,8 @@
     /// When the attempt began, before anything was sent.
     created: Instant,
     connection: Option<Connection>,
+    /// The rest of a response to another request, which comes before the own one.
+    skipped: Option<Framing>,
     first_event_at: Option<Instant>,
     reusable: bool,
     finished: bool,
@@ -142,6 +144,7 @@
             suspect,
             created: Instant::now(),
             connection: None,
+            skipped: None,
             first_event_at: None,
             reusable: false,
             finished: false,
@@ -190,7 +193,8 @@
         Some(connection.server_silent_for(Instant::now()).as_millis() as u64)
     }
 
-    /// Waits for the head of the response to request `id`.
+    /// Waits for the head of the response to request `id`. May be called again after
+    /// [`Error::Late`].
     pub(super) async fn receive_head(
         &mut self,
         method: &Method,
@@ -204,6 +208,7 @@
     async fn read_head(&mut self, method: &Method, id: &str) -> Result<ParsedHead, Error> {
         let (mut stray, mut informational) = (0, 0);
         loop {
+            self.skip_response().await?;
             let Some(head) = head::parse(&mut self.connection_mut().buffer, method)? else {
                 if self.connection_mut().fill().await? == 0 {
                     return Err(Error::Closed);
@@ -234,7 +239,7 @@
             if stray > MAX_STRAY_RESPONSES || !head.reusable {
                 return Err(Error::Stray);
             }
-            self.skip_body(head.framing).await?;
+            self.skipped = Some(head.framing);
         }
     }
 
@@ -294,9 +299,25 @@
         framing.take_end(&mut self.connection_mut().buffer)
     }
 
-    /// Reads a body to its end and discards it.
-    async fn skip_body(&mut self, mut framing: Framing) -> Result<(), Error> {
-        while self.read_body(&mut framing).await? != Step::End {}
+    /// Reads a response that is skipped to its end. Goes on where an earlier call was cancelled.
+    async fn skip_response(&mut self) -> Result<(), Error> {
+        while let (Some(framing), Some(connection)) = (&mut self.skipped, &mut self.connection) {
+            let is_over = match framing.step(&mut connection.buffer)? {
+                Step::Data(_) => false,
+                Step::End => true,
+                Step::More => {
+                    let is_closed = connection.fill().await? == 0;
+                    if is_closed {
+                        framing.on_close()?;
+                        self.reusable = false;
+                    }
+                    is_closed
+                }
+            };
+            if is_over {
+                self.skipped = None;
+            }
+        }
         Ok(())
     }
 
