gateway: a hedged request keeps its first engine until one of the two has responded

With hedging on, a caller got 502 where the second engine failed more than 350 ms after the hedge, although the first one would have responded: after that time the first one was left, before the second one had shown anything.

The race now ends with the first good response, or at the deadline. Then the later attempt is cancelled and the first one is handled as any that is late.

--- a/crates/gateway/src/call/hedge.rs
+++ b/crates/gateway/src/call/hedge.rs
@@ -1,6 +1,6 @@
 //! Races a second backend server against one whose response is late.
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use hyssop_policy::local::{decider::Placement, hedge::Hedge};
 
@@ -12,10 +12,6 @@
 
 /// How often it is decided anew whether a late request is hedged.
 const MAX_DECISIONS: usize = 3;
-/// How long two model engines run the same request at most. Then the first one, which is the later
-/// one by prediction, is given up: decoding twice costs more than a plain service's second run.
-const MAX_RACE_TIME: Duration = Duration::from_millis(350);
-
 impl Call {
     /// Waits for the response head of an attempt. If it is late, a second backend server may be
     /// asked, and the first good response wins.
@@ -92,13 +88,10 @@
             predicted_ms = placement.predicted.as_millis() as u64,
             waited_ms = elapsed_ms(first.sent)
         );
-        let (limit, second_limit) = match cause {
-            Cause::Hedge if self.demand.prompt_tokens > 0 => {
-                let limit = MAX_RACE_TIME.min(self.time_left());
-                (limit, limit)
-            }
-            Cause::Hedge => (self.time_left(), self.time_left()),
-            Cause::Takeover => (self.time_left(), self.successor_limit(&second.placement, 1)),
+        let limit = self.time_left();
+        let second_limit = match cause {
+            Cause::Hedge => limit,
+            Cause::Takeover => self.successor_limit(&second.placement, 1),
         };
         let (method, id) = (&self.method, &self.meta.id);
         tokio::select! {
@@ -111,7 +104,7 @@
         }
     }
 
-    /// Handles a race in which the first backend server has a result, or the time is over.
+    /// Handles a race in which the first backend server has a result, or the deadline has passed.
     async fn on_first(
         &mut self,
         first: Attempt,
@@ -124,15 +117,10 @@
                 self.cancel(second, cause, "first");
                 Race::Ended((first.exchange, Ok(head)))
             }
-            Err(Error::Late(_)) if cause == Cause::Takeover => {
+            Err(Error::Late(_)) => {
                 self.cancel(second, cause, "late");
                 Race::Left(first)
             }
-            Err(Error::Late(_)) => {
-                // The second backend server has begun later, and is expected to respond sooner.
-                self.cancel(first, cause, "late");
-                Race::Left(second)
-            }
             result => {
                 let ended = self.on_head(first.exchange, result).await;
                 Self::log_failed_attempt(&ended);
@@ -141,7 +129,7 @@
         }
     }
 
-    /// Handles a race in which the second backend server has a result, or the time is over.
+    /// Handles a race in which the second backend server has a result, or the deadline has passed.
     async fn on_second(
         &mut self,
         mut first: Attempt,
@@ -160,10 +148,6 @@
                 self.count_race(cause, "second", &first.exchange, first.sent);
                 Race::Ended((second.exchange, Ok(head)))
             }
-            (Err(Error::Late(_)), Cause::Hedge) => {
-                self.cancel(first, cause, "late");
-                Race::Left(second)
-            }
             (result, _) => {
                 self.on_second_failed(second, cause, result).await;
                 Race::Left(first)
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -176,7 +176,7 @@
     }
 
     /// Counts a hedge by how it ended: `first` or `second` for the backend server that won, `late` if
-    /// neither responded for long, `failed` if an attempt failed.
+    /// neither responded until the deadline, `failed` if the second attempt failed.
     pub fn count_hedge(&self, end: &'static str) {
         self.hedges.get_or_create(&HedgeLabels { end }).inc();
     }
