gateway: a request is answered when its server fails before a second one is connected

A caller's connection was closed without an answer where a request ran at one server, was sent to a second one as well, and the first one failed while the connection to the second was still being opened (up to 350 ms for a host whose queue is full or that is gone): the wait for the second response expects a connection, so the request's task panicked. Only hedged requests could meet it before; since overdue requests are offered to a second server, all that may run again can.

An attempt that isn't connected yet is dropped, and the failed one is handled and repeated as if there had been no second one.

--- a/crates/gateway/src/call/exchange.rs
+++ b/crates/gateway/src/call/exchange.rs
@@ -172,6 +172,11 @@
         self.connection.as_mut().expect("the exchange is connected before it sends or receives")
     }
 
+    /// Whether there is a connection, on which the request has been sent or is being sent.
+    pub(super) fn is_connected(&self) -> bool {
+        self.connection.is_some()
+    }
+
     /// Whether no byte of the request can have reached the backend server.
     pub(super) fn is_unsent(&self) -> bool {
         self.connection.as_ref().is_none_or(Connection::is_unsent)
--- a/crates/gateway/src/call/hedge.rs
+++ b/crates/gateway/src/call/hedge.rs
@@ -121,6 +121,11 @@
                 self.cancel(second, cause, "late");
                 Race::Left(first)
             }
+            // The failed attempt is repeated as if there had been no second one.
+            result if !second.exchange.is_connected() => {
+                self.cancel(second, cause, "failed");
+                Race::Ended((first.exchange, result))
+            }
             result => {
                 let ended = self.on_head(first.exchange, result).await;
                 Self::log_failed_attempt(&ended);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -176,13 +176,14 @@
     }
 
     /// Counts a hedge by how it ended: `first` or `second` for the backend server that won, `late` if
-    /// neither responded until the deadline, `failed` if the second attempt failed.
+    /// neither responded until the deadline, `failed` if an attempt failed.
     pub fn count_hedge(&self, end: &'static str) {
         self.hedges.get_or_create(&HedgeLabels { end }).inc();
     }
 
     /// Counts an offer to another backend server by how it ended: `first` or `second` for the backend
-    /// server that went on, `failed` if the second attempt failed or was rejected.
+    /// server that went on, `late` if neither did until the deadline, `failed` if an attempt failed or was
+    /// rejected.
     pub fn count_takeover(&self, end: &'static str) {
         self.takeovers.get_or_create(&HedgeLabels { end }).inc();
     }
