gateway: the store's changes show which builds pools had before a start

Cause: a daemon knew the only build of a pool no sooner than 6 s and the longest age of a stream after its start, 19 s with deadlines of 12 s. After a kill of all hosts no stream could be taken up in time, although there was one build only.

Change: at its first read a daemon checks whether it has read each change of the store since the first configuration. The store numbers changes, so `created` and `revision` of the items account for most, and one watch from the last number before a gap for the rest (at most one call for each start, none later). If none is missing, and all values of each server since its creation are known, the knowledge begins before the first stream; other builds count as having left at the start. Nothing is concluded from times. In doubt the daemon waits as before: numbers that are missing, history that is gone, servers from before the configuration, several builds over all pools where the configuration changed, an era above 1. With era 1 it waits for 6 s, as eras may count from 0.

This covers pools whose changes the store still shows. Where servers left, were replaced or started cold before the history that is left, streams are refused as before; docs/design/TAKE-UPS.md shows by cases why times don't help.

--- a/crates/gateway/src/cache.rs
+++ b/crates/gateway/src/cache.rs
@@ -5,6 +5,7 @@
 
 mod knowledge;
 mod lifetime;
+mod past;
 mod transfer;
 
 use std::{
@@ -21,8 +22,8 @@
 use hyssop_view::record::Reference;
 use parking_lot::Mutex;
 
-pub use self::lifetime::MAX_LIFETIME;
 use self::{knowledge::Knowledge, lifetime::Lifetimes};
+pub use self::{lifetime::MAX_LIFETIME, past::Past};
 use crate::{
     builds::DepartedBuilds,
     environment::Environment,
--- a/crates/gateway/src/cache/knowledge.rs
+++ b/crates/gateway/src/cache/knowledge.rs
@@ -10,14 +10,27 @@
 use super::{Cache, Inner, MAX_LIFETIME};
 use crate::{record::Position, restore::REWRITE_TIME};
 
+/// Since when a state is known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Since {
+    /// Since before the first stream began.
+    Beginning,
+    Time(Instant),
+}
+
 /// The time for which the published state has been known without a gap.
 ///
 /// It begins [`REWRITE_TIME`] after the state was read in full, as a source that comes back, or was
-/// restored, lacks backend servers until they publish themselves again. It ends with each gap in
-/// which a build can come and go unseen.
+/// restored, lacks backend servers until they publish themselves again. It begins in the past if the
+/// source shows all changes from before the read (`past.rs`). It ends with each gap in which a build
+/// can come and go unseen.
 #[derive(Debug, Default)]
 pub(super) struct Knowledge {
-    complete_since: Option<Instant>,
+    complete_since: Option<Since>,
+    /// The time before which the knowledge doesn't count, whenever it begins.
+    settled_at: Option<Instant>,
+    /// The number of gaps so far.
+    gaps: u64,
     /// The latest position that a peer reported.
     peers_at: Position,
 }
@@ -25,12 +38,29 @@
 impl Knowledge {
     /// Ends the knowledge: what is published now is unknown.
     pub(super) fn end(&mut self) {
+        self.gaps += 1;
         self.complete_since = None;
     }
 
     /// Starts the knowledge anew, as something came and went unseen before `now`.
     pub(super) fn restart(&mut self, now: Instant) {
-        self.complete_since = self.complete_since.map(|since| since.max(now));
+        self.gaps += 1;
+        self.complete_since = self.complete_since.map(|since| since.max(Since::Time(now)));
+    }
+
+    /// The number of gaps so far.
+    pub(super) fn gaps(&self) -> u64 {
+        self.gaps
+    }
+
+    /// Extends the knowledge to the past, unless a gap came after the first `gaps`. It counts from
+    /// `settled_at` on.
+    pub(super) fn extend(&mut self, gaps: u64, settled_at: Option<Instant>) -> bool {
+        let is_extended = self.gaps == gaps && self.complete_since.is_some();
+        if is_extended {
+            (self.complete_since, self.settled_at) = (Some(Since::Beginning), settled_at);
+        }
+        is_extended
     }
 }
 
@@ -39,12 +69,12 @@
     pub(super) fn confirm(&mut self, now: Instant) {
         let is_complete = self.complete_at != Position::default();
         if is_complete && !self.suspended && self.source_lost_at.is_none() {
-            self.knowledge.complete_since.get_or_insert(now + REWRITE_TIME);
+            self.knowledge.complete_since.get_or_insert(Since::Time(now + REWRITE_TIME));
         }
     }
 
     /// Since when the published state has been known without a gap, if it is known now.
-    fn known_since(&self) -> Option<Instant> {
+    fn known_since(&self) -> Option<Since> {
         let is_behind = self.applied < self.knowledge.peers_at || !self.awaited.is_empty();
         let is_current = !is_behind && !self.suspended && self.source_lost_at.is_none();
         self.knowledge.complete_since.filter(|_| is_current)
@@ -91,10 +121,17 @@
         }
         let known = inner.known_since().ok_or(None)?;
         let others = pools().filter_map(|pool| inner.departed_builds.last_other(pool, build));
-        let since = others.fold(known, Instant::max);
+        let since = others.map(Since::Time).fold(known, Since::max);
         let ages = pools().map(|pool| inner.lifetimes.max_age(pool, left, now));
-        let known_at = since + ages.max().unwrap_or(MAX_LIFETIME);
-        if now < known_at { Err(Some(known_at - now)) } else { Ok(build.clone()) }
+        let age = ages.max().unwrap_or(MAX_LIFETIME);
+        let covered_at = match since {
+            Since::Beginning => None,
+            Since::Time(since) => Some(since + age),
+        };
+        match covered_at.max(inner.knowledge.settled_at) {
+            Some(known_at) if now < known_at => Err(Some(known_at - now)),
+            _ => Ok(build.clone()),
+        }
     }
 
     /// Records the position of a peer. One that watches the source and is not ahead shows that this
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -16,7 +16,7 @@
 use crate::{
     cache::Origin,
     gateway::Gateway,
-    record::{Position, Record},
+    record::{Position, Record, Revision},
 };
 
 /// The maximum wait of one watch. Short, so that a connection that has gone silent is detected
@@ -37,6 +37,11 @@
 pub struct Batch {
     /// The records, in any order.
     pub records: Vec<Record>,
+    /// The revisions at which the keys of the records were written for the first time since they were
+    /// deleted, in the order of the records. Without meaning for deletions.
+    pub created: Vec<Revision>,
+    /// Whether the records were read at one moment.
+    pub is_snapshot: bool,
     /// The position from which the next watch continues.
     pub position: Position,
 }
@@ -78,6 +83,7 @@
 
 async fn watch_source(gateway: &Gateway, source: &dyn Source) {
     let mut position = None;
+    let mut is_first_read = true;
     let mut delay = MIN_RETRY_DELAY;
     loop {
         let suspended = gateway.cache.is_suspended();
@@ -110,6 +116,8 @@
                 if suspended {
                     gateway.cache.set_suspended(false);
                 }
+                let first_read =
+                    (full && std::mem::take(&mut is_first_read)).then(|| batch.clone());
                 let changed = if full {
                     gateway.cache.replace_all(batch.records, batch.position, now)
                 } else {
@@ -118,6 +126,9 @@
                 if changed {
                     gateway.reconfigure();
                 }
+                if let Some(read) = first_read {
+                    learn_past(gateway, source, &read).await;
+                }
             }
             Err(error @ (Error::Compacted | Error::Restored)) => {
                 let position = position.take().map(tracing::field::display);
@@ -137,6 +148,19 @@
     }
 }
 
+/// Learns which builds pools had before the first read, if the source still shows it.
+async fn learn_past(gateway: &Gateway, source: &dyn Source, read: &Batch) {
+    let Some(past) = gateway.cache.past(read) else { return };
+    if past.is_whole() {
+        gateway.cache.extend_knowledge(past, None, Instant::now());
+    } else if let Some(after) = past.history_start() {
+        match source.watch(after, Duration::ZERO).await {
+            Ok(history) => gateway.cache.extend_knowledge(past, Some(&history), Instant::now()),
+            Err(error) => tracing::info!(event = "past_hidden", position = %after, fault = %error),
+        }
+    }
+}
+
 /// Handles a failed call of the source. While other daemons watch the source, it is not lost for
 /// the fleet; once they stop, `PeerSync::tick` marks it as lost.
 fn on_failure(gateway: &Gateway, error: &Error, position: Option<Position>, now: Instant) {
