--- a/crates/gateway/src/cache.rs
+++ b/crates/gateway/src/cache.rs
@@ -7,6 +7,7 @@
 mod knowledge;
 mod lifetime;
 mod outage;
+mod past;
 mod transfer;
 
 use std::{
@@ -23,8 +24,8 @@
 use hyssop_view::record::Reference;
 use parking_lot::Mutex;
 
-pub use self::lifetime::MAX_LIFETIME;
 use self::{knowledge::Knowledge, lifetime::Lifetimes};
+pub use self::{lifetime::MAX_LIFETIME, past::Past};
 use crate::{
     builds::DepartedBuilds,
     environment::Environment,
