gateway: a request that is given up does not reach its server later

A host that gave a request up closed its connection, and the kernel went on sending what lay in the socket: behind a cut, or at a server that reads late, the request arrived seconds afterwards and ran for nobody.

The connection of an exchange that ended otherwise than with a complete response is reset, which drops such bytes.

--- a/crates/gateway/src/call/exchange.rs
+++ b/crates/gateway/src/call/exchange.rs
@@ -397,6 +397,8 @@
         let complete = matches!(end, End::Complete | End::Rejected);
         if complete && self.reusable && connection.is_clean() {
             self.gateway.connections.release(&self.server.name, connection);
+        } else if !complete {
+            connection.abandon();
         }
     }
 }
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -9,3 +9,15 @@
 pub mod framing;
 pub mod head;
 pub mod pool;
+
+use std::time::Duration;
+
+use socket2::SockRef;
+use tokio::net::TcpStream;
+
+/// Makes the close of a connection a reset, which drops the bytes that the other side has not received.
+pub(crate) fn reset_on_close(stream: &TcpStream) {
+    if let Err(error) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
+        tracing::warn!(event = "connection_not_reset", %error);
+    }
+}
--- a/crates/gateway/src/http/connection.rs
+++ b/crates/gateway/src/http/connection.rs
@@ -200,6 +200,12 @@
         self.last_received = None;
     }
 
+    /// Closes the connection. Bytes of the request that have not reached the backend server are dropped:
+    /// it would run a request later that nobody waits for any more.
+    pub fn abandon(self) {
+        super::reset_on_close(&self.stream);
+    }
+
     /// Whether no byte of the request can have reached the backend server.
     pub fn is_unsent(&self) -> bool {
         self.written_bytes == 0
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -19,13 +19,12 @@
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyssop_view::heartbeat::Phase;
-use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::{
     body::{Body, full},
     gateway::Gateway,
-    intake,
+    http, intake,
 };
 
 /// The idle timeout until the environment is loaded, and for listeners other than the callers'.
@@ -99,7 +98,8 @@
     }
     let stream = connection.into_parts().io.into_inner();
     if is_incomplete && delimited_by_close.load(Ordering::Relaxed) {
-        reset_on_close(&stream);
+        // The caller can tell a reset from the end of a response.
+        http::reset_on_close(&stream);
     }
     report_unread(&gateway, &stream);
     gateway.metrics.connections.dec();
@@ -119,13 +119,6 @@
     }
 }
 
-/// Makes the close of a connection a reset, which the caller can tell from the end of a response.
-fn reset_on_close(stream: &TcpStream) {
-    if let Err(error) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
-        tracing::warn!(event = "connection_not_reset", %error);
-    }
-}
-
 /// Handles a request to the directory, readiness or metrics listener. The adapter of each platform
 /// defines the paths.
 pub type Responder = Arc<dyn Fn(&Request<Incoming>) -> Response<Body> + Send + Sync>;
