gateway: small chunks of a backend server let other tasks run

Two tests of responses without end failed beside load (not ready): a read from the socket holds some hundred small chunks, and a task gave way to others only with the next read, so that a few such responses kept the daemon's only thread busy for half a second and more; the daemon then took itself for suspended.

Each chunk counts against the task's budget.

--- a/crates/gateway/src/call/exchange.rs
+++ b/crates/gateway/src/call/exchange.rs
@@ -10,7 +10,7 @@
 use hyper::{HeaderMap, Method, StatusCode};
 use hyssop_backend::blame::Fingerprint;
 use hyssop_policy::local::{decider::End, server::SendId};
-use tokio::time::timeout;
+use tokio::{task::coop, time::timeout};
 
 use crate::{
     dialect::ResponseMeta,
@@ -286,6 +286,8 @@
     /// Fails if the connection fails, or if the body is malformed or truncated.
     pub(crate) async fn read_body(&mut self, framing: &mut Framing) -> Result<Step, Error> {
         loop {
+            // One read may hold hundreds of small chunks, and other tasks wait meanwhile.
+            coop::consume_budget().await;
             let connection = self.connection_mut();
             match framing.step(&mut connection.buffer)? {
                 Step::More => {}
@@ -306,7 +308,12 @@
 
     /// Reads a response that is skipped to its end. Goes on where an earlier call was cancelled.
     async fn skip_response(&mut self) -> Result<(), Error> {
-        while let (Some(framing), Some(connection)) = (&mut self.skipped, &mut self.connection) {
+        while self.skipped.is_some() {
+            coop::consume_budget().await;
+            let (Some(framing), Some(connection)) = (&mut self.skipped, &mut self.connection)
+            else {
+                return Ok(());
+            };
             let is_over = match framing.step(&mut connection.buffer)? {
                 Step::Data(_) => false,
                 Step::End => true,
