gateway: a leaving host that is late to run reads its sockets before it ends

What callers saw: a request that was sent whole while the host did not run got a reset in place of a response, up to 300 ms after its last byte.

Cause: a daemon ended after two checks in a row without a connection, or once its grace time was over. The main task of the runtime runs before all others when a delay is over, so that the second check, or the check of the time, came before the accept queue had been read. Two checks help only if the delay includes the first one.

Now a check that was late to run does not count, for up to 200 ms of the 400 ms that are reserved for the exit: the sockets are read before the next one.

--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -19,9 +19,10 @@
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(400);
 /// How often a leaving daemon checks whether callers are still connected.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
-/// The number of checks in a row that must find no connection. A host that was late to run may check
-/// before it has accepted the connections that wait.
+/// The number of checks in a row that must find no connection.
 const MIN_IDLE_CHECKS: u32 = 2;
+/// How much later than planned a daemon ends that is always late to run.
+const MAX_OVERRUN: Duration = Duration::from_millis(200);
 /// How often the clocks are compared.
 const CLOCK_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// The delay of a clock check that counts as a suspension. What a host knows is older by as much, on top
@@ -42,10 +43,18 @@
     // Idle connections are closed at once, connections in use after the current response.
     gateway.closing.cancel();
     let mut idle_checks = 0;
-    while Instant::now() < end && idle_checks < MIN_IDLE_CHECKS {
-        tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
-        let is_idle = gateway.metrics.connections.get() == 0;
+    loop {
+        let due = Instant::now() + DRAIN_CHECK_INTERVAL;
+        tokio::time::sleep_until(due.into()).await;
+        let now = Instant::now();
+        // After a delay this task may run before those that read the sockets.
+        let is_late = now >= due + DRAIN_CHECK_INTERVAL;
+        let is_idle = !is_late && gateway.metrics.connections.get() == 0;
         idle_checks = if is_idle { idle_checks + 1 } else { 0 };
+        let is_over = now >= if is_late { end + MAX_OVERRUN } else { end };
+        if is_over || idle_checks >= MIN_IDLE_CHECKS {
+            break;
+        }
     }
     tracing::info!(
         event = "stop", host = %gateway.settings.host, cut = gateway.metrics.running.get(),
