gateway: the end of the process resets responses to HTTP/1.0 that it cuts

What callers saw: a response to HTTP/1.0 that was cut at the end of the grace time ended like a complete one.

Cause: the close of the connection marks the end of such a response. A response that fails is reset, but connections that were still in use when the process ended were dropped with the runtime, and so closed.

Now connections end before the process does, and reset as on other failures.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -95,6 +95,8 @@
     pub body_bytes: AtomicUsize,
     /// Cancelled when the connections of callers are to be closed, after the current responses.
     pub closing: CancellationToken,
+    /// Cancelled when responses that are not complete are cut, as the process ends.
+    pub(crate) cutting: CancellationToken,
     /// How long responses take, by route.
     pub durations: Mutex<Durations>,
     /// Set once the daemon has begun to leave.
@@ -128,6 +130,7 @@
             metrics: Metrics::default(),
             body_bytes: AtomicUsize::new(0),
             closing: CancellationToken::new(),
+            cutting: CancellationToken::new(),
             durations: Mutex::default(),
             departure: OnceLock::new(),
             role: Mutex::new(Role::Watcher),
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -23,6 +23,8 @@
 const MIN_IDLE_CHECKS: u32 = 2;
 /// How much later than planned a daemon ends that is always late to run.
 const MAX_OVERRUN: Duration = Duration::from_millis(200);
+/// How long connections have to end once their responses are cut.
+const CUT_TIME: Duration = Duration::from_millis(20);
 /// How often the clocks are compared.
 const CLOCK_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// The delay of a clock check that counts as a suspension. What a host knows is older by as much, on top
@@ -60,6 +62,9 @@
         event = "stop", host = %gateway.settings.host, cut = gateway.metrics.running.get(),
         connections = gateway.metrics.connections.get()
     );
+    gateway.cutting.cancel();
+    // The tasks of connections run meanwhile.
+    tokio::time::sleep(CUT_TIME).await;
 }
 
 /// Marks the cache as out of date when the process was suspended, until the state is read again.
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -86,15 +86,16 @@
         // A host that was late to run finds its timers due and bytes in its sockets at once. The bytes
         // come first.
         biased;
-        served = &mut connection => served,
+        served = &mut connection => Some(served),
         () = wait_for_close(&gateway) => {
             // Closes an idle connection at once, and a connection in use after its response.
             Pin::new(&mut connection).graceful_shutdown();
-            (&mut connection).await
+            gateway.cutting.run_until_cancelled(&mut connection).await
         }
     };
-    let is_incomplete = served.as_ref().is_err_and(hyper::Error::is_user);
-    if let Err(error) = served {
+    let is_incomplete =
+        served.as_ref().is_none_or(|served| served.as_ref().is_err_and(hyper::Error::is_user));
+    if let Some(Err(error)) = served {
         tracing::debug!(event = "connection_ended", %error);
     }
     let stream = connection.into_parts().io.into_inner();
