gateway: bodies of refused requests that expect 100 Continue are discarded too

What callers saw: one that sends a large body without waiting for 100 Continue, or was asked for it and then refused (413), had its connection reset while it was sending, and got no refusal.

Cause: the rest of a refused body was discarded only for requests without Expect. hyper sends 100 Continue only if no response has begun, so a caller that waits isn't asked for its body by the discarding. The close is still announced, since its next bytes may be a request.

--- a/crates/gateway/src/upload.rs
+++ b/crates/gateway/src/upload.rs
@@ -65,19 +65,17 @@
 
 /// Reads and discards the rest of the body of a refused request, while the refusal is written. Closing
 /// a connection with unread bytes resets it, and a caller that is still sending would not read the
-/// refusal. One that waits for `100 Continue` is not asked for its body. Returns whether the connection
-/// stays open for further requests.
+/// refusal. One that waits for `100 Continue` is not asked for its body, as the refusal goes first.
+/// Returns whether the connection stays open for further requests.
 pub(crate) fn discard(head: &Parts, body: Incoming) -> bool {
     if body.is_end_stream() {
         return true;
     }
-    if head.headers.contains_key(EXPECT) {
-        return false;
-    }
     tokio::spawn(timeout(DISCARD_TIMEOUT, async move {
         let mut body = Limited::new(body, MAX_DISCARD_BYTES);
         // The caller has its answer, so nothing is lost with an error.
         while let Some(Ok(_)) = body.frame().await {}
     }));
-    true
+    // What follows may be the body or, from a caller that waited in vain, the next request.
+    !head.headers.contains_key(EXPECT)
 }
