platform: the grace time counts from the earliest time at which SIGTERM may have come

What callers saw: a stream that was sent 3.08 s after SIGTERM was taken by what earlier streams had lasted, and cut, by a host that was 700 ms late to run when the signal came.

Cause: the announcement and the grace time counted from when the signal was handled, with an allowance of 500 ms for a host that is late, while one that is up to 800 ms late to run is taken for sound. The planned end lay behind the end of the grace time, too, by up to 400 ms.

--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -33,9 +33,8 @@
 const SUSPENSION_THRESHOLD: Duration = Duration::from_millis(800);
 
 /// Waits until callers have moved to other hosts and their requests are finished, for at most
-/// `grace`.
-pub async fn leave(gateway: &Gateway, grace: Duration) {
-    let begun = Instant::now();
+/// `grace` from `begun`.
+pub async fn leave(gateway: &Gateway, begun: Instant, grace: Duration) {
     tracing::info!(event = "leaving", running = gateway.metrics.running.get());
     let end = begun + grace.saturating_sub(SHUTDOWN_MARGIN);
     let announcement = gateway.settings.directory_ttl * DIRECTORY_USE_FACTOR;
