gateway: a check of a leaving host counts if it is late by a part of a quota period

A host that has used its CPU quota is late by up to 100 ms again and again, so that it would have stayed until the end of its grace time although no caller was left. What waits in the accept queue then is at most 150 ms old.

--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -21,6 +21,9 @@
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// The number of checks in a row that must find no connection.
 const MIN_IDLE_CHECKS: u32 = 2;
+/// The delay of a check up to which it counts. A host that has used its CPU quota stalls until the next
+/// period of 100 ms (the default of the Linux scheduler).
+const MAX_CHECK_DELAY: Duration = Duration::from_millis(100);
 /// How much later than planned a daemon ends that is always late to run.
 const MAX_OVERRUN: Duration = Duration::from_millis(200);
 /// How long connections have to end once their responses are cut.
@@ -49,7 +52,7 @@
         tokio::time::sleep_until(due.into()).await;
         let now = Instant::now();
         // After a delay this task may run before those that read the sockets.
-        let is_late = now >= due + DRAIN_CHECK_INTERVAL;
+        let is_late = now >= due + MAX_CHECK_DELAY;
         let is_idle = !is_late && gateway.metrics.connections.get() == 0;
         idle_checks = if is_idle { idle_checks + 1 } else { 0 };
         let is_over = now >= if is_late { end + MAX_OVERRUN } else { end };
