--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -19,9 +19,15 @@
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(400);
 /// How often a leaving daemon checks whether callers are still connected.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
-/// The number of checks in a row that must find no connection. A host that was late to run may check
-/// before it has accepted the connections that wait.
+/// The number of checks in a row that must find no connection.
 const MIN_IDLE_CHECKS: u32 = 2;
+/// The delay of a check up to which it counts. A host that has used its CPU quota stalls until the next
+/// period of 100 ms (the default of the Linux scheduler).
+const MAX_CHECK_DELAY: Duration = Duration::from_millis(100);
+/// How much later than planned a daemon ends that is always late to run.
+const MAX_OVERRUN: Duration = Duration::from_millis(200);
+/// How long connections have to end once their responses are cut.
+const CUT_TIME: Duration = Duration::from_millis(20);
 /// How often the clocks are compared.
 const CLOCK_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// The delay of a clock check that counts as a suspension. What a host knows is older by as much, on top
@@ -30,9 +36,8 @@
 const SUSPENSION_THRESHOLD: Duration = Duration::from_millis(800);
 
 /// Waits until callers have moved to other hosts and their requests are finished, for at most
-/// `grace`.
-pub async fn leave(gateway: &Gateway, grace: Duration) {
-    let begun = Instant::now();
+/// `grace` from `begun`.
+pub async fn leave(gateway: &Gateway, begun: Instant, grace: Duration) {
     tracing::info!(event = "leaving", running = gateway.metrics.running.get());
     let end = begun + grace.saturating_sub(SHUTDOWN_MARGIN);
     let announcement = gateway.settings.directory_ttl * DIRECTORY_USE_FACTOR;
@@ -42,15 +47,26 @@
     // Idle connections are closed at once, connections in use after the current response.
     gateway.closing.cancel();
     let mut idle_checks = 0;
-    while Instant::now() < end && idle_checks < MIN_IDLE_CHECKS {
-        tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
-        let is_idle = gateway.metrics.connections.get() == 0;
+    loop {
+        let due = Instant::now() + DRAIN_CHECK_INTERVAL;
+        tokio::time::sleep_until(due.into()).await;
+        let now = Instant::now();
+        // After a delay this task may run before those that read the sockets.
+        let is_late = now >= due + MAX_CHECK_DELAY;
+        let is_idle = !is_late && gateway.metrics.connections.get() == 0;
         idle_checks = if is_idle { idle_checks + 1 } else { 0 };
+        let is_over = now >= if is_late { end + MAX_OVERRUN } else { end };
+        if is_over || idle_checks >= MIN_IDLE_CHECKS {
+            break;
+        }
     }
     tracing::info!(
         event = "stop", host = %gateway.settings.host, cut = gateway.metrics.running.get(),
         connections = gateway.metrics.connections.get()
     );
+    gateway.cutting.cancel();
+    // The tasks of connections run meanwhile.
+    tokio::time::sleep(CUT_TIME).await;
 }
 
 /// Marks the cache as out of date when the process was suspended, until the state is read again.
