gateway: a trial of a quarantined segment is taken by no request that holds another one

One request in ten seconds and more with a quarantined segment runs, to find out whether the segment is sound. A request that held a second quarantined segment could take that trial: it crashed its server and kept a sound segment in quarantine (found by the review in the code).

a_trial_is_not_taken_by_a_request_with_another_quarantined_segment fails with the condition left out, and passes.

--- a/crates/gateway/src/call/blame.rs
+++ b/crates/gateway/src/call/blame.rs
@@ -25,7 +25,7 @@
         }
         let Some(segment) = segment else { return Some(status) };
         let is_trial = self.gateway.decider.lock().is_responsible_for(segment.0)
-            && self.gateway.suspects.lock().begin_trial(segment, now);
+            && self.gateway.suspects.lock().begin_trial(segment, &self.segments, now);
         let event = if is_trial { "segment_tried" } else { "segment_refused" };
         tracing::info!(event, id = %self.meta.id, %segment);
         is_trial.then_some(status)
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -123,10 +123,17 @@
         segments.iter().copied().find(|&segment| self.segments.is_quarantined(segment, now))
     }
 
-    /// Whether one request with a quarantined segment may run now. See
+    /// Whether a request with these segments, one of which is in quarantine, may run to try that one. See
     /// [`SegmentRegistry::begin_trial`].
-    pub fn begin_trial(&mut self, segment: Fingerprint, now: Instant) -> bool {
-        self.segments.begin_trial(segment, now)
+    pub fn begin_trial(
+        &mut self,
+        segment: Fingerprint,
+        segments: &[Fingerprint],
+        now: Instant,
+    ) -> bool {
+        let mut others = segments.iter().filter(|&&other| other != segment);
+        let is_alone = !others.any(|&other| self.segments.is_quarantined(other, now));
+        is_alone && self.segments.begin_trial(segment, now)
     }
 
     /// Records a failed exchange with `server` of a request that had just begun. `crash` identifies
--- a/crates/gateway/tests/suspects.rs
+++ b/crates/gateway/tests/suspects.rs
@@ -2,7 +2,10 @@
 
 use std::time::{Duration, Instant};
 
-use hyssop_backend::blame::{Fingerprint, Status};
+use hyssop_backend::{
+    blame::{Fingerprint, Status},
+    evidence::CrashId,
+};
 use hyssop_document::name::Backend;
 use hyssop_gateway::suspects::Suspects;
 
@@ -68,3 +71,24 @@
     suspects.record_end(&server(0), HARMLESS);
     assert!(suspects.occupied_servers().is_empty());
 }
+
+/// A trial finds out whether a segment is sound. A request that holds another quarantined segment crashes
+/// its server whatever the answer, and both stay in quarantine for longer.
+#[test]
+fn a_trial_is_not_taken_by_a_request_with_another_quarantined_segment() {
+    const SOUND: Fingerprint = Fingerprint(9);
+    let mut suspects = Suspects::default();
+    let mut now = Instant::now();
+    for segment in [SOUND, CRASHING] {
+        for crash in 0..3 {
+            now += Duration::from_secs(1);
+            let id = CrashId(segment.0 as u32 * 10 + crash);
+            suspects.record_failed_segments(&server(crash), id, &[segment], now);
+            suspects.record_segment_crash(&server(crash), now);
+        }
+    }
+    now += Duration::from_secs(20);
+    assert_eq!(suspects.quarantined_segment(&[HARMLESS, SOUND], now), Some(SOUND));
+    assert!(!suspects.begin_trial(SOUND, &[SOUND, CRASHING], now));
+    assert!(suspects.begin_trial(SOUND, &[HARMLESS, SOUND], now));
+}
