--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -53,7 +53,9 @@
 const MIN_TIME_LEFT: Duration = Duration::from_millis(40);
 /// The pause before the next try after a rejection or a failed connection.
 const RETRY_PAUSE: Duration = Duration::from_millis(15);
-/// The maximum size of an error body that is kept while another backend server is tried.
+/// How long an error body may take that is kept while another backend server is tried.
+const SAVED_BODY_TIMEOUT: Duration = Duration::from_millis(300);
+/// The maximum size of such an error body.
 const MAX_SAVED_BODY_BYTES: usize = 64 << 10;
 /// `Retry-After` for requests that backend servers rejected.
 const REJECTED_RETRY_AFTER: Duration = Duration::from_millis(200);
@@ -305,7 +307,7 @@
     async fn save_and_retry(&mut self, mut exchange: Exchange, head: Head) -> TryResult {
         let server = exchange.server.name.clone();
         let status = head.status.as_u16();
-        let limit = self.time_left();
+        let limit = self.time_left().min(SAVED_BODY_TIMEOUT);
         match exchange.collect(head.framing, MAX_SAVED_BODY_BYTES, limit).await {
             Ok(body) => {
                 tracing::info!(event = "failed_answer", id = %self.meta.id, %server, status);
