--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -215,7 +215,8 @@
             let watchers = table.alive(now).filter(|(_, member)| member.heartbeat.watches_source);
             let watchers = watchers.count();
             if self.comparison.lock().is_read_due(gateway.watches_source(), watchers, now) {
-                tracing::warn!(event = "records_differ", applied = %gateway.cache.snapshot().applied);
+                let applied = gateway.cache.snapshot().applied;
+                tracing::warn!(event = "records_differ", %applied);
                 gateway.request_read();
             }
             if !gateway.watches_source() {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -37,8 +37,8 @@
     Moved(Box<Continuation>),
 }
 
-/// Passes a body on to the caller. After a failure or a long pause, resumes a stream at another backend server if
-/// the route allows that.
+/// Passes a body on to the caller. After a failure or a long pause, resumes a stream at another backend
+/// server if the route allows that.
 pub struct Relay {
     call: Call,
     exchange: Exchange,
