gateway: the announcement of a departure counts from the signal alone

Two mechanisms allowed for a SIGTERM that is handled late: the grace time and the announcement count from the earliest moment at which the signal can have come, and the announcement was half a second shorter besides. The second one refused callers who could not know of the departure yet. It goes: a request that is sent later than three TTLs after the signal still arrives after the announcement.

--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -11,8 +11,6 @@
 
 /// Callers use a response of the directory for at most this many times its TTL.
 const DIRECTORY_USE_FACTOR: u32 = 3;
-/// The time that a busy host may take to handle SIGTERM. Callers count from the signal.
-const SIGNAL_DELAY: Duration = Duration::from_millis(500);
 /// How long after these responses have expired a leaving daemon keeps idle connections open.
 const MOVE_MARGIN: Duration = Duration::from_secs(1);
 /// The time at the end of the grace time that is reserved for an orderly exit.
@@ -40,10 +38,9 @@
 pub async fn leave(gateway: &Gateway, begun: Instant, grace: Duration) {
     tracing::info!(event = "leaving", running = gateway.metrics.running.get());
     let end = begun + grace.saturating_sub(SHUTDOWN_MARGIN);
-    let announcement = gateway.settings.directory_ttl * DIRECTORY_USE_FACTOR;
-    let announced = begun + announcement.saturating_sub(SIGNAL_DELAY);
+    let announced = begun + gateway.settings.directory_ttl * DIRECTORY_USE_FACTOR;
     gateway.leave(Departure { announced, end });
-    tokio::time::sleep_until((begun + announcement + MOVE_MARGIN).min(end).into()).await;
+    tokio::time::sleep_until((announced + MOVE_MARGIN).min(end).into()).await;
     // Idle connections are closed at once, connections in use after the current response.
     gateway.closing.cancel();
     let mut idle_checks = 0;
