--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -114,9 +114,13 @@
 
 /// Logs and counts bytes of a caller that its connection is closed with: perhaps a request.
 fn report_unread(gateway: &Gateway, stream: &TcpStream) {
-    if let Ok(bytes @ 1..) = rustix::io::ioctl_fionread(stream) {
-        tracing::info!(event = "closed_unread", bytes, leaving = gateway.is_leaving());
-        gateway.metrics.count_unread();
+    match rustix::io::ioctl_fionread(stream) {
+        Ok(0) => {}
+        Ok(bytes) => {
+            tracing::info!(event = "closed_unread", bytes, leaving = gateway.is_leaving());
+            gateway.metrics.count_unread();
+        }
+        Err(error) => tracing::debug!(event = "unread_bytes_unknown", %error),
     }
 }
 
--- a/crates/gateway/src/upload.rs
+++ b/crates/gateway/src/upload.rs
@@ -1,6 +1,6 @@
 //! Reads the bodies of callers' requests into memory, within the limits.
 
-use std::{sync::Arc, time::Duration};
+use std::{error::Error, sync::Arc, time::Duration};
 
 use bytes::BytesMut;
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
@@ -71,11 +71,21 @@
     if body.is_end_stream() {
         return true;
     }
-    tokio::spawn(timeout(DISCARD_TIMEOUT, async move {
+    tokio::spawn(async move {
         let mut body = Limited::new(body, MAX_DISCARD_BYTES);
-        // The caller has its answer, so nothing is lost with an error.
-        while let Some(Ok(_)) = body.frame().await {}
-    }));
+        let read = async {
+            while let Some(frame) = body.frame().await {
+                frame?;
+            }
+            Ok::<_, Box<dyn Error + Send + Sync>>(())
+        };
+        // The connection is closed then, but the caller has had time to read the refusal.
+        match timeout(DISCARD_TIMEOUT, read).await {
+            Ok(Ok(())) => {}
+            Ok(Err(error)) => tracing::debug!(event = "body_not_discarded", %error),
+            Err(error) => tracing::debug!(event = "body_not_discarded", %error),
+        }
+    });
     // What follows may be the body or, from a caller that waited in vain, the next request.
     !head.headers.contains_key(EXPECT)
 }
