gateway: logs and metrics tell repeats from first sends, with what is left of their budget

A run whose repeats exceed the budget left no trace: no line said whether a send was a repeat, nor what the budget was when it was sent or refused. `sent` has `repeat` and `repeats_left` now, second sends beside a first one have a line of their own, a refusal by the budget too, and `hyssop_repeats_total` counts both. No change of decisions.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -170,6 +170,7 @@
             Decision::Refuse { reason, retry_after, predicted } => {
                 self.predicted = predicted;
                 self.note_share(reason);
+                self.note_repeat_refusal(reason, now);
                 return TryResult::Failed(self.refusal(reason.into(), retry_after));
             }
         };
@@ -179,16 +180,21 @@
             return TryResult::Retry;
         };
         self.tries += 1;
-        let (send_id, slowness) = {
+        let (send_id, slowness, repeats_left) = {
             let mut decider = self.gateway.decider.lock();
             let slowness = decider.slowness(&placement.server);
-            (decider.record_sent(&placement, &self.demand, now), slowness)
+            let send_id = decider.record_sent(&placement, &self.demand, now);
+            (send_id, slowness, decider.repeats_left(&self.demand.pool, now))
         };
+        if self.demand.is_repeat {
+            self.gateway.metrics.count_repeat("sent");
+        }
         let suspect = suspect.then_some(self.fingerprint);
         let mut exchange = Exchange::new(Arc::clone(&self.gateway), server, send_id, suspect);
         tracing::info!(
             event = "sent", id = %self.meta.id, route = %self.route.name, tier = %self.tier,
-            server = %placement.server, attempt = self.tries,
+            server = %placement.server, attempt = self.tries, repeat = self.demand.is_repeat,
+            repeats_left,
             predicted_ms = placement.predicted.as_millis() as u64, unread = placement.uncached_tokens,
             running = placement.load.running, queued_tokens = placement.load.pending_tokens,
             held_tokens = placement.load.held_tokens, aside = placement.reserved_engines,
@@ -239,6 +245,18 @@
         }
     }
 
+    /// Logs and counts a repeat that the budget refuses.
+    fn note_repeat_refusal(&self, reason: decider::Reason, now: Instant) {
+        if reason == decider::Reason::Repeats {
+            let repeats_left = self.gateway.decider.lock().repeats_left(&self.demand.pool, now);
+            tracing::info!(
+                event = "not_repeated", id = %self.meta.id, pool = %self.demand.pool, repeats_left,
+                tries = self.tries, runs = self.runs
+            );
+            self.gateway.metrics.count_repeat("refused");
+        }
+    }
+
     fn refusal(&self, reason: Reason, retry_after: Duration) -> Failure {
         if self.runs > 0 {
             // A refusal states that nothing has run, which is no longer certain.
--- a/crates/gateway/src/call/hedge.rs
+++ b/crates/gateway/src/call/hedge.rs
@@ -44,9 +44,11 @@
                 }
                 Hedge::Wait(until) => delay = Some(until),
                 Hedge::No(reason) => {
+                    let repeats_left =
+                        self.gateway.decider.lock().repeats_left(&self.demand.pool, now);
                     tracing::info!(
                         event = "not_hedged", id = %self.meta.id, server = %first.server,
-                        waited_ms = waited.as_millis() as u64, %reason
+                        waited_ms = waited.as_millis() as u64, %reason, repeats_left
                     );
                     break;
                 }
--- a/crates/gateway/src/call/race.rs
+++ b/crates/gateway/src/call/race.rs
@@ -58,7 +58,13 @@
                 decider.record_sent(&placement, &repeat, sent)
             }
         };
+        let repeats_left = decider.repeats_left(&self.demand.pool, sent);
         drop(decider);
+        self.gateway.metrics.count_repeat("sent");
+        tracing::info!(
+            event = "sent_beside", id = %self.meta.id, server = %placement.server,
+            attempt = self.tries, ?cause, repeats_left
+        );
         let suspect = suspect.then_some(self.fingerprint);
         let exchange = Exchange::new(Arc::clone(&self.gateway), server, send_id, suspect);
         Some(Attempt { exchange, placement, sent })
--- a/crates/gateway/src/call/takeover.rs
+++ b/crates/gateway/src/call/takeover.rs
@@ -238,6 +238,7 @@
         match self.choose_server(&demand, suspect, Instant::now()) {
             Decision::Send(placement) => Some(placement),
             Decision::Refuse { reason, .. } => {
+                self.note_repeat_refusal(reason, Instant::now());
                 tracing::info!(
                     event = "not_taken_over", id = %self.meta.id, first = %first.server.name, %reason
                 );
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -47,6 +47,11 @@
     end: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RepeatLabels {
+    decision: &'static str,
+}
+
 fn histogram() -> Histogram {
     // 1 ms to 16 s, each bound twice the one before.
     Histogram::new(exponential_buckets(0.001, 2.0, 15))
@@ -61,6 +66,7 @@
     notices: Family<NoticeLabels, Counter>,
     hedges: Family<HedgeLabels, Counter>,
     takeovers: Family<HedgeLabels, Counter>,
+    repeats: Family<RepeatLabels, Counter>,
     share_refusals: Family<WorkspaceLabels, Counter>,
     unanswered: Counter,
     unread: Counter,
@@ -88,6 +94,7 @@
         let notices = Family::default();
         let (hedges, takeovers) = (Family::default(), Family::default());
         let share_refusals = Family::default();
+        let repeats = Family::default();
         let first_event = Family::new_with_constructor(histogram as fn() -> Histogram);
         let response_time = Family::new_with_constructor(histogram as fn() -> Histogram);
         let (unanswered, unread) = (Counter::default(), Counter::default());
@@ -103,6 +110,8 @@
         registry.register("hedges", "Second runs of late requests", hedges.clone());
         let help = "Overdue requests and silent streams offered to another backend server";
         registry.register("takeovers", help, takeovers.clone());
+        let help = "Further sends of requests that a backend server may have received";
+        registry.register("repeats", help, repeats.clone());
         let help = "Requests refused because their workspace has had its share";
         registry.register("share_refusals", help, share_refusals.clone());
         registry.register("first_event_seconds", "Time to the first event", first_event.clone());
@@ -126,6 +135,7 @@
             notices,
             hedges,
             takeovers,
+            repeats,
             share_refusals,
             unanswered,
             unread,
@@ -188,6 +198,11 @@
         self.takeovers.get_or_create(&HedgeLabels { end }).inc();
     }
 
+    /// Counts a request that is `sent` to a further backend server, or `refused` that by the budget.
+    pub fn count_repeat(&self, decision: &'static str) {
+        self.repeats.get_or_create(&RepeatLabels { decision }).inc();
+    }
+
     /// Counts a request that was refused by the share of its workspace, empty for none.
     pub fn count_share_refusal(&self, workspace: &str) {
         let labels = WorkspaceLabels { workspace: workspace.into() };
--- a/crates/policy/src/local/decider.rs
+++ b/crates/policy/src/local/decider.rs
@@ -353,13 +353,24 @@
     }
 
     fn may_repeat(&mut self, pool: &Pool, now: Instant) -> bool {
+        let (budget, holders) = self.repeat_budget(pool);
+        budget.allows_repeat(&holders, now)
+    }
+
+    /// How many repeats to a pool this daemon may send now.
+    pub fn repeats_left(&mut self, pool: &Pool, now: Instant) -> f64 {
+        let (budget, holders) = self.repeat_budget(pool);
+        budget.left(&holders, now)
+    }
+
+    /// The budget for repeats to a pool, and the daemons that share it.
+    fn repeat_budget(&mut self, pool: &Pool) -> (&mut RepeatBudget, Holders<'_>) {
         let holders = Holders {
             own: self.settings.own_hash,
             members: &self.members,
             membership: self.membership,
         };
-        let budget = repeat_budget(&mut self.repeats, pool, self.settings.repeats);
-        budget.allows_repeat(&holders, now)
+        (repeat_budget(&mut self.repeats, pool, self.settings.repeats), holders)
     }
 
     /// Records that a request is sent. The id identifies the send in later calls.
--- a/crates/policy/src/local/repeats.rs
+++ b/crates/policy/src/local/repeats.rs
@@ -61,8 +61,16 @@
 
     /// Whether a part of the budget, from 0 to 1, allows one more repeat.
     pub fn allows_part(&mut self, part: f64, holders: &Holders<'_>, now: Instant) -> bool {
+        (self.repeats.count(now) as f64) + 1.0 <= part * self.allowed(holders, now)
+    }
+
+    /// How many repeats the budget allows now. Below 0 if the share has become smaller.
+    pub fn left(&mut self, holders: &Holders<'_>, now: Instant) -> f64 {
+        self.allowed(holders, now) - self.repeats.count(now) as f64
+    }
+
+    fn allowed(&mut self, holders: &Holders<'_>, now: Instant) -> f64 {
         let earned = self.bound.ratio * self.first_sends.count(now) as f64;
-        let allowed = part * USABLE_RATIO * (earned + holders.equal_share(self.bound.burst));
-        (self.repeats.count(now) as f64) + 1.0 <= allowed
+        USABLE_RATIO * (earned + holders.equal_share(self.bound.burst))
     }
 }
