--- a/crates/gateway/tests/rights.rs
+++ b/crates/gateway/tests/rights.rs
@@ -147,6 +147,50 @@
     }
 }
 
+/// First sends and repeats of all daemons, in the order of their times.
+#[derive(Default)]
+struct Sends {
+    first: Vec<Instant>,
+    again: Vec<Instant>,
+}
+
+impl Sends {
+    /// Asserts the platform's bound in the window before each repeat. It counts the requests of that
+    /// window, the one before it or the one half a window before it, whichever has most.
+    fn assert_budget(&self, case: &str) {
+        let window = REPEATS.window;
+        let count = |times: &[Instant], end: Instant| {
+            let Some(begin) = end.checked_sub(window) else { return 0 };
+            times.partition_point(|&time| time <= end)
+                - times.partition_point(|&time| time <= begin)
+        };
+        for &end in &self.again {
+            let ends = [Some(end), end.checked_sub(window / 2), end.checked_sub(window)];
+            let requests = ends.into_iter().flatten().map(|end| count(&self.first, end)).max();
+            let bound = REPEATS.ratio * requests.unwrap_or(0) as f64 + REPEATS.burst;
+            let repeats = count(&self.again, end);
+            assert!(repeats as f64 <= bound, "{case}: {repeats} repeats, the bound is {bound}");
+        }
+    }
+}
+
+/// Runs a fleet in which every daemon repeats as often as it may, from the step `fails_from` on.
+fn storm(seed: u64, scenario: Scenario, fails_from: u32) -> Sends {
+    let mut sends = Sends::default();
+    Fleet::new(seed, scenario, false).run(|daemon, random, step, now| {
+        for _ in 0..random.random_range(0..4) {
+            if daemon.send(false, now) {
+                sends.first.push(now);
+            }
+        }
+        while step >= fails_from && daemon.send(true, now) {
+            sends.again.push(now);
+        }
+    });
+    assert!(!sends.again.is_empty(), "seed {seed}: the budget is not used");
+    sends
+}
+
 #[test]
 fn repeats_stay_within_the_budget() {
     for seed in 0..20 {
@@ -177,6 +221,78 @@
     }
 }
 
+/// A process that restarts inside the window in which its predecessor repeated takes its share again.
+#[test]
+fn restarts_do_not_renew_the_budget_for_repeats() {
+    let all_killed = Scenario { all_killed_at: Some(60), kills: 0, ..SCENARIO };
+    let often = Scenario { kills: 40, duplicated: 0, ..SCENARIO };
+    let six = Scenario { daemons: 6, kills: 30, duplicated: 0, ..SCENARIO };
+    for seed in 0..20 {
+        for scenario in [often, Scenario { kills: 20, ..SCENARIO }, six, all_killed] {
+            storm(seed, scenario, 0).assert_budget(&format!("seed {seed}, {scenario:?}"));
+        }
+    }
+}
+
+/// Daemons repeat all that a whole window has earned and are killed. Their successors earn again in the
+/// same window.
+#[test]
+fn what_killed_daemons_repeated_counts_beside_what_their_successors_earn() {
+    const FAILS_FROM: u32 = 150;
+    for daemons in [3, 9, 40] {
+        let killed_at = Some(FAILS_FROM + 2);
+        let calm = Scenario { kills: 0, pauses: 0, max_partition: 0, ..SCENARIO };
+        let scenario = Scenario { daemons, all_killed_at: killed_at, steps: 300, ..calm };
+        for seed in 0..4 {
+            storm(seed, scenario, FAILS_FROM).assert_budget(&format!("{daemons} daemons"));
+        }
+    }
+}
+
+/// Two large daemons repeat and are killed. Their callers move to the small ones, which earn by them in
+/// the same window.
+#[test]
+fn callers_that_move_to_other_daemons_do_not_renew_the_budget_for_repeats() {
+    const FAILS_FROM: u32 = 150;
+    const REQUESTS_PER_STEP: usize = 40;
+    let scenario = Scenario {
+        daemons: 20,
+        steps: 300,
+        kills: 0,
+        pauses: 0,
+        max_partition: 0,
+        large_lost_at: Some((2, FAILS_FROM + 2)),
+        ..SCENARIO
+    };
+    let mut sends = Sends::default();
+    Fleet::new(1, scenario, false).run(|daemon, _, step, now| {
+        let large = daemon.index < 2;
+        let requests = match step <= FAILS_FROM + 2 {
+            true if large => REQUESTS_PER_STEP / 2,
+            true => 0,
+            false => REQUESTS_PER_STEP.div_ceil(18),
+        };
+        for _ in 0..requests {
+            if daemon.send(false, now) {
+                sends.first.push(now);
+            }
+        }
+        while step >= FAILS_FROM && daemon.send(true, now) {
+            sends.again.push(now);
+        }
+    });
+    sends.assert_budget("callers that move");
+}
+
+/// On a busy machine a daemon may know few of the others when its membership converges.
+#[test]
+fn daemons_that_know_few_of_the_others_stay_within_the_budget_for_repeats() {
+    let scenario = Scenario { daemons: 40, steps: 60, kills: 0, pauses: 0, lost: 99, ..SCENARIO };
+    for seed in 0..4 {
+        storm(seed, scenario, 0).assert_budget(&format!("seed {seed}"));
+    }
+}
+
 #[test]
 fn connections_of_all_daemons_fit_into_a_backend_server() {
     for seed in 0..20 {
--- a/crates/gateway/tests/rights/fleet.rs
+++ b/crates/gateway/tests/rights/fleet.rs
@@ -195,6 +195,8 @@
     pub(crate) back: usize,
     /// When all daemons but the first are killed, and don't come back.
     pub(crate) peers_lost_at: Option<u32>,
+    /// How many daemons, the first ones, are killed and don't come back, and when.
+    pub(crate) large_lost_at: Option<(usize, u32)>,
 }
 
 pub(crate) const SCENARIO: Scenario = Scenario {
@@ -208,6 +210,7 @@
     all_killed_at: None,
     back: usize::MAX,
     peers_lost_at: None,
+    large_lost_at: None,
 };
 
 pub(crate) struct Fleet {
@@ -278,8 +281,12 @@
         }
         let all_killed = self.scenario.all_killed_at == Some(step);
         let peers_lost = self.scenario.peers_lost_at == Some(step);
+        let large_lost = self.scenario.large_lost_at;
         for index in 0..self.daemons.len() {
-            if peers_lost && index > 0 || all_killed && index >= self.scenario.back {
+            if large_lost.is_some_and(|(count, at)| index < count && at == step)
+                || peers_lost && index > 0
+                || all_killed && index >= self.scenario.back
+            {
                 self.daemons[index].down_until = self.now + Duration::from_secs(86_400);
             } else if all_killed || self.random.random_ratio(self.scenario.kills, 1_000) {
                 let back = self.now + STEP * self.random.random_range(1..20);
