policy: repeats are saved up and spent once, so that no restart or move of callers renews their budget

What callers saw: nothing at first; the pool got more repeats than the platform allows (BUDGET), which keeps an overloaded pool overloaded.

Cause: a daemon could repeat at one moment all that a whole window had earned, and its share of the burst. A process that was killed afterwards took the knowledge of that along: its successor had its share of the burst again as soon as its membership had converged, and whoever served its callers, successor or another host, earned anew in the same window. The sum held only while every daemon lived through the window. A daemon that knew few others divided the burst by few. A margin of a fifth covered some of it.

Now the burst bounds what is saved up. First sends earn repeats, a daemon keeps at most its share of the burst, and starts with nothing (one repeat on the first start of the fleet); the share is there at once only after a window without a repeat. In any window all daemons send at most what was saved up before it and what the requests in it earn, whoever is lost, restarts, joins or takes callers over. A burst smaller than the number of daemons still leaves each one repeat, as a part of one could never be used. The margin of a tenth is for requests that are under way for long. A longer window after a reload forgets nothing any more.

--- a/crates/gateway/tests/rights/fleet.rs
+++ b/crates/gateway/tests/rights/fleet.rs
@@ -102,6 +102,7 @@
         let mut decider = Decider::new(Settings {
             zone,
             own_hash,
+            start: repeats::Start { at: now, first: first_start },
             cold: COLD,
             repeats: REPEATS,
             hedges: None,
--- a/crates/policy/examples/replay/fleet.rs
+++ b/crates/policy/examples/replay/fleet.rs
@@ -169,6 +169,7 @@
             let mut decider = Decider::new(Settings {
                 zone: zone(index % pattern.zones),
                 own_hash: index as u32,
+                start: repeats::Start { at: Instant::now(), first: true },
                 cold: cold::Bound { factor: 1.5, slack: 5.0 },
                 repeats: repeats::Bound {
                     ratio: 0.2,
--- a/crates/policy/src/local/decider.rs
+++ b/crates/policy/src/local/decider.rs
@@ -33,7 +33,7 @@
     limit::Limits,
     notice::Notices,
     peer_loads::PeerLoads,
-    repeats::{Bound as RepeatBound, Budget as RepeatBudget},
+    repeats::{Bound as RepeatBound, Budget as RepeatBudget, Start},
     reservation::Reservation,
     server::{Load, SendId, Server, State as ServerState},
     silence::{self, Contact, Examination},
@@ -155,6 +155,8 @@
     pub zone: Zone,
     /// The hash of the daemon's name.
     pub own_hash: u32,
+    /// The start of the daemon's process.
+    pub start: Start,
     /// The bound on cold backend servers.
     pub cold: ColdBound,
     /// The bound on repeats.
@@ -203,7 +205,7 @@
     pub fn new(settings: Settings) -> Self {
         let members = vec![settings.own_hash];
         Self {
-            hedges: Hedges::new(settings.hedges),
+            hedges: Hedges::new(settings.hedges, settings.start),
             settings,
             members,
             membership: Membership::default(),
@@ -238,8 +240,8 @@
     }
 
     /// Sets the hashes of the share holders, this daemon included, and how complete the list is.
-    /// Without a complete list this daemon sends nothing to cold backend servers and uses no share of
-    /// the burst of repeats. Returns whether `membership` differs from the previous one.
+    /// Without a complete list this daemon sends nothing to cold backend servers and saves up one repeat
+    /// at most. Returns whether `membership` differs from the previous one.
     pub fn set_members(&mut self, members: Vec<u32>, membership: Membership) -> bool {
         self.members = members;
         std::mem::replace(&mut self.membership, membership) != membership
@@ -370,19 +372,21 @@
             members: &self.members,
             membership: self.membership,
         };
-        (repeat_budget(&mut self.repeats, pool, self.settings.repeats), holders)
+        let Settings { repeats, start, .. } = self.settings;
+        let create = || RepeatBudget::new(repeats, start);
+        (self.repeats.entry(pool.clone()).or_insert_with(create), holders)
     }
 
     /// Records that a request is sent. The id identifies the send in later calls.
     pub fn record_sent(&mut self, placement: &Placement, demand: &Demand, now: Instant) -> SendId {
         self.last_send_id += 1;
         let send_id = SendId(self.last_send_id);
-        let repeats = repeat_budget(&mut self.repeats, &demand.pool, self.settings.repeats);
+        let (repeats, _) = self.repeat_budget(&demand.pool);
         if demand.is_repeat {
             repeats.record_repeat(now);
         } else {
-            repeats.record_first_send(now);
-            self.hedges.record_first_send(&demand.pool, now);
+            repeats.record_first_send();
+            self.hedges.record_first_send(&demand.pool);
         }
         self.limits.record_sent(&placement.server);
         self.record_start(placement, demand, now);
@@ -398,14 +402,6 @@
     }
 }
 
-fn repeat_budget<'a>(
-    budgets: &'a mut Map<Pool, RepeatBudget>,
-    pool: &Pool,
-    bound: RepeatBound,
-) -> &'a mut RepeatBudget {
-    budgets.entry(pool.clone()).or_insert_with(|| RepeatBudget::new(bound))
-}
-
 /// The time after which the first event of a request is overdue.
 fn overdue_after(predicted: Duration, demand: &Demand) -> Duration {
     let (factor, slack) = OVERDUE_THRESHOLD;
--- a/crates/policy/src/local/decider/hedge.rs
+++ b/crates/policy/src/local/decider/hedge.rs
@@ -10,9 +10,9 @@
     server::SendId,
 };
 
-/// The part of the budget for retries that hedges may use. The rest is kept for requests that failed,
-/// which have no response without a retry.
-const RETRY_BUDGET_RATIO: f64 = 0.5;
+/// The part of the budget for retries that hedges leave for requests that failed, which have no response
+/// without a retry.
+const RETRY_RESERVE_RATIO: f64 = 0.5;
 
 impl Decider {
     /// The time after which the response of a placed request is late enough to ask a second backend
@@ -40,8 +40,8 @@
         if let Err(reason) = allowed {
             return Hedge::No(reason);
         }
-        let repeats = super::repeat_budget(&mut self.repeats, &demand.pool, self.settings.repeats);
-        if !repeats.allows_part(RETRY_BUDGET_RATIO, &holders, now) {
+        let (repeats, holders) = self.repeat_budget(&demand.pool);
+        if !repeats.allows_beside(RETRY_RESERVE_RATIO, &holders, now) {
             return Hedge::No(Reason::Repeats);
         }
         let mut second = demand.clone();
--- a/crates/policy/src/local/hedge.rs
+++ b/crates/policy/src/local/hedge.rs
@@ -12,7 +12,7 @@
 use super::{
     decider::Placement,
     holders::Holders,
-    repeats::{Bound, Budget},
+    repeats::{Bound, Budget, Start},
 };
 
 /// The fraction of responses that come before a response counts as late.
@@ -90,16 +90,17 @@
 }
 
 /// One daemon's hedges to all pools.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Hedges {
     bound: Option<Bound>,
+    start: Start,
     pools: Map<Pool, State>,
 }
 
 impl Hedges {
-    /// Hedges within a bound, or none.
-    pub fn new(bound: Option<Bound>) -> Self {
-        Self { bound, pools: Map::default() }
+    /// Hedges within a bound, or none, of a daemon whose process began with `start`.
+    pub fn new(bound: Option<Bound>, start: Start) -> Self {
+        Self { bound, start, pools: Map::default() }
     }
 
     /// Replaces the bound. Hedges in the present window count against the new one.
@@ -138,9 +139,9 @@
     }
 
     /// Counts the first send of a request, by which hedges are earned.
-    pub fn record_first_send(&mut self, pool: &Pool, now: Instant) {
+    pub fn record_first_send(&mut self, pool: &Pool) {
         if let Some(state) = self.state(pool) {
-            state.budget.record_first_send(now);
+            state.budget.record_first_send();
         }
     }
 
@@ -168,9 +169,9 @@
     }
 
     fn state(&mut self, pool: &Pool) -> Option<&mut State> {
-        let bound = self.bound?;
+        let (bound, start) = (self.bound?, self.start);
         let initial = || State {
-            budget: Budget::new(bound),
+            budget: Budget::new(bound, start),
             late_ratio: INITIAL_LATE_RATIO,
             refused_at: None,
         };
--- a/crates/policy/src/local/repeats.rs
+++ b/crates/policy/src/local/repeats.rs
@@ -1,12 +1,15 @@
 //! The budget for repeats, which send a request to another backend server.
 //!
 //! Without a bound, repeats can keep a pool overloaded whose backend servers fail or reject
-//! requests. The sum over all daemons stays within the bound in every partition: a daemon earns
-//! repeats by its own first sends, and the burst is divided among all share holders.
+//! requests. A daemon saves up repeats by its own first sends, up to its share of the burst. In any
+//! window all daemons together send at most what they had saved up before it, which is the burst, and
+//! what requests inside it earn. That holds whoever is lost, restarts or takes callers over meanwhile:
+//! no process inherits what another one has saved up, and none has anything at its start. Only where
+//! the burst is less than one repeat for each daemon, each one more than that may add one.
 
 use std::time::{Duration, Instant};
 
-use super::{holders::Holders, window::Window};
+use super::holders::Holders;
 
 /// The bound on repeats in one window, over all daemons.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -19,58 +22,86 @@
     pub window: Duration,
 }
 
-/// The fraction of its share that a daemon uses. The rest covers members that other daemons have
-/// not observed yet, and the windows of other daemons, which begin at other times.
-const USABLE_RATIO: f64 = 0.8;
+/// The fraction of the bound that daemons use. Backend servers receive in one window what was sent in
+/// a longer time, as some requests are under way for long.
+const USABLE_RATIO: f64 = 0.9;
+
+/// The start of a daemon's process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Start {
+    /// When it was.
+    pub at: Instant,
+    /// Whether the whole fleet started for the first time, so that no earlier process has sent
+    /// anything.
+    pub first: bool,
+}
 
 /// One daemon's share of the budget of one pool.
 #[derive(Debug)]
 pub struct Budget {
     bound: Bound,
-    first_sends: Window,
-    repeats: Window,
+    /// Repeats that the daemon may send.
+    saved: f64,
+    /// Since when this process has sent no repeat. Its predecessor may have sent some before.
+    quiet_since: Instant,
+    /// Whether neither this process nor a predecessor has sent a repeat.
+    unused: bool,
 }
 
 impl Budget {
-    /// Creates an unused budget.
-    pub fn new(bound: Bound) -> Self {
-        Self { bound, first_sends: Window::new(bound.window), repeats: Window::new(bound.window) }
+    /// Creates a budget that is empty until first sends have earned repeats, or a window without
+    /// repeats has passed since the start of the process.
+    pub fn new(bound: Bound, start: Start) -> Self {
+        Self { bound, saved: 0.0, quiet_since: start.at, unused: start.first }
     }
 
-    /// Replaces the bound. What was sent in the present window counts against the new one.
+    /// Replaces the bound. What is saved up stays, up to the new share.
     pub fn set_bound(&mut self, bound: Bound) {
-        self.first_sends.set_length(bound.window);
-        self.repeats.set_length(bound.window);
         self.bound = bound;
     }
 
-    /// Counts the first send of a request.
-    pub fn record_first_send(&mut self, now: Instant) {
-        self.first_sends.add(now);
+    /// Counts a request when it is first sent.
+    pub fn record_first_send(&mut self) {
+        self.saved += USABLE_RATIO * self.bound.ratio;
     }
 
     /// Counts a repeat.
     pub fn record_repeat(&mut self, now: Instant) {
-        self.repeats.add(now);
+        self.saved -= 1.0;
+        self.quiet_since = now;
+        self.unused = false;
     }
 
     /// Whether the budget allows one more repeat.
     pub fn allows_repeat(&mut self, holders: &Holders<'_>, now: Instant) -> bool {
-        self.allows_part(1.0, holders, now)
+        self.left(holders, now) >= 1.0
     }
 
-    /// Whether a part of the budget, from 0 to 1, allows one more repeat.
-    pub fn allows_part(&mut self, part: f64, holders: &Holders<'_>, now: Instant) -> bool {
-        (self.repeats.count(now) as f64) + 1.0 <= part * self.allowed(holders, now)
+    /// Whether the budget allows one more repeat and keeps this fraction of the others that the daemon
+    /// can save up.
+    pub fn allows_beside(&mut self, reserve: f64, holders: &Holders<'_>, now: Instant) -> bool {
+        let others = (self.share(holders) - 1.0).max(0.0);
+        self.left(holders, now) - 1.0 >= reserve * others
     }
 
-    /// How many repeats the budget allows now. Below 0 if the share has become smaller.
+    /// How many repeats the budget allows now.
     pub fn left(&mut self, holders: &Holders<'_>, now: Instant) -> f64 {
-        self.allowed(holders, now) - self.repeats.count(now) as f64
+        let share = self.share(holders);
+        let quiet = now.saturating_duration_since(self.quiet_since);
+        let granted = if quiet > self.bound.window {
+            share
+        } else if self.unused {
+            // On the first start of the fleet, others that are not known yet have a share as well.
+            share.min(1.0)
+        } else {
+            0.0
+        };
+        // A share of less than one repeat could never be used.
+        self.saved = self.saved.max(granted).min(share.max(1.0));
+        self.saved
     }
 
-    fn allowed(&mut self, holders: &Holders<'_>, now: Instant) -> f64 {
-        let earned = self.bound.ratio * self.first_sends.count(now) as f64;
-        USABLE_RATIO * (earned + holders.equal_share(self.bound.burst))
+    fn share(&self, holders: &Holders<'_>) -> f64 {
+        holders.equal_share(USABLE_RATIO * self.bound.burst)
     }
 }
--- a/crates/policy/src/local/window.rs
+++ b/crates/policy/src/local/window.rs
@@ -18,11 +18,6 @@
         Self { length, times: VecDeque::new() }
     }
 
-    /// Changes the length. Events that have left the window don't return to a longer one.
-    pub fn set_length(&mut self, length: Duration) {
-        self.length = length;
-    }
-
     /// Adds an event. Events are added in the order of their times.
     pub fn add(&mut self, now: Instant) {
         self.expire(now);
--- a/crates/policy/tests/local/mod.rs
+++ b/crates/policy/tests/local/mod.rs
@@ -26,10 +26,17 @@
 
 pub const PEER: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
 
+/// The start of a daemon that has run for a window without a repeat, so that its share is saved up.
+pub fn past_start() -> repeats::Start {
+    let at = Instant::now() - REPEATS.window - Duration::from_secs(1);
+    repeats::Start { at, first: true }
+}
+
 pub fn settings(zone: &str) -> Settings {
     Settings {
         zone: Zone::new(zone),
         own_hash: 1,
+        start: past_start(),
         cold: COLD,
         repeats: REPEATS,
         hedges: None,
--- a/crates/policy/tests/local_limits.rs
+++ b/crates/policy/tests/local_limits.rs
@@ -70,6 +70,7 @@
             let settings = Settings {
                 zone,
                 own_hash: own,
+                start: past_start(),
                 cold: COLD,
                 repeats: REPEATS,
                 hedges: None,
--- a/crates/policy/tests/local_rights.rs
+++ b/crates/policy/tests/local_rights.rs
@@ -109,13 +109,14 @@
     for daemons in [1, 3, 9, 70] {
         let now = Instant::now();
         let members: Vec<u32> = (1..=daemons).collect();
-        let mut all: Vec<Budget> = (0..daemons).map(|_| Budget::new(REPEATS)).collect();
+        let mut all: Vec<Budget> =
+            (0..daemons).map(|_| Budget::new(REPEATS, past_start())).collect();
         let (mut requests, mut sent) = (0, 0);
         for step in 0..1_000_u64 {
             let at = now + Duration::from_millis(step * 10);
             for repeats in &mut all {
                 if step % 5 == 0 {
-                    repeats.record_first_send(at);
+                    repeats.record_first_send();
                     requests += 1;
                 }
                 if repeats.allows_repeat(&holders(1, &members), at) {
--- a/crates/policy/tests/local_urgency.rs
+++ b/crates/policy/tests/local_urgency.rs
@@ -178,6 +178,7 @@
     Decider::new(Settings {
         zone,
         own_hash: index as u32,
+        start: past_start(),
         cold: COLD,
         repeats: REPEATS,
         hedges: None,
