policy: a request earns repeats once, also if several servers could not be reached

Each try that reached no backend server counted as a first send of its request and earned repeats anew: three unreachable servers made three requests of one, while the platform counts the request once. Beside a loss of many servers, the sum of repeats could exceed the budget without any restart.

The first send of a request is recorded in its demand, and only that one earns.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -186,6 +186,7 @@
             let send_id = decider.record_sent(&placement, &self.demand, now);
             (send_id, slowness, decider.repeats_left(&self.demand.pool, now))
         };
+        self.demand.is_recorded = true;
         if self.demand.is_repeat {
             self.gateway.metrics.count_repeat("sent");
         }
--- a/crates/gateway/src/call/builder.rs
+++ b/crates/gateway/src/call/builder.rs
@@ -117,6 +117,7 @@
             build: None,
             excluded: Vec::new(),
             is_repeat: false,
+            is_recorded: false,
             may_have_run: false,
             workspace: self.workspace.as_deref().map(Workspace::demand),
             is_returning: left + RETURN_MARGIN < self.route.timeout,
--- a/crates/gateway/tests/rights/fleet.rs
+++ b/crates/gateway/tests/rights/fleet.rs
@@ -69,6 +69,7 @@
         build: None,
         excluded: Vec::new(),
         is_repeat,
+        is_recorded: false,
         may_have_run: false,
         workspace: None,
         is_returning: false,
--- a/crates/policy/examples/replay/pattern.rs
+++ b/crates/policy/examples/replay/pattern.rs
@@ -367,6 +367,7 @@
             build: None,
             excluded: Vec::new(),
             is_repeat: false,
+            is_recorded: false,
             may_have_run: false,
             workspace: None,
             is_returning: deadline - arrived + RETURN_MARGIN < self.class.deadline,
--- a/crates/policy/src/local/decider.rs
+++ b/crates/policy/src/local/decider.rs
@@ -384,7 +384,7 @@
         let (repeats, _) = self.repeat_budget(&demand.pool);
         if demand.is_repeat {
             repeats.record_repeat(now);
-        } else {
+        } else if !demand.is_recorded {
             repeats.record_first_send();
             self.hedges.record_first_send(&demand.pool);
         }
--- a/crates/policy/src/local/demand.rs
+++ b/crates/policy/src/local/demand.rs
@@ -72,6 +72,9 @@
     pub excluded: Vec<Backend>,
     /// Whether a backend server has had the request before, so that a send counts as a repeat.
     pub is_repeat: bool,
+    /// Whether a send was recorded before, even if it reached no backend server. Repeats are earned by
+    /// requests, so only the first send of each earns.
+    pub is_recorded: bool,
     /// Whether a backend server may have run the request, or part of it. Then it can't be refused any
     /// more, only fail.
     pub may_have_run: bool,
--- a/crates/policy/tests/local/mod.rs
+++ b/crates/policy/tests/local/mod.rs
@@ -105,6 +105,7 @@
         build: None,
         excluded: Vec::new(),
         is_repeat: false,
+        is_recorded: false,
         may_have_run: false,
         workspace: None,
         is_returning: false,
--- a/crates/policy/tests/local_rights.rs
+++ b/crates/policy/tests/local_rights.rs
@@ -131,6 +131,37 @@
     }
 }
 
+/// A request that meets unreachable servers is sent several times and must not earn more than once.
+#[test]
+fn a_request_earns_repeats_once_however_many_servers_it_does_not_reach() {
+    const REQUESTS: usize = 30;
+    let now = Instant::now();
+    let mut decider = decider("a");
+    decider.set_bounds(COLD, Bound { burst: 0.0, ..REPEATS }, None);
+    let mut repeats = 0;
+    for index in 0..REQUESTS as u64 {
+        let at = now + Duration::from_secs(index * 5);
+        decider.set_servers(
+            (0..4).map(|server| Server { incarnation: index, ..service(server) }).collect(),
+        );
+        let mut demand = plain_request(at);
+        for _ in 0..3 {
+            let placement = expect_send(&decider.place_request(&demand, at)).clone();
+            let send_id = decider.record_sent(&placement, &demand, at);
+            decider.record_end(&placement.server, send_id, End::Unreachable, at);
+            demand.excluded.push(placement.server);
+            demand.is_recorded = true;
+        }
+        demand.is_repeat = true;
+        if let Decision::Send(placement) = decider.place_request(&demand, at) {
+            decider.record_sent(&placement, &demand, at);
+            repeats += 1;
+        }
+    }
+    let bound = (REPEATS.ratio * REQUESTS as f64) as usize;
+    assert!((1..=bound).contains(&repeats), "{repeats} repeats, {bound} are allowed");
+}
+
 /// Settings that change in a storm of repeats must not allow it once more.
 #[test]
 fn a_change_of_the_bound_does_not_forget_the_repeats_of_the_window() {
