policy: a repeat that reaches no backend server does not count against the budget

While many servers are down, a repeat often meets another one that can't be reached. Each such try used up a repeat, though no server received anything, and the budget was gone when a sound server came up: callers got an error that a further try would have spared them. A daemon that saves up little at a time feels this most.

A repeat of which no byte can have reached its server is taken back when its exchange ends; what counts is what can arrive. The new test, four tries of which the last one is received, fails at the second one without it.

--- a/crates/gateway/src/call/exchange.rs
+++ b/crates/gateway/src/call/exchange.rs
@@ -390,12 +390,12 @@
         if std::mem::replace(&mut self.finished, true) {
             return;
         }
-        self.gateway.decider.lock().record_end(
-            &self.server.name,
-            self.send_id,
-            end,
-            Instant::now(),
-        );
+        let mut decider = self.gateway.decider.lock();
+        if self.is_unsent() {
+            decider.record_not_received(&self.server.name, self.send_id);
+        }
+        decider.record_end(&self.server.name, self.send_id, end, Instant::now());
+        drop(decider);
         if let Some(fingerprint) = self.suspect {
             self.gateway.suspects.lock().record_end(&self.server.name, fingerprint);
         }
--- a/crates/policy/src/local/decider.rs
+++ b/crates/policy/src/local/decider.rs
@@ -359,6 +359,16 @@
         budget.allows_repeat(&holders, now)
     }
 
+    /// Records that no byte of a request has reached its backend server, and none will. A repeat then
+    /// does not count. Call it before [`Self::record_end`].
+    pub fn record_not_received(&mut self, server: &Backend, send_id: SendId) {
+        let Some(state) = self.servers.get(server) else { return };
+        if state.requests.get(&send_id).is_some_and(|request| request.is_repeat) {
+            let pool = state.server.pool.clone();
+            self.repeat_budget(&pool).0.cancel_repeat();
+        }
+    }
+
     /// How many repeats to a pool this daemon may send now.
     pub fn repeats_left(&mut self, pool: &Pool, now: Instant) -> f64 {
         let (budget, holders) = self.repeat_budget(pool);
--- a/crates/policy/src/local/decider/speeds.rs
+++ b/crates/policy/src/local/decider/speeds.rs
@@ -66,6 +66,7 @@
         gaps: Gaps::default(),
         running: placement.load.running,
         decode_heavy: reservation::is_decode_heavy(demand),
+        is_repeat: demand.is_repeat,
     }
 }
 
--- a/crates/policy/src/local/repeats.rs
+++ b/crates/policy/src/local/repeats.rs
@@ -72,6 +72,11 @@
         self.unused = false;
     }
 
+    /// Takes back a repeat that has not reached a backend server.
+    pub fn cancel_repeat(&mut self) {
+        self.saved += 1.0;
+    }
+
     /// Whether the budget allows one more repeat.
     pub fn allows_repeat(&mut self, holders: &Holders<'_>, now: Instant) -> bool {
         self.left(holders, now) >= 1.0
--- a/crates/policy/src/local/server.rs
+++ b/crates/policy/src/local/server.rs
@@ -154,6 +154,7 @@
     /// The running requests when it was sent.
     pub(super) running: u32,
     pub(super) decode_heavy: bool,
+    pub(super) is_repeat: bool,
 }
 
 /// Measures the gaps between the events of a stream.
--- a/crates/policy/tests/local_rights.rs
+++ b/crates/policy/tests/local_rights.rs
@@ -162,6 +162,28 @@
     assert!((1..=bound).contains(&repeats), "{repeats} repeats, {bound} are allowed");
 }
 
+/// While many servers are down, repeats that reach none of them must not use up the budget.
+#[test]
+fn a_repeat_that_reaches_no_server_does_not_count() {
+    let now = Instant::now();
+    let mut decider = decider("a");
+    decider.set_bounds(COLD, Bound { burst: 1.2, ..REPEATS }, None);
+    decider.set_servers((0..8).map(service).collect());
+    let mut demand = plain_request(now);
+    demand.is_repeat = true;
+    for index in 0..4 {
+        let placement = expect_send(&decider.place_request(&demand, now)).clone();
+        let send_id = decider.record_sent(&placement, &demand, now);
+        if index < 3 {
+            decider.record_not_received(&placement.server, send_id);
+        }
+        decider.record_end(&placement.server, send_id, End::Unreachable, now);
+        demand.excluded.push(placement.server);
+    }
+    let refused = decider.place_request(&demand, now);
+    assert!(matches!(refused, Decision::Refuse { reason: Reason::Repeats, .. }), "{refused:?}");
+}
+
 /// Settings that change in a storm of repeats must not allow it once more.
 #[test]
 fn a_change_of_the_bound_does_not_forget_the_repeats_of_the_window() {
