--- a/crates/gateway/tests/rights.rs
+++ b/crates/gateway/tests/rights.rs
@@ -425,3 +425,17 @@
         );
     }
 }
+
+/// On a busy machine a daemon may know few of the others when its membership converges, and divide by few.
+#[test]
+fn the_cold_limit_holds_where_daemons_know_few_of_the_others() {
+    let scenario = Scenario { daemons: 40, steps: 60, kills: 0, pauses: 0, lost: 99, ..SCENARIO };
+    for seed in 0..4 {
+        let max_sent = max_within(Duration::from_secs(1), &cold_sends(seed, scenario));
+        let bound = COLD.total(COLD_RATE);
+        assert!(
+            max_sent as f64 <= bound,
+            "seed {seed}: {max_sent} in a second, the bound is {bound}"
+        );
+    }
+}
