--- a/crates/gateway/tests/rights.rs
+++ b/crates/gateway/tests/rights.rs
@@ -238,13 +238,13 @@
 /// same window.
 #[test]
 fn what_killed_daemons_repeated_counts_beside_what_their_successors_earn() {
-    const FAILS_FROM: u32 = 150;
+    const FAILS_FROM_STEP: u32 = 150;
     for daemons in [3, 9, 40] {
-        let killed_at = Some(FAILS_FROM + 2);
+        let killed_at = Some(FAILS_FROM_STEP + 2);
         let calm = Scenario { kills: 0, pauses: 0, max_partition: 0, ..SCENARIO };
         let scenario = Scenario { daemons, all_killed_at: killed_at, steps: 300, ..calm };
         for seed in 0..4 {
-            storm(seed, scenario, FAILS_FROM).assert_budget(&format!("{daemons} daemons"));
+            storm(seed, scenario, FAILS_FROM_STEP).assert_budget(&format!("{daemons} daemons"));
         }
     }
 }
@@ -253,7 +253,7 @@
 /// the same window.
 #[test]
 fn callers_that_move_to_other_daemons_do_not_renew_the_budget_for_repeats() {
-    const FAILS_FROM: u32 = 150;
+    const FAILS_FROM_STEP: u32 = 150;
     const REQUESTS_PER_STEP: usize = 40;
     let scenario = Scenario {
         daemons: 20,
@@ -261,13 +261,13 @@
         kills: 0,
         pauses: 0,
         max_partition: 0,
-        large_lost_at: Some((2, FAILS_FROM + 2)),
+        large_lost_at: Some((2, FAILS_FROM_STEP + 2)),
         ..SCENARIO
     };
     let mut sends = Sends::default();
     Fleet::new(1, scenario, false).run(|daemon, _, step, now| {
         let large = daemon.index < 2;
-        let requests = match step <= FAILS_FROM + 2 {
+        let requests = match step <= FAILS_FROM_STEP + 2 {
             true if large => REQUESTS_PER_STEP / 2,
             true => 0,
             false => REQUESTS_PER_STEP.div_ceil(18),
@@ -277,7 +277,7 @@
                 sends.first.push(now);
             }
         }
-        while step >= FAILS_FROM && daemon.send(true, now) {
+        while step >= FAILS_FROM_STEP && daemon.send(true, now) {
             sends.again.push(now);
         }
     });
--- a/crates/policy/src/local/decider/hedge.rs
+++ b/crates/policy/src/local/decider/hedge.rs
@@ -41,7 +41,7 @@
             return Hedge::No(reason);
         }
         let (repeats, holders) = self.repeat_budget(&demand.pool);
-        if !repeats.allows_beside(RETRY_RESERVE_RATIO, &holders, now) {
+        if !repeats.allows_with_reserve(RETRY_RESERVE_RATIO, &holders, now) {
             return Hedge::No(Reason::Repeats);
         }
         let mut second = demand.clone();
--- a/crates/policy/src/local/repeats.rs
+++ b/crates/policy/src/local/repeats.rs
@@ -4,8 +4,9 @@
 //! requests. A daemon saves up repeats by its own first sends, up to its share of the burst. In any
 //! window all daemons together send at most what they had saved up before it, which is the burst, and
 //! what requests inside it earn. That holds whoever is lost, restarts or takes callers over meanwhile:
-//! no process inherits what another one has saved up, and none has anything at its start. Only where
-//! the burst is less than one repeat for each daemon, each one more than that may add one.
+//! no process inherits what another one has saved up, and none has anything at its start. If the
+//! burst is smaller than the number of daemons, each may still save up one repeat, as a part of one
+//! could not be used; the sum can exceed the bound by the difference.
 
 use std::time::{Duration, Instant};
 
@@ -84,7 +85,12 @@
 
     /// Whether the budget allows one more repeat and keeps this fraction of the others that the daemon
     /// can save up.
-    pub fn allows_beside(&mut self, reserve: f64, holders: &Holders<'_>, now: Instant) -> bool {
+    pub fn allows_with_reserve(
+        &mut self,
+        reserve: f64,
+        holders: &Holders<'_>,
+        now: Instant,
+    ) -> bool {
         let others = (self.share(holders) - 1.0).max(0.0);
         self.left(holders, now) - 1.0 >= reserve * others
     }
@@ -96,12 +102,11 @@
         let granted = if quiet > self.bound.window {
             share
         } else if self.unused {
-            // On the first start of the fleet, others that are not known yet have a share as well.
+            // The share may be too large, as many daemons that start may not be known yet.
             share.min(1.0)
         } else {
             0.0
         };
-        // A share of less than one repeat could never be used.
         self.saved = self.saved.max(granted).min(share.max(1.0));
         self.saved
     }
--- a/crates/policy/tests/local_rights.rs
+++ b/crates/policy/tests/local_rights.rs
@@ -134,12 +134,12 @@
 /// A request that meets unreachable servers is sent several times and must not earn more than once.
 #[test]
 fn a_request_earns_repeats_once_however_many_servers_it_does_not_reach() {
-    const REQUESTS: usize = 30;
+    const REQUEST_COUNT: usize = 30;
     let now = Instant::now();
     let mut decider = decider("a");
     decider.set_bounds(COLD, Bound { burst: 0.0, ..REPEATS }, None);
     let mut repeats = 0;
-    for index in 0..REQUESTS as u64 {
+    for index in 0..REQUEST_COUNT as u64 {
         let at = now + Duration::from_secs(index * 5);
         decider.set_servers(
             (0..4).map(|server| Server { incarnation: index, ..service(server) }).collect(),
@@ -158,7 +158,7 @@
             repeats += 1;
         }
     }
-    let bound = (REPEATS.ratio * REQUESTS as f64) as usize;
+    let bound = (REPEATS.ratio * REQUEST_COUNT as f64) as usize;
     assert!((1..=bound).contains(&repeats), "{repeats} repeats, {bound} are allowed");
 }
 
