--- a/crates/policy/src/local/repeats.rs
+++ b/crates/policy/src/local/repeats.rs
@@ -30,7 +30,7 @@
 /// The start of a daemon's process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Start {
-    /// When it was.
+    /// When the process started. An earlier process of the host may have sent repeats until then.
     pub at: Instant,
     /// Whether the whole fleet started for the first time, so that no earlier process has sent
     /// anything.
