--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -199,9 +199,9 @@
         takes
     }
 
-    /// Whether the grace time is over, so that requests are cut.
+    /// Whether requests that are still served are cut, as the process ends.
     pub fn is_ending(&self) -> bool {
-        self.leaves_at().is_some_and(|end| Instant::now() >= end)
+        self.cutting.is_cancelled() || self.leaves_at().is_some_and(|end| Instant::now() >= end)
     }
 
     /// Whether this daemon is to watch the source.
