gateway: one state decides what a leaving host takes, when its listeners close and when its process ends

Cause: the end of the process was decided by two checks that found no connection, while the listener went on to accept and Gateway::takes went on to promise the rest of the grace time. Each knew its own part of the stop only. The process ended 20 ms later, so that a request of that moment was cut. All hosts that stop together make such requests common, as callers have no other addresses.

Change: Departure owns the stop. Listeners belong to a Gate (hyssop-listener), which closes them after their accept queues have been read, and ends when no connection is open; nothing can be opened then. The process ends after both gates have: that of callers, then that of the directory, readiness, metrics and records, whose transfers are finished as well. Checks for late timers and an overrun of the end are needless, as what had arrived is served after the listener has closed. Once responses are cut, nothing is taken.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -3,7 +3,7 @@
 use std::{
     net::{IpAddr, SocketAddr},
     sync::{
-        Arc, OnceLock,
+        Arc,
         atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::{Duration, Instant},
@@ -12,7 +12,7 @@
 use hyssop_document::name::{Backend, Host, Zone};
 use hyssop_policy::local::{
     decider::{Decider, Settings as DeciderSettings},
-    departure::{Durations, Stage},
+    departure::Durations,
     limit::Rate,
     server::Server as Candidate,
 };
@@ -23,10 +23,10 @@
 };
 use parking_lot::Mutex;
 use tokio::sync::Notify;
-use tokio_util::sync::CancellationToken;
 
 use crate::{
     cache::{Cache, Snapshot},
+    departure::Departure,
     dialect::Dialect,
     environment::Route,
     http::pool::{Error, Pool as Connections},
@@ -64,15 +64,6 @@
     pub decider: DeciderSettings,
 }
 
-/// The course of a daemon's stop.
-#[derive(Debug, Clone, Copy)]
-pub struct Departure {
-    /// When all responses of the directory that list the daemon have expired.
-    pub announced: Instant,
-    /// When the process ends.
-    pub end: Instant,
-}
-
 /// One daemon's gateway.
 pub struct Gateway {
     /// The daemon's identity, resources and bounds.
@@ -95,14 +86,10 @@
     pub metrics: Metrics,
     /// The bytes of request bodies currently held.
     pub body_bytes: AtomicUsize,
-    /// Cancelled when the connections of callers are to be closed, after the current responses.
-    pub closing: CancellationToken,
-    /// Cancelled when responses that are not complete are cut, as the process ends.
-    pub(crate) cutting: CancellationToken,
     /// How long responses take, by route.
     pub durations: Mutex<Durations>,
-    /// Set once the daemon has begun to leave.
-    departure: OnceLock<Departure>,
+    /// Decides what is still taken once the daemon is about to stop, and when the process ends.
+    pub departure: Departure,
     /// Whether this daemon is to watch the source.
     role: Mutex<Role>,
     /// Whether this daemon receives changes from the source itself.
@@ -136,10 +123,8 @@
             origins,
             metrics: Metrics::default(),
             body_bytes: AtomicUsize::new(0),
-            closing: CancellationToken::new(),
-            cutting: CancellationToken::new(),
             durations: Mutex::default(),
-            departure: OnceLock::new(),
+            departure: Departure::default(),
             role: Mutex::new(Role::Watcher),
             watches_source: AtomicBool::new(false),
             read_request: AtomicBool::new(false),
@@ -152,37 +137,18 @@
     /// Whether the daemon accepts callers: not before it has an environment, nor after a suspension
     /// until its state is current again.
     pub fn phase(&self) -> Phase {
-        if self.is_leaving() {
+        if self.departure.has_begun() {
             return Phase::Leaving;
         }
         let has_environment = self.cache.snapshot().environment.is_some();
         if has_environment && !self.cache.is_suspended() { Phase::Ready } else { Phase::Starting }
     }
 
-    /// Whether the daemon is about to stop.
-    pub fn is_leaving(&self) -> bool {
-        self.departure.get().is_some()
-    }
-
-    /// When the process ends, if the daemon is about to stop.
-    pub fn leaves_at(&self) -> Option<Instant> {
-        self.departure.get().map(|departure| departure.end)
-    }
-
-    /// Begins to leave: the daemon is not ready any more, and so not in the directory, connections
-    /// of callers are closed after the current responses, and requests that would not be finished
-    /// in time are refused. Further calls have no effect.
-    pub fn leave(&self, departure: Departure) {
-        self.departure.get_or_init(|| departure);
-    }
-
     /// Whether the daemon takes request `id` of `route` with this deadline, although it may be about
     /// to stop.
     pub fn takes(&self, id: &str, route: &Route, deadline: Instant, now: Instant) -> bool {
-        let Some(departure) = self.departure.get() else { return true };
-        let stage = if now < departure.announced { Stage::Announcing } else { Stage::Announced };
-        let left = |until: Instant| until.saturating_duration_since(now);
-        let (request_left, daemon_left) = (left(deadline), left(departure.end));
+        let Some((stage, daemon_left)) = self.departure.stage(now) else { return true };
+        let request_left = deadline.saturating_duration_since(now);
         let allows_rerun = route.retry_policy.allows_rerun();
         let (takes, longest) = {
             let durations = self.durations.lock();
@@ -199,11 +165,6 @@
         takes
     }
 
-    /// Whether requests that are still served are cut, as the process ends.
-    pub fn is_ending(&self) -> bool {
-        self.cutting.is_cancelled() || self.leaves_at().is_some_and(|end| Instant::now() >= end)
-    }
-
     /// Whether this daemon is to watch the source.
     pub fn role(&self) -> Role {
         *self.role.lock()
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -49,7 +49,7 @@
             refuse(&head, body, response)
         }
     };
-    if gateway.is_leaving() {
+    if gateway.departure.has_begun() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response
@@ -111,7 +111,7 @@
                 event = "unanswered",
                 id = self.id,
                 after_ms = elapsed_ms(self.arrived),
-                ending = self.gateway.is_ending()
+                ending = self.gateway.departure.is_ending()
             );
             self.gateway.metrics.count_unanswered();
         }
@@ -183,7 +183,8 @@
     if gateway.members.lock().ready(now).next().is_some() {
         return Duration::ZERO;
     }
-    let left = gateway.leaves_at().map_or(Duration::ZERO, |end| end.saturating_duration_since(now));
+    let left =
+        gateway.departure.end().map_or(Duration::ZERO, |end| end.saturating_duration_since(now));
     left + RESTART_TIME
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod builds;
 pub mod cache;
 pub mod call;
+pub mod departure;
 pub mod dialect;
 pub mod directory;
 pub mod environment;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -299,7 +299,7 @@
 impl Drop for Relay {
     fn drop(&mut self) {
         if !self.done {
-            let is_ending = self.call.gateway.is_ending();
+            let is_ending = self.call.gateway.departure.is_ending();
             self.record_end(if is_ending { "cut" } else { "caller_left" });
         }
     }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -18,11 +18,13 @@
     service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
+use hyssop_listener::Gate;
 use hyssop_view::heartbeat::Phase;
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::{
     body::{Body, full},
+    departure::LAST_READ_TIME,
     gateway::Gateway,
     http, intake,
 };
@@ -31,35 +33,21 @@
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Added to the declared idle time, so that callers close idle connections first.
 const IDLE_SLACK: Duration = Duration::from_secs(1);
-/// How long connections are still read once they are to be closed, so that requests that had arrived
-/// by then are answered.
-const LAST_READ_TIME: Duration = Duration::from_millis(50);
 /// The minimum buffer size for request heads.
 const MIN_HEAD_BUFFER_BYTES: usize = 32 << 10;
 
-/// Serves callers' requests until the task is cancelled. A failed accept is retried after 50 ms.
-pub async fn serve_requests(gateway: Arc<Gateway>, listener: TcpListener) {
-    let serve = move |stream| serve_caller(Arc::clone(&gateway), stream);
-    accept(listener, "requests", serve).await;
+/// Serves callers' requests until the daemon ends.
+pub fn serve_requests(gateway: Arc<Gateway>, listener: TcpListener) {
+    let callers = gateway.departure.callers.clone();
+    callers.listen(listener, "requests", move |stream, _| {
+        set_nodelay(&stream);
+        serve_caller(Arc::clone(&gateway), stream)
+    });
 }
 
-async fn accept<F>(listener: TcpListener, name: &'static str, serve: impl Fn(TcpStream) -> F)
-where
-    F: Future<Output = ()> + Send + 'static,
-{
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                if let Err(error) = stream.set_nodelay(true) {
-                    tracing::debug!(event = "connection_lost", listener = name, %error);
-                }
-                tokio::spawn(serve(stream));
-            }
-            Err(error) => {
-                tracing::warn!(event = "accept_failed", listener = name, %error);
-                tokio::time::sleep(Duration::from_millis(50)).await;
-            }
-        }
+fn set_nodelay(stream: &TcpStream) {
+    if let Err(error) = stream.set_nodelay(true) {
+        tracing::debug!(event = "connection_lost", %error);
     }
 }
 
@@ -86,10 +74,10 @@
         // come first.
         biased;
         served = &mut connection => Some(served),
-        () = wait_for_close(&gateway) => {
+        () = last_read(gateway.departure.idle_closing()) => {
             // Closes an idle connection at once, and a connection in use after its response.
             Pin::new(&mut connection).graceful_shutdown();
-            gateway.cutting.run_until_cancelled(&mut connection).await
+            gateway.departure.run_until_cut(&mut connection).await
         }
     };
     let is_incomplete =
@@ -106,9 +94,9 @@
     gateway.metrics.connections.dec();
 }
 
-/// Waits until an idle connection may be closed.
-async fn wait_for_close(gateway: &Gateway) {
-    gateway.closing.cancelled().await;
+/// Waits until an idle connection may be closed, some time after it is to be closed.
+async fn last_read(closing: impl Future<Output = ()>) {
+    closing.await;
     tokio::time::sleep(LAST_READ_TIME).await;
 }
 
@@ -117,7 +105,7 @@
     match rustix::io::ioctl_fionread(stream) {
         Ok(0) => {}
         Ok(bytes) => {
-            tracing::info!(event = "closed_unread", bytes, leaving = gateway.is_leaving());
+            tracing::info!(event = "closed_unread", bytes, leaving = gateway.departure.has_begun());
             gateway.metrics.count_unread();
         }
         Err(error) => tracing::debug!(event = "unread_bytes_unknown", %error),
@@ -128,23 +116,34 @@
 /// defines the paths.
 pub type Responder = Arc<dyn Fn(&Request<Incoming>) -> Response<Body> + Send + Sync>;
 
-/// Serves requests that need no I/O, such as readiness, until the task is cancelled. `name` is the
-/// listener's name in logs.
-pub async fn serve_local(listener: TcpListener, name: &'static str, responder: Responder) {
-    let serve = move |stream| serve_local_connection(Arc::clone(&responder), stream);
-    accept(listener, name, serve).await;
+/// Serves requests that need no I/O, such as readiness, until `gate` closes. `name` is the listener's
+/// name in logs.
+pub fn serve_local(gate: &Gate, listener: TcpListener, name: &'static str, responder: Responder) {
+    let connections = gate.clone();
+    gate.listen(listener, name, move |stream, _| {
+        set_nodelay(&stream);
+        serve_local_connection(connections.clone(), Arc::clone(&responder), stream)
+    });
 }
 
-async fn serve_local_connection(responder: Responder, stream: TcpStream) {
+async fn serve_local_connection(gate: Gate, responder: Responder, stream: TcpStream) {
     let service = service_fn(|request| {
         let response = responder(&request);
         async move { Ok::<_, Infallible>(response) }
     });
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(DEFAULT_IDLE_TIMEOUT)
         .serve_connection(TokioIo::new(stream), service);
-    if let Err(error) = connection.await {
+    let served = tokio::select! {
+        biased;
+        served = &mut connection => served,
+        () = last_read(gate.closing()) => {
+            Pin::new(&mut connection).graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = served {
         tracing::debug!(event = "connection_ended", %error);
     }
 }
@@ -159,7 +158,7 @@
     };
     let mut response = Response::new(full(phase.to_string()));
     *response.status_mut() = status;
-    if gateway.is_leaving() {
+    if gateway.departure.has_begun() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response
--- a/crates/policy/src/local/departure.rs
+++ b/crates/policy/src/local/departure.rs
@@ -28,7 +28,7 @@
 /// the Linux scheduler), which is most of it for a host with a tenth of a core.
 const MIN_MARGIN: Duration = Duration::from_millis(100);
 
-/// Whether callers can know that the daemon leaves.
+/// How far the stop of a daemon has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
 pub enum Stage {
     /// Callers may still use a response of the directory that lists the daemon.
@@ -37,6 +37,9 @@
     /// All responses of the directory that list the daemon have expired.
     #[display("announced")]
     Announced,
+    /// Responses are cut, and the process ends.
+    #[display("ending")]
+    Ending,
 }
 
 /// How long the recent responses of each route took.
@@ -78,7 +81,7 @@
         self.by_route.get(route).filter(|durations| durations.len() >= MIN_DURATIONS)
     }
 
-    /// Whether a daemon that stops `daemon_left` from now takes a request that ends by its deadline,
+    /// Whether a daemon that cuts responses `daemon_left` from now takes a request that ends by its deadline,
     /// `request_left` from now. `allows_rerun` means that the request may run again if it is cut.
     pub fn takes(
         &self,
@@ -92,6 +95,7 @@
             Stage::Announcing if allows_rerun => self.likely(route),
             Stage::Announcing => self.longest(route),
             Stage::Announced => None,
+            Stage::Ending => return false,
         };
         expected.unwrap_or(Duration::MAX).min(request_left) <= daemon_left
     }
--- a/crates/policy/tests/local_departure.rs
+++ b/crates/policy/tests/local_departure.rs
@@ -131,3 +131,10 @@
     let takes = |stage, left| durations.takes(LONG, stage, false, ms(left), ms(4_000));
     assert!(!takes(Stage::Announced, 12_000) && takes(Stage::Announced, 4_000));
 }
+
+/// A request that is taken while responses are cut gets no answer.
+#[test]
+fn nothing_is_taken_once_responses_are_cut() {
+    let durations = Durations::default();
+    assert!(!durations.takes(LONG, Stage::Ending, true, Duration::ZERO, ms(4_000)));
+}
--- a/crates/view/src/sync.rs
+++ b/crates/view/src/sync.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 use futures::{SinkExt as _, StreamExt as _};
+use hyssop_listener::Gate;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -151,27 +152,24 @@
     }
 }
 
-/// Serves records to peers, large ones to `max_uploads` at a time. Never returns: a failed accept is
-/// logged and retried.
-pub async fn serve(listener: TcpListener, provider: Arc<dyn RecordProvider>, max_uploads: usize) {
+/// Serves records to peers until `gate` closes, large ones to `max_uploads` at a time. Transfers that
+/// have begun are finished.
+pub fn serve(
+    gate: &Gate,
+    listener: TcpListener,
+    provider: Arc<dyn RecordProvider>,
+    max_uploads: usize,
+) {
     let uploads = Arc::new(Semaphore::new(max_uploads));
-    loop {
-        match listener.accept().await {
-            Ok((stream, peer)) => {
-                let (provider, uploads) = (Arc::clone(&provider), Arc::clone(&uploads));
-                tokio::spawn(async move {
-                    let mut bytes = 0;
-                    if let Err(error) = respond(stream, &*provider, &uploads, &mut bytes).await {
-                        tracing::info!(event = "records_not_sent", %peer, %error, bytes);
-                    }
-                });
-            }
-            Err(error) => {
-                tracing::warn!(event = "accept_failed", listener = "records", %error);
-                tokio::time::sleep(Duration::from_millis(100)).await;
+    gate.listen(listener, "records", move |stream, peer| {
+        let (provider, uploads) = (Arc::clone(&provider), Arc::clone(&uploads));
+        async move {
+            let mut bytes = 0;
+            if let Err(error) = respond(stream, &*provider, &uploads, &mut bytes).await {
+                tracing::info!(event = "records_not_sent", %peer, %error, bytes);
             }
         }
-    }
+    });
 }
 
 /// Responds to one request. `bytes` is set to the size of the response.
