gateway: a leaving host keeps a new connection for its first request

Callers saw: a connection to a leaving host was accepted and closed 50 ms later, before a first request from far away had arrived. A new connection was closed as if it were idle. It is kept for 400 ms now. The test fails without it: the connection is closed unread.

--- a/crates/gateway/src/departure.rs
+++ b/crates/gateway/src/departure.rs
@@ -21,6 +21,8 @@
 /// How long connections are still read once they are to be closed, so that requests that had arrived
 /// by then are answered.
 pub(crate) const LAST_READ_TIME: Duration = Duration::from_millis(50);
+/// How long the first request of a new connection may take to arrive: two round trips between regions.
+pub(crate) const FIRST_REQUEST_TIME: Duration = Duration::from_millis(400);
 /// How often a leaving daemon checks whether callers are still connected.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// The number of checks in a row that must find no connection.
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -7,7 +7,7 @@
         Arc,
         atomic::{AtomicBool, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use hyper::{
@@ -24,7 +24,7 @@
 
 use crate::{
     body::{Body, full},
-    departure::LAST_READ_TIME,
+    departure::{FIRST_REQUEST_TIME, LAST_READ_TIME},
     gateway::Gateway,
     http, intake,
 };
@@ -56,10 +56,12 @@
     let limits = gateway.cache.snapshot().environment.as_ref().map(|env| env.limits);
     let idle = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout + IDLE_SLACK);
     let head_bytes = limits.map_or(0, |limits| limits.max_head_bytes).max(MIN_HEAD_BUFFER_BYTES);
+    let (accepted, has_request) = (Instant::now(), AtomicBool::new(false));
     // Whether the close of the connection may be what marks the end of the response.
     let delimited_by_close = AtomicBool::new(false);
     let service = service_fn(|request| {
         let gateway = Arc::clone(&gateway);
+        has_request.store(true, Ordering::Relaxed);
         delimited_by_close.store(request.version() == Version::HTTP_10, Ordering::Relaxed);
         async move { Ok::<_, Infallible>(intake::handle(gateway, request).await) }
     });
@@ -74,7 +76,12 @@
         // come first.
         biased;
         served = &mut connection => Some(served),
-        () = last_read(gateway.departure.idle_closing()) => {
+        () = async {
+            last_read(gateway.departure.idle_closing()).await;
+            if !has_request.load(Ordering::Relaxed) {
+                tokio::time::sleep_until((accepted + FIRST_REQUEST_TIME).into()).await;
+            }
+        } => {
             // Closes an idle connection at once, and a connection in use after its response.
             Pin::new(&mut connection).graceful_shutdown();
             gateway.departure.run_until_cut(&mut connection).await
