caller: a server that stops serves what has arrived in its accept queue and on its open connections

Callers saw: a request that they sent before the server stopped got no answer, and its connection was reset or closed. It had not run, which they couldn't know.

Cause: the listener was dropped with connections in its accept queue. The choice between the stop and the next connection, and between the stop and the bytes of a connection, was random, and a task that is woken by the stop doesn't know yet of bytes that arrived meanwhile.

Change: the server's listener belongs to a Gate of hyssop-listener. Gate::last_read, which the gateway's local listeners had as a function of their own, keeps connections readable for LAST_READ_TIME (50 ms) after the gate closes; bytes come before the reasons to close a connection.

--- a/crates/caller/src/server.rs
+++ b/crates/caller/src/server.rs
@@ -7,18 +7,16 @@
 mod read;
 mod timeout_stream;
 
-use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{io, net::SocketAddr, sync::Arc};
 
 pub use builder::Builder;
+use hyssop_listener::Gate;
 pub use limits::Limits;
 use tokio::net::{TcpListener, TcpStream};
-use tokio_util::{sync::CancellationToken, task::TaskTracker};
+use tokio_util::sync::CancellationToken;
 
 use crate::handler::Handler;
 
-/// The delay after a failed accept, for example when no file descriptors are left.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-
 /// An HTTP server for callers. It runs until its token is cancelled.
 pub struct Server {
     listener: TcpListener,
@@ -32,7 +30,7 @@
     limits: Limits,
     connections: connections::Connections,
     memory: read::MemoryLimit,
-    stop: CancellationToken,
+    gate: Gate,
 }
 
 impl Server {
@@ -50,33 +48,34 @@
         self.listener.local_addr()
     }
 
-    /// Serves until the token is cancelled, then finishes the requests in progress.
+    /// Serves until the token is cancelled, then finishes the requests that have arrived. Nothing is open
+    /// when it returns.
     pub async fn run(self) {
-        let tasks = TaskTracker::new();
-        loop {
-            let accepted = tokio::select! {
-                () = self.stop.cancelled() => break,
-                accepted = self.listener.accept() => accepted,
-            };
-            match accepted {
-                Ok((stream, peer)) => self.accept(stream, peer, &tasks),
-                Err(error) => {
-                    log::warn!("accept failed error=\"{error}\"");
-                    tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+        let Self { listener, shared, stop } = self;
+        let gate = shared.gate.clone();
+        gate.listen(listener, "callers", move |stream, peer| shared.serve(stream, peer));
+        stop.cancelled().await;
+        gate.close();
+        gate.ended().await;
+    }
+}
+
+impl Shared {
+    /// Serves a connection if the limit on connections admits it.
+    fn serve(
+        self: &Arc<Self>,
+        stream: TcpStream,
+        peer: SocketAddr,
+    ) -> impl Future<Output = ()> + use<> {
+        let slot = self.connections.admit();
+        let shared = Arc::clone(self);
+        async move {
+            match slot {
+                Some(slot) => connection::serve(stream, peer, slot, shared).await,
+                None => {
+                    log::debug!("connection closed peer={peer} reason=too_many_connections");
                 }
             }
         }
-        drop(self.listener);
-        tasks.close();
-        tasks.wait().await;
-    }
-
-    fn accept(&self, stream: TcpStream, peer: SocketAddr, tasks: &TaskTracker) {
-        let Some(slot) = self.shared.connections.admit() else {
-            log::debug!("connection closed peer={peer} reason=too_many_connections");
-            return;
-        };
-        let shared = Arc::clone(&self.shared);
-        tasks.spawn(connection::serve(stream, peer, slot, shared));
     }
 }
--- a/crates/caller/src/server/builder.rs
+++ b/crates/caller/src/server/builder.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use hyssop_listener::Gate;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
@@ -41,7 +42,7 @@
             limits: self.limits,
             connections: Connections::new(self.limits.max_connections),
             memory: MemoryLimit::new(self.limits.max_total_body_bytes),
-            stop: self.stop.clone(),
+            gate: Gate::default(),
         };
         Server { listener: self.listener, shared: Arc::new(shared), stop: self.stop }
     }
--- a/crates/caller/src/server/connection.rs
+++ b/crates/caller/src/server/connection.rs
@@ -29,12 +29,14 @@
         .max_buf_size(limits.max_head_bytes.max(8192));
     let mut connection = pin!(builder.serve_connection(io, service));
     let ended = tokio::select! {
+        // What has arrived comes before the reasons to close a connection.
+        biased;
         ended = connection.as_mut() => ended,
         () = slot.evicted() => {
             log::debug!("connection closed peer={peer} reason=evicted");
             return;
         }
-        () = shared.stop.cancelled() => {
+        () = shared.gate.last_read() => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
--- a/crates/caller/tests/listener.rs
+++ b/crates/caller/tests/listener.rs
@@ -3,7 +3,12 @@
 
 mod bench;
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    io::Write as _,
+    net::{SocketAddr, TcpStream as BlockingStream},
+    sync::Arc,
+    time::Duration,
+};
 
 use bench::{
     Bench, Call,
@@ -236,6 +241,65 @@
     assert!(TcpStream::connect(server.address).await.is_err());
 }
 
+async fn read_to_end(stream: &mut TcpStream) -> String {
+    let mut reply = Vec::new();
+    let read = timeout(RESPONSE_TIMEOUT, stream.read_to_end(&mut reply)).await;
+    let _ = read.expect("the server responds or closes");
+    String::from_utf8_lossy(&reply).into_owned()
+}
+
+/// A listener that is dropped resets the connections in its accept queue, whose requests get no answer.
+#[tokio::test]
+async fn a_stop_serves_the_connections_in_the_accept_queue() {
+    let server = start(Fleet::new(1), Limits::default()).await;
+    tokio::task::yield_now().await;
+    // Without letting the server run, as when its host is late.
+    let streams = [(); 8].map(|()| {
+        let mut stream = BlockingStream::connect(server.address).unwrap();
+        stream.write_all(request_text(&Call::draft("queued")).as_bytes()).unwrap();
+        stream.set_nonblocking(true).unwrap();
+        TcpStream::from_std(stream).unwrap()
+    });
+    server.stop.cancel();
+    let mut answered = 0;
+    for mut stream in streams {
+        answered += read_to_end(&mut stream).await.matches("HTTP/1.1 200 ").count();
+    }
+    assert_eq!(answered, 8);
+    timeout(RESPONSE_TIMEOUT, server.task).await.unwrap().unwrap();
+}
+
+/// A connection that is closed when the server stops may hold a request that nothing has read yet.
+#[tokio::test]
+async fn a_stop_serves_requests_that_have_arrived_on_open_connections() {
+    let server = start(Fleet::new(1), Limits::default()).await;
+    let mut streams = Vec::new();
+    for number in 0..8 {
+        let mut stream = TcpStream::connect(server.address).await.unwrap();
+        // Every second connection has served a request and is idle.
+        if number % 2 == 0 {
+            stream.write_all(request_text(&Call::draft("first")).as_bytes()).await.unwrap();
+            let mut reply = Vec::new();
+            while !String::from_utf8_lossy(&reply).ends_with('}') {
+                assert_ne!(stream.read_buf(&mut reply).await.unwrap(), 0);
+            }
+        }
+        streams.push(stream);
+    }
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    for stream in &streams {
+        let request = request_text(&Call::draft("last"));
+        assert_eq!(stream.try_write(request.as_bytes()).unwrap(), request.len());
+    }
+    server.stop.cancel();
+    let mut answered = 0;
+    for mut stream in streams {
+        answered += read_to_end(&mut stream).await.matches("HTTP/1.1 200 ").count();
+    }
+    assert_eq!(answered, 8);
+    timeout(RESPONSE_TIMEOUT, server.task).await.unwrap().unwrap();
+}
+
 #[tokio::test]
 async fn a_caller_that_does_not_read_is_disconnected() {
     const BODY_BYTES: usize = 500_000;
--- a/crates/gateway/src/departure.rs
+++ b/crates/gateway/src/departure.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use hyssop_listener::Gate;
+use hyssop_listener::{Gate, LAST_READ_TIME};
 use hyssop_policy::local::departure::Stage;
 use tokio::time::{timeout, timeout_at};
 use tokio_util::sync::CancellationToken;
@@ -18,9 +18,6 @@
 const MOVE_MARGIN: Duration = Duration::from_secs(1);
 /// The time at the end of the grace time that is reserved for an orderly exit.
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(400);
-/// How long connections are still read once they are to be closed, so that requests that had arrived
-/// by then are answered.
-pub(crate) const LAST_READ_TIME: Duration = Duration::from_millis(50);
 /// How long the first request of a new connection may take to arrive: two round trips between regions.
 pub(crate) const FIRST_REQUEST_TIME: Duration = Duration::from_millis(400);
 /// How often a leaving daemon checks whether callers are still connected.
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -2,7 +2,6 @@
 
 use std::{
     convert::Infallible,
-    future::Future,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -18,13 +17,13 @@
     service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
-use hyssop_listener::Gate;
+use hyssop_listener::{Gate, LAST_READ_TIME};
 use hyssop_view::heartbeat::Phase;
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::{
     body::{Body, full},
-    departure::{FIRST_REQUEST_TIME, LAST_READ_TIME},
+    departure::{Departure, FIRST_REQUEST_TIME},
     gateway::Gateway,
     http, intake,
 };
@@ -77,7 +76,7 @@
         biased;
         served = &mut connection => Some(served),
         () = async {
-            last_read(gateway.departure.idle_closing()).await;
+            last_read(&gateway.departure).await;
             if !has_request.load(Ordering::Relaxed) {
                 tokio::time::sleep_until((accepted + FIRST_REQUEST_TIME).into()).await;
             }
@@ -101,9 +100,9 @@
     gateway.metrics.connections.dec();
 }
 
-/// Waits until an idle connection may be closed, some time after it is to be closed.
-async fn last_read(closing: impl Future<Output = ()>) {
-    closing.await;
+/// Waits until an idle connection of a caller may be closed, some time after it is to be closed.
+async fn last_read(departure: &Departure) {
+    departure.idle_closing().await;
     tokio::time::sleep(LAST_READ_TIME).await;
 }
 
@@ -145,7 +144,7 @@
     let served = tokio::select! {
         biased;
         served = &mut connection => served,
-        () = last_read(gate.closing()) => {
+        () = gate.last_read() => {
             Pin::new(&mut connection).graceful_shutdown();
             connection.await
         }
--- a/crates/listener/src/lib.rs
+++ b/crates/listener/src/lib.rs
@@ -15,6 +15,10 @@
 /// The delay after a failed accept, for example when no file descriptors are left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// How long connections are still read once they are to be closed, so that requests that had arrived
+/// by then are answered.
+pub const LAST_READ_TIME: Duration = Duration::from_millis(50);
+
 /// Listeners that close together, and their connections. Clones share them.
 #[derive(Debug, Clone, Default)]
 pub struct Gate {
@@ -61,6 +65,13 @@
         self.closing.cancelled().await;
     }
 
+    /// Waits until an idle connection may be closed, some time after the gate is to be closed. Poll the
+    /// connection first: a host that was late to run finds its timers due and bytes in its sockets at once.
+    pub async fn last_read(&self) {
+        self.closing().await;
+        tokio::time::sleep(LAST_READ_TIME).await;
+    }
+
     /// Waits until the listeners are closed and all connections have ended. None can be opened then.
     pub async fn ended(&self) {
         self.closing.cancelled().await;
--- a/crates/listener/tests/gate.rs
+++ b/crates/listener/tests/gate.rs
@@ -57,6 +57,35 @@
     }
 }
 
+/// A connection that is closed with its listener may hold a request that the runtime has not polled for.
+#[tokio::test]
+async fn what_has_arrived_when_a_gate_closes_can_be_read() {
+    let gate = Gate::default();
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let to = listener.local_addr().expect("a bound socket has an address");
+    let connections = gate.clone();
+    gate.listen(listener, "test", move |mut stream, _| {
+        let gate = connections.clone();
+        async move {
+            let mut request = [0; 4];
+            tokio::select! {
+                biased;
+                read = stream.read_exact(&mut request) => drop(read.expect("a request")),
+                () = gate.last_read() => return,
+            }
+            stream.write_all(&request).await.expect("the caller reads");
+        }
+    });
+    let mut stream = BlockingStream::connect(to).expect("a connection");
+    while gate.connection_count() == 0 {
+        tokio::task::yield_now().await;
+    }
+    stream.write_all(b"call").expect("the socket takes a small request");
+    gate.close();
+    gate.ended().await;
+    assert_eq!(receive(stream), b"call");
+}
+
 /// A gate that has ended while a listener was open could take a connection afterwards.
 #[tokio::test]
 async fn a_gate_has_ended_once_nothing_can_arrive_and_nothing_is_open() {
