operator: a server that stops serves what has arrived in its accept queue and on its open connections

Operators saw: an order or a health check that was sent before the daemon stopped got no answer, and its connection was reset or closed.

The listener was dropped with its accept queue, and the stop won over bytes that had arrived.

Change: the listener belongs to a Gate.

--- a/crates/operator/src/server.rs
+++ b/crates/operator/src/server.rs
@@ -9,8 +9,9 @@
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyssop_document::digest::Digest;
+use hyssop_listener::Gate;
 use tokio::net::{TcpListener, TcpStream};
-use tokio_util::{sync::CancellationToken, task::TaskTracker};
+use tokio_util::sync::CancellationToken;
 
 use self::connections::{Connections, Slot};
 use crate::handler::Handler;
@@ -21,7 +22,6 @@
 const DEFAULT_RESPONSE_TIMEOUT: Duration = Duration::from_secs(30);
 const DEFAULT_STOP_TIMEOUT: Duration = Duration::from_secs(5);
 const MAX_HEAD_BYTES: usize = 16 << 10;
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 #[derive(Debug, Clone, Copy)]
 struct Limits {
@@ -121,39 +121,30 @@
     /// Serves until `stop` is cancelled, then finishes requests in progress, at most until the stop
     /// timeout.
     pub async fn run(self, stop: CancellationToken) {
-        let connections = Connections::new(self.limits.max_connections);
-        let tracker = TaskTracker::new();
-        loop {
-            let stream = tokio::select! {
-                () = stop.cancelled() => break,
-                stream = accept(&self.listener) => stream,
-            };
-            match connections.admit() {
-                Some(slot) => {
-                    let connection = Connection { stream, slot, stop: stop.clone() };
-                    tracker.spawn(connection.serve(self.routes.clone(), self.limits));
+        let Self { listener, routes, limits } = self;
+        let connections = Connections::new(limits.max_connections);
+        let gate = Gate::default();
+        let (open, connection_gate) = (connections.clone(), gate.clone());
+        gate.listen(listener, "operators", move |stream, _| {
+            let slot = open.admit();
+            if slot.is_none() {
+                log::warn!("operator connection refused open={}", open.count());
+            }
+            let gate = connection_gate.clone();
+            let connection = slot.map(|slot| Connection { stream, slot, gate });
+            let routes = routes.clone();
+            async move {
+                if let Some(connection) = connection {
+                    connection.serve(routes, limits).await;
                 }
-                None => log::warn!("operator connection refused open={}", connections.count()),
             }
-        }
-        drop(self.listener);
-        tracker.close();
-        if tokio::time::timeout(self.limits.stop_timeout, tracker.wait()).await.is_err() {
+        });
+        stop.cancelled().await;
+        gate.close();
+        if tokio::time::timeout(limits.stop_timeout, gate.ended()).await.is_err() {
             log::warn!("operator connections closed at stop count={}", connections.count());
             connections.close_all();
-            tracker.wait().await;
-        }
-    }
-}
-
-async fn accept(listener: &TcpListener) -> TcpStream {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => return stream,
-            Err(error) => {
-                log::warn!("operator connection not accepted error={error}");
-                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-            }
+            gate.ended().await;
         }
     }
 }
@@ -162,7 +153,7 @@
 struct Connection {
     stream: TcpStream,
     slot: Slot,
-    stop: CancellationToken,
+    gate: Gate,
 }
 
 impl Connection {
@@ -179,11 +170,14 @@
             .serve_connection(TokioIo::new(self.stream), service);
         let mut connection = pin!(connection);
         let ended = tokio::select! {
+            // What has arrived comes before the reasons to close a connection.
+            biased;
             ended = connection.as_mut() => ended,
             () = slot.closed() => return,
-            () = self.stop.cancelled() => {
+            () = self.gate.last_read() => {
                 connection.as_mut().graceful_shutdown();
                 tokio::select! {
+                    biased;
                     ended = connection => ended,
                     () = slot.closed() => return,
                 }
