--- a/crates/listener/src/lib.rs
+++ b/crates/listener/src/lib.rs
@@ -14,6 +14,8 @@
 
 /// The delay after a failed accept, for example when no file descriptors are left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// How often a listener that closes tries to read its accept queue. The connections that are left are reset.
+const MAX_CLOSE_TRIES: u32 = 4;
 
 /// How long connections are still read once they are to be closed, so that requests that had arrived
 /// by then are answered.
@@ -44,9 +46,7 @@
                 gate.connections.spawn(serve(stream, peer));
             };
             gate.closing.run_until_cancelled(accept(&listener, name, &serve)).await;
-            if let Err(error) = accept_queued(listener, &serve) {
-                tracing::warn!(event = "accept_failed", listener = name, %error);
-            }
+            accept_queued(listener, name, &serve).await;
         });
     }
 
@@ -100,8 +100,31 @@
 
 /// Accepts what is in the accept queue, and closes the listener. Asks the system and not the runtime, which
 /// learns of new connections only when it polls.
-fn accept_queued(listener: TcpListener, serve: &impl Fn(TcpStream, SocketAddr)) -> io::Result<()> {
-    let listener = listener.into_std()?;
+async fn accept_queued(
+    listener: TcpListener,
+    name: &'static str,
+    serve: &impl Fn(TcpStream, SocketAddr),
+) {
+    let warn = |error: &io::Error| {
+        tracing::warn!(event = "accept_failed", listener = name, %error);
+    };
+    let listener = match listener.into_std() {
+        Ok(listener) => listener,
+        Err(error) => return warn(&error),
+    };
+    for _ in 0..MAX_CLOSE_TRIES {
+        match accept_all(&listener, serve) {
+            Ok(()) => return,
+            Err(error) => warn(&error),
+        }
+        tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+    }
+}
+
+fn accept_all(
+    listener: &std::net::TcpListener,
+    serve: &impl Fn(TcpStream, SocketAddr),
+) -> io::Result<()> {
     loop {
         match listener.accept() {
             Ok((stream, peer)) => {
