gateway: a request that does not arrive keeps no host that has finished, and no wait goes beyond the grace time

The directory, readiness and metrics have 150 ms now, transfers of records until the cut, and nothing waits beyond 100 ms before SIGKILL.

closed_unread counts what was read and not used: a request that came before the response to the last one was lost without a line.

--- a/crates/gateway/src/departure.rs
+++ b/crates/gateway/src/departure.rs
@@ -18,6 +18,8 @@
 const MOVE_MARGIN: Duration = Duration::from_secs(1);
 /// The time at the end of the grace time that is reserved for an orderly exit.
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(400);
+/// The part of it in which the process writes its last log lines and ends.
+const EXIT_TIME: Duration = Duration::from_millis(100);
 /// How long the first request of a new connection may take to arrive: two round trips between regions.
 pub(crate) const FIRST_REQUEST_TIME: Duration = Duration::from_millis(400);
 /// How often a leaving daemon checks whether callers are still connected.
@@ -26,8 +28,10 @@
 const MIN_IDLE_CHECKS: u32 = 2;
 /// The time within which connections end once their responses are cut.
 const CUT_TIMEOUT: Duration = Duration::from_millis(50);
-/// The minimum time for requests to the listeners that close last.
-const MIN_LOCAL_TIME: Duration = Duration::from_millis(100);
+/// The time for requests to the directory, readiness and metrics once their listeners close.
+const LOCAL_TIMEOUT: Duration = Duration::from_millis(150);
+/// The delay of a timer beyond which the host was late to run.
+const MAX_TIMER_DELAY: Duration = Duration::from_millis(10);
 
 /// When a daemon that leaves takes its steps.
 #[derive(Debug, Clone, Copy)]
@@ -36,13 +40,18 @@
     pub announced: Instant,
     /// When responses that are not complete are cut.
     pub end: Instant,
+    /// When the daemon waits for nothing any more.
+    pub exit: Instant,
 }
 
 impl Plan {
     /// The plan of a daemon whose process must have ended `grace` after `begun`.
     pub fn new(begun: Instant, grace: Duration, directory_ttl: Duration) -> Self {
-        let announced = begun + directory_ttl * DIRECTORY_USE_FACTOR;
-        Self { announced, end: begun + grace.saturating_sub(SHUTDOWN_MARGIN) }
+        Self {
+            announced: begun + directory_ttl * DIRECTORY_USE_FACTOR,
+            end: begun + grace.saturating_sub(SHUTDOWN_MARGIN),
+            exit: begun + grace.saturating_sub(EXIT_TIME),
+        }
     }
 }
 
@@ -51,9 +60,10 @@
 pub struct Departure {
     /// Callers' connections. Their listener closes first.
     pub callers: Gate,
-    /// Connections to the other listeners, and transfers of records to peers. They close last, as other
-    /// hosts may depend on them.
+    /// Connections to the directory, readiness and metrics.
     pub local: Gate,
+    /// Transfers of records to peers.
+    pub transfers: Gate,
     plan: OnceLock<Plan>,
     idle_closing: CancellationToken,
     cutting: CancellationToken,
@@ -97,7 +107,8 @@
         self.idle_closing.cancelled().await;
     }
 
-    /// Runs `serve` unless responses are cut before it ends.
+    /// Runs `serve` unless responses are cut before it ends. It is polled before the cut is seen, so that
+    /// what had arrived at a host that was late to run is read.
     pub(crate) async fn run_until_cut<F: Future>(&self, serve: F) -> Option<F::Output> {
         self.cutting.run_until_cancelled(serve).await
     }
@@ -105,18 +116,16 @@
     /// Closes the listener of callers once they have moved to other hosts, or just before the end, and
     /// waits until what was taken is finished or the end has come.
     pub(crate) async fn drain_callers(&self) {
-        let Some(&Plan { announced, end }) = self.plan.get() else { return };
+        let Some(&Plan { announced, end, exit }) = self.plan.get() else { return };
         let last_close = end.checked_sub(LAST_READ_TIME).unwrap_or(end);
         tokio::time::sleep_until((announced + MOVE_MARGIN).min(last_close).into()).await;
         // Idle connections are closed at once, connections in use after the current response.
         self.idle_closing.cancel();
         self.wait_until_idle(last_close).await;
         self.callers.close();
-        // A daemon that was late to run still reads what it has accepted.
+        // A host that was late to run still reads what it has accepted.
         let end = end.max(Instant::now() + LAST_READ_TIME);
-        if timeout_at(end.into(), self.callers.ended()).await.is_err() {
-            tracing::info!(event = "not_drained", connections = self.callers.connection_count());
-        }
+        wait_until_ended(&self.callers, "callers", end, exit).await;
     }
 
     async fn wait_until_idle(&self, latest: Instant) {
@@ -137,14 +146,32 @@
         }
     }
 
-    /// Closes the other listeners, and waits until transfers of records are finished or the end has come.
-    pub(crate) async fn drain_local(&self) {
+    /// Closes the other listeners, and waits until requests to them are answered and transfers of records
+    /// are finished, or the end has come.
+    pub(crate) async fn drain_others(&self) {
+        let Some(&Plan { end, exit, .. }) = self.plan.get() else { return };
         self.local.close();
-        let now = Instant::now();
-        let end = self.end().unwrap_or(now).max(now + MIN_LOCAL_TIME);
-        if timeout_at(end.into(), self.local.ended()).await.is_err() {
-            let connections = self.local.connection_count();
-            tracing::info!(event = "local_not_ended", connections);
-        }
+        self.transfers.close();
+        let local_end = Instant::now() + LOCAL_TIMEOUT;
+        tokio::join!(
+            wait_until_ended(&self.local, "local", local_end, exit),
+            wait_until_ended(&self.transfers, "transfers", end, exit),
+        );
+    }
+}
+
+/// Waits until a gate has ended or `end` has come. A host that was late to run goes on for a moment, in which
+/// the tasks of connections run, at most until `exit`.
+async fn wait_until_ended(gate: &Gate, name: &'static str, end: Instant, exit: Instant) {
+    let wait = async |until: Instant| timeout_at(until.into(), gate.ended()).await.is_ok();
+    let end = end.min(exit);
+    let mut has_ended = wait(end).await;
+    let now = Instant::now();
+    if !has_ended && now > end + MAX_TIMER_DELAY {
+        has_ended = wait(exit.min(now + LAST_READ_TIME)).await;
+    }
+    if !has_ended {
+        let connections = gate.connection_count();
+        tracing::info!(event = "not_drained", gate = name, connections);
     }
 }
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -16,8 +16,8 @@
 /// configurations and departures must be in force. A busy machine stays below it.
 const SUSPENSION_THRESHOLD: Duration = Duration::from_millis(800);
 
-/// Waits until callers have moved to other hosts and their requests are finished, for at most
-/// `grace` from `begun`. Nothing that was taken is left when it returns.
+/// Waits until callers have moved to other hosts and their requests are finished, and then closes the
+/// other listeners. What is left shortly before the end of `grace` from `begun` is cut, with a log line.
 pub async fn leave(gateway: &Gateway, begun: Instant, grace: Duration) {
     let Gateway { departure, metrics, settings, .. } = gateway;
     tracing::info!(event = "leaving", running = metrics.running.get());
@@ -29,7 +29,7 @@
         after_ms = begun.elapsed().as_millis() as u64
     );
     departure.cut().await;
-    departure.drain_local().await;
+    departure.drain_others().await;
 }
 
 /// Marks the cache as out of date when the process was suspended, until the state is read again.
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -75,12 +75,7 @@
         // come first.
         biased;
         served = &mut connection => Some(served),
-        () = async {
-            last_read(&gateway.departure).await;
-            if !has_request.load(Ordering::Relaxed) {
-                tokio::time::sleep_until((accepted + FIRST_REQUEST_TIME).into()).await;
-            }
-        } => {
+        () = wait_for_close(&gateway.departure, accepted, &has_request) => {
             // Closes an idle connection at once, and a connection in use after its response.
             Pin::new(&mut connection).graceful_shutdown();
             gateway.departure.run_until_cut(&mut connection).await
@@ -91,30 +86,38 @@
     if let Some(Err(error)) = served {
         tracing::debug!(event = "connection_ended", %error);
     }
-    let stream = connection.into_parts().io.into_inner();
+    let http1::Parts { io, read_buf, .. } = connection.into_parts();
+    let stream = io.into_inner();
     if is_incomplete && delimited_by_close.load(Ordering::Relaxed) {
         // The caller can tell a reset from the end of a response.
         http::reset_on_close(&stream);
     }
-    report_unread(&gateway, &stream);
+    report_unread(&gateway, &stream, read_buf.len());
     gateway.metrics.connections.dec();
 }
 
-/// Waits until an idle connection of a caller may be closed, some time after it is to be closed.
-async fn last_read(departure: &Departure) {
+/// Waits until a connection of a caller may be closed while it is idle, some time after it is to be closed. A
+/// new one is kept until its first request, unless responses are cut before.
+async fn wait_for_close(departure: &Departure, accepted: Instant, has_request: &AtomicBool) {
     departure.idle_closing().await;
     tokio::time::sleep(LAST_READ_TIME).await;
+    if !has_request.load(Ordering::Relaxed) {
+        let first_request = tokio::time::sleep_until((accepted + FIRST_REQUEST_TIME).into());
+        departure.run_until_cut(first_request).await;
+    }
 }
 
-/// Logs and counts bytes of a caller that its connection is closed with: perhaps a request.
-fn report_unread(gateway: &Gateway, stream: &TcpStream) {
-    match rustix::io::ioctl_fionread(stream) {
-        Ok(0) => {}
-        Ok(bytes) => {
-            tracing::info!(event = "closed_unread", bytes, leaving = gateway.departure.has_begun());
-            gateway.metrics.count_unread();
-        }
-        Err(error) => tracing::debug!(event = "unread_bytes_unknown", %error),
+/// Logs and counts bytes of a caller that its connection is closed with: perhaps a request. `buffered` of
+/// them were read and not used.
+fn report_unread(gateway: &Gateway, stream: &TcpStream, buffered: usize) {
+    let unread = rustix::io::ioctl_fionread(stream).unwrap_or_else(|error| {
+        tracing::debug!(event = "unread_bytes_unknown", %error);
+        0
+    });
+    if unread > 0 || buffered > 0 {
+        let leaving = gateway.departure.has_begun();
+        tracing::info!(event = "closed_unread", bytes = unread, buffered, leaving);
+        gateway.metrics.count_unread();
     }
 }
 
--- a/crates/view/src/sync.rs
+++ b/crates/view/src/sync.rs
@@ -152,8 +152,8 @@
     }
 }
 
-/// Serves records to peers until `gate` closes, large ones to `max_uploads` at a time. Transfers that
-/// have begun are finished.
+/// Serves records to peers until `gate` closes, large ones to `max_uploads` at a time. The gate ends once
+/// the transfers that have begun are finished.
 pub fn serve(
     gate: &Gate,
     listener: TcpListener,
