--- a/crates/listener/tests/descriptors.rs
+++ b/crates/listener/tests/descriptors.rs
@@ -35,7 +35,7 @@
         stream
     });
     let limit = getrlimit(Resource::Nofile);
-    let mut none_left = limit.clone();
+    let mut none_left = limit;
     none_left.current = Some(1);
     setrlimit(Resource::Nofile, none_left).expect("the limit can be lowered");
     gate.close();
