daemon: a stop that exceeds its limit takes no further request, and counts responses that it cuts

Callers saw: after the stop limit a daemon whose operators were still connected took and answered requests of callers, for up to 5 s. Such a request ended with the process, and nothing told of it. A response that its caller read slowly was cut too, while the daemon logged cut_off=0 and exited with status 0.

Cause: the stop counted runs and went on to stop its background tasks, but the server of callers, which was still waiting for its connections, went on to serve them. A run has ended before its response is sent, so the count of runs misses what the socket has not taken.

Evidence: with the former code a head that was completed 0.5 s after the limit got a 200. With a response larger than the socket buffers, Home::running is 0 while the server waits.

Change: Daemon::run closes the connections of callers once the limit is exceeded, and takes the number of runs, or of connections with a request or an unsent response if these are more. A new line, "stop limit exceeded", has the limit and both numbers.

--- a/crates/caller/src/server.rs
+++ b/crates/caller/src/server.rs
@@ -31,6 +31,23 @@
     connections: connections::Connections,
     memory: read::MemoryLimit,
     gate: Gate,
+    cutting: CancellationToken,
+}
+
+/// Observes and ends the requests of a server that has exceeded its time to stop.
+#[derive(Clone)]
+pub struct Handle(Arc<Shared>);
+
+impl Handle {
+    /// The number of connections with a request that was read and whose response is not sent.
+    pub fn busy_count(&self) -> usize {
+        self.0.connections.busy_count()
+    }
+
+    /// Closes all connections. From now on no request is taken.
+    pub fn cut(&self) {
+        self.0.cutting.cancel();
+    }
 }
 
 impl Server {
@@ -48,6 +65,11 @@
         self.listener.local_addr()
     }
 
+    /// A handle that remains valid while the server runs.
+    pub fn handle(&self) -> Handle {
+        Handle(Arc::clone(&self.shared))
+    }
+
     /// Serves until the token is cancelled, then finishes the requests that have arrived. Nothing is open
     /// when it returns.
     pub async fn run(self) {
@@ -71,7 +93,11 @@
         let shared = Arc::clone(self);
         async move {
             match slot {
-                Some(slot) => connection::serve(stream, peer, slot, shared).await,
+                Some(slot) => {
+                    let cutting = shared.cutting.clone();
+                    let connection = connection::serve(stream, peer, slot, shared);
+                    let _ended = cutting.run_until_cancelled(connection).await;
+                }
                 None => {
                     log::debug!("connection closed peer={peer} reason=too_many_connections");
                 }
--- a/crates/caller/src/server/builder.rs
+++ b/crates/caller/src/server/builder.rs
@@ -43,6 +43,7 @@
             connections: Connections::new(self.limits.max_connections),
             memory: MemoryLimit::new(self.limits.max_total_body_bytes),
             gate: Gate::default(),
+            cutting: CancellationToken::new(),
         };
         Server { listener: self.listener, shared: Arc::new(shared), stop: self.stop }
     }
--- a/crates/caller/src/server/connection.rs
+++ b/crates/caller/src/server/connection.rs
@@ -16,7 +16,7 @@
         log::debug!("connection ended peer={peer} error=\"{error}\"");
         return;
     }
-    let io = TokioIo::new(TimeoutStream::new(stream, limits.write_timeout));
+    let io = TokioIo::new(TimeoutStream::new(stream, limits.write_timeout, slot.write_pending()));
     let service = service_fn(|request| {
         let (shared, slot) = (&shared, &slot);
         async move { Ok::<_, Infallible>(respond(request, shared, slot).await) }
--- a/crates/caller/src/server/connections.rs
+++ b/crates/caller/src/server/connections.rs
@@ -7,7 +7,7 @@
     collections::BTreeMap,
     sync::{
         Arc,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
 };
 
@@ -17,6 +17,9 @@
 #[derive(Debug)]
 struct State {
     requests: AtomicUsize,
+    /// Whether a write waits for the caller to read. A request has ended once its whole response is
+    /// buffered, before that is sent.
+    write_pending: Arc<AtomicBool>,
     evicted: CancellationToken,
 }
 
@@ -38,6 +41,15 @@
         Self { open: Arc::default(), max }
     }
 
+    /// The number of connections with a request that is being handled or a response that is not sent.
+    pub(super) fn busy_count(&self) -> usize {
+        let is_busy = |state: &&Arc<State>| {
+            state.requests.load(Ordering::Acquire) > 0
+                || state.write_pending.load(Ordering::Relaxed)
+        };
+        self.open.lock().states.values().filter(is_busy).count()
+    }
+
     /// Returns a slot for a new connection, or nothing at the limit if every open connection has a
     /// request that is being handled.
     pub(super) fn admit(&self) -> Option<Slot> {
@@ -51,8 +63,11 @@
         }
         let id = open.next_id;
         open.next_id += 1;
-        let state =
-            Arc::new(State { requests: AtomicUsize::new(0), evicted: CancellationToken::new() });
+        let state = Arc::new(State {
+            requests: AtomicUsize::new(0),
+            write_pending: Arc::default(),
+            evicted: CancellationToken::new(),
+        });
         open.states.insert(id, Arc::clone(&state));
         Some(Slot { id, state, open: Arc::clone(&self.open) })
     }
@@ -72,6 +87,11 @@
         self.state.evicted.cancelled().await;
     }
 
+    /// Whether a write waits for the caller to read, which the connection's stream updates.
+    pub(super) fn write_pending(&self) -> Arc<AtomicBool> {
+        Arc::clone(&self.state.write_pending)
+    }
+
     /// Marks a request as being handled until the guard is dropped.
     pub(super) fn start_request(&self) -> RequestGuard {
         self.state.requests.fetch_add(1, Ordering::AcqRel);
--- a/crates/caller/src/server/timeout_stream.rs
+++ b/crates/caller/src/server/timeout_stream.rs
@@ -4,6 +4,10 @@
     future::Future as _,
     io,
     pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     task::{Context, Poll, ready},
     time::Duration,
 };
@@ -20,11 +24,17 @@
     stream: TcpStream,
     timeout: Duration,
     expiry: Option<Pin<Box<Sleep>>>,
+    write_pending: Arc<AtomicBool>,
 }
 
 impl TimeoutStream {
-    pub(super) fn new(stream: TcpStream, timeout: Duration) -> Self {
-        Self { stream, timeout, expiry: None }
+    /// `write_pending` is set while a write makes no progress.
+    pub(super) fn new(
+        stream: TcpStream,
+        timeout: Duration,
+        write_pending: Arc<AtomicBool>,
+    ) -> Self {
+        Self { stream, timeout, expiry: None, write_pending }
     }
 
     /// Replaces a pending write by an error once writes have been pending for the timeout.
@@ -33,6 +43,7 @@
         poll: Poll<io::Result<T>>,
         context: &mut Context<'_>,
     ) -> Poll<io::Result<T>> {
+        self.write_pending.store(poll.is_pending(), Ordering::Relaxed);
         if poll.is_ready() {
             self.expiry = None;
             return poll;
--- a/crates/caller/tests/listener.rs
+++ b/crates/caller/tests/listener.rs
@@ -15,11 +15,11 @@
     engine::{Fleet, booked, expected},
     key,
 };
-use hyssop_caller::server::{Limits, Server};
+use hyssop_caller::server::{Handle, Limits, Server};
 use rand::{Rng as _, RngExt as _, SeedableRng as _, rngs::StdRng};
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
     task::JoinHandle,
     time::{Instant, timeout},
 };
@@ -29,6 +29,7 @@
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(10);
 
 struct TestServer {
+    handle: Handle,
     address: SocketAddr,
     stop: CancellationToken,
     task: JoinHandle<()>,
@@ -42,7 +43,8 @@
     let home = Arc::new(bench.home.clone());
     let server = Server::builder(listener, home).limits(limits).stop(stop.clone()).build();
     let address = server.local_addr().unwrap();
-    TestServer { address, stop, task: tokio::spawn(server.run()), bench }
+    let handle = server.handle();
+    TestServer { handle, address, stop, task: tokio::spawn(server.run()), bench }
 }
 
 fn request_text(call: &Call) -> String {
@@ -320,3 +322,29 @@
     let sent = timeout(RESPONSE_TIMEOUT, sending).await;
     assert!(sent.is_ok_and(|sent| sent < 100), "the server closes the connection");
 }
+
+/// The run of a request has ended before its response is sent, so that a count of runs misses a response
+/// that the end of the process cuts.
+#[tokio::test]
+async fn a_response_that_is_not_read_counts_as_a_request_until_it_is_cut() {
+    // More than the socket buffers hold.
+    const BODY_BYTES: usize = 12 << 20;
+    const RECEIVE_BUFFER_BYTES: u32 = 4 << 10;
+    const PAUSE: Duration = Duration::from_millis(500);
+    let limits = Limits { max_body_bytes: BODY_BYTES * 2, ..Limits::default() };
+    let mut server = start(Fleet::new(1), limits).await;
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES).unwrap();
+    let mut stream = socket.connect(server.address).await.unwrap();
+    let call = Call::booking(&"x".repeat(BODY_BYTES)).key(key(1, "large"));
+    stream.write_all(request_text(&call).as_bytes()).await.unwrap();
+    while server.bench.fleet.runs() == 0 || server.bench.home.running() > 0 {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    server.stop.cancel();
+    assert!(timeout(PAUSE, &mut server.task).await.is_err(), "the server waits for its caller");
+    assert_eq!((server.bench.home.running(), server.handle.busy_count()), (0, 1));
+    server.handle.cut();
+    timeout(RESPONSE_TIMEOUT, server.task).await.unwrap().unwrap();
+    assert_eq!(server.handle.busy_count(), 0);
+}
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -8,7 +8,10 @@
 };
 
 use hyssop_backend::client::Client;
-use hyssop_caller::{home::Home, server::Server as CallerServer};
+use hyssop_caller::{
+    home::Home,
+    server::{Handle as CallerHandle, Server as CallerServer},
+};
 use hyssop_document::number::Incarnation;
 use hyssop_operator::server::Server as OperatorServer;
 use hyssop_peer::{Identity, Node};
@@ -64,7 +67,8 @@
 /// The result of a graceful stop.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Shutdown {
-    /// The number of requests aborted because they exceeded the stop limit.
+    /// The number of requests aborted because they exceeded the stop limit: runs, or responses that
+    /// callers had not read, whichever are more.
     pub aborted: usize,
 }
 
@@ -126,6 +130,7 @@
         let stop_background = CancellationToken::new();
         self.watch_platform(&tasks, &stop_background);
         tasks.spawn(self.gauges.run(stop_background.clone()));
+        let callers = self.caller_server.handle();
         let caller_task = tokio::spawn(self.caller_server.run());
         tasks.spawn(self.operator_server.run(stop_background.clone()));
         log::info!(
@@ -145,7 +150,10 @@
             let _ended = caller_task.await;
             self.home.drain().await;
         });
-        let aborted = if drained.await.is_ok() { 0 } else { self.home.running() };
+        let aborted = match drained.await {
+            Ok(()) => 0,
+            Err(_) => abort(&callers, &self.home, self.settings.stop_limit),
+        };
         stop_background.cancel();
         tasks.close();
         tasks.wait().await;
@@ -180,6 +188,18 @@
     tokio::time::sleep_until(end).await;
 }
 
+/// Closes the connections of callers, and returns the number of requests that this aborts. No request is
+/// taken afterwards, so that the number is final although the process still runs.
+fn abort(callers: &CallerHandle, home: &Home, limit: Duration) -> usize {
+    let (runs, responses) = (home.running(), callers.busy_count());
+    callers.cut();
+    log::warn!(
+        "stop limit exceeded limit_ms={} runs={runs} responses={responses}",
+        limit.as_millis()
+    );
+    runs.max(responses)
+}
+
 async fn bind_tcp(field: &'static str, address: SocketAddr) -> Result<TcpListener, BindError> {
     TcpListener::bind(address).await.map_err(|error| BindError { field, address, error })
 }
