--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -39,14 +39,14 @@
 pub fn serve_requests(gateway: Arc<Gateway>, listener: TcpListener) {
     let callers = gateway.departure.callers.clone();
     callers.listen(listener, "requests", move |stream, _| {
-        set_nodelay(&stream);
+        set_nodelay(&stream, "requests");
         serve_caller(Arc::clone(&gateway), stream)
     });
 }
 
-fn set_nodelay(stream: &TcpStream) {
+fn set_nodelay(stream: &TcpStream, listener: &'static str) {
     if let Err(error) = stream.set_nodelay(true) {
-        tracing::debug!(event = "connection_lost", %error);
+        tracing::debug!(event = "connection_lost", listener, %error);
     }
 }
 
@@ -130,7 +130,7 @@
 pub fn serve_local(gate: &Gate, listener: TcpListener, name: &'static str, responder: Responder) {
     let connections = gate.clone();
     gate.listen(listener, name, move |stream, _| {
-        set_nodelay(&stream);
+        set_nodelay(&stream, name);
         serve_local_connection(connections.clone(), Arc::clone(&responder), stream)
     });
 }
