daemon: a signal during the start stops it in order

Operators saw: SIGTERM or SIGINT that came before the listeners were bound ended the process by the default action, with a signal instead of status 0, and without `daemon stopped` in the log.

Cause: the handlers were installed after `Daemon::bind`, which opens the listeners and joins the peers.

Change: the runtime is built and the handlers are installed before the settings are read, as the platform's program does. A signal is kept by the token that `Daemon::run` waits for. `--check-settings` starts no runtime, and is still ended by a signal. The runtime is still dropped before the log is flushed.

Ruled out: handlers just before `Daemon::bind`, which leaves the time until the settings are read. The stop limit counts from when the daemon serves, not from the signal: no obligation is older than that.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -13,7 +13,7 @@
 use anyhow::Context as _;
 use clap::Parser as _;
 use tokio::{
-    runtime,
+    runtime::{self, Runtime},
     signal::unix::{SignalKind, signal},
 };
 use tokio_util::sync::CancellationToken;
@@ -49,23 +49,41 @@
 }
 
 fn start(flags: &Flags) -> anyhow::Result<ExitCode> {
-    let settings = Settings::read(flags)?;
     if flags.check_settings {
+        Settings::read(flags)?;
         print_stderr(&format!("{}: settings are valid", flags.settings.display()));
         return Ok(ExitCode::SUCCESS);
     }
+    // Before the settings are read and addresses are bound: without a handler, a signal ends the process.
+    let (runtime, stop) = start_runtime()?;
+    let settings = Settings::read(flags)?;
     let log_buffer = logging::start(settings.log_level);
-    let runtime = runtime::Builder::new_multi_thread().enable_all().build();
-    let result = runtime.context("the runtime cannot be started")?.block_on(serve(settings, flags));
+    let result = runtime.block_on(serve(settings, flags, stop));
+    // Drops all tasks, whose last log lines are flushed.
+    drop(runtime);
     log_buffer.flush();
     result
 }
 
-async fn serve(settings: Settings, flags: &Flags) -> anyhow::Result<ExitCode> {
+/// A runtime, and a token that SIGTERM and SIGINT cancel.
+fn start_runtime() -> anyhow::Result<(Runtime, CancellationToken)> {
+    let runtime = runtime::Builder::new_multi_thread().enable_all().build();
+    let runtime = runtime.context("the runtime cannot be started")?;
+    let stop = CancellationToken::new();
+    {
+        let _context = runtime.enter();
+        stop_on_signal(&stop)?;
+    }
+    Ok((runtime, stop))
+}
+
+async fn serve(
+    settings: Settings,
+    flags: &Flags,
+    stop: CancellationToken,
+) -> anyhow::Result<ExitCode> {
     let daemon = Daemon::bind(settings).await;
     let daemon = daemon.map_err(|error| Error::new(&flags.settings, error.field, &error))?;
-    let stop = CancellationToken::new();
-    stop_on_signal(&stop)?;
     let shutdown = daemon.run(stop).await;
     Ok(if shutdown.aborted == 0 { ExitCode::SUCCESS } else { ExitCode::from(EXIT_FAILURE) })
 }
