peer: a home that ends sends its last releases

Operators saw: permits whose requests had ended stay counted. A release waits 5 ms for others to be sent with it, and is then a call of its own; nobody waited for either, so a process that ended meanwhile took its last releases along. Schedulers drop the permits of a process once its port refuses connections; where they can't learn of the end that way, the permits count until their latest end.

Cause: the outbox of events and the calls that send them were not among what a stop waits for.

Evidence: a_release_is_sent_before_its_home_ends has two nodes that don't trust refusals.

Change: `Node::events_sent` says whether the outbox is empty and no call is under way. A token counts as a call while the outbox is emptied, so events are always in one of them. The daemon asks it once all runs have ended, for at most 1.5 s, which is longer than a call may take, and logs if the time is over. A call that fails is not waited for again: the reports that make up for it end with the process.

Ruled out: sending each release at once, which still leaves the call.

--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -50,6 +50,10 @@
 const HAND_OVER_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// The maximum wait for schedulers to be handed over.
 const HAND_OVER_TIMEOUT: Duration = Duration::from_secs(5);
+/// The time between two checks whether all releases of permits are sent.
+const RELEASE_POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// The maximum wait for releases to be sent. A call to a scheduler times out before it.
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(1500);
 
 /// The error for an address that cannot be bound.
 #[derive(Debug, derive_more::Display, derive_more::Error)]
@@ -154,6 +158,7 @@
             Ok(()) => 0,
             Err(_) => abort(&callers, &self.home, self.settings.stop_limit),
         };
+        send_releases(&self.node).await;
         stop_background.cancel();
         tasks.close();
         tasks.wait().await;
@@ -188,6 +193,19 @@
     tokio::time::sleep_until(end).await;
 }
 
+/// Waits until the schedulers have the releases of permits. A release that ends with the process leaves its
+/// permit counted until peers detect the end of the process, or until the permit's latest end.
+async fn send_releases(node: &Node) {
+    let sent = timeout(RELEASE_TIMEOUT, async {
+        while !node.events_sent() {
+            tokio::time::sleep(RELEASE_POLL_INTERVAL).await;
+        }
+    });
+    if sent.await.is_err() {
+        log::warn!("releases of permits not sent limit_ms={}", RELEASE_TIMEOUT.as_millis());
+    }
+}
+
 /// Closes the connections of callers, and returns the number of requests that this aborts. No request is
 /// taken afterwards, so that the number is final although the process still runs.
 fn abort(callers: &CallerHandle, home: &Home, limit: Duration) -> usize {
--- a/crates/peer/src/node.rs
+++ b/crates/peer/src/node.rs
@@ -29,6 +29,7 @@
     sync::{Notify, watch as channel},
     task::AbortHandle,
 };
+use tokio_util::task::TaskTracker;
 
 pub use builder::Builder;
 
@@ -64,6 +65,8 @@
     notices: Mutex<notice::Table>,
     permits: Mutex<permits::Table>,
     outbox: Mutex<Map<Group, Batch>>,
+    /// The calls that send batches of events.
+    event_calls: TaskTracker,
     /// The groups for which a message may have been lost, with the number of reports left to send.
     pending_reports: Mutex<Map<Group, u32>>,
     view: ArcSwap<View>,
--- a/crates/peer/src/node/builder.rs
+++ b/crates/peer/src/node/builder.rs
@@ -16,6 +16,7 @@
     net::{TcpListener, UdpSocket},
     sync::{Notify, mpsc, watch as channel},
 };
+use tokio_util::task::TaskTracker;
 
 use super::{Node, Shared, connections, heartbeat, report, serve, sync};
 use crate::{
@@ -120,6 +121,7 @@
             notices: Mutex::default(),
             permits: Mutex::new(permits::Table::new(own_process)),
             outbox: Mutex::default(),
+            event_calls: TaskTracker::new(),
             pending_reports: Mutex::default(),
             view: ArcSwap::from_pointee(view),
             leases: ArcSwap::from_pointee(Leases::default()),
--- a/crates/peer/src/node/permit.rs
+++ b/crates/peer/src/node/permit.rs
@@ -91,6 +91,12 @@
         }
     }
 
+    /// Whether the releases and the progress of all permits so far were sent to their schedulers, or
+    /// could not be delivered.
+    pub fn events_sent(&self) -> bool {
+        self.shared.outbox.lock().is_empty() && self.shared.event_calls.is_empty()
+    }
+
     /// The number of permits in use.
     pub fn permits_in_use(&self) -> usize {
         self.shared.permits.lock().len()
--- a/crates/peer/src/node/report.rs
+++ b/crates/peer/src/node/report.rs
@@ -41,10 +41,13 @@
     loop {
         shared.flush_trigger.notified().await;
         time::sleep(shared.timing.batch_interval).await;
+        // Counts as a call, so that events are never absent from both the outbox and the calls.
+        let sending = shared.event_calls.token();
         let batches = std::mem::take(&mut *shared.outbox.lock());
         for batch in batches.into_values() {
             send_batch(&shared, batch);
         }
+        drop(sending);
     }
 }
 
@@ -76,9 +79,10 @@
         shared.group(&batch.group).send(Command::Events(batch));
         return;
     }
+    let calls = shared.event_calls.clone();
     let shared = Arc::clone(shared);
     let group = batch.group.clone();
-    tokio::spawn(async move {
+    calls.spawn(async move {
         let call = async {
             let link = shared.link(&process.host).await.ok()?;
             link.client.events(tarpc::context::current(), batch).await.ok()
--- a/crates/peer/tests/node/failure.rs
+++ b/crates/peer/tests/node/failure.rs
@@ -1,11 +1,14 @@
 //! Hand-over of a group when its scheduler is killed or leaves, and cancelled waits for permits.
 
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use hyssop_document::name;
-use hyssop_peer::{Node, PermitReply, current::Source};
+use hyssop_document::{name, number::Incarnation};
+use hyssop_peer::{Identity, Node, PermitReply, current::Source};
+use hyssop_timer::Service;
 
-use crate::support::{cluster, completed_release, document, permit_request, until};
+use crate::support::{
+    IdleBackends, cluster, completed_release, document, list, permit_request, timing, until,
+};
 
 /// Waits until a scheduler holds at least `votes` votes, and returns its host.
 async fn scheduler(nodes: &[Arc<Node>], votes: u32) -> name::Host {
@@ -135,3 +138,45 @@
         "the new scheduler treats every backend server as cold"
     );
 }
+
+async fn running(node: &Node) -> u64 {
+    let fleet = node.status().await;
+    fleet.reached.iter().flat_map(|status| &status.groups).map(|group| group.running).sum()
+}
+
+/// A process that ends right after a release takes it along, and where peers can't learn of the end by a
+/// refused connection, the permit counts until its latest end.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_release_is_sent_before_its_home_ends() {
+    let mut nodes = Vec::new();
+    for number in 1..=2 {
+        let identity = Identity {
+            host: name::Host::new(&format!("h{number}")),
+            zone: name::Zone::new(&format!("z{number}")),
+            incarnation: Incarnation::new(1_000_000, number),
+            caller_address: SocketAddr::from(([127, 0, 0, 1], 0)),
+            peer_address: SocketAddr::from(([127, 0, 0, 1], 0)),
+        };
+        let timer = Service::builder().resolution(Duration::from_millis(10)).start();
+        let node = Node::builder(identity, timer, Arc::new(IdleBackends::default()))
+            .timing(timing())
+            .trust_refusals(false)
+            .start();
+        nodes.push(node.await.expect("a port is free"));
+    }
+    let hosts = list(1, &nodes);
+    for node in &nodes {
+        node.set_list(hosts.clone()).expect("the list is valid");
+    }
+    nodes[0].offer_document(document(1), Source::Platform);
+    let at = scheduler(&nodes, 2).await;
+    let host = nodes.iter().map(|node| node.identity().host.clone()).find(|host| *host != at);
+    let home = remove_node(&mut nodes, &host.expect("there are two hosts"));
+    let reply = home.request_permit(permit_request(5000)).await;
+    let PermitReply::Granted(permit) = reply else { panic!("{reply:?}") };
+    assert_eq!(running(&nodes[0]).await, 1);
+    home.release(completed_release(permit.id));
+    until("the release is sent", async || home.events_sent()).await;
+    drop(home);
+    until("no permit is counted", async || running(&nodes[0]).await == 0).await;
+}
