peer: a shortage of file descriptors does not make the peers' listener spin

Operators saw: a daemon without file descriptors left wrote thousands of lines a second that a connection of a peer was not accepted, and its listener tried again at once.

Cause: after a failed accept the connection stays in the accept queue, and `listen` accepted again without a pause.

That the listener accepts until the end of the process is no fault: a refused connection proves to peers that the process has ended, and they then drop its permits and votes (`probe`), which must not happen while it may still run requests. By reading, a peer that connects just before the end is reset instead of refused, and probes only once; that is open.

--- a/crates/peer/src/node/serve.rs
+++ b/crates/peer/src/node/serve.rs
@@ -1,6 +1,6 @@
 //! Accepts connections of peers and serves their calls.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use compact_str::CompactString;
@@ -11,7 +11,10 @@
     serde_transport,
     server::{BaseChannel, Channel as _, Config},
 };
-use tokio::net::{TcpListener, TcpStream};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time,
+};
 
 use super::Shared;
 use crate::{
@@ -30,8 +33,11 @@
 
 /// The limit of responses that wait to be written to one connection.
 const MAX_PENDING_RESPONSES: usize = 1000;
+/// The delay after a failed accept, for example when no file descriptors are left.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Accepts connections until the node ends.
+/// Accepts connections until the node ends. To peers, a refused connection proves that the process has
+/// ended, so the listener is not closed before.
 pub(super) async fn listen(shared: Arc<Shared>, listener: TcpListener) {
     let mut connections = tokio::task::JoinSet::new();
     loop {
@@ -40,7 +46,10 @@
                 Ok((stream, _)) => {
                     connections.spawn(serve_connection(Arc::clone(&shared), stream));
                 }
-                Err(error) => log::warn!("connection of a peer not accepted error={error}"),
+                Err(error) => {
+                    log::warn!("connection of a peer not accepted error={error}");
+                    time::sleep(ACCEPT_RETRY_DELAY).await;
+                }
             },
             Some(_) = connections.join_next(), if !connections.is_empty() => {}
         }
