peer: a request waits for its permit until its home has resynchronized

Callers saw: a request that arrived while its daemon had just been suspended was refused as `no_backend` ("no backend server took it") within 25 ms, with slots free.

Cause: after a suspension, `check_permit` refuses every permit until a peer has acknowledged a heartbeat. The run asked for the next permit at once, and was refused after its limit of 12.

The new test needs no second process and failed before with `Err(Paused)`.

The change works because the wait for a permit begins after the resynchronization, so that a permit that was granted meanwhile does not expire unused either. Ruled out: a higher limit of permits, as each one occupies a slot until it is released.

--- a/crates/peer/src/node/permit.rs
+++ b/crates/peer/src/node/permit.rs
@@ -22,7 +22,8 @@
 
 /// The time limit for the election of a scheduler.
 const ELECTION_TIMEOUT: Duration = Duration::from_secs(3);
-/// The delay before a failed call to a scheduler is retried.
+/// The delay before a failed call to a scheduler is retried, and before another check whether the node
+/// has resynchronized.
 const RETRY_DELAY: Duration = Duration::from_millis(20);
 /// The time after the deadline of a request for which the scheduler's reply is still awaited.
 const REPLY_MARGIN: Duration = Duration::from_millis(200);
@@ -114,6 +115,11 @@
                 let reason = Reason::Deadline;
                 return PermitReply::Refused(Refusal { reason, retry_after_ms: RETRY_AFTER_MS });
             }
+            // A permit must not be used before the node has resynchronized, and it may expire meanwhile.
+            if self.is_paused() {
+                time::sleep(RETRY_DELAY.min(remaining)).await;
+                continue;
+            }
             lease_changes.borrow_and_update();
             let Some(scheduler) = self.scheduler(key) else {
                 let wait = ELECTION_TIMEOUT.min(remaining);
@@ -193,10 +199,14 @@
         link.client.request_permit(context, submission).await.ok().flatten()
     }
 
+    /// Whether the process was suspended and has not resynchronized with its peers since.
+    fn is_paused(&self) -> bool {
+        self.timer.paused_within(Duration::ZERO)
+            || self.timer.pauses() != self.resynced_pauses.load(Ordering::Acquire)
+    }
+
     fn check_permit(&self, permit: &Permit) -> Result<(), StalePermit> {
-        let paused = self.timer.paused_within(Duration::ZERO)
-            || self.timer.pauses() != self.resynced_pauses.load(Ordering::Acquire);
-        if paused {
+        if self.is_paused() {
             return Err(StalePermit::Paused);
         }
         let leases = self.leases.load();
--- a/crates/peer/tests/node/check_permit.rs
+++ b/crates/peer/tests/node/check_permit.rs
@@ -17,7 +17,9 @@
 use hyssop_policy::permit::Permit;
 use hyssop_timer::{Clock, Service};
 
-use crate::support::{IdleBackends, document, list, permit_request, start_with, timing};
+use crate::support::{
+    IdleBackends, completed_release, document, list, permit_request, start_with, timing,
+};
 
 /// The system's clock plus an offset. A test increases the offset to simulate that the process was
 /// suspended.
@@ -99,3 +101,21 @@
     clock.offset_ms.fetch_add(300, Ordering::SeqCst);
     assert_eq!(node.check_permit(&permit), Err(StalePermit::Paused));
 }
+
+/// A request that was submitted before its home had resynchronized got a permit that must not be used,
+/// asked for the next one at once, and was refused after its last permit.
+#[tokio::test(flavor = "current_thread")]
+async fn a_permit_requested_after_the_process_was_suspended_is_used() {
+    let (node, _, clock) = node_with_permit().await;
+    for _ in 0..10 {
+        let start = Instant::now();
+        clock.offset_ms.fetch_add(300, Ordering::SeqCst);
+        let reply = node.request_permit(permit_request(5000)).await;
+        let PermitReply::Granted(permit) = reply else { panic!("{reply:?}") };
+        // A busy machine may suspend the process once more before the check.
+        let is_suspended_again = start.elapsed() > Duration::from_millis(250);
+        let check = node.check_permit(&permit);
+        assert!(check.is_ok() || is_suspended_again, "{check:?}");
+        node.release(completed_release(permit.id));
+    }
+}
