peer: the task of a group grants free slots before its queue overflows

Callers saw: after a scheduler's process had been suspended, requests of all tiers were refused as `queue_full` although slots were free.

Cause: the task hands all submissions that have arrived (up to 512) to the scheduler before it polls it. The scheduler sheds beyond the limit of its queue with each submission, and grants only when it is polled.

The new test, one node without other processes, failed before with `Refused(QueueFull)`.

The change works because the scheduler is polled before a submission that its queue may not take: what still waits then has no slot. Below the limit, one poll still decides on all, by tier. The share is read again before each poll, as before. Ruled out: a poll after each submission, which would grant in the order of arrival instead of by tier.

--- a/crates/peer/src/group.rs
+++ b/crates/peer/src/group.rs
@@ -77,6 +77,8 @@
     slot: u64,
     scheduler: Scheduler,
     backends: Vec<model::Backend>,
+    /// The limit of the scheduler's queue.
+    queue_limit: usize,
     next_ticket: u64,
     waiting: Map<Ticket, QueuedRequest>,
     tickets: Map<(Process, u64), Ticket>,
@@ -104,6 +106,7 @@
             slot,
             scheduler,
             backends: Vec::new(),
+            queue_limit: 0,
             next_ticket: 0,
             waiting: Map::default(),
             tickets: Map::default(),
@@ -151,13 +154,16 @@
         let Some(document) = &current.document else { return };
         let document = document.catalog.document();
         self.scheduler.configure(document, &current.orders, self.shared.timer.now());
+        let pool = document.pools.iter().find(|pool| pool.name == self.group.pool);
+        self.queue_limit = pool.map_or(0, |pool| pool.queue_limit);
         let members = group::split(document, &self.group.pool);
         let members = members.into_iter().find(|(group, _)| *group == self.group);
         self.backends =
             members.map(|(_, members)| members.into_iter().cloned().collect()).unwrap_or_default();
     }
 
-    /// Handles a command and those queued behind it, so that one poll decides on all of them.
+    /// Handles a command and those queued behind it, so that one poll decides on as many of them as the
+    /// queue takes.
     fn handle_all(&mut self, first: Command, queued: &mut mpsc::UnboundedReceiver<Command>) {
         self.handle(first);
         for _ in 1..MAX_COMMANDS_PER_STEP {
@@ -189,6 +195,10 @@
     }
 
     fn enqueue(&mut self, submission: &Submission, reply: oneshot::Sender<PermitReply>) {
+        // The scheduler sheds at the limit of its queue at once, so it must have granted the free slots.
+        if self.waiting.len() >= self.queue_limit {
+            self.step();
+        }
         self.next_ticket += 1;
         let ticket = Ticket(self.next_ticket);
         let Submission { home, number, .. } = submission;
--- a/crates/peer/tests/node/main.rs
+++ b/crates/peer/tests/node/main.rs
@@ -1,5 +1,6 @@
 //! Tests of nodes that exchange messages over loopback.
 
+mod backlog;
 mod check_permit;
 mod cluster;
 mod failure;
