policy: a failing test of a queue that sheds while slots are free

Operators saw letters refused as `queue_full` in a burst after a suspension, with 2 to 10 of 32 slots in use.

Cause: `Scheduler::admit` sheds at once, and `Scheduler::poll` sheds before it grants. So the limit of the queue also counts requests that would be granted at the same moment.

Evidence: the test fails: 11 of 16 requests are refused with 16 slots free. The code is not changed here; the task of a group polls before its queue overflows, which keeps callers from seeing this.

--- a/crates/policy/tests/handover.rs
+++ b/crates/policy/tests/handover.rs
@@ -4,7 +4,7 @@
 
 use std::time::Instant;
 
-use common::{builder, document, entry, load, ms, permits, refusals, release};
+use common::{builder, document, entry, load, ms, permits, refusals, release, scheduler};
 use hyssop_document::{name, order};
 use hyssop_policy::{permit::End, scheduler::Scheduler, share::Share};
 
@@ -69,3 +69,18 @@
     (0..7).for_each(|ticket| scheduler.enqueue(entry(ticket, "bulk", "w1"), now));
     assert_eq!(refusals(&scheduler.poll(now)).len(), 7 - QUEUE_LIMIT - 1);
 }
+
+/// The requests that arrived while the process was suspended are enqueued before the next poll. Those
+/// beyond the limit of the queue are shed although a backend server has a free slot for each.
+#[test]
+fn no_request_is_shed_for_which_a_slot_is_free() {
+    let now = Instant::now();
+    let mut document = document(1, 16, 16);
+    document.pools[0].queue_limit = QUEUE_LIMIT;
+    let mut scheduler = scheduler(&document, now);
+    scheduler.record_load(&name::Backend::new("b0"), load(9, 0), now);
+    (0..16).for_each(|ticket| scheduler.enqueue(entry(ticket, "draft", "w1"), now));
+    let decisions = scheduler.poll(now);
+    assert_eq!(refusals(&decisions), Vec::<String>::new());
+    assert_eq!(permits(decisions).len(), 16);
+}
