--- a/review/standin-2/src/client.rs
+++ b/review/standin-2/src/client.rs
@@ -40,7 +40,7 @@
     pub complete: bool,
     /// Whether the answer names a limit of the backend server.
     pub names_limit: bool,
-    /// The body of an answer without events, or the fault of the connection.
+    /// The body of a failure, or the fault of the connection.
     pub text: String,
 }
 
@@ -162,7 +162,10 @@
         }
     } else {
         let length = head.get("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
-        outcome.text = String::from_utf8_lossy(&conn.read_bytes(length)?).into_owned();
+        let body = conn.read_bytes(length)?;
+        if outcome.status != 200 {
+            outcome.text = String::from_utf8_lossy(&body).into_owned();
+        }
     }
     outcome.complete = true;
     Ok((!closes).then_some(conn))
