--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -307,6 +307,7 @@
         down: ms(1_000),
         keeps_id: false,
         poison: None,
+        dark: false,
     }
 }
 
@@ -394,6 +395,7 @@
         "stale-seeds" => stale_seeds(trouble, report),
         "canned" => canned(trouble, report),
         "poison" => poison(trouble, report),
+        "dark" => dark(trouble, report),
         _ => Err(format!("there is no case {case}")),
     }
 }
@@ -639,7 +641,41 @@
     thread::sleep(ms(62_000));
     world.load.clone().stop(clients);
     summarize(&world, report);
-    let crashes = crashes(&world);
+    let late = late_retries(&world, report);
+    world.finish(report);
+    Ok(late > 3)
+}
+
+/// A request crashes each backend server that runs it, with its host, and comes again.
+fn dark(trouble: bool, report: &mut Report) -> Verdict {
+    const RETRIES: u64 = 30;
+    let mut world = World::new(&model_configuration())?;
+    for index in 1..=6 {
+        let settings = model_settings(trouble.then_some(POISON_TEXT));
+        let settings = Settings { events: 8, gap: ms(90), dark: true, down: ms(2_500), ..settings };
+        world.add_engine(&format!("e{index}"), settings, false);
+    }
+    world.add_hosts(3, false)?;
+    world.start_hosts()?;
+    thread::sleep(ms(2_000));
+    let mut clients =
+        world.clients(60, |client, count| unique("others", client as usize % 4, client, count));
+    thread::sleep(ms(6_000));
+    check_calm(&world, Instant::now())?;
+    clients.push(send_in_turn(&world, RETRIES, |_| {
+        letter("poison", 0, 0x9900_0000, POISON_TEXT.to_owned())
+    }));
+    thread::sleep(ms(62_000));
+    world.load.clone().stop(clients);
+    summarize(&world, report);
+    let late = late_retries(&world, report);
+    world.finish(report);
+    Ok(late > 3)
+}
+
+/// The number of requests that reached a server so long after the third crash that they count.
+fn late_retries(world: &World, report: &mut Report) -> usize {
+    let crashes = crashes(world);
     report.line(&format!("crashes: {}", crashes.len()));
     let late = crashes
         .get(2)
@@ -648,6 +684,5 @@
         "retries that reached a server later than {} ms after the third crash: {late}, allowed: 3",
         STABLE_WINDOW.as_millis()
     ));
-    world.finish(report);
-    Ok(late > 3)
+    late
 }
--- a/review/standin-2/src/engine.rs
+++ b/review/standin-2/src/engine.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::VecDeque,
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    os::fd::AsRawFd,
     sync::{
         atomic::{AtomicBool, AtomicU64, Ordering},
         Arc, Mutex,
@@ -39,6 +40,22 @@
     pub keeps_id: bool,
     /// The text in a request that crashes the server when it begins to run.
     pub poison: Option<&'static str>,
+    /// Whether a crash is silent, as that of a whole host: connections stay open and carry nothing more until
+    /// the server is back, and none can be opened.
+    pub dark: bool,
+}
+
+extern "C" {
+    fn listen(socket: i32, backlog: i32) -> i32;
+}
+
+/// Fills the queue of a listener that nobody accepts from, so that connections to it neither open nor fail.
+fn fill_queue(listener: &TcpListener) -> Vec<TcpStream> {
+    // SAFETY: a plain system call on an open socket.
+    unsafe { listen(listener.as_raw_fd(), 0) };
+    let Ok(address) = listener.local_addr() else { return Vec::new() };
+    let connect = || TcpStream::connect_timeout(&address, Duration::from_millis(30));
+    std::iter::from_fn(|| connect().ok()).take(64).collect()
 }
 
 /// A request that reached the backend server and wasn't turned away with 421 or 503.
@@ -78,6 +95,12 @@
     pub notes: Arc<Mutex<VecDeque<(Instant, String)>>>,
 }
 
+fn close(connections: &mut Vec<TcpStream>) {
+    for connection in connections.drain(..) {
+        connection.shutdown(Shutdown::Both).ok();
+    }
+}
+
 fn unix_ms() -> u128 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_millis())
 }
@@ -170,6 +193,11 @@
                 Err(_) => thread::sleep(Duration::from_millis(1)),
             }
             if !engine.is_up(start) {
+                if engine.settings.dark {
+                    let queued = fill_queue(&listener);
+                    thread::sleep(engine.settings.down);
+                    drop((listener, queued));
+                }
                 return;
             }
         });
@@ -189,8 +217,8 @@
             }
             life.up = false;
             life.running = 0;
-            for connection in life.connections.drain(..) {
-                connection.shutdown(Shutdown::Both).ok();
+            if !self.settings.dark {
+                close(&mut life.connections);
             }
         }
         self.note("crashes".to_owned());
@@ -202,6 +230,7 @@
     }
 
     fn start_again(&self) {
+        close(&mut self.life.lock().unwrap().connections);
         let listener = loop {
             match TcpListener::bind(self.address) {
                 Ok(listener) => break listener,
@@ -227,7 +256,12 @@
         let mut conn = Conn::new(stream);
         while let Ok(Some(head)) = conn.read_head() {
             let Ok(body) = conn.read_request_body(&head) else { return };
-            if !self.is_up(start) || self.respond(&mut conn, &head, &body, start).is_err() {
+            let ended = !self.is_up(start) || self.respond(&mut conn, &head, &body, start).is_err();
+            if ended && self.settings.dark && !self.is_up(start) {
+                // The connection stays open until the server is back.
+                thread::sleep(self.settings.down + Duration::from_millis(100));
+            }
+            if ended {
                 return;
             }
         }
